--- /dev/null
+++ b/internal/memnet/memnet.go
@@ -0,0 +1,214 @@
+// Package memnet is an in-memory network of named hosts for tests that run a
+// whole cluster inside a testing/synctest bubble, where real sockets cannot be
+// used. Connections are synchronous pipes. Links between hosts can be cut in
+// one or both directions, and hosts can be frozen.
+package memnet
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/zeebo/errs/v2"
+)
+
+// ErrRefused is returned when nobody listens on an address.
+const ErrRefused = errs.Tag("memnet: connection refused")
+
+// ErrClosed is returned by a closed listener.
+const ErrClosed = errs.Tag("memnet: listener closed")
+
+const acceptBacklog = 64
+
+// Network is a set of listeners and the state of the links between hosts. It
+// is safe for concurrent use.
+type Network struct {
+	mu          sync.Mutex
+	listeners   map[string]*listener
+	connections map[*connection]struct{}
+	cuts        map[link]struct{}
+}
+
+type link struct{ from, to string }
+
+// NewNetwork returns an empty network.
+func NewNetwork() *Network {
+	return &Network{
+		listeners:   map[string]*listener{},
+		connections: map[*connection]struct{}{},
+		cuts:        map[link]struct{}{},
+	}
+}
+
+// Listen opens address (host:port) and returns its listener.
+func (n *Network) Listen(address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, taken := n.listeners[address]; taken {
+		return nil, errs.Errorf("memnet: %s is in use", address)
+	}
+	l := &listener{network: n, address: address, accept: make(chan net.Conn, acceptBacklog), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// Dialer returns a dial function for the host, for http.Transport.DialContext
+// and for the peer transport. A dial over a cut link waits until ctx ends, as a
+// lost SYN would.
+func (n *Network) Dialer(host string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		return n.dial(ctx, host, address)
+	}
+}
+
+func (n *Network) dial(ctx context.Context, from, address string) (net.Conn, error) {
+	to := hostOf(address)
+	n.mu.Lock()
+	target, listening := n.listeners[address]
+	cut := n.isCut(from, to) || n.isCut(to, from)
+	n.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if !listening {
+		return nil, ErrRefused.Errorf("%s", address)
+	}
+	client, server := n.newPair(from, to)
+	select {
+	case target.accept <- server:
+		return client, nil
+	case <-target.closed:
+	case <-ctx.Done():
+	}
+	client.Close()
+	return nil, ErrRefused.Errorf("%s", address)
+}
+
+func (n *Network) newPair(from, to string) (client, server *connection) {
+	clientPipe, serverPipe := net.Pipe()
+	client = &connection{Conn: clientPipe, network: n, from: from, to: to}
+	server = &connection{Conn: serverPipe, network: n, from: to, to: from}
+	n.mu.Lock()
+	n.connections[client] = struct{}{}
+	n.connections[server] = struct{}{}
+	n.mu.Unlock()
+	return client, server
+}
+
+// Cut drops the link between two hosts: open connections break, and new ones
+// hang until their context ends.
+func (n *Network) Cut(a, b string) {
+	n.mu.Lock()
+	n.cuts[link{a, b}] = struct{}{}
+	n.cuts[link{b, a}] = struct{}{}
+	broken := n.connectionsBetween(a, b)
+	n.mu.Unlock()
+	for _, c := range broken {
+		c.Close()
+	}
+}
+
+// Heal restores the link between two hosts.
+func (n *Network) Heal(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, link{a, b})
+	delete(n.cuts, link{b, a})
+}
+
+// Kill closes every listener and connection of a host, as the death of its
+// process would.
+func (n *Network) Kill(host string) {
+	n.mu.Lock()
+	var listeners []*listener
+	for address, l := range n.listeners {
+		if hostOf(address) == host {
+			listeners = append(listeners, l)
+		}
+	}
+	var broken []*connection
+	for c := range n.connections {
+		if c.from == host || c.to == host {
+			broken = append(broken, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range listeners {
+		l.Close()
+	}
+	for _, c := range broken {
+		c.Close()
+	}
+}
+
+func (n *Network) connectionsBetween(a, b string) []*connection {
+	var found []*connection
+	for c := range n.connections {
+		if (c.from == a && c.to == b) || (c.from == b && c.to == a) {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+func (n *Network) isCut(from, to string) bool {
+	_, cut := n.cuts[link{from, to}]
+	return cut
+}
+
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+// connection forgets itself on Close so that a Network does not grow.
+type connection struct {
+	net.Conn
+	network  *Network
+	from, to string
+}
+
+func (c *connection) Close() error {
+	c.network.mu.Lock()
+	delete(c.network.connections, c)
+	c.network.mu.Unlock()
+	return c.Conn.Close()
+}
+
+type listener struct {
+	network *Network
+	address string
+	accept  chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accept:
+		return conn, nil
+	case <-l.closed:
+		return nil, ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		delete(l.network.listeners, l.address)
+		l.network.mu.Unlock()
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return address(l.address) }
+
+type address string
+
+func (address) Network() string  { return "mem" }
+func (a address) String() string { return string(a) }
