--- /dev/null
+++ b/internal/backend/poll.go
@@ -0,0 +1,87 @@
+package backend
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/configlog"
+)
+
+// jitterShare is the share of the poll interval by which a wait varies, so
+// that the polls of many nodes do not fall together.
+const jitterShare = 0.25
+
+// poll reads the back end's load report until ctx ends.
+func (s *Set) poll(ctx context.Context, t *tracked, b configlog.Backend) {
+	defer s.polls.Done()
+	for {
+		report, err := s.load(ctx, b.Address)
+		if ctx.Err() != nil {
+			return
+		}
+		s.polled(t, report, err)
+		if !sleep(ctx, jitter(s.cfg.PollInterval)) {
+			return
+		}
+	}
+}
+
+func (s *Set) load(ctx context.Context, address string) (api.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.PollTimeout)
+	defer cancel()
+	return s.client.Load(ctx, address)
+}
+
+func (s *Set) polled(t *tracked, report api.LoadReport, err error) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		t.polling.failed(s.cfg.Health, false, now)
+		if t.polling.failures == s.cfg.Health.Threshold {
+			s.lg.WithError(err).WithField("backend", t.configured.Name).Warn("back end does not report its load")
+		}
+		return
+	}
+	t.polling.succeeded()
+	t.take(report, now)
+}
+
+// take records a report. One that is older than the last, by the back end's
+// own clock, is dropped: answers may arrive out of order.
+func (t *tracked) take(report api.LoadReport, now time.Time) {
+	if t.reported && report.AsOfMS < t.report.AsOfMS && !restarted(t.report, report) {
+		return
+	}
+	t.report = report
+	t.reported = true
+	t.reportedAt = now
+	t.reportInFlight = t.inFlight
+}
+
+// restartedAfter is how far a back end's clock must have gone back for a report
+// to be taken for one of a new process, in milliseconds.
+const restartedAfter = 60_000
+
+func restarted(last, report api.LoadReport) bool {
+	return last.AsOfMS-report.AsOfMS > restartedAfter
+}
+
+func jitter(interval time.Duration) time.Duration {
+	share := 1 + jitterShare*(2*rand.Float64()-1)
+	return time.Duration(share * float64(interval))
+}
+
+// sleep waits and tells whether ctx is still live.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
