--- a/internal/configlog/state.go
+++ b/internal/configlog/state.go
@@ -25,6 +25,9 @@
 	Name     string    `json:"name"`
 	Kind     PoolKind  `json:"kind"`
 	Backends []Backend `json:"backends"`
+	// Shards is the number of control leases that the pool's back ends are
+	// divided among; fixed when the pool is created.
+	Shards int `json:"shards,omitempty"`
 	// Model names the weights in the weight store; engines only.
 	Model string `json:"model,omitempty"`
 	// VersionBound is the largest bound that a trainer's step may ask for.
