--- /dev/null
+++ b/internal/dispatch/claim.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/limits"
+)
+
+// runClaimed runs a request that is not repeatable under a claim of its key.
+func (d *Dispatcher) runClaimed(ctx context.Context, e *execution) Result {
+	key := e.request.IdempotencyKey
+	if key == "" {
+		return e.refuse(api.Refusal(http.StatusBadRequest, api.CodeMissingKey, 0, "a request that is not repeatable needs an idempotency key"))
+	}
+	if d.claimer == nil {
+		return e.refuse(claimUnavailable("no claims on this node"))
+	}
+	if ctx.Err() != nil {
+		return e.giveUp(ctx)
+	}
+	claim, err := d.claimer.Claim(ctx, key, e.request.RequestID)
+	if err != nil {
+		// The claim may stand all the same; nothing was or will be sent under it.
+		d.completeClaim(e, api.OutcomeRefused, nil)
+		if ctx.Err() != nil {
+			return e.giveUp(ctx)
+		}
+		return e.refuse(claimUnavailable(err.Error()))
+	}
+	if !claim.Granted {
+		return e.alreadyClaimed(claim)
+	}
+	result := e.run(ctx)
+	d.completeClaim(e, result.Outcome, result.liveResponse())
+	return result
+}
+
+func claimUnavailable(reason string) *api.Error {
+	advice := limits.MaxAdvice.Milliseconds() / 10
+	return api.Refusal(http.StatusServiceUnavailable, api.CodeClaimUnavailable, advice, "claim: %s", reason)
+}
+
+// completeClaim tells the claimer in the background how the request ended. If
+// that is lost the key stays held, which is safe.
+func (d *Dispatcher) completeClaim(e *execution, outcome api.Outcome, answer *api.LiveResponse) {
+	key, requestID := e.request.IdempotencyKey, e.request.RequestID
+	started := d.tasks.start(func(ctx context.Context) {
+		if err := d.claimer.Complete(ctx, key, requestID, outcome, answer); err != nil {
+			d.lg.WithError(err).WithField("request_id", requestID).Warn("claim not completed")
+		}
+	})
+	if !started {
+		d.lg.WithField("request_id", requestID).Warn("claim not completed: too many background calls")
+	}
+}
+
+// alreadyClaimed answers a request whose key another request holds: with that
+// request's answer where it is known, and otherwise with outcome unknown,
+// because what the key stands for may have run.
+func (e *execution) alreadyClaimed(claim ClaimResult) Result {
+	if claim.Answer == nil {
+		err := &api.Error{
+			Code:    api.CodeAlreadyClaimed,
+			Outcome: api.OutcomeUnknown,
+			Message: "the idempotency key was used by request " + claim.Holder,
+			Status:  http.StatusConflict,
+		}
+		return e.fail(err)
+	}
+	return Result{
+		RequestID:   e.request.RequestID,
+		Outcome:     api.OutcomeCompleted,
+		Text:        claim.Answer.Text,
+		Tokens:      claim.Answer.Tokens,
+		Segments:    claim.Answer.Segments,
+		Backend:     claim.Answer.Backend,
+		NextAttempt: e.request.FirstAttempt,
+	}
+}
+
+// liveResponse returns the answer for the claim's record, nil if the request
+// did not complete.
+func (r *Result) liveResponse() *api.LiveResponse {
+	if r.Outcome != api.OutcomeCompleted {
+		return nil
+	}
+	return &api.LiveResponse{
+		RequestID: r.RequestID,
+		Outcome:   r.Outcome,
+		Text:      r.Text,
+		Tokens:    r.Tokens,
+		Segments:  r.Segments,
+		Backend:   r.Backend,
+		Attempts:  r.Attempts,
+	}
+}
