--- a/internal/api/outcome.go
+++ b/internal/api/outcome.go
@@ -54,6 +54,7 @@
 	CodeConditionFailed    Code = "condition_failed"
 	CodeCursorOutOfRange   Code = "cursor_out_of_range"
 	CodeVersionNotMonotone Code = "version_not_monotone"
+	CodeInternal           Code = "internal_error"
 )
 
 // Error is the body of every response that is not a success, and the value
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -150,15 +150,9 @@
 		if err := json.Unmarshal(line, frame); err != nil {
 			return ErrCut.Errorf("frame after %d: %w", frames.next, err)
 		}
-		accepted, err := frames.add(frame)
-		if err != nil {
+		if err := frames.add(frame, onFrame); err != nil {
 			return err
 		}
-		if accepted && onFrame != nil {
-			if err := onFrame(*frame); err != nil {
-				return err
-			}
-		}
 		if frames.last != nil {
 			drain(body)
 			return nil
--- a/internal/engine/doc.go
+++ b/internal/engine/doc.go
@@ -4,8 +4,9 @@
 // api.StreamFrame each. The client checks every frame: request id, attempt,
 // consecutive sequence numbers, and on the last frame the token total and the
 // checksum of the text. Duplicated frames and frames of another request or
-// attempt are dropped; a gap, a frame that cannot be read, or a stream without
-// its end marker makes the answer partial.
+// attempt are dropped, and frames that arrive out of order are put in order
+// within a window; a gap, a frame that cannot be read, or a stream without its
+// end marker makes the answer partial.
 //
 // Callers may rely on the State of a result:
 //
