emulator/engine: the test of loads no longer depends on a tie

Cause: the second engine's retry fell on the very instant at which the first pull ended, so that either could go first; the second pull then ended 5 s later than the test expects.

Change: the second order comes 10 ms later. All checks stay as they were.

--- a/internal/emulator/engine/engine_test.go
+++ b/internal/emulator/engine/engine_test.go
@@ -353,7 +353,10 @@
 			}
 		}
 		// A pull takes 5 s and only one goes at a time: the second engine waits.
+		// It comes a little later, so that its second try falls behind the end of
+		// the first pull and not on it, where either may go first.
 		f.order("left", api.Order{Kind: api.OrderLoadVersion, Version: 2})
+		time.Sleep(10 * time.Millisecond)
 		f.order("right", api.Order{Kind: api.OrderLoadVersion, Version: 2})
 		time.Sleep(6 * time.Second)
 		if left, right := f.load("left"), f.load("right"); left.Version != 2 || right.Version != 1 || right.Loading != 2 {
