--- a/internal/rollout/ledger.go
+++ b/internal/rollout/ledger.go
@@ -227,7 +227,8 @@
 }
 
 // Segment tells that a running attempt produces tokens with that version. The
-// attempt is cancelled if it can no longer meet the bound.
+// attempt is cancelled if it can no longer meet the bound; the pause before its
+// index runs again gives the engines, which lag, time to load.
 func (l *Ledger) Segment(number int, version int64, now time.Time) {
 	attempt, ok := l.running[number]
 	if !ok {
@@ -238,7 +239,7 @@
 		attempt.reported = true
 	}
 	if l.tooOld(attempt.oldest, l.version) {
-		l.cancel(number, now)
+		l.cancel(number, now.Add(l.config.RetryBackoff))
 	}
 }
 
@@ -258,7 +259,7 @@
 		return VerdictFailed
 	}
 	if l.tooOld(oldest, l.version) {
-		l.rerun(attempt.index, now)
+		l.rerun(attempt.index, now.Add(l.config.RetryBackoff))
 		return VerdictTooOld
 	}
 	body.Index = attempt.index
@@ -294,15 +295,19 @@
 	l.waiting++
 }
 
-func (l *Ledger) cancel(number int, now time.Time) {
+// cancel ends an attempt; its index may run again from notBefore on.
+func (l *Ledger) cancel(number int, notBefore time.Time) {
 	index := l.running[number].index
 	l.forget(number)
 	l.cancels = append(l.cancels, number)
-	l.rerun(index, now)
+	l.rerun(index, notBefore)
 }
 
 // cancelOthers cancels the attempts that lost against a whole sample.
 func (l *Ledger) cancelOthers(index int) {
+	if l.samples[index].attempts == 0 {
+		return
+	}
 	for _, number := range l.runningNumbers() {
 		attempt := l.running[number]
 		if attempt.index == index {
