lease: control leases with epochs, placement, hand-over

One holder per shard must give orders, also when a holder is paused or an answer is lost. Comparing expiry instants was ruled out, as the machines have no common clock: the holder counts from when it sent, others from when they saw the row unchanged.

--- /dev/null
+++ b/internal/lease/service_test.go
@@ -0,0 +1,240 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sliplift/sliplift/internal/api"
+)
+
+// TestService runs several nodes on one table in virtual time, with leases of
+// 6s, a settle time of 30s and one move per node in 10s.
+func TestService(t *testing.T) {
+	datadriven.Walk(t, "testdata/service", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			cluster := newCluster(t.Context())
+			defer cluster.close()
+			datadriven.RunTest(t, path, cluster.run)
+		})
+	})
+}
+
+type cluster struct {
+	ctx     context.Context
+	table   *fakeTable
+	shards  []Shard
+	members *fakeMembers
+	nodes   map[string]*node
+	// heard is each shard's highest epoch that acted.
+	heard map[string]int64
+}
+
+type node struct {
+	service *Service
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+func newCluster(ctx context.Context) *cluster {
+	return &cluster{
+		ctx: ctx, table: &fakeTable{rows: map[string]api.Row{}}, members: &fakeMembers{},
+		nodes: map[string]*node{}, heard: map[string]int64{},
+	}
+}
+
+func (c *cluster) close() {
+	for name := range c.nodes {
+		c.kill(name)
+	}
+}
+
+func (c *cluster) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "shards": // name@zone
+		for _, argument := range d.CmdArgs {
+			name, zone, _ := strings.Cut(argument.Key, "@")
+			c.shards = append(c.shards, Shard{Name: name, Zone: zone})
+		}
+	case "start": // name@zone; all are members before the first one runs
+		var started []Member
+		for _, argument := range d.CmdArgs {
+			name, zone, _ := strings.Cut(argument.Key, "@")
+			started = append(started, Member{Name: name, Zone: zone})
+		}
+		c.members.set(append(c.members.Alive(), started...))
+		for _, member := range started {
+			c.start(member)
+		}
+	case "kill":
+		c.kill(d.CmdArgs[0].Key)
+	case "heard": // the membership notices what became of the nodes
+		c.members.set(slices.DeleteFunc(c.members.Alive(), func(m Member) bool { return c.nodes[m.Name] == nil }))
+	case "stop":
+		name := d.CmdArgs[0].Key
+		begin := time.Now()
+		ctx, cancel := context.WithTimeout(c.ctx, 10*time.Second)
+		defer cancel()
+		err := c.nodes[name].service.HandOver(ctx)
+		took := time.Since(begin)
+		c.kill(name)
+		return fmt.Sprintf("within a second: %t, error: %v", took < time.Second, err)
+	case "table":
+		c.table.set(d.HasArg("down"))
+		d.MaybeScanArgs(t, "lose-answers", &c.table.loseAnswers)
+	case "wait":
+		duration, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		before := c.table.operations()
+		c.watch(t, duration)
+		rate := float64(c.table.operations()-before) / duration.Seconds()
+		if d.HasArg("rate") {
+			return fmt.Sprintf("%.1f operations/s\n", rate) + c.show()
+		}
+		return c.show()
+	}
+	return ""
+}
+
+func (c *cluster) start(member Member) {
+	lg := logrus.New()
+	lg.SetOutput(io.Discard)
+	service := NewService(lg, Config{Node: member.Name, Table: c.table, Members: c.members})
+	service.SetShards(c.shards)
+	ctx, cancel := context.WithCancel(c.ctx)
+	started := &node{service: service, stop: cancel, stopped: make(chan struct{})}
+	c.nodes[member.Name] = started
+	go func() {
+		defer close(started.stopped)
+		service.Run(ctx)
+	}()
+}
+
+func (c *cluster) kill(name string) {
+	c.nodes[name].stop()
+	<-c.nodes[name].stopped
+	delete(c.nodes, name)
+}
+
+// watch lets time pass and looks every 50 ms for two holders of a shard.
+func (c *cluster) watch(t *testing.T, duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, shard := range c.shards {
+			holders := c.holders(shard.Name)
+			if len(holders) > 1 {
+				t.Errorf("%s is held by %v", shard.Name, holders)
+			}
+		}
+	}
+}
+
+func (c *cluster) holders(shard string) []string {
+	var holders []string
+	for name, node := range c.nodes {
+		if epoch, ok := node.service.Held(shard); ok {
+			holders = append(holders, fmt.Sprintf("%s epoch %d", name, epoch))
+		}
+	}
+	return holders
+}
+
+func (c *cluster) show() string {
+	var text strings.Builder
+	for _, shard := range c.shards {
+		fmt.Fprintf(&text, "%s: %s\n", shard.Name, strings.Join(c.holders(shard.Name), ", "))
+	}
+	return text.String()
+}
+
+type fakeMembers struct {
+	mu    sync.Mutex
+	alive []Member
+}
+
+func (f *fakeMembers) Alive() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.alive)
+}
+
+func (f *fakeMembers) set(alive []Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.alive = alive
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// fakeTable is the table service in memory.
+type fakeTable struct {
+	mu          sync.Mutex
+	rows        map[string]api.Row
+	revision    int64
+	count       int
+	down        bool
+	loseAnswers int
+}
+
+func (f *fakeTable) set(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakeTable) operations() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.count
+}
+
+func (f *fakeTable) Commit(_ context.Context, t api.Transaction) (api.TransactionResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count++
+	if f.down {
+		return api.TransactionResponse{}, errNoAnswer
+	}
+	for _, condition := range t.Conditions {
+		if f.rows[condition.Key].Revision != condition.Revision {
+			return api.TransactionResponse{}, api.Refusal(409, api.CodeConditionFailed, 0, "row %s", condition.Key)
+		}
+	}
+	f.revision++
+	for _, put := range t.Puts {
+		f.rows[put.Key] = api.Row{Key: put.Key, Value: put.Value, Revision: f.revision}
+	}
+	if f.loseAnswers > 0 {
+		f.loseAnswers--
+		return api.TransactionResponse{}, errNoAnswer
+	}
+	return api.TransactionResponse{Revision: f.revision}, nil
+}
+
+func (f *fakeTable) Scan(_ context.Context, prefix, after string, limit int) (api.ScanResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count++
+	if f.down {
+		return api.ScanResponse{}, errNoAnswer
+	}
+	var rows []api.Row
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b api.Row) int { return strings.Compare(a.Key, b.Key) })
+	return api.ScanResponse{Rows: rows[:min(limit, len(rows))], Revision: f.revision, More: len(rows) > limit}, nil
+}
