membership: nodes' view of one another

A node has to know which others are there without machines set apart for it and at a cost that does not grow with their number.

The protocol is a state machine over values; the service drives it over the peer transport.

Five nodes over the transport find each other and see a leave, a death and a restart (10 runs with -race). Costs and larger sizes are not measured yet.

--- /dev/null
+++ b/internal/membership/service.go
@@ -0,0 +1,285 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/peer"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// snapshotAge bounds the age of the HeardAt and Digest values in a Snapshot.
+	snapshotAge = time.Second
+
+	defaultMachinesInterval = 15 * time.Second
+	machinesTimeout         = 10 * time.Second
+)
+
+// Transport is what a Service needs of package peer.
+type Transport interface {
+	peer.Caller
+	peer.Registry
+}
+
+// MachineLister is the platform's list of machines, which lags.
+type MachineLister interface {
+	Machines(ctx context.Context) (api.MachineList, error)
+}
+
+// ServiceConfig says whom a Service speaks for and where it looks for others.
+type ServiceConfig struct {
+	Self     Identity
+	Protocol Config
+	Seeds    []Seed
+	// Machines, if set, is read every MachinesInterval (15 s if zero), and
+	// SelectSeeds picks the nodes out of the list, which names other machines
+	// besides and gives no peer addresses.
+	Machines         MachineLister
+	MachinesInterval time.Duration
+	SelectSeeds      func(api.MachineList) []Seed
+	// OnDigest, if set, is called with the digest of each message that came from
+	// a known member. Calls are concurrent; they must not block.
+	OnDigest func(from Member, digest int64)
+}
+
+// Service runs a Machine over a transport. It is safe for concurrent use.
+type Service struct {
+	lg        logrus.FieldLogger
+	cfg       ServiceConfig
+	transport Transport
+	ctx       context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+
+	// mu guards what follows; it is never held over I/O or callbacks.
+	mu       sync.Mutex
+	machine  *Machine
+	snapshot *Snapshot
+	changes  chan struct{}
+}
+
+// NewService registers the protocol's handlers with the transport; call it
+// before the transport starts. Nothing is sent until Start.
+func NewService(lg logrus.FieldLogger, cfg ServiceConfig, transport Transport) *Service {
+	if cfg.Protocol == (Config{}) {
+		cfg.Protocol = DefaultConfig()
+	}
+	if cfg.MachinesInterval == 0 {
+		cfg.MachinesInterval = defaultMachinesInterval
+	}
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(cfg.Self.Name), uint64(cfg.Self.Incarnation)))
+	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Now()
+	s := &Service{
+		lg:        lg.WithField("component", "membership"),
+		cfg:       cfg,
+		transport: transport,
+		ctx:       ctx,
+		cancel:    cancel,
+		machine:   NewMachine(cfg.Protocol, cfg.Self, random, now),
+		changes:   make(chan struct{}),
+	}
+	s.machine.AddSeeds(cfg.Seeds...)
+	s.snapshot = s.machine.Snapshot(now)
+	handle[Ping](s, KindPing)
+	handle[Ack](s, KindAck)
+	handle[ProbeRequest](s, KindProbeRequest)
+	handle[Nack](s, KindNack)
+	handle[Gossip](s, KindGossip)
+	handle[Sync](s, KindSync)
+	handle[Buckets](s, KindBuckets)
+	handle[Entries](s, KindEntries)
+	handle[Delta](s, KindDelta)
+	return s
+}
+
+func handle[P Payload](s *Service, kind peer.Kind) {
+	s.transport.Handle(kind, func(_ context.Context, from string, body json.RawMessage) (any, error) {
+		var payload P
+		if err := json.Unmarshal(body, &payload); err != nil {
+			return nil, err
+		}
+		s.receive(from, payload)
+		return nil, nil
+	})
+}
+
+// Start begins to probe and returns.
+func (s *Service) Start() {
+	s.running.Go(s.tick)
+	if s.cfg.Machines != nil && s.cfg.SelectSeeds != nil {
+		s.running.Go(s.readMachines)
+	}
+}
+
+// Close ends the service without announcing anything; see Leave.
+func (s *Service) Close() {
+	s.cancel()
+	s.running.Wait()
+}
+
+// Snapshot returns the view of now: states are current, HeardAt and Digest at
+// most a second old.
+func (s *Service) Snapshot() *Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if now.Sub(s.snapshot.At) >= snapshotAge {
+		s.snapshot = s.machine.Snapshot(now)
+	}
+	return s.snapshot
+}
+
+// Alive returns the alive members, this node included, sorted by name.
+func (s *Service) Alive() []Member { return s.Snapshot().Alive() }
+
+// Changes returns a channel that is closed at the next change of a member's
+// state or identity. To miss none, take it before the Snapshot.
+func (s *Service) Changes() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes
+}
+
+// SetDigest sets the value that goes with all messages from now on.
+func (s *Service) SetDigest(digest int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machine.SetDigest(digest)
+}
+
+// AddSeeds adds nodes to be looked for.
+func (s *Service) AddSeeds(seeds ...Seed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machine.AddSeeds(seeds...)
+}
+
+// Leave announces the planned stop, and returns when the news is on its way to
+// enough members or ctx ends. The service goes on answering until Close.
+func (s *Service) Leave(ctx context.Context) error {
+	s.drive(func(now time.Time) []Envelope { return s.machine.Leave(now) })
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for !s.announced() {
+		select {
+		case <-ticker.C:
+		case <-s.ctx.Done():
+			return s.ctx.Err()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (s *Service) announced() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Announced()
+}
+
+func (s *Service) tick() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		s.drive(func(now time.Time) []Envelope { return s.machine.Tick(now) })
+		select {
+		case <-ticker.C:
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Service) receive(from string, payload Payload) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	accepted, known := false, false
+	var sender Member
+	s.drive(func(now time.Time) []Envelope {
+		out, ok := s.machine.Receive(now, from, payload)
+		accepted = ok
+		sender, known = s.machine.Member(from)
+		return out
+	})
+	if accepted && known && s.cfg.OnDigest != nil {
+		s.cfg.OnDigest(sender, payload.heartbeat().Digest)
+	}
+}
+
+// drive runs one step of the machine, publishes what changed and sends what
+// came out.
+func (s *Service) drive(step func(now time.Time) []Envelope) {
+	out, before, after := s.step(step)
+	if before != after {
+		s.logChanges(before, after)
+	}
+	for _, envelope := range out {
+		s.transport.Send(envelope.Address, envelope.Payload.Kind(), envelope.Payload)
+	}
+}
+
+// step returns what is to be sent, and the views before and after.
+func (s *Service) step(step func(now time.Time) []Envelope) (out []Envelope, before, after *Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	out = step(now)
+	before = s.snapshot
+	if s.machine.Version() == before.Version {
+		return out, before, before
+	}
+	s.snapshot = s.machine.Snapshot(now)
+	close(s.changes)
+	s.changes = make(chan struct{})
+	return out, before, s.snapshot
+}
+
+func (s *Service) logChanges(before, after *Snapshot) {
+	for _, member := range after.Members {
+		old, known := before.Find(member.Name)
+		if known && old.State == member.State && old.Incarnation == member.Incarnation {
+			continue
+		}
+		s.lg.WithFields(logrus.Fields{
+			"member":      member.Name,
+			"incarnation": member.Incarnation,
+			"state":       member.State,
+			"source":      member.Source,
+			"observers":   member.Observers,
+		}).Info("member changed")
+	}
+	if after.SupersededBy != before.SupersededBy {
+		s.lg.WithField("incarnation", after.SupersededBy).Error("a later process has this node's name")
+	}
+}
+
+func (s *Service) readMachines() {
+	ticker := time.NewTicker(s.cfg.MachinesInterval)
+	defer ticker.Stop()
+	for {
+		ctx, cancel := context.WithTimeout(s.ctx, machinesTimeout)
+		list, err := s.cfg.Machines.Machines(ctx)
+		cancel()
+		if err != nil {
+			s.lg.WithError(err).Debug("list of machines not read")
+		} else {
+			s.AddSeeds(s.cfg.SelectSeeds(list)...)
+		}
+		select {
+		case <-ticker.C:
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
