engine, routing, limits, backend: tests; a suspect back end is not polled out of suspicion

Failed polls made a back end suspect for a back-off that could end before the next poll, so that it flickered. It is now suspect until a poll succeeds; only failed requests back off by time. A retry budget of ten tenths granted nine retries of ten by rounding; it has a slack now. A suspect back end is no longer chosen while a healthy one is only at its limit.

--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -7,13 +7,14 @@
 	// Threshold is the number of consecutive failures that make a back end
 	// suspect.
 	Threshold int
-	// BackoffMin is how long it is suspect at first; every further failure
-	// doubles that, up to BackoffMax.
+	// BackoffMin is how long failed requests make it suspect at first; every
+	// further failure doubles that, up to BackoffMax. Failed polls make it
+	// suspect until one succeeds.
 	BackoffMin time.Duration
 	BackoffMax time.Duration
 }
 
-// health counts the consecutive failures of one kind.
+// health counts the consecutive failures of a back end's requests.
 type health struct {
 	failures     int
 	suspectUntil time.Time
--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -39,13 +39,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		t.polling.failed(s.cfg.Health, false, now)
-		if t.polling.failures == s.cfg.Health.Threshold {
+		t.pollFailures++
+		if t.pollFailures == s.cfg.Health.Threshold {
 			s.lg.WithError(err).WithField("backend", t.configured.Name).Warn("back end does not report its load")
 		}
 		return
 	}
-	t.polling.succeeded()
+	t.pollFailures = 0
 	t.take(report, now)
 }
 
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -86,9 +86,10 @@
 	// reportInFlight is inFlight at reportedAt.
 	reportInFlight int
 	inFlight       int
-	polling        health
-	requests       health
-	stopPolling    context.CancelFunc
+	// pollFailures counts consecutive polls that failed.
+	pollFailures int
+	requests     health
+	stopPolling  context.CancelFunc
 }
 
 // NewSet returns an empty Set; it begins to poll with the first Apply.
@@ -254,7 +255,7 @@
 		InFlight:       t.inFlight,
 		ReportInFlight: t.reportInFlight,
 		Limit:          limit,
-		Suspect:        t.suspect(now),
+		Suspect:        s.suspect(t, now),
 		Draining:       reason != "",
 		DrainReason:    reason,
 	}
@@ -264,8 +265,8 @@
 	return view
 }
 
-func (t *tracked) suspect(now time.Time) bool {
-	return t.polling.suspect(now) || t.requests.suspect(now)
+func (s *Set) suspect(t *tracked, now time.Time) bool {
+	return t.pollFailures >= s.cfg.Health.Threshold || t.requests.suspect(now)
 }
 
 // drainReason returns why the back end takes no new work, empty if it does.
--- a/internal/backend/ticket.go
+++ b/internal/backend/ticket.go
@@ -74,5 +74,5 @@
 	now := time.Now()
 	k.set.mu.Lock()
 	defer k.set.mu.Unlock()
-	return k.t.suspect(now)
+	return k.set.suspect(k.t, now)
 }
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -88,7 +88,7 @@
 
 // noBackend ends a request that no back end may take.
 func (e *execution) noBackend(pool *routing.Pool, explanation *routing.Explanation) Result {
-	if explanation.AllAtLimit() || (e.refusal != nil && !e.sent) {
+	if explanation.HeldByLimit() || (e.refusal != nil && !e.sent) {
 		return e.fail(e.overloaded(pool))
 	}
 	return e.fail(e.failure(http.StatusServiceUnavailable, api.CodeNoBackend, e.d.advice(pool),
--- a/internal/limits/budget.go
+++ b/internal/limits/budget.go
@@ -10,6 +10,8 @@
 	DefaultRetryMinimum = 1.0
 	// DefaultRetryBurst bounds the retries that may be saved up.
 	DefaultRetryBurst = 50.0
+	// roundingSlack keeps ten tenths from being less than one.
+	roundingSlack = 1e-9
 )
 
 // RetryBudget bounds the attempts beyond the first, so that retries cannot
@@ -44,7 +46,7 @@
 // Retry takes a token for one further attempt and tells whether there was one.
 func (b *RetryBudget) Retry(now time.Time) bool {
 	b.fill(now)
-	if b.tokens < 1 {
+	if b.tokens < 1-roundingSlack {
 		return false
 	}
 	b.tokens--
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -41,14 +41,15 @@
 	Explanation Explanation
 }
 
-// AllAtLimit tells whether some back end could take the request but for its
+// HeldByLimit tells whether some back end could take the request but for its
 // in-flight limit.
-func (e *Explanation) AllAtLimit() bool {
+func (e *Explanation) HeldByLimit() bool {
 	return slices.ContainsFunc(e.Considered, func(c Considered) bool { return c.Reason == ReasonAtLimit })
 }
 
 // Choose picks a back end of pool for request. Suspect back ends are used only
-// where no other is left.
+// where no other is left; a healthy one that is at its limit counts as left,
+// because it will soon be free.
 func Choose(policy Policy, pool *Pool, request *Request) Choice {
 	explanation := Explanation{Policy: policy.Name(), Considered: make([]Considered, len(pool.Backends))}
 	eligible := make([]int, 0, len(pool.Backends))
@@ -64,7 +65,7 @@
 			suspect = append(suspect, i)
 		}
 	}
-	if len(eligible) == 0 {
+	if len(eligible) == 0 && !explanation.HeldByLimit() {
 		eligible = suspect
 		explanation.UsedSuspect = len(suspect) > 0
 	}
