claim: a key is granted by a majority of its replica group

Cause: a booking must run at most once over all nodes, also while the table service is down. Ruled out: a table transaction per booking, since it refuses bookings for as long as the store is out. A failed claim that the caller answers with a late refusal cannot free a later grant of the same request.

--- /dev/null
+++ b/internal/claim/replica_test.go
@@ -0,0 +1,178 @@
+package claim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/sliplift/sliplift/internal/api"
+)
+
+// scenario is three replicas r1 to r3 and any number of rounds, moved by hand.
+type scenario struct {
+	now      time.Time
+	config   ReplicaConfig
+	replicas map[string]*Replica
+	rounds   map[string]*Round
+}
+
+var scenarioMembers = []Member{{Name: "r1", Zone: "a"}, {Name: "r2", Zone: "b"}, {Name: "r3", Zone: "c"}}
+
+func newScenario() *scenario {
+	s := &scenario{
+		now:      time.Unix(0, 0),
+		config:   ReplicaConfig{Retention: 11 * time.Second, MaxEntries: 4, MaxAnswerBytes: 8},
+		replicas: make(map[string]*Replica),
+		rounds:   make(map[string]*Round),
+	}
+	for _, member := range scenarioMembers {
+		s.replicas[member.Name] = NewReplica(s.config, s.now)
+		s.replicas[member.Name].Registered(true)
+	}
+	return s
+}
+
+// TestScenarios plays testdata/scenarios. A line is a verb and its operands;
+// see run for the verbs. Every line prints one result.
+func TestScenarios(t *testing.T) {
+	datadriven.RunTest(t, "testdata/scenarios", func(t *testing.T, d *datadriven.TestData) string {
+		s := newScenario()
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			fields := strings.Fields(line)
+			fmt.Fprintf(&out, "%s: %s\n", strings.Join(fields, " "), s.run(t, fields))
+		}
+		return out.String()
+	})
+}
+
+func (s *scenario) run(t *testing.T, fields []string) string {
+	switch fields[0] {
+	case "wait":
+		duration, err := time.ParseDuration(fields[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.now = s.now.Add(duration)
+		return "ok"
+	case "restart":
+		s.replicas[fields[1]] = NewReplica(s.config, s.now)
+		s.replicas[fields[1]].Registered(false)
+		return "ok"
+	case "restart-unregistered":
+		s.replicas[fields[1]] = NewReplica(s.config, s.now)
+		return "ok"
+	case "revision":
+		s.replicas[fields[1]].SetRevision(2)
+		return "ok"
+	case "open":
+		s.rounds[fields[1]] = NewRound(Token{Claimant: fields[1]}, [][]Member{scenarioMembers}, s.now.Add(time.Second))
+		return "ok"
+	case "claim":
+		return s.claim(fields[1], fields[2], "key")
+	case "claim-other-key":
+		return s.claim(fields[1], fields[2], "key of "+fields[1])
+	case "lose":
+		s.rounds[fields[1]].Fail(fields[2])
+		return s.decision(fields[1])
+	case "decide":
+		return s.decision(fields[1])
+	case "release":
+		s.replicas[fields[2]].Release(Release{Key: "key", Token: Token{Claimant: fields[1]}}, s.now)
+		return "ok"
+	case "complete":
+		record := Record{Outcome: api.OutcomeCompleted, Answer: &api.LiveResponse{Text: fields[3]}}
+		s.replicas[fields[2]].Complete(Complete{Key: "key", Token: Token{Claimant: fields[1]}, Record: record}, s.now)
+		return "ok"
+	}
+	t.Fatalf("unknown verb %q", fields[0])
+	return ""
+}
+
+// claim carries a claim to a replica and its vote back.
+func (s *scenario) claim(claimant, replica, key string) string {
+	vote := s.replicas[replica].Claim(Request{Key: key, Token: Token{Claimant: claimant}, Revision: 1}, s.now)
+	text := string(vote.Kind)
+	if vote.Kind == VoteHeld {
+		text += " by " + vote.Holder.Claimant
+	}
+	if vote.Record != nil {
+		text += " " + string(vote.Record.Outcome)
+	}
+	if vote.Record != nil && vote.Record.Answer != nil {
+		text += " " + vote.Record.Answer.Text
+	}
+	if s.rounds[claimant] == nil {
+		return text
+	}
+	s.rounds[claimant].Vote(replica, vote)
+	return text + ", " + s.decision(claimant)
+}
+
+func (s *scenario) decision(claimant string) string {
+	names := map[Decision]string{DecisionPending: "pending", DecisionWon: "WON", DecisionHeld: "held", DecisionLost: "lost"}
+	return names[s.rounds[claimant].Decide(s.now)]
+}
+
+func TestGroupForSpreadsOverZonesAndMovesLittle(t *testing.T) {
+	var members []Member
+	for i := range 12 {
+		members = append(members, Member{Name: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i%3)})
+	}
+	moved := 0
+	const keys = 600
+	for i := range keys {
+		key := fmt.Sprint("key", i)
+		group := GroupFor(key, members, 3)
+		if len(group) != 3 || group[0].Zone == group[1].Zone || group[1].Zone == group[2].Zone || group[0].Zone == group[2].Zone {
+			t.Fatalf("group %v", group)
+		}
+		if !sameNames(group, GroupFor(key, members[:11], 3)) {
+			moved++
+		}
+	}
+	// The member that left was one of 4 in its zone.
+	if moved < keys/8 || moved > keys/2 {
+		t.Fatalf("%d of %d groups moved with one member", moved, keys)
+	}
+	for count, want := range []int{0, 1, 1, 3, 3, 5, 5} {
+		if got := len(GroupFor("key", members[:count], 5)); got != want {
+			t.Errorf("%d members: group of %d, want %d", count, got, want)
+		}
+	}
+}
+
+func TestViewsKeepFormerGroupsForTheWindow(t *testing.T) {
+	list := func(names ...string) (members []Member) {
+		for _, name := range names {
+			members = append(members, Member{Name: name, Zone: name})
+		}
+		return members
+	}
+	start := time.Unix(0, 0)
+	views := NewViews(ViewsConfig{GroupSize: 3, Window: 10 * time.Second, MaxAge: time.Second})
+	if views.Fresh(start) {
+		t.Fatal("a node that knows no list may claim")
+	}
+	views.Observe(View{Revision: 1, Members: list("a", "b", "c"), Previous: [][]Member{list("z")}, ConfirmedAt: start}, start)
+	if got := len(views.Groups("key")); got != 2 {
+		t.Fatalf("%d groups at the start", got)
+	}
+	changed := start.Add(9 * time.Second)
+	views.Observe(View{Revision: 2, Members: list("d", "e", "f"), ConfirmedAt: changed}, changed)
+	views.Observe(View{Revision: 1, Members: list("a", "b", "c"), ConfirmedAt: changed}, changed)
+	if got := len(views.Groups("key")); got != 3 || views.Revision() != 2 {
+		t.Fatalf("%d groups after the change", got)
+	}
+	if !views.Fresh(changed) || views.Fresh(changed.Add(2*time.Second)) {
+		t.Fatal("the age of the view is not watched")
+	}
+	later := start.Add(19 * time.Second)
+	views.Observe(View{Revision: 2, Members: list("d", "e", "f"), ConfirmedAt: later}, later)
+	if got := len(views.Groups("key")); got != 1 {
+		t.Fatalf("%d groups after the window", got)
+	}
+}
