cli: shell; settings: the routing policies that exist

Cause: the shell has its package now, and the policy names had been guessed. Change: the subcommand shell over internal/operator/shell; choices of routing-policy are those of package routing, and a test holds them together. Measured: go test of cli and settings passes.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -67,6 +67,7 @@
 	return []specification{
 		demoSpecification(),
 		querySpecification(),
+		shellSpecification(),
 		loadSpecification(),
 		checkConfigSpecification(),
 		versionSpecification(),
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -65,6 +65,7 @@
 		{"demo without nodes", demoStub{}, []string{"demo", "--nodes", "0"}, ExitUsage, "at least 1"},
 		{"no statement", nil, []string{"query"}, ExitUsage, "give statements"},
 		{"no node", nil, []string{"query", "-n", nobody, "SHOW nodes"}, ExitNo, "nothing was sent"},
+		{"shell without statements", nil, []string{"shell", "-n", nobody}, ExitDone, ""},
 		{"load without a pool", nil, []string{"load"}, ExitUsage, "--pool"},
 		{"load at nobody", nil, []string{"load", "--pool", "p", "-n", nobody, "--requests", "3"}, ExitNo, "unknown"},
 		{"baseline too short", nil, []string{"load", "--pool", "p", "--baseline-engine", nobody, "--duration", "1s"}, ExitUsage, "at least 2s"},
--- a/internal/cli/query.go
+++ b/internal/cli/query.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/query"
 )
 
 // nodeFlags name the node whose operator port is asked.
@@ -48,16 +47,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	width, _ := terminalWidth(env.Stdout)
-	options := operator.RunOptions{Author: c.Author, Output: query.Output(c.Output), Width: width}
 	client := operator.NewClient(env.HTTPClient, c.Node)
-	switch operator.Run(ctx, client, source, options, env.Stdout) {
-	case operator.ExitDone:
-		return nil
-	case operator.ExitSyntax:
-		return errUsage.Errorf("nothing ran")
-	}
-	return errNo
+	return operatorError(operator.Run(ctx, client, source, c.options(env, c.outputFlag), env.Stdout))
 }
 
 // source returns the statements of the command line, the file or standard
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -65,7 +65,7 @@
 	CallerLimit      int           `long:"caller-limit" default:"512" min:"1" max:"1000000" unit:"requests" description:"live requests in flight for one caller; more are refused"`
 	RetryBudgetShare float64       `long:"retry-budget-share" default:"0.1" min:"0" max:"1" description:"retries and hedges as a share of first attempts"`
 	HedgeDelay       time.Duration `long:"hedge-delay" default:"0s" min:"0s" max:"10m" description:"wait before a repeatable request is sent to a second back end too; 0s turns it off"`
-	RoutingPolicy    string        `long:"routing-policy" default:"least-loaded" choice:"least-loaded" choice:"round-robin" choice:"corrected" description:"how a back end is chosen"`
+	RoutingPolicy    string        `long:"routing-policy" default:"corrected" choice:"corrected" choice:"round_robin" choice:"least_loaded" choice:"power_of_two" choice:"affinity" description:"how a back end is chosen"`
 }
 
 // Claims holds how requests that must not run twice are claimed.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/jessevdk/go-flags"
+
+	"github.com/sliplift/sliplift/internal/routing"
 )
 
 // TestLoad runs the story in testdata: each case is a file, flags, and either
@@ -90,6 +92,23 @@
 	}
 }
 
+// TestRoutingPoliciesExist checks the choices against the package that has them.
+func TestRoutingPoliciesExist(t *testing.T) {
+	parser, err := newParser("", &Node{}, &general{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	option := parser.FindOptionByLongName("routing-policy")
+	for _, name := range option.Choices {
+		if _, err := routing.NewPolicy(routing.PolicyName(name), 1); err != nil {
+			t.Error(err)
+		}
+	}
+	if option.Default[0] != string(routing.DefaultPolicy) {
+		t.Errorf("default %q, want %q", option.Default[0], routing.DefaultPolicy)
+	}
+}
+
 func TestInformation(t *testing.T) {
 	for argument, want := range map[string]string{"--help": "--engine=", "--version": "sliplift-emulator v0"} {
 		var information *Information
