--- a/internal/rollout/acquire.go
+++ b/internal/rollout/acquire.go
@@ -11,12 +11,21 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/sliplift/sliplift/internal/api"
 )
 
 // acquireTimeout bounds a takeover.
 const acquireTimeout = 30 * time.Second
 
+// postTimeout bounds the writes of a Post; their fate is open after it.
+const postTimeout = 10 * time.Second
+
+// keptDoneSteps is how many steps a trainer may post before the row of a step
+// that is done goes; until then a late request for it gets its true answer.
+const keptDoneSteps = 64
+
 // retrySoonMS is the Retry-After where another node can serve at once.
 const retrySoonMS = 100
 
@@ -32,6 +41,8 @@
 	if s.isStopping() {
 		return api.StepResponse{}, stoppingError()
 	}
+	ctx, cancel := context.WithTimeout(ctx, postTimeout)
+	defer cancel()
 	key := stepKey{trainer, step}
 	content, err := json.Marshal(spec)
 	if err != nil {
@@ -71,6 +82,7 @@
 		failure.Outcome = api.OutcomeUnknown
 		return api.StepResponse{}, failure
 	}
+	s.forgetOldStep(stepKey{trainer, step - keptDoneSteps})
 	owned := s.newOwnedStep(key, spec, NewLedger(s.config.ledgerConfig(spec, record.Epoch)), written, sentAt)
 	if !s.adopt(owned) {
 		owned.end()
@@ -78,6 +90,32 @@
 	return stepResponse(key, written.StepRecord), nil
 }
 
+// forgetOldStep deletes, at best effort, the row of a step that was done long
+// ago, so that a trainer that counts its steps up leaves few rows behind.
+func (s *Service) forgetOldStep(key stepKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || key.step < 0 {
+		return
+	}
+	s.tasks.Add(1)
+	go func() {
+		defer s.tasks.Done()
+		record, err := s.lookup(s.ctx, key)
+		if err != nil || !record.Done {
+			return
+		}
+		row := RowKey(key.trainer, key.step)
+		call, cancel := context.WithTimeout(s.ctx, s.config.CallTimeout)
+		defer cancel()
+		_, _ = s.config.Table.Commit(call, api.Transaction{
+			ID:         uuid.NewString(),
+			Conditions: []api.Condition{{Key: row, Revision: record.revision}},
+			Deletes:    []string{row},
+		})
+	}()
+}
+
 // answerRace answers a Post that lost against another one.
 func (s *Service) answerRace(ctx context.Context, key stepKey, record StepRecord) (api.StepResponse, *api.Error) {
 	existing, err := s.store.read(ctx, RowKey(key.trainer, key.step))
@@ -119,12 +157,12 @@
 	return nil
 }
 
-// lookup reads a step's row once. The error has code not_found, or says that
+// lookup reads a step's row within Config.CallTimeout. The error has code not_found, or says that
 // the store is out of reach.
 func (s *Service) lookup(ctx context.Context, key stepKey) (storedRecord, error) {
 	call, cancel := context.WithTimeout(ctx, s.config.CallTimeout)
 	defer cancel()
-	return s.store.readOnce(call, RowKey(key.trainer, key.step))
+	return s.store.read(call, RowKey(key.trainer, key.step))
 }
 
 // located is where a step is: on this node, or done.
--- a/internal/rollout/delivery.go
+++ b/internal/rollout/delivery.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
 )
 
+// unboundedLimit stands for a pull without a limit.
+const unboundedLimit = math.MaxInt
+
 type voidState int
 
 const (
