--- a/internal/emulator/application/application.go
+++ b/internal/emulator/application/application.go
@@ -10,6 +10,7 @@
 package application
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -19,6 +20,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
@@ -62,6 +64,9 @@
 	}
 }
 
+// ErrConfig is returned by Start for a configuration that makes no sense.
+const ErrConfig = errs.Tag("application: configuration")
+
 // queueRetryAfterMS is the Retry-After of an instance whose queue is full.
 const queueRetryAfterMS = 200
 
@@ -91,6 +96,9 @@
 
 // Start listens and serves until Close.
 func Start(lg logrus.FieldLogger, config Config, needs Dependencies) (*Application, error) {
+	if config.Capacity <= 0 || config.LoadLag <= 0 {
+		return nil, ErrConfig.Errorf("%s: capacity %d and load lag %v must be positive", config.Name, config.Capacity, config.LoadLag)
+	}
 	a := &Application{config: config, needs: needs, slots: make(chan struct{}, config.Capacity)}
 	a.forget()
 	running, err := server.Start(lg, server.Config{
@@ -193,6 +201,7 @@
 func (a *Application) enter() *api.Error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.refreshSnapshot(time.Now())
 	if a.role == api.RoleDraining {
 		return api.Refusal(http.StatusServiceUnavailable, api.CodeNoBackend, 0, "%s: draining", a.config.Name)
 	}
@@ -207,6 +216,7 @@
 func (a *Application) leaveQueue(running bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.refreshSnapshot(time.Now())
 	a.waiting--
 	if running {
 		a.running++
@@ -219,7 +229,7 @@
 	defer a.release()
 	lifetime := server.Lifetime(r)
 	untilEffect := a.config.ServiceTime / 2
-	if err := fault.Sleep(lifetime, untilEffect); err != nil {
+	if err := a.work(lifetime, untilEffect); err != nil {
 		return api.InvokeResponse{}, false
 	}
 	body := fmt.Sprintf("%s %s", a.config.Label, checksum(request.Body))
@@ -234,17 +244,26 @@
 		Checksum:       checksum(body),
 		PromptChecksum: checksum(request.Body),
 	})
-	if err := fault.Sleep(lifetime, a.config.ServiceTime-untilEffect); err != nil {
+	if err := a.work(lifetime, a.config.ServiceTime-untilEffect); err != nil {
 		return api.InvokeResponse{}, false
 	}
 	load := a.currentReport()
 	return api.InvokeResponse{RequestID: request.RequestID, Body: body, Checksum: checksum(body), Load: &load}, true
 }
 
+// work takes the duration, and then as long as the instance is frozen.
+func (a *Application) work(ctx context.Context, duration time.Duration) error {
+	if err := fault.Sleep(ctx, duration); err != nil {
+		return err
+	}
+	return a.needs.Faults.WaitWhile(ctx, a.config.Name, fault.KindFreeze)
+}
+
 func (a *Application) release() {
 	<-a.slots
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.refreshSnapshot(time.Now())
 	a.running--
 }
 
@@ -265,6 +284,7 @@
 func (a *Application) order(order api.Order) (api.OrderResponse, *api.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.refreshSnapshot(time.Now())
 	if order.Epoch < a.epoch {
 		return api.OrderResponse{}, api.Refusal(http.StatusConflict, api.CodeFenced, 0,
 			"%s: epoch %d is below %d", a.config.Name, order.Epoch, a.epoch)
@@ -286,17 +306,22 @@
 	}
 }
 
-// laggedReport returns the snapshot, which is refreshed when it is asked for
-// and older than the lag: so the answer may be older than that.
 func (a *Application) laggedReport(now time.Time) api.LoadReport {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	lagged := a.snapshot
-	if now.Sub(a.snapshotAt) >= a.config.LoadLag {
-		a.snapshot = a.report(now)
-		a.snapshotAt = now
+	a.refreshSnapshot(now)
+	return a.snapshot
+}
+
+// refreshSnapshot takes the snapshots that were due by now. It is called before
+// each change and each reading, so nothing has changed since the last of them.
+func (a *Application) refreshSnapshot(now time.Time) {
+	due := now.Sub(a.snapshotAt).Truncate(a.config.LoadLag)
+	if due <= 0 {
+		return
 	}
-	return lagged
+	a.snapshotAt = a.snapshotAt.Add(due)
+	a.snapshot = a.report(a.snapshotAt)
 }
 
 func (a *Application) currentReport() api.LoadReport {
--- /dev/null
+++ b/internal/emulator/application/application_test.go
@@ -0,0 +1,172 @@
+package application_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/emulator/application"
+	"github.com/sliplift/sliplift/internal/emulator/fault"
+	"github.com/sliplift/sliplift/internal/history"
+	"github.com/sliplift/sliplift/internal/memnet"
+)
+
+// effects is a history.Sink that counts invocations.
+type effects struct{ count atomic.Int32 }
+
+func (e *effects) Record(event history.Event) {
+	if event.Kind == history.KindInvoked {
+		e.count.Add(1)
+	}
+}
+
+// result is the status of a call, zero where the connection broke.
+type result struct {
+	status int
+	code   api.Code
+}
+
+type fixture struct {
+	t      *testing.T
+	client *http.Client
+	faults *fault.Set
+	truth  *effects
+}
+
+// run calls test inside a bubble with an instance that serves one request at a
+// time, in 100 ms, and lets one wait.
+func run(t *testing.T, test func(t *testing.T, f *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.NewNetwork()
+		transport := &http.Transport{DialContext: network.Dialer("client"), DisableKeepAlives: true}
+		f := &fixture{t: t, client: &http.Client{Transport: transport}, faults: fault.NewSet(1), truth: &effects{}}
+		lg := logrus.New()
+		lg.SetOutput(io.Discard)
+		config := application.DefaultConfig("booking-1")
+		config.Address = "booking-1:1"
+		config.Capacity = 1
+		config.QueueLimit = 1
+		config.ServiceTime = 100 * time.Millisecond
+		running, err := application.Start(lg, config, application.Dependencies{Listen: network.Listen, Faults: f.faults, Sink: f.truth})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.faults.Close()
+		defer running.Close()
+		test(t, f)
+	})
+}
+
+func (f *fixture) post(ctx context.Context, path string, body any) result {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://booking-1:1"+path, bytes.NewReader(encoded))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return result{}
+	}
+	defer response.Body.Close()
+	var failure api.Error
+	if response.StatusCode != http.StatusOK {
+		if err := json.NewDecoder(response.Body).Decode(&failure); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	return result{status: response.StatusCode, code: failure.Code}
+}
+
+func (f *fixture) invoke(ctx context.Context) result {
+	return f.post(ctx, "/v1/invoke", api.InvokeRequest{RequestID: "r", Attempt: 1, Body: "a visit"})
+}
+
+// TestInvokeUnderFaults compares what the client sees with what took effect.
+func TestInvokeUnderFaults(t *testing.T) {
+	cases := []struct {
+		name string
+		// fault strikes at atMS after the request was sent.
+		fault   fault.Fault
+		atMS    int64
+		want    result
+		effects int32
+	}{
+		{name: "none", want: result{status: http.StatusOK}, effects: 1},
+		{name: "down", fault: fault.Fault{Kind: fault.KindDown}, want: result{http.StatusServiceUnavailable, api.CodeNoBackend}},
+		{name: "answer lost", fault: fault.Fault{Kind: fault.KindLostAnswer}, effects: 1},
+		{name: "crash before the effect", fault: fault.Fault{Kind: fault.KindCrash}, atMS: 30},
+		{name: "crash after the effect", fault: fault.Fault{Kind: fault.KindCrash}, atMS: 70, effects: 1},
+		{name: "frozen", fault: fault.Fault{Kind: fault.KindFreeze, DurationMS: 1000}, want: result{status: http.StatusOK}, effects: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(t *testing.T, f *fixture) {
+				if c.fault.Kind != "" {
+					c.fault.Target = "booking-1"
+					strike := func() { _, _ = f.faults.Add(c.fault) }
+					if c.atMS == 0 {
+						strike()
+					} else {
+						time.AfterFunc(api.Milliseconds(c.atMS), strike)
+					}
+				}
+				if got := f.invoke(t.Context()); got != c.want {
+					t.Errorf("client saw %+v", got)
+				}
+				if got := f.truth.count.Load(); got != c.effects {
+					t.Errorf("%d effects", got)
+				}
+			})
+		})
+	}
+}
+
+// TestQueueAndLostClients fills the instance; of two clients that go away, the
+// one that is being served gets its effect and the one that waits does not.
+func TestQueueAndLostClients(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		ctx, cancel := context.WithCancel(t.Context())
+		results := make(chan result, 2)
+		for range 2 {
+			go func() { results <- f.invoke(ctx) }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		if got := f.invoke(t.Context()); got.code != api.CodeOverloaded {
+			t.Errorf("full instance answered %+v", got)
+		}
+		cancel()
+		<-results
+		<-results
+		time.Sleep(time.Second)
+		if got := f.truth.count.Load(); got != 1 {
+			t.Errorf("%d effects", got)
+		}
+	})
+}
+
+func TestDrainingRefusesAndIsFenced(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		f.post(t.Context(), "/v1/orders", api.Order{Epoch: 2, Kind: api.OrderSetRole, Role: api.RoleDraining})
+		if got := f.post(t.Context(), "/v1/orders", api.Order{Epoch: 1, Kind: api.OrderSetRole, Role: api.RoleServing}); got.code != api.CodeFenced {
+			t.Errorf("stale order: %+v", got)
+		}
+		if got := f.invoke(t.Context()); got.code != api.CodeNoBackend {
+			t.Errorf("draining instance answered %+v", got)
+		}
+		if got := f.truth.count.Load(); got != 0 {
+			t.Errorf("%d effects", got)
+		}
+	})
+}
--- a/internal/emulator/batch/cache.go
+++ b/internal/emulator/batch/cache.go
@@ -45,14 +45,19 @@
 	return len(blocks)
 }
 
+// touch marks the block as used if it is cached, and tells whether it is.
+func (c *prefixCache) touch(block uint64) bool {
+	element, cached := c.items[block]
+	if cached {
+		c.order.MoveToFront(element)
+	}
+	return cached
+}
+
 // insert caches the block, or marks it as used. It tells whether the block is
 // new, and which one had to go for it.
 func (c *prefixCache) insert(block uint64) (added bool, evicted uint64, full bool) {
-	if c.size <= 0 {
-		return false, 0, false
-	}
-	if element, cached := c.items[block]; cached {
-		c.order.MoveToFront(element)
+	if c.size <= 0 || c.touch(block) {
 		return false, 0, false
 	}
 	if len(c.items) >= c.size {
--- a/internal/emulator/batch/config.go
+++ b/internal/emulator/batch/config.go
@@ -9,11 +9,12 @@
 
 // Config describes one engine.
 type Config struct {
-	// Capacity is the largest number of streams in a step.
+	// Capacity is the largest number of streams in a step. It must be positive.
 	Capacity int
 	// QueueLimit is the largest number of waiting streams; zero means no limit.
 	QueueLimit int
-	// StepBase is the duration of a step apart from its streams.
+	// StepBase is the duration of a step apart from its streams. It must be
+	// positive: a step takes time.
 	StepBase time.Duration
 	// StepPerStream is added to a step for each running stream.
 	StepPerStream time.Duration
--- a/internal/emulator/batch/step.go
+++ b/internal/emulator/batch/step.go
@@ -144,6 +144,10 @@
 // cacheBlocks marks the blocks as used, the prompt's beginning last: a block is
 // of no use without those before it, so they are to be evicted after it.
 func (m *Machine) cacheBlocks(at time.Duration, blocks []uint64) {
+	// First those that are cached, lest one of them goes for another.
+	for _, block := range blocks {
+		m.cache.touch(block)
+	}
 	for _, block := range slices.Backward(blocks) {
 		added, evicted, full := m.cache.insert(block)
 		if full {
--- a/internal/emulator/engine/config.go
+++ b/internal/emulator/engine/config.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/zeebo/errs/v2"
+
 	"github.com/sliplift/sliplift/internal/emulator/batch"
 )
 
@@ -56,3 +58,16 @@
 		CacheEventLoss: 0.05,
 	}
 }
+
+// ErrConfig is returned by Start for a configuration that makes no sense.
+const ErrConfig = errs.Tag("engine: configuration")
+
+func (c Config) check() error {
+	switch {
+	case c.Batch.Capacity <= 0 || c.Batch.StepBase <= 0:
+		return ErrConfig.Errorf("%s: capacity %d and step base %v must be positive", c.Name, c.Batch.Capacity, c.Batch.StepBase)
+	case c.ChunkTokens <= 0 || c.LoadLag <= 0:
+		return ErrConfig.Errorf("%s: chunk of %d tokens and load lag %v must be positive", c.Name, c.ChunkTokens, c.LoadLag)
+	}
+	return nil
+}
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -52,6 +52,9 @@
 
 // Start listens and serves until Close.
 func Start(lg logrus.FieldLogger, config Config, needs Dependencies) (*Engine, error) {
+	if err := config.check(); err != nil {
+		return nil, err
+	}
 	e := &Engine{config: config, needs: needs, lg: lg.WithField("engine", config.Name)}
 	e.restart()
 	running, err := server.Start(lg, server.Config{
--- a/internal/emulator/fault/fault.go
+++ b/internal/emulator/fault/fault.go
@@ -62,7 +62,8 @@
 	Target string `json:"target"`
 	Kind   Kind   `json:"kind"`
 	// Count is the number of times that the fault strikes before it goes; zero
-	// means without limit.
+	// means without limit. It does not apply to KindCrash and KindFreeze, which
+	// last until they are switched off.
 	Count int `json:"count,omitempty"`
 	// DurationMS is the time after which the fault goes; zero means never.
 	DurationMS int64 `json:"duration_ms,omitempty"`
