load: a step number that is taken by another step is an error

Cause: the trainer took duplicate_step for its own lost answer; posting the same step again is answered like the first time, so the code now means that the number belongs to other prompts, whose samples must not be taken. Change: the special case is gone, and its story is stricter: the step ends.

--- a/internal/load/step.go
+++ b/internal/load/step.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -34,6 +33,7 @@
 	WaitMS  int64 `url:"wait_ms"`
 }
 
+// post is idempotent: posting the same step again gets the same answer.
 func (r *stepRun) post(ctx context.Context) error {
 	t := r.trainer
 	path := t.stepPath(r.step, "")
@@ -41,7 +41,7 @@
 	err := t.retry(ctx, "post step", func() error {
 		return t.nodes.do(ctx, func(s *sling.Sling) *sling.Sling { return s.Post(path).BodyJSON(r.request) }, &response)
 	})
-	if err != nil && !alreadyPosted(err) {
+	if err != nil {
 		return err
 	}
 	r.epoch = response.Epoch
@@ -53,13 +53,6 @@
 	return nil
 }
 
-// alreadyPosted recognises the answer to a step that was accepted at a sending
-// whose answer was lost, or before the trainer itself was restarted.
-func alreadyPosted(err error) bool {
-	var answer *api.Error
-	return errors.As(err, &answer) && answer.Code == api.CodeDuplicateStep
-}
-
 // collect pulls and acknowledges until the step is done.
 func (r *stepRun) collect(ctx context.Context) error {
 	for {
