--- a/internal/query/build.go
+++ b/internal/query/build.go
@@ -20,8 +20,10 @@
 	MaxWait = 600 * time.Second
 	// maxWhole is the largest whole number that every client of JSON keeps.
 	maxWhole = 1 << 53
-	// maxInFlight bounds MAX IN FLIGHT.
+	// maxInFlight bounds MAX IN FLIGHT and LIMIT.
 	maxInFlight = 1 << 20
+	// maxVersionBound bounds VERSION BOUND.
+	maxVersionBound = 1 << 20
 	// maxNameBytes bounds an id or name.
 	maxNameBytes = 200
 	// maxConfigName bounds a name in the configuration, in characters.
@@ -57,15 +59,16 @@
 // checkNesting keeps the recursive parser from deep recursion.
 func checkNesting(source string) error {
 	depth := 0
-	for offset, character := range source {
-		switch character {
-		case '(':
+	significant, _ := lex(source)
+	for _, token := range significant {
+		switch token.Value {
+		case "(":
 			depth++
-		case ')':
+		case ")":
 			depth--
 		}
 		if depth > maxNesting {
-			return syntaxErrorAt(source, offset, "more than %d parentheses are open", maxNesting)
+			return syntaxErrorAt(source, token.Pos.Offset, "more than %d parentheses are open", maxNesting)
 		}
 	}
 	return nil
@@ -209,7 +212,7 @@
 	switch {
 	case g.VersionBound != nil:
 		b.once(seen, "VERSION BOUND", g.Pos)
-		bound := b.whole("VERSION BOUND", g.VersionBound, 0, maxWhole)
+		bound := b.whole("VERSION BOUND", g.VersionBound, 0, maxVersionBound)
 		options.VersionBound = &bound
 	case g.Priority != nil:
 		b.once(seen, "PRIORITY", g.Pos)
--- a/internal/query/execute.go
+++ b/internal/query/execute.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/configlog"
@@ -53,6 +54,10 @@
 	defaultPollInterval  = 200 * time.Millisecond
 )
 
+// ErrCallerGone is the problem of a statement that was not begun because nobody
+// waited for its answer any more.
+const ErrCallerGone = errs.Tag("query: not run, the caller went away")
+
 // Executor runs statements. It is safe for concurrent use.
 type Executor struct {
 	logger  logrus.FieldLogger
@@ -108,10 +113,14 @@
 }
 
 // Run executes the statements in order, hands each result to emit and stops
-// after the first that did not succeed.
+// after the first that did not succeed. Once ctx has ended it begins no further
+// statement; a change that was begun is settled all the same.
 func (e *Executor) Run(ctx context.Context, batch Batch, statements []Parsed, emit func(Result)) Summary {
 	for index, parsed := range statements {
-		result := e.execute(ctx, batch, index, parsed.Statement)
+		result := problem(ErrCallerGone)
+		if ctx.Err() == nil {
+			result = e.execute(ctx, batch, index, parsed.Statement)
+		}
 		result.Index = index
 		result.Statement = parsed.Text
 		emit(result)
--- a/internal/query/grammar.go
+++ b/internal/query/grammar.go
@@ -11,6 +11,8 @@
 	tokenString   = "String"
 	tokenDuration = "Duration"
 	tokenNumber   = "Number"
+	tokenComment  = "Comment"
+	tokenSpace    = "Space"
 )
 
 // identPattern is what a name looks like that needs no quotes. Dashes, dots and
@@ -18,8 +20,8 @@
 const identPattern = `[A-Za-z_][A-Za-z0-9_]*(?:[-./:][A-Za-z0-9_]+)*`
 
 var tokens = lexer.MustSimple([]lexer.SimpleRule{
-	{Name: "Comment", Pattern: `--[^\n]*`},
-	{Name: "Space", Pattern: `\s+`},
+	{Name: tokenComment, Pattern: `--[^\n]*`},
+	{Name: tokenSpace, Pattern: `\s+`},
 	{Name: tokenString, Pattern: `'(?:[^']|'')*'|"(?:[^"]|"")*"`},
 	{Name: tokenDuration, Pattern: `-?(?:[0-9]+(?:\.[0-9]+)?(?:ns|us|ms|s|m|h))+\b`},
 	{Name: tokenNumber, Pattern: `-?[0-9]+(?:\.[0-9]+)?\b`},
@@ -32,7 +34,7 @@
 // keywords and match in any case.
 var parser = participle.MustBuild[scriptGrammar](
 	participle.Lexer(tokens),
-	participle.Elide("Comment", "Space"),
+	participle.Elide(tokenComment, tokenSpace),
 	participle.CaseInsensitive(tokenIdent),
 	// The grammar is LL(1): one token decides each branch, so a mistake is
 	// reported where it stands and not where a branch began.
--- a/internal/query/render.go
+++ b/internal/query/render.go
@@ -220,4 +220,3 @@
 	}
 	return strings.Join(names, ", ")
 }
-
--- a/internal/query/syntax.go
+++ b/internal/query/syntax.go
@@ -153,12 +153,22 @@
 
 var marks = strings.Fields(`; , ( ) = != < <= > >=`)
 
+// maxProbedBytes bounds the statements for which Expected offers each token to
+// the parser, so that a mistake late in a long one costs little.
+const maxProbedBytes = 16 << 10
+
 // Expected lists what may follow the prefix of a text, found by offering each
 // token of the language to the parser. Keywords stand as they are written;
 // classes of tokens stand as "a name", "a number" and so on. It serves both the
-// messages of mistakes and the completion of the shell.
+// messages of mistakes and the completion of the shell. The list is empty where
+// the statement is very long.
 func Expected(prefix string) []string {
 	var expected []string
+	// Statements do not depend on each other.
+	prefix = lastStatement(prefix)
+	if len(prefix) > maxProbedBytes {
+		return nil
+	}
 	for _, candidate := range classProbes {
 		if accepts(prefix, candidate.text) {
 			expected = append(expected, candidate.label)
