emulator: tests of the text, the lag of load reports and the import of caches

Cause: breaking the code on purpose showed three things that no test held: that the text depends on version and position, that the load report lags, and that only caches of the own group can be imported.

Ruled out: nothing; the code itself needed no change.

Change: one test for each.

--- a/internal/emulator/batch/machine_test.go
+++ b/internal/emulator/batch/machine_test.go
@@ -225,3 +225,25 @@
 		machine.Advance(now)
 	}
 }
+
+// TestTextTellsPromptVersionAndPosition checks that a token out of place, or of
+// the wrong version or prompt, shows in the text.
+func TestTextTellsPromptVersionAndPosition(t *testing.T) {
+	text := func(prompt string, start int, version int64, tokens int) string {
+		return batch.Text(batch.PromptHash(prompt), start, []batch.Segment{{Version: version, Tokens: tokens}})
+	}
+	whole := text("a", 0, 1, 1000)
+	if joined := text("a", 0, 1, 400) + text("a", 400, 1, 600); joined != whole {
+		t.Error("two parts differ from the whole")
+	}
+	words := strings.Fields(whole)
+	slices.Sort(words)
+	if distinct := len(slices.Compact(words)); distinct < 990 {
+		t.Errorf("%d distinct tokens of 1000", distinct)
+	}
+	for name, other := range map[string]string{"version": text("a", 0, 2, 1000), "prompt": text("b", 0, 1, 1000)} {
+		if other[:8] == whole[:8] {
+			t.Errorf("another %s gives %q too", name, other[:8])
+		}
+	}
+}
--- a/internal/emulator/engine/engine_test.go
+++ b/internal/emulator/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -256,3 +257,41 @@
 		}
 	})
 }
+
+// TestLoadReportLags asks before and after the snapshot that shows the stream.
+func TestLoadReportLags(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		time.Sleep(10 * time.Millisecond)
+		answers := f.start(t.Context(), "left", request("r1"))
+		time.Sleep(150 * time.Millisecond)
+		if early := f.load("left"); early.Running != 0 {
+			t.Errorf("after 160 ms: %+v", early)
+		}
+		time.Sleep(150 * time.Millisecond)
+		if late := f.load("left"); late.Running != 1 {
+			t.Errorf("after 310 ms: %+v", late)
+		}
+		if a := <-answers; a.last().Load == nil || a.last().Load.Running != 0 {
+			t.Errorf("load of the last frame: %+v", a.last().Load)
+		}
+	})
+}
+
+// TestResumeImportsWithinGroup compares the times of a resumed stream whose
+// prompt is cached nowhere: 2,000 tokens cost 200 ms unless they are imported.
+func TestResumeImportsWithinGroup(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		took := func(engineName, handle string) time.Duration {
+			r := request("r1")
+			r.Prompt = strings.Repeat("long prompt.", 700)
+			r.Resume = &api.KVState{RequestID: "r1", Tokens: 50, Handle: handle}
+			began := time.Now()
+			f.checkWhole(engineName, f.generate(t.Context(), engineName, r))
+			return time.Since(began)
+		}
+		imported, computed := took("left", "kv/default/other/r1/50"), took("right", "kv/elsewhere/other/r1/50")
+		if computed-imported < 200*time.Millisecond {
+			t.Errorf("imported in %v, computed in %v", imported, computed)
+		}
+	})
+}
