--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/configlog"
 )
@@ -16,13 +18,15 @@
 // poll reads the back end's load report until ctx ends.
 func (s *Set) poll(ctx context.Context, t *tracked, b configlog.Backend) {
 	defer s.polls.Done()
+	// Seeded by the names, so that a run can be repeated.
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(s.cfg.Node), xxhash.Sum64String(b.Name)))
 	for {
 		report, err := s.load(ctx, b.Address)
 		if ctx.Err() != nil {
 			return
 		}
 		s.polled(t, report, err)
-		if !sleep(ctx, jitter(s.cfg.PollInterval)) {
+		if !sleep(ctx, jitter(random, s.cfg.PollInterval)) {
 			return
 		}
 	}
@@ -69,8 +73,8 @@
 	return last.AsOfMS-report.AsOfMS > restartedAfter
 }
 
-func jitter(interval time.Duration) time.Duration {
-	share := 1 + jitterShare*(2*rand.Float64()-1)
+func jitter(random *rand.Rand, interval time.Duration) time.Duration {
+	share := 1 + jitterShare*(2*random.Float64()-1)
 	return time.Duration(share * float64(interval))
 }
 
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -41,7 +41,7 @@
 		Zone:         zone,
 		Region:       region,
 		PollInterval: 500 * time.Millisecond,
-		PollTimeout:  time.Second,
+		PollTimeout:  500 * time.Millisecond,
 		SubsetSize:   16,
 		Health: HealthConfig{
 			Threshold:  3,
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -145,6 +145,9 @@
 		return verdictFree
 	case engine.StateRefused:
 		errors.As(result.Err, &e.refusal)
+		if permanent(result.Err) {
+			return verdictStop
+		}
 		return verdictRetry
 	}
 	e.sent = true
@@ -187,14 +190,16 @@
 // stopReason returns why no further attempt may follow, nil if one may.
 func (e *execution) stopReason(next verdict, pool *routing.Pool) *api.Error {
 	switch {
+	case next == verdictStop && !e.sent && e.refusal != nil:
+		return e.failure(e.refusal.Status, e.refusal.Code, 0, "back end %s: %s", e.last, e.refusal.Message)
 	case next == verdictStop:
 		return e.failure(http.StatusBadGateway, api.CodeBackendFailed, 0, "back end %s: %v", e.last, e.lastErr)
 	case e.attempts >= e.d.cfg.MaxAttempts && e.refusal != nil && !e.sent:
 		return e.overloaded(pool)
 	case e.attempts >= e.d.cfg.MaxAttempts:
-		return e.failure(http.StatusBadGateway, api.CodeBackendFailed, e.d.advice(pool), "%d attempts, the last on %s: %v", e.attempts, e.last, e.lastErr)
+		return e.failure(http.StatusBadGateway, api.CodeBackendFailed, e.advice(pool), "%d attempts, the last on %s: %v", e.attempts, e.last, e.lastErr)
 	case next == verdictRetry && !e.d.mayRetry():
-		return e.failure(http.StatusServiceUnavailable, api.CodeRetryBudget, e.d.advice(pool), "no retry left after: %v", e.lastErr)
+		return e.failure(http.StatusServiceUnavailable, api.CodeRetryBudget, e.advice(pool), "no retry left after: %v", e.lastErr)
 	}
 	return nil
 }
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -91,14 +91,20 @@
 	if explanation.HeldByLimit() || (e.refusal != nil && !e.sent) {
 		return e.fail(e.overloaded(pool))
 	}
-	return e.fail(e.failure(http.StatusServiceUnavailable, api.CodeNoBackend, e.d.advice(pool),
+	return e.fail(e.failure(http.StatusServiceUnavailable, api.CodeNoBackend, e.advice(pool),
 		"no back end of pool %s can take the request (of %d that this node uses)", pool.Name, len(pool.Backends)))
 }
 
 func (e *execution) overloaded(pool *routing.Pool) *api.Error {
+	return e.failure(http.StatusTooManyRequests, api.CodeOverloaded, e.advice(pool), "every back end of pool %s is full", pool.Name)
+}
+
+// advice returns when coming back helps, in milliseconds: by the pool's load,
+// and not before a back end that refused has asked for.
+func (e *execution) advice(pool *routing.Pool) int64 {
 	advice := e.d.advice(pool)
 	if e.refusal != nil {
 		advice = max(advice, e.refusal.RetryAfterMS)
 	}
-	return e.failure(http.StatusTooManyRequests, api.CodeOverloaded, advice, "every back end of pool %s is full", pool.Name)
+	return advice
 }
--- a/internal/dispatch/watchdog.go
+++ b/internal/dispatch/watchdog.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// recheckDivisor makes the watchdog look again sooner than after a whole
+// timeout once a back end has been silent for one.
+const recheckDivisor = 4
+
 // watchdog gives an attempt up if its back end is silent and suspect. Silence
 // alone is no reason: a stream may wait in the engine's queue for long.
 type watchdog struct {
@@ -40,7 +44,7 @@
 		return
 	}
 	if !suspect {
-		w.timer.Reset(w.timeout)
+		w.timer.Reset(w.timeout / recheckDivisor)
 		return
 	}
 	w.stalled = true
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -87,9 +87,11 @@
 			state: StatePartial,
 		},
 		{
-			name:    "redirect",
-			handler: func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/other", http.StatusTemporaryRedirect) },
-			state:   StatePartial,
+			name: "redirect",
+			handler: func(w http.ResponseWriter, r *http.Request) {
+				http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+			},
+			state: StatePartial,
 		},
 	}
 	for _, c := range cases {
--- a/internal/engine/result.go
+++ b/internal/engine/result.go
@@ -68,9 +68,12 @@
 		return false
 	}
 	switch answer.Status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable,
+		http.StatusBadRequest, http.StatusRequestEntityTooLarge:
 		return true
 	}
+	// Others do not say so for certain: a conflict, for one, may mean that the
+	// same attempt is known there already.
 	return false
 }
 
