rollout: a post whose fate is open goes on; a dead owner leaves no object

A row whose answer was lost named an owner that did not run the step, so the trainer waited a lease for a takeover; the creation now goes on for a minute and a second post joins it. The object that an owner wrote before it died is deleted by the next one: without that, TestOwnerDies finds one object left in two of its cases. A pull that met a step between its end and its removal waited for nothing; it is answered with done.

--- a/internal/rollout/delivery.go
+++ b/internal/rollout/delivery.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"fmt"
 	"math"
 	"net/http"
 	"time"
@@ -121,7 +120,7 @@
 	}
 	d := &l.delivery
 	d.lastObject++
-	proposal.Object = fmt.Sprintf("%d-%d", l.config.Epoch, d.lastObject)
+	proposal.Object = objectName(l.config.Epoch, d.lastObject)
 	first := d.next()
 	for index := range l.samples {
 		entry := &l.samples[index]
@@ -154,7 +153,7 @@
 // committed.
 func (l *Ledger) progress() Progress {
 	d := &l.delivery
-	progress := Progress{Version: l.version, Cursor: d.cursor, Committed: d.next()}
+	progress := Progress{Version: l.version, Cursor: d.cursor, Committed: d.next(), LastObject: d.lastObject}
 	if l.Done() {
 		progress.Done = true
 		return progress
--- a/internal/rollout/pull.go
+++ b/internal/rollout/pull.go
@@ -62,10 +62,16 @@
 	defer o.mu.Unlock()
 	answer = api.PullResponse{Samples: []api.Sample{}, NextCursor: query.Cursor, Epoch: o.posted.Epoch}
 	now := time.Now()
-	if o.ended && !o.ledger.Done() {
+	if o.ledger.Done() {
+		answer.Done = true
+		acknowledged, _ := o.ledger.Cursor()
+		answer.NextCursor = max(query.Cursor, acknowledged)
+		return answer, true, nil, nil
+	}
+	if o.ended {
 		return answer, true, nil, api.Refusal(http.StatusServiceUnavailable, api.CodeNotOwner, retrySoonMS, "the step has just left this node")
 	}
-	if !o.mayHandOut(now) && !o.ledger.Done() {
+	if !o.mayHandOut(now) {
 		return answer, false, o.changed, nil
 	}
 	var handOut HandOut
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -52,6 +52,9 @@
 	Cursor int64 `json:"cursor"`
 	// Committed is the number of positions given out so far.
 	Committed int64 `json:"committed"`
+	// LastObject is the number of the owner's last object that was committed; a
+	// former owner that died may have left the next one.
+	LastObject int `json:"last_object,omitempty"`
 	// Acknowledged is the set of indexes that the trainer has.
 	Acknowledged Bitmap `json:"acknowledged,omitempty"`
 	// Manifests are those that hold positions not yet acknowledged, in order of
@@ -61,6 +64,9 @@
 	Done bool `json:"done,omitempty"`
 }
 
+// objectName returns the name of an object that holds samples.
+func objectName(epoch int64, number int) string { return fmt.Sprintf("%d-%d", epoch, number) }
+
 // Manifest gives consecutive positions to samples. The samples' bodies, with
 // their attempt numbers, are in the object in the same order; an object is
 // written once and its name never used again, so the manifest need not repeat
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -124,6 +124,7 @@
 	mu       sync.Mutex
 	stopping bool
 	steps    map[stepKey]*ownedStep
+	posting  map[stepKey]bool
 	versions map[trainerPool]int64
 	watch    leaseWatch
 }
@@ -139,6 +140,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		steps:    make(map[stepKey]*ownedStep),
+		posting:  make(map[stepKey]bool),
 		versions: make(map[trainerPool]int64),
 		watch:    make(leaseWatch),
 	}
--- a/internal/rollout/service_test.go
+++ b/internal/rollout/service_test.go
@@ -178,8 +178,9 @@
 				c.post()
 				c.train(2 * time.Minute)
 				c.mustHold()
-				if epoch := c.platform.record().Epoch; epoch != 2 {
-					t.Errorf("epoch %d, want 2", epoch)
+				synctest.Wait()
+				if record := c.platform.record(); record.Epoch != 2 || len(c.platform.objects) != 0 {
+					t.Errorf("epoch %d, want 2; objects left: %d", record.Epoch, len(c.platform.objects))
 				}
 			})
 		})
@@ -212,6 +213,35 @@
 	}
 }
 
+// TestPostWhileTheStoreIsDown posts while the store can't be written, first
+// unreachable and then only slow to answer.
+func TestPostWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, Faults{})
+		c.platform.setDown(true)
+		if _, err := c.nodes[0].Post(t.Context(), testTrainer, testStep, testSpec()); err == nil || err.Outcome != api.OutcomeRefused {
+			t.Errorf("post with the store down: %v", err)
+		}
+		c.platform.setDown(false)
+		wake := make(chan struct{})
+		c.connections[0].set(func() { c.connections[0].stalled = wake })
+		for range 2 {
+			if _, err := c.nodes[0].Post(t.Context(), testTrainer, testStep, testSpec()); err == nil || err.Outcome != api.OutcomeUnknown {
+				t.Errorf("post whose fate is open: %v", err)
+			}
+		}
+		c.connections[0].set(func() { c.connections[0].stalled = nil })
+		close(wake)
+		time.Sleep(time.Second)
+		c.post()
+		c.train(30 * time.Second)
+		c.mustHold()
+		if epoch := c.platform.record().Epoch; epoch != 1 {
+			t.Errorf("epoch %d: the step waited for a takeover", epoch)
+		}
+	})
+}
+
 func TestCommitAnswersAreLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, Faults{})
