--- a/internal/history/event.go
+++ b/internal/history/event.go
@@ -27,6 +27,10 @@
 	// KindInvoked is written by an application instance when a request has
 	// taken effect.
 	KindInvoked Kind = "invoked"
+	// KindInvokeStarted is written by an application instance when a request has
+	// reached it, before it waits or runs. Promises about new work on a back end
+	// are judged by it, because KindInvoked comes only with the effect.
+	KindInvokeStarted Kind = "invoke_started"
 	// KindStepPosted is written by a trainer when a step was accepted.
 	KindStepPosted Kind = "step_posted"
 	// KindSampleDelivered is written by a trainer when it takes a sample into
@@ -51,6 +55,15 @@
 	KindConfigApplied Kind = "config_applied"
 	// KindNodeStarted is written by a node that starts a new incarnation.
 	KindNodeStarted Kind = "node_started"
+	// KindNodeReady is written by a node that begins to serve. What it has
+	// applied then must not be lower than what it had applied before a restart.
+	KindNodeReady Kind = "node_ready"
+	// KindNodeUnreachable is written by whoever freezes a node or cuts it off, so
+	// that the checker does not ask it to hear of revisions until
+	// KindNodeReachable; from then on it has LimitMS again.
+	KindNodeUnreachable Kind = "node_unreachable"
+	// KindNodeReachable ends KindNodeUnreachable.
+	KindNodeReachable Kind = "node_reachable"
 	// KindNodeEnded is written by whoever stopped or killed a node, so that the
 	// checker does not wait for it to apply later revisions.
 	KindNodeEnded Kind = "node_ended"
@@ -67,20 +80,29 @@
 	RequestID string `json:"request_id,omitempty"`
 	Attempt   int    `json:"attempt,omitempty"`
 	// Key is the idempotency key.
-	Key        string        `json:"key,omitempty"`
-	Repeatable bool          `json:"repeatable,omitempty"`
-	Pool       string        `json:"pool,omitempty"`
-	Backend    string        `json:"backend,omitempty"`
-	Outcome    api.Outcome   `json:"outcome,omitempty"`
-	Segments   []api.Segment `json:"segments,omitempty"`
+	Key        string `json:"key,omitempty"`
+	Repeatable bool   `json:"repeatable,omitempty"`
+	Pool       string `json:"pool,omitempty"`
+	// Node is the node that a caller sent its request to.
+	Node     string        `json:"node,omitempty"`
+	Backend  string        `json:"backend,omitempty"`
+	Outcome  api.Outcome   `json:"outcome,omitempty"`
+	Segments []api.Segment `json:"segments,omitempty"`
 	// Checksum is xxhash64 (hex) of the text that was generated or received;
 	// PromptChecksum that of the prompt or body that was sent or run.
 	Checksum       string           `json:"checksum,omitempty"`
 	PromptChecksum string           `json:"prompt_checksum,omitempty"`
 	FinishReason   api.FinishReason `json:"finish_reason,omitempty"`
-	Trainer        string           `json:"trainer,omitempty"`
-	Step           int64            `json:"step,omitempty"`
-	Index          int              `json:"index,omitempty"`
+	// ResumedTokens counts the tokens of the text that a stream was resumed
+	// from, and ResumedChecksum is that of this text. WholeChecksum covers this
+	// text and what the stream generated; it may be left out where nothing was
+	// resumed. Segments and Checksum leave out what was resumed from.
+	ResumedTokens   int    `json:"resumed_tokens,omitempty"`
+	ResumedChecksum string `json:"resumed_checksum,omitempty"`
+	WholeChecksum   string `json:"whole_checksum,omitempty"`
+	Trainer         string `json:"trainer,omitempty"`
+	Step            int64  `json:"step,omitempty"`
+	Index           int    `json:"index,omitempty"`
 	// Count is the number of samples of a posted step.
 	Count int `json:"count,omitempty"`
 	// TrainerVersion and VersionBound belong to a delivered sample.
@@ -88,7 +110,9 @@
 	VersionBound   int64 `json:"version_bound,omitempty"`
 	Revision       int64 `json:"revision,omitempty"`
 	LimitMS        int64 `json:"limit_ms,omitempty"`
-	Cut            int   `json:"cut,omitempty"`
+	// Cut counts requests without a final answer. A caller whose connection
+	// broke before an answer writes OutcomeUnknown with a Cut of 1.
+	Cut int `json:"cut,omitempty"`
 }
 
 // Sink takes events. Implementations are safe for concurrent use and set
