query, operator: ids of changes follow from the text too; a stop ends WAIT

Cause: a query id that was used again with another text would have been answered with the fate of the first text's changes; a planned stop would have waited for a WAIT of up to ten minutes. Change: query.NewBatch derives the ids of changes from the query's id and its text; Server.Shutdown ends waiting and begins no further statement; settings may be whole numbers; nodes show from whom a state is known and may be unreachable.

--- a/internal/operator/catalog/cluster.go
+++ b/internal/operator/catalog/cluster.go
@@ -17,7 +17,7 @@
 			query.Text(member.Name), query.Text(string(member.State)),
 			query.TextOrNone(member.Zone), query.TextOrNone(member.Region), query.TextOrNone(member.Site),
 			query.Text(member.Address), knownOrUnknown(member.Incarnation), knownOrUnknown(member.Revision),
-			v.heardAgo(member), v.drainedCell(member),
+			v.heardAgo(member), v.drainedCell(member), query.TextOrNone(member.Source),
 		)
 	}
 	table.Note("states and revisions are as this node last heard them")
--- a/internal/operator/catalog/gather.go
+++ b/internal/operator/catalog/gather.go
@@ -31,9 +31,9 @@
 	gatherWidth = 64
 )
 
-// errMemberDead stands for the answer of a member that is not asked because it
-// is seen as dead.
-const errMemberDead = errs.Tag("catalog: member is dead")
+// errNotAsked stands for the answer of a member that is seen as dead or
+// unreachable.
+const errNotAsked = errs.Tag("catalog: not asked")
 
 // gatherer asks other nodes.
 type gatherer struct {
@@ -61,9 +61,9 @@
 		if member.Name == g.node || member.State == MemberLeft {
 			continue
 		}
-		if member.State == MemberDead {
-			// Its word is needed all the same: it may come back.
-			answers[i] = answer{asked: true, err: errMemberDead}
+		if member.State == MemberDead || member.State == MemberUnreachable {
+			// Asking would only take time, but what it knows is missing.
+			answers[i] = answer{asked: true, err: errNotAsked}
 			continue
 		}
 		answers[i].asked = true
--- a/internal/operator/catalog/snapshot.go
+++ b/internal/operator/catalog/snapshot.go
@@ -27,20 +27,23 @@
 const (
 	MemberAlive   MemberState = "alive"
 	MemberSuspect MemberState = "suspect"
-	MemberLeaving MemberState = "leaving"
-	MemberDead    MemberState = "dead"
-	MemberLeft    MemberState = "left"
+	// MemberUnreachable is in a region of which nothing is heard.
+	MemberUnreachable MemberState = "unreachable"
+	MemberDead        MemberState = "dead"
+	MemberLeft        MemberState = "left"
 )
 
 // Member is a node as this one sees it.
 type Member struct {
 	Name string
 	// Address is host:port of its peer port.
-	Address     string
-	Zone        string
-	Region      string
-	Site        string
-	State       MemberState
+	Address string
+	Zone    string
+	Region  string
+	Site    string
+	State   MemberState
+	// Source names the node that told the state; this node for what it saw.
+	Source      string
 	Incarnation int64
 	// Revision is the revision that it said it applied; zero where it is not
 	// known.
--- a/internal/operator/message.go
+++ b/internal/operator/message.go
@@ -7,8 +7,8 @@
 // those that did not. Statements run one after another and stop at the first
 // that did not succeed.
 //
-// The client chooses the id of a query, from which the ids of its changes
-// follow (query.ChangeID). So when an answer is lost on its way the client can
+// The client chooses the id of a query, from which together with the text the
+// ids of its changes follow (query.Batch). So when an answer is lost on its way the client can
 // still name each change whose fate it does not know.
 //
 // GET /v1/status tells a program about the node, GET /healthz answers 200 while
@@ -89,4 +89,6 @@
 	// ErrAnswerLost says that the answer did not arrive whole: what was asked
 	// may have run.
 	ErrAnswerLost = errs.Tag("operator: answer lost")
+	// ErrStopping is why statements are not begun on a node that stops.
+	ErrStopping = errs.Tag("operator: the node stops")
 )
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
@@ -16,6 +18,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/memnet"
 	"github.com/sliplift/sliplift/internal/query"
 )
 
@@ -25,7 +28,7 @@
 
 func (fakeExecutor) Parse(source string) ([]query.Parsed, error) { return query.Parse(source, nil) }
 
-func (fakeExecutor) Run(_ context.Context, batch query.Batch, statements []query.Parsed, emit func(query.Result)) query.Summary {
+func (fakeExecutor) Run(ctx context.Context, batch query.Batch, statements []query.Parsed, emit func(query.Result)) query.Summary {
 	for index, parsed := range statements {
 		result := query.Result{Index: index, Statement: parsed.Text}
 		switch statement := parsed.Statement.(type) {
@@ -33,7 +36,7 @@
 			table := query.NewTable(statement.Table, time.UnixMilli(0), "node-1")
 			result.Table = &table
 		case query.Change:
-			result.Change = fakeChange(query.ChangeID(batch.ID, index), statement)
+			result.Change = fakeChange(ctx, batch.ChangeID(index), statement)
 		}
 		emit(result)
 		if !result.OK() {
@@ -43,12 +46,16 @@
 	return query.Summary{Done: len(statements), Failed: -1}
 }
 
-func fakeChange(id string, change query.Change) *query.ChangeResult {
+func fakeChange(ctx context.Context, id string, change query.Change) *query.ChangeResult {
 	answer := &query.ChangeResult{ID: id, Outcome: configlog.OutcomeAccepted, Revision: 5, AsOf: time.UnixMilli(0), HeardFrom: []string{"node-1"}}
 	if setting, ok := change.Action.(query.SetSetting); ok {
 		switch setting.Key {
 		case "conflict":
 			answer.Outcome, answer.BeatenBy = configlog.OutcomeConflict, 4
+		case "wait":
+			<-ctx.Done()
+			answer.Message = context.Cause(ctx).Error()
+			answer.Waited = true
 		case "cut":
 			panic(http.ErrAbortHandler)
 		}
@@ -91,6 +98,33 @@
 	})
 }
 
+// TestShutdownEndsWaiting proves that a planned stop does not hang on a WAIT and
+// that the operator still gets the answer.
+func TestShutdownEndsWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.NewNetwork()
+		listener, err := network.Listen("node-1:7001")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := NewServer(logrus.New(), ServerConfig{Node: "node-1", Executor: fakeExecutor{}})
+		var running sync.WaitGroup
+		running.Go(func() { server.Serve(listener) })
+		transport := &http.Transport{DialContext: network.Dialer("operator"), DisableKeepAlives: true}
+		client := NewClient(&http.Client{Transport: transport}, "node-1:7001")
+		running.Go(func() {
+			time.Sleep(time.Second)
+			server.Shutdown(context.Background())
+		})
+		var answer *query.ChangeResult
+		summary, err := client.Query(t.Context(), QueryRequest{Statements: "SET wait = 1; SHOW nodes"}, func(result query.Result) { answer = result.Change })
+		running.Wait()
+		if err != nil || summary.Failed != 0 || answer.Message != ErrStopping.Error() {
+			t.Errorf("%+v, %+v, %v", summary, answer, err)
+		}
+	})
+}
+
 // TestNodeIsDown proves that nothing is claimed to have been sent.
 func TestNodeIsDown(t *testing.T) {
 	server := newTestServer(t)
--- a/internal/operator/run.go
+++ b/internal/operator/run.go
@@ -44,8 +44,8 @@
 	if options.QueryID == uuid.Nil {
 		options.QueryID = uuid.New()
 	}
-	run := &run{options: options, id: options.QueryID, source: source, w: w}
-	request := QueryRequest{ID: run.id.String(), Author: options.Author, Statements: source}
+	run := &run{options: options, batch: query.NewBatch(options.QueryID, options.Author, source), source: source, w: w}
+	request := QueryRequest{ID: options.QueryID.String(), Author: options.Author, Statements: source}
 	summary, err := client.Query(ctx, request, run.show)
 	if err != nil {
 		return run.fail(err)
@@ -75,7 +75,7 @@
 // run shows the answer to one text.
 type run struct {
 	options  RunOptions
-	id       uuid.UUID
+	batch    query.Batch
 	source   string
 	w        io.Writer
 	answered int
@@ -149,13 +149,13 @@
 	statements, err := query.Parse(r.source, nil)
 	if err != nil {
 		// This program is of another release than the node and cannot read the
-		// text; the ids of its changes follow from the id of the query.
-		return []MaybeChange{{ID: query.ChangeID(r.id, r.answered), Statement: "statement " + fmt.Sprint(r.answered+1)}}
+		// text; the id of the change that was under way is known all the same.
+		return []MaybeChange{{ID: r.batch.ChangeID(r.answered), Statement: "statement " + fmt.Sprint(r.answered+1)}}
 	}
 	var changes []MaybeChange
 	for index := r.answered; index < len(statements); index++ {
 		if _, isChange := statements[index].Statement.(query.Change); isChange {
-			changes = append(changes, MaybeChange{ID: query.ChangeID(r.id, index), Statement: statements[index].Text})
+			changes = append(changes, MaybeChange{ID: r.batch.ChangeID(index), Statement: statements[index].Text})
 		}
 	}
 	return changes
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -53,12 +53,20 @@
 	config  ServerConfig
 	http    *http.Server
 	running chan struct{}
+	// base is the context of all requests; stop ends it.
+	base context.Context
+	stop context.CancelCauseFunc
 }
 
 // NewServer returns a server that is not serving yet.
 func NewServer(logger logrus.FieldLogger, config ServerConfig) *Server {
 	s := &Server{logger: logger, config: config, running: make(chan struct{}, maxQueries)}
-	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	s.base, s.stop = context.WithCancelCause(context.Background())
+	s.http = &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		BaseContext:       func(net.Listener) context.Context { return s.base },
+	}
 	return s
 }
 
@@ -82,11 +90,18 @@
 	return nil
 }
 
-// Shutdown stops accepting and waits for the queries that are running.
-func (s *Server) Shutdown(ctx context.Context) error { return errs.Wrap(s.http.Shutdown(ctx)) }
+// Shutdown stops accepting, and waits for the statements that are running: a
+// change is settled, a WAIT ends early, and no further statement begins.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stop(ErrStopping)
+	return errs.Wrap(s.http.Shutdown(ctx))
+}
 
 // Close cuts every connection.
-func (s *Server) Close() error { return errs.Wrap(s.http.Close()) }
+func (s *Server) Close() error {
+	s.stop(ErrStopping)
+	return errs.Wrap(s.http.Close())
+}
 
 func (s *Server) status() Status {
 	status := s.config.Status()
@@ -121,52 +136,51 @@
 		httpjson.WriteError(w, refusal)
 		return
 	}
-	batch, statements, refusal := s.check(request)
+	statements, refusal := s.check(&request)
 	if refusal != nil {
 		httpjson.WriteError(w, refusal)
 		return
 	}
 	if request.Output == DeliveryStream {
-		s.stream(w, r, batch, statements)
+		s.stream(w, r, request, statements)
 		return
 	}
-	s.whole(w, r, batch, statements)
+	s.whole(w, r, request, statements)
 }
 
-// check reads a request; a refusal means that nothing ran.
-func (s *Server) check(request QueryRequest) (query.Batch, []query.Parsed, *api.Error) {
-	batch := query.Batch{ID: uuid.New(), Author: request.Author, Source: request.Statements}
-	if request.ID != "" {
-		id, err := uuid.Parse(request.ID)
-		if err != nil {
-			return batch, nil, api.Invalid("id: %q is not a UUID", request.ID)
-		}
-		batch.ID = id
+// check reads a request and gives it an id where it has none; a refusal means
+// that nothing ran.
+func (s *Server) check(request *QueryRequest) ([]query.Parsed, *api.Error) {
+	if request.ID == "" {
+		request.ID = uuid.NewString()
+	}
+	if uuid.Validate(request.ID) != nil {
+		return nil, api.Invalid("id: %q is not a UUID", request.ID)
 	}
 	if len(request.Author) > maxAuthorBytes {
-		return batch, nil, api.Invalid("author: %d bytes; at most %d are allowed", len(request.Author), maxAuthorBytes)
+		return nil, api.Invalid("author: %d bytes; at most %d are allowed", len(request.Author), maxAuthorBytes)
 	}
 	switch request.Output {
 	case "", DeliveryWhole, DeliveryStream:
 	default:
-		return batch, nil, api.Invalid("output: %q is not allowed; allowed are %s and %s", request.Output, DeliveryWhole, DeliveryStream)
+		return nil, api.Invalid("output: %q is not allowed; allowed are %s and %s", request.Output, DeliveryWhole, DeliveryStream)
 	}
 	statements, err := s.config.Executor.Parse(request.Statements)
 	if err != nil {
-		return batch, nil, api.Refusal(http.StatusBadRequest, api.CodeSyntax, 0, "%v", err)
+		return nil, api.Refusal(http.StatusBadRequest, api.CodeSyntax, 0, "%v", err)
 	}
-	return batch, statements, nil
+	return statements, nil
 }
 
-func (s *Server) whole(w http.ResponseWriter, r *http.Request, batch query.Batch, statements []query.Parsed) {
-	response := QueryResponse{ID: batch.ID.String(), Node: s.config.Node, Results: []query.Result{}}
-	response.Summary = s.config.Executor.Run(r.Context(), batch, statements, func(result query.Result) {
+func (s *Server) whole(w http.ResponseWriter, r *http.Request, request QueryRequest, statements []query.Parsed) {
+	response := QueryResponse{ID: request.ID, Node: s.config.Node, Results: []query.Result{}}
+	response.Summary = s.config.Executor.Run(r.Context(), request.batch(), statements, func(result query.Result) {
 		response.Results = append(response.Results, result)
 	})
 	httpjson.Write(w, http.StatusOK, response)
 }
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, batch query.Batch, statements []query.Parsed) {
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, request QueryRequest, statements []query.Parsed) {
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	encoder := json.NewEncoder(w)
@@ -174,11 +188,16 @@
 	send := func(line StreamLine) {
 		// Run notices by the request's context that the client went away.
 		if err := errors.Join(encoder.Encode(line), controller.Flush()); err != nil {
-			s.logger.WithError(err).WithField("query", batch.ID).Debug("the client of a query went away")
+			s.logger.WithError(err).WithField("query", request.ID).Debug("the client of a query went away")
 		}
 	}
-	summary := s.config.Executor.Run(r.Context(), batch, statements, func(result query.Result) {
+	summary := s.config.Executor.Run(r.Context(), request.batch(), statements, func(result query.Result) {
 		send(StreamLine{Result: &result})
 	})
 	send(StreamLine{Summary: &summary})
 }
+
+// batch returns the batch of a request that was checked.
+func (r QueryRequest) batch() query.Batch {
+	return query.NewBatch(uuid.MustParse(r.ID), r.Author, r.Statements)
+}
--- a/internal/query/execute.go
+++ b/internal/query/execute.go
@@ -54,9 +54,9 @@
 	defaultPollInterval  = 200 * time.Millisecond
 )
 
-// ErrCallerGone is the problem of a statement that was not begun because nobody
-// waited for its answer any more.
-const ErrCallerGone = errs.Tag("query: not run, the caller went away")
+// ErrNotBegun is the problem of a statement that was not begun, because nobody
+// waits for its answer any more or because the node stops.
+const ErrNotBegun = errs.Tag("query: not run")
 
 // Executor runs statements. It is safe for concurrent use.
 type Executor struct {
@@ -80,20 +80,25 @@
 	}
 }
 
-// Batch is a text to run.
+// Batch is a text to run, with what names its changes.
 type Batch struct {
-	// ID gives the changes of the text their ids; see ChangeID.
-	ID uuid.UUID
-	// Author names the operator, for the log of changes.
-	Author string
-	Source string
+	author string
+	// changes is the name space of the ids of the batch's changes.
+	changes uuid.UUID
 }
 
-// ChangeID returns the id of the change that a statement of a batch makes.
-// Whoever chose the batch's id can thus ask for the fate of its changes even if
-// no answer came.
-func ChangeID(batch uuid.UUID, index int) string {
-	return uuid.NewSHA1(batch, []byte(strconv.Itoa(index))).String()
+// NewBatch returns the batch of a text. The author names the operator in the
+// log of changes. The ids of the batch's changes follow from the batch's id and
+// the text: whoever chose the batch's id can ask for their fate even if no
+// answer came, the same batch run again changes nothing twice, and another text
+// under the same id makes other changes.
+func NewBatch(id uuid.UUID, author, source string) Batch {
+	return Batch{author: author, changes: uuid.NewSHA1(id, []byte(source))}
+}
+
+// ChangeID returns the id of the change that the statement of that index makes.
+func (b Batch) ChangeID(index int) string {
+	return uuid.NewSHA1(b.changes, []byte(strconv.Itoa(index))).String()
 }
 
 // Summary tells how far a batch came.
@@ -117,10 +122,7 @@
 // statement; a change that was begun is settled all the same.
 func (e *Executor) Run(ctx context.Context, batch Batch, statements []Parsed, emit func(Result)) Summary {
 	for index, parsed := range statements {
-		result := problem(ErrCallerGone)
-		if ctx.Err() == nil {
-			result = e.execute(ctx, batch, index, parsed.Statement)
-		}
+		result := e.executeUnlessOver(ctx, batch, index, parsed.Statement)
 		result.Index = index
 		result.Statement = parsed.Text
 		emit(result)
@@ -139,6 +141,13 @@
 	return result
 }
 
+func (e *Executor) executeUnlessOver(ctx context.Context, batch Batch, index int, statement Statement) Result {
+	if ctx.Err() != nil {
+		return problem(ErrNotBegun.Wrap(context.Cause(ctx)))
+	}
+	return e.execute(ctx, batch, index, statement)
+}
+
 func (e *Executor) execute(ctx context.Context, batch Batch, index int, statement Statement) Result {
 	switch s := statement.(type) {
 	case Show:
@@ -183,8 +192,8 @@
 
 func (e *Executor) change(ctx context.Context, batch Batch, index int, statement Change) Result {
 	change := configlog.Change{
-		ID:        ChangeID(batch.ID, index),
-		Author:    batch.Author,
+		ID:        batch.ChangeID(index),
+		Author:    batch.author,
 		Operation: operationOf(statement.Action),
 	}
 	if statement.IfRevision != nil {
--- a/internal/query/execute_test.go
+++ b/internal/query/execute_test.go
@@ -176,7 +176,7 @@
 		return err.Error() + "\n"
 	}
 	var b strings.Builder
-	batch := Batch{ID: id, Author: "anna", Source: source}
+	batch := NewBatch(id, "anna", source)
 	summary := executor.Run(t.Context(), batch, statements, func(result Result) {
 		if err := Render(&b, result, output, width); err != nil {
 			t.Fatal(err)
@@ -202,7 +202,7 @@
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		summary := executor.Run(ctx, Batch{ID: uuid.UUID{1}}, statements, func(Result) {})
+		summary := executor.Run(ctx, NewBatch(uuid.UUID{1}, "anna", ""), statements, func(Result) {})
 		if changes.log.Revision() != 1 || summary.Failed != 0 || len(summary.NotRun) != 1 {
 			t.Errorf("revision %d, summary %+v", changes.log.Revision(), summary)
 		}
--- a/internal/query/schema.go
+++ b/internal/query/schema.go
@@ -40,7 +40,7 @@
 // shown. The catalog fills rows in the same order.
 var schemas = map[TableName][]Column{
 	TableNodes: {text("name"), text("state"), text("zone"), text("region"), text("site"), text("address"),
-		number("incarnation"), number("revision"), duration("heard_ago"), truth("drained")},
+		number("incarnation"), number("revision"), duration("heard_ago"), truth("drained"), text("state_from")},
 	TableEngines: {text("name"), text("pool"), text("zone"), text("region"), text("site"), text("role"),
 		number("running"), number("waiting"), number("capacity"), number("version"), number("loading"),
 		duration("report_age"), truth("drained"), text("reported_to"), text("address")},
--- a/internal/query/settings.go
+++ b/internal/query/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,6 +17,8 @@
 	// Min and Max bound a number; a duration is bounded in seconds. Both are
 	// inclusive and ignored where they are equal.
 	Min, Max float64
+	// Whole refuses numbers with a fraction.
+	Whole bool
 	// Choices lists the values of a text, where not every one is allowed.
 	Choices []string
 	// Default is in effect while nothing is set.
@@ -46,7 +49,7 @@
 	switch s.Kind {
 	case KindNumber:
 		number, err := strconv.ParseFloat(raw, 64)
-		return err == nil && s.inBounds(number)
+		return err == nil && s.inBounds(number) && (!s.Whole || number == math.Trunc(number))
 	case KindDuration:
 		duration, err := time.ParseDuration(raw)
 		return err == nil && s.inBounds(duration.Seconds())
@@ -67,6 +70,8 @@
 func (s SettingSpec) allowed() string {
 	bounded := s.Min != s.Max
 	switch {
+	case s.Kind == KindNumber && bounded && s.Whole:
+		return fmt.Sprintf("a whole number from %v to %v", s.Min, s.Max)
 	case s.Kind == KindNumber && bounded:
 		return fmt.Sprintf("a number from %v to %v", s.Min, s.Max)
 	case s.Kind == KindDuration && bounded:
