--- a/internal/query/execute_test.go
+++ b/internal/query/execute_test.go
@@ -140,6 +140,14 @@
 			case "next-change":
 				d.ScanArgs(t, "is", &changes.next)
 				return ""
+			case "publish":
+				version := configlog.PublishVersion{}
+				d.ScanArgs(t, "pool", &version.Pool)
+				d.ScanArgs(t, "version", &version.Version)
+				if err := changes.apply(configlog.Change{ID: "published", Operation: configlog.Operation{PublishVersion: &version}}); err != nil {
+					t.Fatal(err)
+				}
+				return ""
 			case "node":
 				var name, delay string
 				d.ScanArgs(t, "name", &name)
