--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -111,6 +111,9 @@
 	return &Rollout{limits: limits, attempts: map[string]*attempt{}}
 }
 
+// SetLimits replaces the limits from the next Step on.
+func (r *Rollout) SetLimits(limits Limits) { r.limits = limits }
+
 // Progress returns the counts of the last Step.
 func (r *Rollout) Progress() Progress { return r.progress }
 
