dispatch: hedges no longer use up the retries of requests that broke off

Cause: against the stand-in engines under faults, with a hedge after 300 ms, 368 of 400 requests completed, 25 failed, 5 were refused and 2 were unknown; without hedges all 400 completed. Hedges took the whole retry budget, counted as attempts, and left both back ends of a round excluded until none was left.

Change: hedges leave a fifth of the budget's burst to retries and do not count against the bound on attempts; where no other back end is left, those whose streams broke off are tried again, save the last.

Tests that a changed mechanism did not fail before: an engine's conflict that says "refused", and a request that passes the stop check just before the stop.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -22,7 +22,7 @@
 	Policy routing.PolicyName
 	// Seed feeds the policy's random numbers.
 	Seed int64
-	// MaxAttempts bounds the attempts of one request.
+	// MaxAttempts bounds the attempts of one request, hedges not counted.
 	MaxAttempts int
 	// RetryRatio, RetryMinimum (per second) and RetryBurst set the retry budget.
 	RetryRatio   float64
@@ -181,6 +181,14 @@
 	return d.budget.Retry(now)
 }
 
+// mayHedge takes from the part of the retry budget that hedges may use.
+func (d *Dispatcher) mayHedge() bool {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.Hedge(now)
+}
+
 // serviceWeight is the weight of the latest request in a pool's mean service
 // time.
 const serviceWeight = 0.1
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -25,6 +25,8 @@
 	// progress is what was received so far, with what was resumed from.
 	progress Resume
 	attempts int
+	// hedges counts those of the attempts that ran beside another.
+	hedges   int
 	excluded []string
 	// last is the back end of the latest attempt.
 	last string
@@ -64,6 +66,9 @@
 			return e.fail(e.failure(http.StatusNotFound, api.CodeUnknownPool, 0, "the pool was removed"))
 		}
 		first, explanation := e.prepare(&pool)
+		if first == nil && e.revisit() {
+			continue
+		}
 		if first == nil {
 			return e.noBackend(&pool, &explanation)
 		}
@@ -129,6 +134,16 @@
 	return nil, choice.Explanation
 }
 
+// revisit allows the back ends whose streams broke off to be tried again, save
+// the last, where no other is left. It tells whether that helps.
+func (e *execution) revisit() bool {
+	if !e.sent || len(e.excluded) < 2 {
+		return false
+	}
+	e.excluded = e.excluded[len(e.excluded)-1:]
+	return true
+}
+
 func (e *execution) setCurrent(a *attempt) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -194,9 +209,9 @@
 		return e.failure(e.refusal.Status, e.refusal.Code, 0, "back end %s: %s", e.last, e.refusal.Message)
 	case next == verdictStop:
 		return e.failure(http.StatusBadGateway, api.CodeBackendFailed, 0, "back end %s: %v", e.last, e.lastErr)
-	case e.attempts >= e.d.cfg.MaxAttempts && e.refusal != nil && !e.sent:
+	case e.attempts-e.hedges >= e.d.cfg.MaxAttempts && e.refusal != nil && !e.sent:
 		return e.overloaded(pool)
-	case e.attempts >= e.d.cfg.MaxAttempts:
+	case e.attempts-e.hedges >= e.d.cfg.MaxAttempts:
 		return e.failure(http.StatusBadGateway, api.CodeBackendFailed, e.advice(pool), "%d attempts, the last on %s: %v", e.attempts, e.last, e.lastErr)
 	case next == verdictRetry && !e.d.mayRetry():
 		return e.failure(http.StatusServiceUnavailable, api.CodeRetryBudget, e.advice(pool), "no retry left after: %v", e.lastErr)
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -59,16 +59,16 @@
 // prepareHedge opens a second attempt on another back end; nil if there is none
 // or the retry budget is used up.
 func (e *execution) prepareHedge(first *attempt) *attempt {
-	if e.attempts >= e.d.cfg.MaxAttempts {
-		return nil
-	}
 	pool, ok := e.d.backends.PoolSnapshot(e.request.Pool)
-	if !ok || len(pool.Backends) < 2 || !e.d.mayRetry() {
+	if !ok || len(pool.Backends) < 2 || !e.d.mayHedge() {
 		return nil
 	}
 	excluded := e.excluded
 	e.excluded = append(e.excluded[:len(excluded):len(excluded)], first.backend.Name)
 	second, _ := e.prepare(&pool)
 	e.excluded = excluded
+	if second != nil {
+		e.hedges++
+	}
 	return second
 }
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -43,7 +43,7 @@
 func readBody(r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }
 
 // TestFate shows how far each failure lets the client say that a request came.
-// Only the first two say that it did not run.
+// Only the states not_sent and refused say that it did not run.
 func TestFate(t *testing.T) {
 	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 	cases := []struct {
@@ -68,6 +68,14 @@
 			},
 			state: StatePartial,
 		},
+		{
+			// The same attempt may be known there already.
+			name: "conflict that says refused",
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				httpjson.WriteError(w, api.Refusal(http.StatusConflict, api.CodeInvalid, 0, "duplicate"))
+			},
+			state: StatePartial,
+		},
 		{
 			name:    "503 without a reason",
 			handler: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -226,6 +226,29 @@
 	}
 }
 
+// TestStopState counts in nobody once the stop has begun, also one that had
+// passed the first check before, and is idle when the last has left.
+func TestStopState(t *testing.T) {
+	s := newStopState()
+	first := s.enter()
+	s.begin()
+	second := s.enter()
+	idleEarly := isClosed(s.idle)
+	s.leave()
+	if !first || second || idleEarly || !isClosed(s.idle) {
+		t.Errorf("entered %t and %t, idle %t and %t", first, second, idleEarly, isClosed(s.idle))
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // TestPlannedStop begins a stop while requests are in flight over a network:
 // they get their answers, waiting pulls answer at once, and new ones are
 // refused until the server is gone.
--- a/internal/limits/budget.go
+++ b/internal/limits/budget.go
@@ -10,6 +10,8 @@
 	DefaultRetryMinimum = 1.0
 	// DefaultRetryBurst bounds the retries that may be saved up.
 	DefaultRetryBurst = 50.0
+	// hedgeReserve is the share of the burst that hedges leave to retries.
+	hedgeReserve = 0.2
 	// roundingSlack keeps ten tenths from being less than one.
 	roundingSlack = 1e-9
 )
@@ -53,6 +55,17 @@
 	return true
 }
 
+// Hedge takes a token for an attempt beside one that still runs. Hedges leave a
+// part of the budget to retries, without which requests fail.
+func (b *RetryBudget) Hedge(now time.Time) bool {
+	b.fill(now)
+	if b.tokens < 1+hedgeReserve*b.burst {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 func (b *RetryBudget) fill(now time.Time) {
 	elapsed := now.Sub(b.filled)
 	if elapsed <= 0 {
