cli: check-history; load: callers name the node and tell broken connections

Cause: the checker judges planned stops by the node that a caller was connected to and by connections that broke before an answer. Ruled out: counting refused connections as broken, since nothing was sent. Change: nodes are given as NAME=IP:PORT; request events carry Node and Cut; the demo and check-history print the verdict on every promise.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -70,6 +70,7 @@
 		shellSpecification(),
 		loadSpecification(),
 		checkConfigSpecification(),
+		checkHistorySpecification(),
 		versionSpecification(),
 	}
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 
+	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/query"
 )
 
@@ -22,6 +24,15 @@
 
 func (d demoStub) RunDemo(context.Context, DemoOptions) (DemoSummary, error) { return d.summary, d.err }
 
+// report judges a history of the events.
+func report(events ...history.Event) history.Report {
+	checker := history.NewChecker()
+	for i, event := range events {
+		checker.Observe(event, history.Position{File: "demo", Line: i + 1})
+	}
+	return checker.Report()
+}
+
 func runTool(demo DemoRunner, args ...string) (code int, stdout, stderr string) {
 	var out, errOut bytes.Buffer
 	env := &Environment{
@@ -38,7 +49,16 @@
 	if err := os.WriteFile(bad, []byte("name = n1\nnmae = n1\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	broken := demoStub{summary: DemoSummary{Violations: []string{"exactly once: sample 3 of step 1 twice"}}}
+	kept := demoStub{summary: DemoSummary{History: report(history.Event{Kind: history.KindRequestAnswered, RequestID: "r1", Outcome: api.OutcomeRefused})}}
+	broken := demoStub{summary: DemoSummary{History: report(
+		history.Event{Kind: history.KindRequestAnswered, RequestID: "r1", Outcome: api.OutcomeRefused},
+		history.Event{Kind: history.KindStreamStarted, RequestID: "r1", Process: "e1"},
+	)}}
+	histories := filepath.Join(t.TempDir(), "history.jsonl")
+	refusedAndRun := `{"kind":"request_answered","request_id":"r1","outcome":"refused"}` + "\n" + `{"kind":"stream_started","request_id":"r1","process":"e1"}` + "\n"
+	if err := os.WriteFile(histories, []byte(refusedAndRun), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	const nobody = "127.0.0.1:1"
 	tests := []struct {
 		name string
@@ -58,9 +78,13 @@
 		{"settings accepted", nil, []string{"check-config", good}, ExitDone, "accepted"},
 		{"settings refused", nil, []string{"check-config", bad}, ExitNo, `bad.ini:2: nmae = "n1": unknown option`},
 		{"settings of another kind", nil, []string{"check-config", "--kind", "emulator", good}, ExitNo, "refused"},
-		{"promises kept", demoStub{}, []string{"demo"}, ExitDone, "promises broken"},
-		{"promise broken", broken, []string{"demo"}, ExitNo, "sample 3 of step 1 twice"},
-		{"demo as JSON", broken, []string{"demo", "-o", "json"}, ExitNo, `"violations":["exactly once`},
+		{"promises kept", kept, []string{"demo"}, ExitDone, "refused means not run"},
+		{"promise broken", broken, []string{"demo"}, ExitNo, "promise 5: "},
+		{"nothing judged", demoStub{}, []string{"demo"}, ExitNo, "events checked"},
+		{"demo as JSON", broken, []string{"demo", "-o", "json"}, ExitNo, `"state":"broken"`},
+		{"history broken", nil, []string{"check-history", histories}, ExitNo, "promise 5: "},
+		{"history missing", nil, []string{"check-history", histories + "x"}, ExitUsage, "no such file"},
+		{"promise unknown", nil, []string{"check-history", "--require", "10", histories}, ExitUsage, "from 1 to 9"},
 		{"demo not run", demoStub{err: errors.New("port taken")}, []string{"demo"}, ExitNo, ""},
 		{"demo without nodes", demoStub{}, []string{"demo", "--nodes", "0"}, ExitUsage, "at least 1"},
 		{"no statement", nil, []string{"query"}, ExitUsage, "give statements"},
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
+
+	"github.com/sliplift/sliplift/internal/history"
 )
 
 // DemoOptions say what the demo runs.
@@ -34,11 +37,9 @@
 	LiveP99MS float64 `json:"live_p99_ms"`
 	Bookings  int64   `json:"bookings_completed"`
 	Refused   int64   `json:"refused"`
-	// Events counts the events of the history, Violations what the checker
-	// found against the promises.
-	Events     int      `json:"events"`
-	Violations []string `json:"violations"`
-	Seconds    float64  `json:"seconds"`
+	// History is the checker's verdict on every promise.
+	History history.Report `json:"history"`
+	Seconds float64        `json:"seconds"`
 }
 
 // DemoRunner runs nodes and stand-ins in one process, serves a trainer and live
@@ -90,14 +91,20 @@
 	if err := c.print(env.Stdout, summary, summary.lines); err != nil {
 		return err
 	}
-	if len(summary.Violations) > 0 {
+	if c.Output != outputJSON {
+		fmt.Fprintln(env.Stdout)
+		if err := summary.History.WriteTable(env.Stdout); err != nil {
+			return err
+		}
+	}
+	if !summary.History.OK() {
 		return errNo
 	}
 	return nil
 }
 
 func (s DemoSummary) lines() [][]string {
-	lines := [][]string{
+	return [][]string{
 		{"nodes", strconv.Itoa(s.Nodes)},
 		{"engines", strconv.Itoa(s.Engines)},
 		{"steps", strconv.Itoa(s.Steps)},
@@ -108,14 +115,9 @@
 		{"live latency, p99", formatMS(s.LiveP99MS)},
 		{"bookings completed", strconv.FormatInt(s.Bookings, 10)},
 		{"requests refused", strconv.FormatInt(s.Refused, 10)},
-		{"events checked", strconv.Itoa(s.Events)},
-		{"promises broken", strconv.Itoa(len(s.Violations))},
+		{"events checked", strconv.Itoa(s.History.Events)},
 		{"time", seconds(s.Seconds)},
 	}
-	for _, violation := range s.Violations {
-		lines = append(lines, []string{"violation", violation})
-	}
-	return lines
 }
 
 func seconds(value float64) string { return strconv.FormatFloat(value, 'f', 2, 64) + " s" }
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -25,7 +25,7 @@
 type loadCommand struct {
 	outputFlag
 	Target         string        `long:"target" default:"node" choice:"node" choice:"engine" choice:"trainer" description:"send live requests to a node or to an engine itself, or act as a trainer"`
-	Nodes          []string      `long:"node" short:"n" default:"127.0.0.1:7000" value-name:"IP:PORT" description:"caller address of a node; repeat it for those to fall over to"`
+	Nodes          []load.Node   `long:"node" short:"n" default:"n1=127.0.0.1:7000" value-name:"[NAME=]IP:PORT" description:"caller address of a node, with its name for the history; repeat it for those to fall over to"`
 	Engine         string        `long:"engine" value-name:"IP:PORT" description:"address of the engine, for --target engine"`
 	BaselineEngine string        `long:"baseline-engine" value-name:"IP:PORT" description:"also call this engine itself, in turns with the node, and print what the node adds"`
 	Caller         string        `long:"caller" default:"load" description:"name under which requests are sent"`
@@ -62,7 +62,7 @@
 		examples: []string{
 			"sliplift load --pool titles --duration 10s",
 			"sliplift load --pool titles --baseline-engine 127.0.0.1:7101 --output json",
-			"sliplift load --pool booking --booking --attempts 3 --node 127.0.0.1:7000 --node 127.0.0.1:7010",
+			"sliplift load --pool booking --booking --attempts 3 --node n1=127.0.0.1:7000 --node n2=127.0.0.1:7010",
 			"sliplift load --target trainer --caller titles-trainer --pool titles --steps 3",
 		},
 		command: &loadCommand{},
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +15,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/history"
+	"github.com/sliplift/sliplift/internal/httpjson"
 )
 
 // Checksum returns the xxhash64 of text in hexadecimal, as histories hold it.
@@ -25,8 +28,8 @@
 type CallerConfig struct {
 	// Name is the calling application's name.
 	Name string
-	// Nodes are caller addresses, the preferred one first.
-	Nodes    []string
+	// Nodes are the nodes to call, the preferred one first.
+	Nodes    []Node
 	Pool     string
 	Priority api.Priority
 	// Deadline is the time given to each sending of a request.
@@ -115,6 +118,7 @@
 // sendOnce is one sending, with a request id of its own.
 func (c *Caller) sendOnce(ctx context.Context, request api.LiveRequest) (api.LiveResponse, error) {
 	request.RequestID = uuid.NewString()
+	node := c.nodes.node()
 	event := history.Event{
 		Kind:           history.KindRequestSent,
 		Process:        c.cfg.Name,
@@ -122,13 +126,18 @@
 		Key:            request.IdempotencyKey,
 		Repeatable:     request.Repeatable,
 		Pool:           request.Pool,
+		Node:           node.Name,
 		PromptChecksum: Checksum(request.Prompt),
 	}
 	c.sink.Record(event)
 	sendContext, cancel := context.WithTimeout(ctx, c.cfg.Deadline+answerGrace)
 	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	var response api.LiveResponse
-	err := c.nodes.do(sendContext, func(s *sling.Sling) *sling.Sling { return s.Post("/v1/requests").BodyJSON(request) }, &response)
+	err := c.nodes.doAt(httptrace.WithClientTrace(sendContext, trace), node, func(s *sling.Sling) *sling.Sling {
+		return s.Post("/v1/requests").BodyJSON(request)
+	}, &response)
 	event.Kind = history.KindRequestAnswered
 	event.Outcome = outcomeOf(err)
 	if err == nil {
@@ -136,6 +145,9 @@
 		event.Segments = response.Segments
 		event.Backend = response.Backend
 	}
+	if errors.Is(err, httpjson.ErrNoAnswer) && connected.Load() && ctx.Err() == nil {
+		event.Cut = 1
+	}
 	c.sink.Record(event)
 	return response, err
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -83,6 +83,10 @@
 		network := memnet.NewNetwork()
 		story := &script{begun: time.Now(), lines: lines}
 		for _, host := range []string{"n1:1", "n2:1"} {
+			if len(lines) > 0 && lines[0] == host+" is down" {
+				story.lines = lines[1:]
+				continue
+			}
 			listener, err := network.Listen(host)
 			if err != nil {
 				t.Fatal(err)
@@ -105,8 +109,10 @@
 
 func eventDetail(event history.Event) string {
 	switch event.Kind {
+	case history.KindRequestSent:
+		return " to " + event.Node
 	case history.KindRequestAnswered:
-		return " " + string(event.Outcome)
+		return fmt.Sprintf(" %s from %s cut=%d", event.Outcome, event.Node, event.Cut)
 	case history.KindStepPosted:
 		return fmt.Sprintf(" count=%d bound=%d", event.Count, event.VersionBound)
 	case history.KindSampleDelivered:
@@ -115,6 +121,8 @@
 	return ""
 }
 
+var nodeList = []Node{{Name: "n1", Address: "n1:1"}, {Name: "n2", Address: "n2:1"}}
+
 type weightStub struct{}
 
 func (weightStub) PutWeights(context.Context, api.WeightVersion) error { return nil }
@@ -142,7 +150,7 @@
 
 func callerStory(ctx context.Context, client *http.Client, sink history.Sink, repeatable bool) string {
 	caller := NewCaller(CallerConfig{
-		Name: "bookings", Nodes: []string{"n1:1", "n2:1"}, Pool: "booking",
+		Name: "bookings", Nodes: nodeList, Pool: "booking",
 		Repeatable: repeatable, Deadline: time.Second, Attempts: 3,
 	}, client, sink)
 	answer := caller.Send(ctx, "visit")
@@ -151,7 +159,7 @@
 
 func trainerStory(ctx context.Context, lg *logrus.Logger, client *http.Client, sink history.Sink, publish bool) string {
 	trainer := NewTrainer(lg, TrainerConfig{
-		Name: "titles", Nodes: []string{"n1:1", "n2:1"}, Pool: "lm", Model: "m",
+		Name: "titles", Nodes: nodeList, Pool: "lm", Model: "m",
 		Version: 4, VersionBound: 1, SamplesPerPrompt: 2, PullLimit: 8, PullWait: time.Second,
 	}, client, weightStub{}, sink)
 	if publish {
--- a/internal/load/nodes.go
+++ b/internal/load/nodes.go
@@ -4,50 +4,76 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/dghubble/sling"
+	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/httpjson"
 )
 
+// Node is a node that a client may call.
+type Node struct {
+	// Name is the node's name for the history; empty where it is not known.
+	Name string
+	// Address is host:port of its caller port.
+	Address string
+}
+
+// UnmarshalFlag implements flags.Unmarshaler: IP:PORT or NAME=IP:PORT.
+func (n *Node) UnmarshalFlag(text string) error {
+	name, address, named := strings.Cut(text, "=")
+	if !named {
+		name, address = "", text
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return errs.Errorf("must be IP:PORT or NAME=IP:PORT")
+	}
+	*n = Node{Name: name, Address: address}
+	return nil
+}
+
 // nodes is the list of nodes that a client may call, and the one it calls now.
 type nodes struct {
 	httpClient *http.Client
-	addresses  []string
+	list       []Node
 	current    atomic.Int64
 }
 
-func newNodes(httpClient *http.Client, addresses []string) *nodes {
-	return &nodes{httpClient: httpClient, addresses: addresses}
+func newNodes(httpClient *http.Client, list []Node) *nodes {
+	return &nodes{httpClient: httpClient, list: list}
 }
 
-// address returns the node to call now.
-func (n *nodes) address() string {
-	return n.addresses[int(n.current.Load())%len(n.addresses)]
+// node returns the node to call now.
+func (n *nodes) node() Node {
+	return n.list[int(n.current.Load())%len(n.list)]
 }
 
 // next goes on to the node after the given one, unless another call of the
 // same client already did.
-func (n *nodes) next(after string) {
+func (n *nodes) next(after Node) {
 	current := n.current.Load()
-	if n.addresses[int(current)%len(n.addresses)] == after {
+	if n.list[int(current)%len(n.list)] == after {
 		n.current.CompareAndSwap(current, current+1)
 	}
 }
 
-// base begins a request to a node.
-func base(address string) *sling.Sling { return sling.New().Base("http://" + address) }
-
-// do sends one request, built for the current node, and goes on to the next
-// node if the answer says that another may do better.
+// do sends one request to the current node.
 func (n *nodes) do(ctx context.Context, build func(*sling.Sling) *sling.Sling, answer any) error {
-	address := n.address()
-	err := httpjson.Do(ctx, n.httpClient, build(base(address)), answer)
+	return n.doAt(ctx, n.node(), build, answer)
+}
+
+// doAt sends one request to the node, and goes on to the next one if the
+// answer says that another may do better.
+func (n *nodes) doAt(ctx context.Context, node Node, build func(*sling.Sling) *sling.Sling, answer any) error {
+	request := build(sling.New().Base("http://" + node.Address))
+	err := httpjson.Do(ctx, n.httpClient, request, answer)
 	if err != nil && anotherNodeMayHelp(err) {
-		n.next(address)
+		n.next(node)
 	}
 	return err
 }
--- a/internal/load/step.go
+++ b/internal/load/step.go
@@ -90,7 +90,7 @@
 	}
 	if response.Epoch < r.epoch {
 		r.batch.Stale++
-		t.nodes.next(t.nodes.address())
+		t.nodes.next(t.nodes.node())
 		return false, wait(ctx, t.cfg.RetryDelay)
 	}
 	r.epoch = response.Epoch
--- a/internal/load/trainer.go
+++ b/internal/load/trainer.go
@@ -23,8 +23,8 @@
 type TrainerConfig struct {
 	// Name is the trainer's name, unique among trainers.
 	Name string
-	// Nodes are caller addresses, the preferred one first.
-	Nodes []string
+	// Nodes are the nodes to call, the preferred one first.
+	Nodes []Node
 	Pool  string
 	// Model names the weights that Publish writes, WeightBytes their size.
 	Model       string
