query: whole numbers are exact; silent members do not hold up a SHOW

Cause: an incarnation may be a time in nanoseconds, which a float64 cannot hold, so a table would have shown a wrong number; 64 members that do not answer would have used up the time in which others could. Change: values keep whole numbers as integers, on the wire too; the bound of questions under way is above the planned cluster size.

--- a/internal/operator/catalog/catalog_test.go
+++ b/internal/operator/catalog/catalog_test.go
@@ -109,7 +109,7 @@
 	now := time.Now()
 	return []Member{
 		{Name: "node-1", Address: nodeAddress("node-1"), Zone: "hall-1", Region: "cardiff", State: MemberAlive, Source: "node-1", Incarnation: 1, Revision: 5, LastHeard: now},
-		{Name: "node-2", Address: nodeAddress("node-2"), Zone: "hall-2", Region: "cardiff", State: MemberAlive, Source: "node-2", Incarnation: 3, Revision: 4, LastHeard: now.Add(-400 * time.Millisecond)},
+		{Name: "node-2", Address: nodeAddress("node-2"), Zone: "hall-2", Region: "cardiff", State: MemberAlive, Source: "node-2", Incarnation: 1764660000123456789, Revision: 4, LastHeard: now.Add(-400 * time.Millisecond)},
 		{Name: "node-4", Address: nodeAddress("node-4"), Zone: "quay", Region: "harbour", State: MemberUnreachable, Source: "node-1", Incarnation: 2, Revision: 5, LastHeard: now.Add(-time.Minute)},
 		{Name: "node-3", Address: nodeAddress("node-3"), Zone: "hall-2", Region: "cardiff", State: MemberSuspect, Source: "node-2"},
 	}
--- a/internal/operator/catalog/gather.go
+++ b/internal/operator/catalog/gather.go
@@ -27,8 +27,10 @@
 const (
 	// defaultGatherTimeout bounds the time until members count as not heard.
 	defaultGatherTimeout = 2 * time.Second
-	// gatherWidth bounds the questions under way at the same time.
-	gatherWidth = 64
+	// gatherWidth bounds the questions under way at the same time. It is larger
+	// than the clusters that are planned for, so that silent members do not use
+	// up the time of others.
+	gatherWidth = 512
 )
 
 // errNotAsked stands for the answer of a member that is seen as dead or
--- a/internal/query/build_values.go
+++ b/internal/query/build_values.go
@@ -91,11 +91,11 @@
 		}
 		return literal{Duration(value), *g.Duration}
 	case g.Number != nil:
-		value, err := strconv.ParseFloat(*g.Number, 64)
+		value, err := parseNumber(*g.Number)
 		if err != nil {
 			b.fail(g.Pos, "%s is too large", *g.Number)
 		}
-		return literal{Number(value), *g.Number}
+		return literal{value, *g.Number}
 	case g.String != nil:
 		text := unquote(*g.String)
 		if !utf8.ValidString(text) {
--- a/internal/query/encode.go
+++ b/internal/query/encode.go
@@ -54,7 +54,7 @@
 	case KindNone:
 		return json.RawMessage(noneCell), nil
 	case KindNumber:
-		return json.Marshal(value.number)
+		return json.RawMessage(value.formatNumber()), nil
 	case KindText:
 		return json.Marshal(value.text)
 	case KindDuration:
@@ -109,7 +109,7 @@
 	}
 	switch kind {
 	case KindNumber:
-		return decodeAs(cell, Number)
+		return parseNumber(string(cell))
 	case KindText:
 		return decodeAs(cell, Text)
 	case KindBool:
--- a/internal/query/execute_test.go
+++ b/internal/query/execute_test.go
@@ -221,6 +221,8 @@
 // same, unknown values included.
 func TestTableJSONRoundTrip(t *testing.T) {
 	table, _ := fakeCatalog{}.Show(t.Context(), TableEngines)
+	// A number that a float64 cannot hold, as an incarnation may be.
+	table.Rows[0][table.Column("version")] = Int(int64(1764660000123456789))
 	data, err := table.MarshalJSON()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/query/value.go
+++ b/internal/query/value.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -32,11 +33,14 @@
 // Value is one typed cell. The zero value is Unknown, so that a cell which
 // nobody filled never reads as a fact.
 type Value struct {
-	kind     Kind
-	number   float64
-	text     string
-	duration time.Duration
-	truth    bool
+	kind   Kind
+	number float64
+	// integer holds a whole number exactly, where isInteger.
+	integer   int64
+	isInteger bool
+	text      string
+	duration  time.Duration
+	truth     bool
 }
 
 // Unknown returns the value that says that something is not known.
@@ -57,7 +61,9 @@
 }
 
 // Int returns a number value.
-func Int[N ~int | ~int64](number N) Value { return Number(float64(number)) }
+func Int[N ~int | ~int64](number N) Value {
+	return Value{kind: KindNumber, number: float64(number), integer: int64(number), isInteger: true}
+}
 
 // IntOrNone returns a number value, or None for zero.
 func IntOrNone[N ~int | ~int64](number N) Value {
@@ -67,8 +73,23 @@
 	return Int(number)
 }
 
-// Number returns a number value. Whole numbers are exact up to 2^53.
-func Number(number float64) Value { return Value{kind: KindNumber, number: number} }
+// Number returns a number value. It equals the value that Int returns for the
+// same whole number.
+func Number(number float64) Value {
+	if number == math.Trunc(number) && math.Abs(number) <= maxWhole {
+		return Int(int64(number))
+	}
+	return Value{kind: KindNumber, number: number}
+}
+
+// parseNumber reads a number, whole ones exactly.
+func parseNumber(text string) (Value, error) {
+	if integer, err := strconv.ParseInt(text, 10, 64); err == nil {
+		return Int(integer), nil
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	return Number(number), err
+}
 
 // Duration returns a duration value.
 func Duration(duration time.Duration) Value { return Value{kind: KindDuration, duration: duration} }
@@ -105,7 +126,7 @@
 	case KindNone:
 		return noneText
 	case KindNumber:
-		return strconv.FormatFloat(v.number, 'f', -1, 64)
+		return v.formatNumber()
 	case KindText:
 		return v.text
 	case KindDuration:
@@ -116,6 +137,13 @@
 	return unknownText
 }
 
+func (v Value) formatNumber() string {
+	if v.isInteger {
+		return strconv.FormatInt(v.integer, 10)
+	}
+	return strconv.FormatFloat(v.number, 'f', -1, 64)
+}
+
 // formatDuration rounds to a precision that an operator reads at a glance.
 func formatDuration(duration time.Duration) string {
 	switch size := duration.Abs(); {
@@ -136,7 +164,7 @@
 	}
 	switch a.Kind() {
 	case KindNumber:
-		return cmp.Compare(a.number, b.number), true
+		return compareNumbers(a, b), true
 	case KindText:
 		return strings.Compare(a.text, b.text), true
 	case KindDuration:
@@ -147,6 +175,13 @@
 	return 0, true
 }
 
+func compareNumbers(a, b Value) int {
+	if a.isInteger && b.isInteger {
+		return cmp.Compare(a.integer, b.integer)
+	}
+	return cmp.Compare(a.number, b.number)
+}
+
 func boolRank(truth bool) int {
 	if truth {
 		return 1
