--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -40,7 +40,8 @@
 	return &Runner{cfg: cfg, send: send}
 }
 
-// Run repeats the request until the run's end or that of ctx. It may be called
+// Run repeats the request until the run's end or that of ctx; what is in flight
+// then gets its answer, bounded by the deadlines of the sender. It may be called
 // again; numbers go on.
 func (r *Runner) Run(ctx context.Context) *Measurement {
 	measurement := newMeasurement()
@@ -96,6 +97,6 @@
 }
 
 func (r *Runner) once(ctx context.Context, planned time.Time, measurement *Measurement) {
-	outcome := r.send(ctx, r.number.Add(1))
+	outcome := r.send(context.WithoutCancel(ctx), r.number.Add(1))
 	measurement.record(outcome, time.Since(planned))
 }
