settings: advertised addresses, and none that nobody can call

Cause: a node that listens on all addresses would tell others 0.0.0.0. Change: methods for the address under which a node is reached; such a node must set it.

--- a/internal/settings/address.go
+++ b/internal/settings/address.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strings"
 
 	"github.com/zeebo/errs/v2"
@@ -49,3 +50,13 @@
 	}
 	return faults
 }
+
+// unreachable refuses an advertised address that no other process can call, as
+// 0.0.0.0 is.
+func unreachable(key, address string) Faults {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || !parsed.Addr().IsUnspecified() {
+		return nil
+	}
+	return Faults{{Key: key, Value: address, Allowed: "must be set where the node listens on all addresses"}}
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -38,6 +39,21 @@
 	Seeds                    []Seed `long:"seed" value-name:"NAME=IP:PORT" description:"peer address of another node to begin with; may be repeated"`
 }
 
+// CallerAdvertised returns the address under which callers reach the node.
+func (l Listening) CallerAdvertised() string {
+	return cmp.Or(l.CallerAdvertiseAddress, l.CallerAddress)
+}
+
+// OperatorAdvertised returns the address under which operators reach the node.
+func (l Listening) OperatorAdvertised() string {
+	return cmp.Or(l.OperatorAdvertiseAddress, l.OperatorAddress)
+}
+
+// PeerAdvertised returns the address under which other nodes reach the node.
+func (l Listening) PeerAdvertised() string {
+	return cmp.Or(l.PeerAdvertiseAddress, l.PeerAddress)
+}
+
 // Platform holds the addresses of the platform's services.
 type Platform struct {
 	TableAddress    string `long:"table-address" format:"address" mandatory:"yes" description:"IP:port of the transactional table service"`
@@ -105,6 +121,9 @@
 		}
 		seen[seed.Name] = true
 	}
+	faults = append(faults, unreachable("caller-advertise-address", n.CallerAdvertised())...)
+	faults = append(faults, unreachable("operator-advertise-address", n.OperatorAdvertised())...)
+	faults = append(faults, unreachable("peer-advertise-address", n.PeerAdvertised())...)
 	return append(faults, distinctAddresses([]keyedAddress{
 		{"caller-address", n.CallerAddress},
 		{"operator-address", n.OperatorAddress},
