emulator: history tells what a stream was resumed from, and taken requests

Cause: the checker could not join a moved stream to its predecessor, so that every moved sample counted as a breach; and a back end whose request was waiting could not be judged before its effect. Change: stream_ended carries ResumedTokens, ResumedChecksum and WholeChecksum. Applications write invoke_started once a request is taken in, before it waits for its slot. Ruled out: invoke_started for requests that the instance then refuses.

--- a/internal/emulator/application/application.go
+++ b/internal/emulator/application/application.go
@@ -1,8 +1,10 @@
 // Package application is the stand-in of an application instance behind
 // sliplift: the listing preview and the booking application.
 //
-// POST /v1/invoke takes a slot, works for the service time and answers. The
-// effect happens in the middle of the service time and is written into the
+// POST /v1/invoke takes a slot, works for the service time and answers. A
+// request that is taken in is written into the history as invoke_started, before
+// it waits for its slot; one that is refused is not, as it can have no effect.
+// The effect happens in the middle of the service time and is written into the
 // history as invoked, once for each request that reached it, whether or not the
 // client is still there. A status other than 200 means that there was no effect.
 // The application does not know idempotency keys: a request that is sent twice
@@ -183,6 +185,7 @@
 		httpjson.WriteError(w, refused)
 		return
 	}
+	a.record(history.KindInvokeStarted, &request, "")
 	select {
 	case a.slots <- struct{}{}:
 		a.leaveQueue(true)
@@ -233,22 +236,27 @@
 		return api.InvokeResponse{}, false
 	}
 	body := fmt.Sprintf("%s %s", a.config.Label, checksum(request.Body))
+	a.record(history.KindInvoked, &request, checksum(body))
+	if err := a.work(lifetime, a.config.ServiceTime-untilEffect); err != nil {
+		return api.InvokeResponse{}, false
+	}
+	load := a.currentReport()
+	return api.InvokeResponse{RequestID: request.RequestID, Body: body, Checksum: checksum(body), Load: &load}, true
+}
+
+// record writes the event of a request; sum is that of its answer.
+func (a *Application) record(kind history.Kind, request *api.InvokeRequest, sum string) {
 	a.needs.Sink.Record(history.Event{
-		Kind:           history.KindInvoked,
+		Kind:           kind,
 		Process:        a.config.Name,
 		Backend:        a.config.Name,
 		Pool:           a.config.Pool,
 		RequestID:      request.RequestID,
 		Attempt:        request.Attempt,
 		Key:            request.IdempotencyKey,
-		Checksum:       checksum(body),
+		Checksum:       sum,
 		PromptChecksum: checksum(request.Body),
 	})
-	if err := a.work(lifetime, a.config.ServiceTime-untilEffect); err != nil {
-		return api.InvokeResponse{}, false
-	}
-	load := a.currentReport()
-	return api.InvokeResponse{RequestID: request.RequestID, Body: body, Checksum: checksum(body), Load: &load}, true
 }
 
 // work takes the duration, and then as long as the instance is frozen.
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -13,7 +13,8 @@
 //
 // The engine writes the truth into the history: stream_started when it accepts
 // a stream, stream_ended with the segments, the checksum of the stream's own
-// text and the finish reason. A stream that a crash or a lost client ended has
+// text, what it was resumed from, the checksum of both texts together and the
+// finish reason. A stream that a crash or a lost client ended has
 // the reason cancelled.
 //
 // Everything that a crash destroys is in a core; after the crash a new core
--- a/internal/emulator/engine/stream.go
+++ b/internal/emulator/engine/stream.go
@@ -107,14 +107,34 @@
 	s.ended = true
 	s.reason = reason
 	s.final = progress
-	c.record(history.KindStreamEnded, s, history.Event{
-		Segments:     c.segments(progress),
-		Checksum:     checksum(progress.Text()),
-		FinishReason: reason,
-	})
+	c.record(history.KindStreamEnded, s, c.truth(s))
 	s.wakeHandler()
 }
 
+// truth is what an ended stream produced, and what it was resumed from.
+func (c *core) truth(s *stream) history.Event {
+	text := s.final.Text()
+	event := history.Event{
+		Segments:      c.segments(s.final),
+		Checksum:      checksum(text),
+		WholeChecksum: checksum(s.resumedText() + text),
+		FinishReason:  s.reason,
+	}
+	if resume := s.request.Resume; resume != nil {
+		event.ResumedTokens = resume.Tokens
+		event.ResumedChecksum = checksum(resume.Text)
+	}
+	return event
+}
+
+// resumedText is the text that the stream was resumed from, empty for a new one.
+func (s *stream) resumedText() string {
+	if s.request.Resume == nil {
+		return ""
+	}
+	return s.request.Resume.Text
+}
+
 func (c *core) segments(progress batch.Progress) []api.Segment {
 	segments := make([]api.Segment, 0, len(progress.Segments))
 	for _, segment := range progress.Segments {
@@ -160,15 +180,11 @@
 	if !running {
 		return api.KVState{}, false
 	}
-	text := s.final.Text()
-	if s.request.Resume != nil {
-		text = s.request.Resume.Text + text
-	}
 	tokens := s.final.Start + s.final.Tokens
 	return api.KVState{
 		RequestID: key.RequestID,
 		Tokens:    tokens,
-		Text:      text,
+		Text:      s.resumedText() + s.final.Text(),
 		Handle:    fmt.Sprintf("%s%s/%s/%d", c.handlePrefix(), c.config.Name, key.RequestID, tokens),
 	}, true
 }
