--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -18,11 +18,9 @@
 	"github.com/sliplift/sliplift/internal/httpjson"
 )
 
-// Checksum returns the xxhash64 of text in hexadecimal, as histories hold it.
-func Checksum(text string) string {
-	const hexadecimal = 16
-	return strconv.FormatUint(xxhash.Sum64String(text), hexadecimal)
-}
+// Checksum returns the xxhash64 of text as 16 hexadecimal digits, leading zeros
+// included, as histories hold it.
+func Checksum(text string) string { return fmt.Sprintf("%016x", xxhash.Sum64String(text)) }
 
 // CallerConfig says what a Caller sends.
 type CallerConfig struct {
@@ -133,7 +131,12 @@
 	sendContext, cancel := context.WithTimeout(ctx, c.cfg.Deadline+answerGrace)
 	defer cancel()
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	// A kept connection that is found closed is replaced by a new one: only the
+	// last that was asked for counts.
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { connected.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
 	var response api.LiveResponse
 	err := c.nodes.doAt(httptrace.WithClientTrace(sendContext, trace), node, func(s *sling.Sling) *sling.Sling {
 		return s.Post("/v1/requests").BodyJSON(request)
