--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -10,8 +10,11 @@
 // then the larger refutation, then the worse state; left is final for an
 // incarnation.
 func (m *Machine) apply(now time.Time, source string, update Update) {
+	if !update.wellFormed() {
+		return
+	}
 	if update.Name == m.self.Name {
-		m.applyToSelf(update)
+		m.applyToSelf(source, update)
 		return
 	}
 	known := m.members[update.Name]
@@ -19,6 +22,10 @@
 		m.add(now, source, update)
 		return
 	}
+	if update.State == StateSuspect && m.regionUnreached(known.Region) {
+		// The silence of the region as a whole says it all.
+		return
+	}
 	switch {
 	case update.Incarnation < known.Incarnation:
 	case update.Incarnation > known.Incarnation:
@@ -44,10 +51,21 @@
 	return update.State.rank() > known.state.rank()
 }
 
+// wellFormed refuses states of later versions of the protocol and members that
+// cannot be reached.
+func (u Update) wellFormed() bool {
+	switch u.State {
+	case StateAlive, StateSuspect, StateDead, StateLeft:
+	default:
+		return false
+	}
+	return u.Name != "" && (u.Identity == nil || u.Identity.PeerAddress != "")
+}
+
 // applyToSelf refutes what is not true of this node.
-func (m *Machine) applyToSelf(update Update) {
+func (m *Machine) applyToSelf(source string, update Update) {
 	if update.Incarnation > m.self.Incarnation {
-		m.superseded = max(m.superseded, update.Incarnation)
+		m.supersede(source, update)
 		return
 	}
 	wrong := update.State == StateSuspect || update.State == StateDead
@@ -55,10 +73,20 @@
 		return
 	}
 	m.self.refutation = update.Refutation + 1
-	m.changed()
+	m.version++
 	m.news.put(m.self.updateWithIdentity())
 }
 
+// supersede notes that there is a later process of this node's name.
+func (m *Machine) supersede(source string, update Update) {
+	if update.Incarnation <= m.superseded {
+		return
+	}
+	m.superseded = update.Incarnation
+	m.version++
+	m.changes = append(m.changes, Change{Member: update.Name, Incarnation: update.Incarnation, State: update.State, Source: source})
+}
+
 // add takes up a member that was not known. The end of one is no news then; it
 // was forgotten here, and taking it up again would keep it going round for ever.
 func (m *Machine) add(now time.Time, source string, update Update) {
@@ -87,6 +115,7 @@
 	identity.Name = known.Name
 	identity.Incarnation = update.Incarnation
 	known.Identity = identity
+	known.since = time.Time{}
 	known.heardAt = time.Time{}
 	known.digest = 0
 	m.knowRegion(now, identity.Region)
@@ -97,17 +126,19 @@
 // setState takes a statement that wins over what is known of the incarnation.
 func (m *Machine) setState(now time.Time, source string, known *entry, update Update) {
 	m.transition(now, source, known, update)
-	if known.state == StateSuspect && m.regionUnreached(known.Region) {
-		// The region as a whole is known to be silent; its members need no news.
-		m.news.drop(known.Name)
-		return
-	}
 	m.news.put(known.update())
+	if known.state == StateSuspect && source != m.self.Name {
+		m.considerConfirming(known)
+	}
 }
 
 // transition changes the entry and the indexes.
 func (m *Machine) transition(now time.Time, source string, member *entry, update Update) {
-	if member.state != update.State || member.since.IsZero() {
+	if member.since.IsZero() || member.state.gone() != update.State.gone() {
+		m.census = nil
+	}
+	fresh := member.since.IsZero() || member.state != update.State
+	if fresh {
 		member.since = now
 		member.source = source
 	}
@@ -122,7 +153,10 @@
 	case StateDead, StateLeft:
 		m.gone[member.Name] = member
 	}
-	m.changed()
+	m.version++
+	if fresh {
+		m.changes = append(m.changes, Change{Member: member.Name, Incarnation: member.Incarnation, State: member.state, Source: source, Observers: member.observers})
+	}
 }
 
 // forgetGone forgets members that have been dead or left for long.
@@ -132,7 +166,8 @@
 			delete(m.gone, name)
 			delete(m.members, name)
 			m.news.drop(name)
-			m.changed()
+			m.version++
+			m.census = nil
 		}
 	}
 }
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -24,6 +24,9 @@
 	// while there is none.
 	GossipInterval time.Duration
 	GossipFanout   int
+	// Confirmers is how many of all members, about, probe a suspect at once when
+	// they learn of the suspicion: they tell it, or become observers.
+	Confirmers int
 	// UpdatesPerMessage bounds the news in one message.
 	UpdatesPerMessage int
 	// RetransmitFactor times log2 of the number of members is how often a node
@@ -33,10 +36,12 @@
 	// members, is the time that a suspect has to refute.
 	SuspicionBase, SuspicionPerDoubling time.Duration
 	// SyncInterval is the time between comparisons of the whole view with one
-	// random member.
+	// random member; a tenth of it after one that brought news, and for a node
+	// that has just started.
 	SyncInterval time.Duration
-	// SeedInterval is the time between attempts to reach a seed that is not an
-	// alive member.
+	// SeedInterval is the time between attempts to reach a seed while no other
+	// member is known. Later, seeds that are not alive are tried at the pace of
+	// SyncInterval.
 	SeedInterval time.Duration
 	// RegionSilence is the time without word from a region after which it counts
 	// as unreached.
@@ -56,8 +61,9 @@
 		GoneProbeEvery:       10,
 		GossipInterval:       200 * time.Millisecond,
 		GossipFanout:         2,
+		Confirmers:           4,
 		UpdatesPerMessage:    8,
-		RetransmitFactor:     3,
+		RetransmitFactor:     2,
 		SuspicionBase:        2 * time.Second,
 		SuspicionPerDoubling: 250 * time.Millisecond,
 		SyncInterval:         10 * time.Second,
@@ -67,6 +73,18 @@
 	}
 }
 
+const (
+	// minDoublings keeps the number of retransmissions up in small clusters,
+	// where one dead link takes a large share of them.
+	minDoublings = 6
+	// introductionTime is how long a node counts as just started. That long after
+	// the start of either end, a first message says who its sender is; later,
+	// gossip and syncs have told.
+	introductionTime = 30 * time.Second
+	// syncAgainDivisor shortens SyncInterval after a sync that brought news.
+	syncAgainDivisor = 10
+)
+
 // pauseThreshold is the time between two ticks beyond which this process was
 // itself paused, so that its open probes prove nothing.
 func (c Config) pauseThreshold() time.Duration { return c.Period }
@@ -76,5 +94,5 @@
 }
 
 func (c Config) retransmits(members int) int {
-	return c.RetransmitFactor * max(1, bits.Len(uint(members)))
+	return c.RetransmitFactor * max(minDoublings, bits.Len(uint(members)))
 }
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -37,13 +37,20 @@
 	census   *census
 
 	version  uint64
+	changes  []Change
 	sequence uint64
 	period   uint64
 	probes   map[uint64]*probe
 	relays   map[uint64]*relay
+	// confirming names members to be probed at the next tick, out of turn.
+	confirming []string
 	// ownRound and crossRound are the members still to be probed in this round.
 	ownRound, crossRound []string
 
+	// resumedAt is when this process last went on after a pause. What went by
+	// before counts neither against suspects nor against regions, whose word may
+	// be waiting to be read.
+	resumedAt                                  time.Time
 	lastTick                                   time.Time
 	nextProbe, nextGossip, nextSync, nextSeeds time.Time
 }
@@ -94,10 +101,9 @@
 	m.members[self.Name] = m.self
 	// Random phases keep nodes that start together from acting in step.
 	m.nextProbe = now.Add(m.jitter(cfg.Period))
-	m.nextSync = now.Add(m.jitter(cfg.SyncInterval))
+	m.nextSync = now.Add(m.jitter(cfg.Period))
 	m.nextSeeds = now
 	m.nextGossip = now
-	m.changed()
 	m.news.put(m.self.updateWithIdentity())
 	return m
 }
@@ -118,15 +124,36 @@
 // SetDigest sets the value that heartbeats carry from now on.
 func (m *Machine) SetDigest(digest int64) { m.digest = digest }
 
-// changed marks the set of members or a state as new.
-func (m *Machine) changed() {
-	m.version++
-	m.census = nil
+// Change tells that a member, or a region as a whole, changed its state.
+type Change struct {
+	// Member or Region is set. A region is StateAlive or StateUnreachable.
+	Member      string
+	Region      string
+	Incarnation int64
+	State       State
+	Source      string
+	Observers   []string
+}
+
+// TakeChanges returns the changes since the last call, oldest first.
+func (m *Machine) TakeChanges() []Change {
+	changes := m.changes
+	m.changes = nil
+	return changes
+}
+
+// elapsed is the time since then during which this process ran.
+func (m *Machine) elapsed(now, since time.Time) time.Duration {
+	if since.Before(m.resumedAt) {
+		since = m.resumedAt
+	}
+	return now.Sub(since)
 }
 
 // Tick does what is due.
 func (m *Machine) Tick(now time.Time) []Envelope {
 	if now.Sub(m.lastTick) > m.cfg.pauseThreshold() {
+		m.resumedAt = now
 		m.forgetOpenProbes()
 	}
 	m.lastTick = now
@@ -136,16 +163,17 @@
 	m.judgeSuspects(now)
 	m.judgeRegions(now)
 	m.forgetGone(now)
+	out = append(out, m.confirm(now)...)
 	if !now.Before(m.nextProbe) {
 		m.nextProbe = now.Add(m.cfg.Period)
 		out = append(out, m.startProbes(now)...)
 	}
 	if !now.Before(m.nextSeeds) {
-		m.nextSeeds = now.Add(m.cfg.SeedInterval)
+		m.nextSeeds = now.Add(m.seedInterval())
 		out = append(out, m.contactSeed(now)...)
 	}
 	if !now.Before(m.nextSync) {
-		m.nextSync = now.Add(m.cfg.SyncInterval/2 + m.jitter(m.cfg.SyncInterval))
+		m.nextSync = now.Add(m.syncInterval(now))
 		out = append(out, m.startSync(now)...)
 	}
 	if !now.Before(m.nextGossip) {
@@ -219,7 +247,8 @@
 	m.leaving = true
 	m.self.state = StateLeft
 	m.self.since = now
-	m.changed()
+	m.version++
+	m.census = nil
 	m.news.put(m.self.update())
 	return m.gossip(now)
 }
@@ -230,6 +259,15 @@
 	return m.leaving && (!m.news.has(m.self.Name) || len(m.liveNames()) == 0)
 }
 
+// seedInterval is long once any other member is known, for syncs tell of the
+// others.
+func (m *Machine) seedInterval() time.Duration {
+	if len(m.liveNames()) == 0 {
+		return m.cfg.SeedInterval
+	}
+	return m.cfg.SyncInterval/2 + m.jitter(m.cfg.SyncInterval/2)
+}
+
 // contactSeed compares views with one seed that is not an alive member: at the
 // start, and to find nodes again that were forgotten in a long cut.
 func (m *Machine) contactSeed(now time.Time) []Envelope {
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -1,60 +1,101 @@
 package membership
 
 import (
-	"cmp"
-	"slices"
+	"container/heap"
 	"time"
 )
 
-// newsQueue holds the updates that are still to be passed on, one for a member.
+// newsQueue holds the updates that are still to be passed on, one for a member:
+// a heap with the update on top that was passed on least, the newest of those.
 type newsQueue struct {
-	items map[string]*newsItem
-	order uint64
+	byName map[string]*newsItem
+	items  newsHeap
+	order  uint64
 }
 
 type newsItem struct {
 	update    Update
 	transmits int
 	order     uint64
+	index     int
 }
 
-func newNewsQueue() *newsQueue { return &newsQueue{items: map[string]*newsItem{}} }
+func newNewsQueue() *newsQueue { return &newsQueue{byName: map[string]*newsItem{}} }
 
 // put queues an update in the place of an older one about the same member.
 func (q *newsQueue) put(update Update) {
+	q.drop(update.Name)
 	q.order++
-	q.items[update.Name] = &newsItem{update: update, order: q.order}
+	item := &newsItem{update: update, order: q.order}
+	q.byName[update.Name] = item
+	heap.Push(&q.items, item)
 }
 
-func (q *newsQueue) drop(name string) { delete(q.items, name) }
+func (q *newsQueue) drop(name string) {
+	if item := q.byName[name]; item != nil {
+		delete(q.byName, name)
+		heap.Remove(&q.items, item.index)
+	}
+}
+
+func (q *newsQueue) has(name string) bool { return q.byName[name] != nil }
 
-func (q *newsQueue) has(name string) bool { return q.items[name] != nil }
+func (q *newsQueue) empty() bool { return len(q.items) == 0 }
 
-// take returns the updates that were passed on least, newest first, and drops
-// those that reach the limit.
+// take returns the updates that were passed on least and drops those that reach
+// the limit.
 func (q *newsQueue) take(count, limit int) []Update {
-	if len(q.items) == 0 || count <= 0 {
+	if count <= 0 || q.empty() {
 		return nil
 	}
-	items := make([]*newsItem, 0, len(q.items))
-	for _, item := range q.items {
-		items = append(items, item)
+	taken := make([]*newsItem, 0, min(count, len(q.items)))
+	for len(taken) < cap(taken) {
+		taken = append(taken, heap.Pop(&q.items).(*newsItem))
 	}
-	slices.SortFunc(items, func(a, b *newsItem) int {
-		return cmp.Or(cmp.Compare(a.transmits, b.transmits), cmp.Compare(b.order, a.order))
-	})
-	items = items[:min(count, len(items))]
-	updates := make([]Update, 0, len(items))
-	for _, item := range items {
+	updates := make([]Update, 0, len(taken))
+	for _, item := range taken {
 		updates = append(updates, item.update)
 		item.transmits++
-		if item.transmits >= limit {
-			delete(q.items, item.update.Name)
+		if item.transmits < limit {
+			heap.Push(&q.items, item)
+		} else {
+			delete(q.byName, item.update.Name)
 		}
 	}
 	return updates
 }
 
+// newsHeap implements heap.Interface.
+type newsHeap []*newsItem
+
+func (h newsHeap) Len() int { return len(h) }
+
+func (h newsHeap) Less(i, j int) bool {
+	if h[i].transmits != h[j].transmits {
+		return h[i].transmits < h[j].transmits
+	}
+	return h[i].order > h[j].order
+}
+
+func (h newsHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *newsHeap) Push(x any) {
+	item := x.(*newsItem)
+	item.index = len(*h)
+	*h = append(*h, item)
+}
+
+func (h *newsHeap) Pop() any {
+	last := len(*h) - 1
+	item := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return item
+}
+
 // heartbeat returns the common part of a message, with news.
 func (m *Machine) heartbeat(now time.Time, to string) Heartbeat {
 	return Heartbeat{
@@ -63,17 +104,17 @@
 		Refutation:  m.self.refutation,
 		Digest:      m.digest,
 		Heard:       m.heardFor(now, to),
-		Updates:     m.updatesFor(to),
+		Updates:     m.updatesFor(now, to),
 	}
 }
 
 // updatesFor puts first what the receiver must know: who this node is, if they
 // have not spoken yet, and that the receiver is held suspect or dead, so that
 // it can refute.
-func (m *Machine) updatesFor(to string) []Update {
+func (m *Machine) updatesFor(now time.Time, to string) []Update {
 	var updates []Update
 	receiver := m.members[to]
-	if receiver == nil || receiver.heardAt.IsZero() || receiver.state != StateAlive {
+	if m.mustIntroduce(now, receiver) {
 		updates = append(updates, m.self.updateWithIdentity())
 	}
 	if receiver != nil && receiver.state != StateAlive {
@@ -83,11 +124,20 @@
 	return append(updates, m.news.take(m.cfg.UpdatesPerMessage-len(updates), limit)...)
 }
 
+// mustIntroduce tells whether the receiver may not know this node.
+func (m *Machine) mustIntroduce(now time.Time, receiver *entry) bool {
+	if receiver == nil || receiver.state != StateAlive {
+		return true
+	}
+	young := now.Sub(m.self.since) < introductionTime || now.Sub(receiver.since) < introductionTime
+	return receiver.heardAt.IsZero() && young
+}
+
 // gossip passes news on to a few random members.
 func (m *Machine) gossip(now time.Time) []Envelope {
 	var out []Envelope
 	for range m.cfg.GossipFanout {
-		if len(m.news.items) == 0 {
+		if m.news.empty() {
 			break
 		}
 		if target := m.randomAlive(); target != nil {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -52,6 +52,18 @@
 	return out
 }
 
+// confirm begins the probes that a suspicion called for.
+func (m *Machine) confirm(now time.Time) []Envelope {
+	var out []Envelope
+	for _, name := range m.confirming {
+		if target := m.members[name]; target != nil && !target.state.gone() && !m.leaving {
+			out = append(out, m.startProbe(now, target))
+		}
+	}
+	m.confirming = nil
+	return out
+}
+
 func (m *Machine) startProbe(now time.Time, target *entry) Envelope {
 	sequence := m.nextSequence()
 	m.probes[sequence] = &probe{target: target.Name, incarnation: target.Incarnation, started: now}
@@ -148,6 +160,7 @@
 // suspicion, should it be alive after all.
 func (m *Machine) probeFailed(now time.Time, target *entry, p *probe) []Envelope {
 	m.suspect(now, target, append([]string{m.self.Name}, p.failed...))
+	m.considerRegion(now, target.Region)
 	return []Envelope{m.ping(now, target, m.nextSequence())}
 }
 
--- a/internal/membership/region.go
+++ b/internal/membership/region.go
@@ -23,11 +23,11 @@
 }
 
 // silence is the time without word from the region.
-func (r *regionRecord) silence(now time.Time) time.Duration {
+func (m *Machine) silence(now time.Time, r *regionRecord) time.Duration {
 	if r.heardAt.IsZero() {
-		return now.Sub(r.knownSince)
+		return m.elapsed(now, r.knownSince)
 	}
-	return now.Sub(r.heardAt)
+	return m.elapsed(now, r.heardAt)
 }
 
 func (m *Machine) knowRegion(now time.Time, region string) {
@@ -44,9 +44,9 @@
 	}
 	record.heardAt = at
 	record.heardBy = by
-	if record.unreached && record.silence(now) < m.cfg.RegionSilence {
-		record.unreached = false
-		m.changed()
+	if record.unreached && now.Sub(at) < m.cfg.RegionSilence {
+		m.setUnreached(now, region, false)
+		m.voidSuspicions(now, region)
 	}
 }
 
@@ -84,28 +84,68 @@
 // suspect and nobody on this side has heard any of them for a while. A region
 // of one member is judged as a member alone.
 func (m *Machine) judgeRegions(now time.Time) {
+	if len(m.suspects) == 0 && !m.anyUnreached() {
+		return
+	}
 	var suspects map[string]int
-	for name, record := range m.regions {
+	for _, name := range slices.Sorted(maps.Keys(m.regions)) {
+		record := m.regions[name]
 		count := m.count().regions[name]
 		if record.unreached {
 			if count.live == 0 {
-				record.unreached = false
-				m.changed()
+				m.setUnreached(now, name, false)
 			}
 			continue
 		}
-		if record.silence(now) < m.cfg.RegionSilence || count.known < 2 || count.live == 0 {
+		if m.silence(now, record) < m.cfg.RegionSilence || count.known < 2 || count.live == 0 {
 			continue
 		}
 		if suspects == nil {
 			suspects = m.suspectsByRegion()
 		}
 		if suspects[name] >= min(unreachedSuspects, count.live) {
-			record.unreached = true
-			record.unreachedSince = now
-			m.changed()
+			m.setUnreached(now, name, true)
+		}
+	}
+}
+
+// considerRegion makes this node probe one more member of a region that has
+// been silent, where too few are suspect to tell a cut from a crash.
+func (m *Machine) considerRegion(now time.Time, region string) {
+	record := m.regions[region]
+	if record == nil || record.unreached || m.silence(now, record) < m.cfg.Period || m.suspectsByRegion()[region] >= unreachedSuspects {
+		return
+	}
+	var others []string
+	for _, name := range m.liveNames() {
+		if member := m.members[name]; member.Region == region && member.state == StateAlive {
+			others = append(others, name)
 		}
 	}
+	if len(others) > 0 {
+		m.confirming = append(m.confirming, others[m.random.IntN(len(others))])
+	}
+}
+
+func (m *Machine) anyUnreached() bool {
+	for _, record := range m.regions {
+		if record.unreached {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) setUnreached(now time.Time, region string, unreached bool) {
+	record := m.regions[region]
+	record.unreached = unreached
+	record.unreachedSince = now
+	m.version++
+	state := StateAlive
+	if unreached {
+		state = StateUnreachable
+	}
+	m.changes = append(m.changes, Change{Region: region, State: state, Source: m.self.Name})
 }
 
 func (m *Machine) suspectsByRegion() map[string]int {
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -132,7 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if now.Sub(s.snapshot.At) >= snapshotAge {
+	if s.snapshot.Version != s.machine.Version() || now.Sub(s.snapshot.At) >= snapshotAge {
 		s.snapshot = s.machine.Snapshot(now)
 	}
 	return s.snapshot
@@ -220,47 +220,35 @@
 // drive runs one step of the machine, publishes what changed and sends what
 // came out.
 func (s *Service) drive(step func(now time.Time) []Envelope) {
-	out, before, after := s.step(step)
-	if before != after {
-		s.logChanges(before, after)
-	}
+	out, changes := s.step(step)
+	s.logChanges(changes)
 	for _, envelope := range out {
 		s.transport.Send(envelope.Address, envelope.Payload.Kind(), envelope.Payload)
 	}
 }
 
-// step returns what is to be sent, and the views before and after.
-func (s *Service) step(step func(now time.Time) []Envelope) (out []Envelope, before, after *Snapshot) {
+func (s *Service) step(step func(now time.Time) []Envelope) ([]Envelope, []Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	out = step(now)
-	before = s.snapshot
-	if s.machine.Version() == before.Version {
-		return out, before, before
+	before := s.machine.Version()
+	out := step(time.Now())
+	if s.machine.Version() != before {
+		close(s.changes)
+		s.changes = make(chan struct{})
 	}
-	s.snapshot = s.machine.Snapshot(now)
-	close(s.changes)
-	s.changes = make(chan struct{})
-	return out, before, s.snapshot
+	return out, s.machine.TakeChanges()
 }
 
-func (s *Service) logChanges(before, after *Snapshot) {
-	for _, member := range after.Members {
-		old, known := before.Find(member.Name)
-		if known && old.State == member.State && old.Incarnation == member.Incarnation {
-			continue
-		}
+func (s *Service) logChanges(changes []Change) {
+	for _, change := range changes {
 		s.lg.WithFields(logrus.Fields{
-			"member":      member.Name,
-			"incarnation": member.Incarnation,
-			"state":       member.State,
-			"source":      member.Source,
-			"observers":   member.Observers,
-		}).Info("member changed")
-	}
-	if after.SupersededBy != before.SupersededBy {
-		s.lg.WithField("incarnation", after.SupersededBy).Error("a later process has this node's name")
+			"member":      change.Member,
+			"region":      change.Region,
+			"incarnation": change.Incarnation,
+			"state":       change.State,
+			"source":      change.Source,
+			"observers":   change.Observers,
+		}).Info("membership changed")
 	}
 }
 
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -7,10 +7,9 @@
 )
 
 const (
-	// plainObservers are kept whoever they are; beyond them an observer must
-	// add a zone, or be the first of the suspect's region.
+	// plainObservers are kept whoever they are; beyond them an observer must be
+	// the first of a second zone, or the first of the suspect's own region.
 	plainObservers = 3
-	maxObservers   = 6
 	// soleObserverFactor lengthens the time to refute where there is but one
 	// other member, whose own link may be what failed.
 	soleObserverFactor = 2
@@ -34,28 +33,48 @@
 		return
 	}
 	suspect.observers = merged
-	m.changed()
-	if !m.regionUnreached(suspect.Region) {
-		m.news.put(suspect.update())
+	m.version++
+	m.news.put(suspect.update())
+}
+
+// considerConfirming makes this node probe a suspect of which it was told, by a
+// chance that makes a few nodes do so however many there are.
+func (m *Machine) considerConfirming(suspect *entry) {
+	if m.random.IntN(len(m.liveNames())+1) < m.cfg.Confirmers {
+		m.confirming = append(m.confirming, suspect.Name)
+	}
+}
+
+// voidSuspicions takes back the suspicions of a region's members that arose
+// while the region was cut off: they were about the link.
+func (m *Machine) voidSuspicions(now time.Time, region string) {
+	for _, name := range slices.Sorted(maps.Keys(m.suspects)) {
+		suspect := m.suspects[name]
+		if suspect.Region == region {
+			m.transition(now, m.self.Name, suspect, Update{Refutation: suspect.refutation, State: StateAlive})
+			m.news.drop(name)
+		}
 	}
 }
 
 func (m *Machine) addsWeight(suspect *entry, present []string, name string) bool {
 	observer := m.members[name]
-	if observer == nil || len(present) >= maxObservers {
+	if observer == nil {
 		return false
 	}
 	if len(present) < plainObservers {
 		return true
 	}
 	newZone, newInside := true, observer.Region == suspect.Region
+	zones := map[string]bool{}
 	for _, other := range present {
 		if known := m.members[other]; known != nil {
+			zones[known.Zone] = true
 			newZone = newZone && known.Zone != observer.Zone
 			newInside = newInside && known.Region != suspect.Region
 		}
 	}
-	return newZone || newInside
+	return newZone && len(zones) == 1 || newInside
 }
 
 // judgeSuspects declares dead those whose time to refute is over and whose
@@ -67,7 +86,7 @@
 	timeout := m.cfg.suspicionTimeout(len(m.liveNames()))
 	for _, name := range slices.Sorted(maps.Keys(m.suspects)) {
 		suspect := m.suspects[name]
-		age := now.Sub(suspect.since)
+		age := m.elapsed(now, suspect.since)
 		if age < timeout || m.regionUnreached(suspect.Region) {
 			continue
 		}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -42,6 +42,15 @@
 	return xxhash.Sum64(buffer)
 }
 
+// syncInterval is short for a node that has just started.
+func (m *Machine) syncInterval(now time.Time) time.Duration {
+	interval := m.cfg.SyncInterval
+	if now.Sub(m.self.since) < introductionTime {
+		interval /= syncAgainDivisor
+	}
+	return interval/2 + m.jitter(interval)
+}
+
 func (m *Machine) startSync(now time.Time) []Envelope {
 	target := m.randomAlive()
 	if target == nil || m.leaving {
@@ -134,8 +143,12 @@
 		return nil
 	}
 	answer := Delta{Heartbeat: m.heartbeat(now, from)}
+	if len(delta.Records) > 0 {
+		again := m.cfg.SyncInterval / syncAgainDivisor
+		m.nextSync = earlier(m.nextSync, now.Add(again+m.jitter(again)))
+	}
 	for _, record := range delta.Records {
-		m.apply(now, from, record)
+		m.applyFromSync(now, from, record)
 		own := m.members[record.Name]
 		if own != nil && own.state.gone() && !record.State.gone() {
 			answer.Records = append(answer.Records, own.updateWithIdentity())
@@ -149,6 +162,24 @@
 	return m.deltaEnvelope(sender, answer)
 }
 
+// applyFromSync merges a record without passing it on, save the sender's own.
+// Syncs spread by themselves what they bring, and a node that has just started
+// has no news to tell of all others.
+func (m *Machine) applyFromSync(now time.Time, from string, record Update) {
+	queued := m.news.has(record.Name)
+	m.apply(now, from, record)
+	if !queued && record.Name != from && record.Name != m.self.Name {
+		m.news.drop(record.Name)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (m *Machine) deltaEnvelope(to *entry, delta Delta) []Envelope {
 	if len(delta.Records) == 0 && len(delta.Want) == 0 {
 		return nil
