experiment: scenarios in virtual time against the product's decision code

Cause: ways to route and schedule were to be weighed by measurement, and nothing ran them beside each other on the same work.

Change: sliplift experiment run plays a scenario (settings format, all faults of a file at once) by a discrete-event loop. routing.Choose, rollout.Ledger, weights.Rollout and limits.RetryBudget decide; batch.Machine values are the engines; latencies, lagging reports, trainers, callers and faults are modelled. sliplift experiment report makes a page with plots. routing gains admission by free slots, quiet back ends and a penalty for loading ones; rollout gains PlanMoves, StartDelay and LengthEstimator, all pure.

Ruled out: lengths by request id, as the emulator draws them. A second attempt would then have another length, and the first to end would be the shorter one, which biases what the trainer learns from.

No comparison is claimed yet.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -69,6 +69,7 @@
 		querySpecification(),
 		shellSpecification(),
 		loadSpecification(),
+		experimentSpecification(),
 		checkConfigSpecification(),
 		checkHistorySpecification(),
 		versionSpecification(),
--- /dev/null
+++ b/internal/experiment/router.go
@@ -0,0 +1,355 @@
+package experiment
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/emulator/batch"
+	"github.com/sliplift/sliplift/internal/limits"
+	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/settings"
+)
+
+const (
+	// refusedPause is the wait after a refusal.
+	refusedPause = 100 * time.Millisecond
+	// unreachableAfter is how long a connection attempt over a cut takes.
+	unreachableAfter = time.Second
+	// silentAfter is how long a node waits for a stream that has gone silent.
+	silentAfter = 2 * time.Second
+	// learntGroups bounds the groups of prompts whose lengths are learnt.
+	learntGroups = 1 << 16
+)
+
+// request is a sample attempt or a live request on its way through its streams.
+type request struct {
+	id         string
+	prompt     string
+	prefix     uint64
+	length     int
+	priority   api.Priority
+	minVersion int64
+	live       bool
+	// expected is the expected length, for the order in the queue.
+	expected float64
+	sequence int
+
+	resumed  int
+	segments []api.Segment
+	imported bool
+	excluded []string
+	current  *stream
+	moving   bool
+	// cancelled says that nobody wants the result.
+	cancelled bool
+	started   func(version int64)
+	done      func()
+}
+
+// router is where requests are given to engines: a node with its own view of
+// them, or the lease holder that all nodes go through.
+type router struct {
+	sim    *simulation
+	name   string
+	zone   int
+	policy routing.Policy
+	pool   routing.Pool
+	queue  requestQueue
+	budget *limits.RetryBudget
+	// lengths learns from the samples that end here.
+	lengths *rollout.LengthEstimator
+}
+
+func (s *simulation) newRouter(name string, zone int) *router {
+	policy, err := routing.NewPolicy(routing.PolicyName(s.plan.Routing), s.seed*1000+int64(len(s.routers)))
+	if err != nil {
+		panic("experiment: " + err.Error())
+	}
+	r := &router{
+		sim: s, name: name, zone: zone, policy: policy,
+		budget:  limits.NewRetryBudget(limits.DefaultRetryRatio, limits.DefaultRetryMinimum, limits.DefaultRetryBurst, s.instant()),
+		lengths: rollout.NewLengthEstimator(learntGroups),
+	}
+	r.pool = routing.Pool{Name: "pool", Backends: make([]routing.Backend, len(s.engines))}
+	for i, e := range s.engines {
+		r.pool.Backends[i] = routing.Backend{Name: e.name, Zone: zoneName(e.zone), Capacity: s.scenario.Capacity, Version: firstVersion}
+	}
+	if s.plan.With.Has(settings.MechanismQuiet) {
+		r.markQuiet()
+	}
+	s.routers = append(s.routers, r)
+	s.every(s.scenario.PollInterval, r.poll)
+	return r
+}
+
+func (r *router) markQuiet() {
+	names := make([]string, len(r.pool.Backends))
+	for i := range names {
+		names[i] = r.pool.Backends[i].Name
+	}
+	for _, name := range routing.QuietNames(r.pool.Name, names, r.sim.plan.QuietShare) {
+		r.pool.Backends[r.sim.engineIndex[name]].Quiet = true
+	}
+}
+
+// poll fetches every engine's load report.
+func (r *router) poll() {
+	for i, e := range r.sim.engines {
+		if e.down || r.sim.cut(e.zone, r.zone) {
+			r.pool.Backends[i].Suspect = true
+			continue
+		}
+		r.pool.Backends[i].Suspect = false
+		r.take(i, e.currentReport())
+	}
+	r.pump()
+}
+
+func (r *router) take(index int, load batch.Load) {
+	b := &r.pool.Backends[index]
+	b.Running, b.Waiting, b.Version = load.Running, load.Waiting, load.Version
+	b.Loading = load.Loading
+	b.ReportInFlight = b.InFlight
+	b.Reported = true
+}
+
+// submit takes a request from a trainer's step or from a caller.
+func (r *router) submit(q *request) {
+	r.sim.sequence++
+	q.sequence = r.sim.sequence
+	r.budget.Request(r.sim.instant())
+	r.dispatch(q)
+}
+
+func (r *router) dispatch(q *request) {
+	if !q.live && r.sim.plan.With.Has(settings.MechanismQueue) {
+		heap.Push(&r.queue, q)
+		r.pump()
+		return
+	}
+	if q.cancelled || r.send(q) {
+		return
+	}
+	r.sim.stats.Refusals++
+	r.sim.after(refusedPause, func() { r.dispatch(q) })
+}
+
+// pump sends waiting requests as long as there are free slots.
+func (r *router) pump() {
+	for len(r.queue) > 0 {
+		first := r.queue[0]
+		if !first.cancelled && !r.send(first) {
+			return
+		}
+		heap.Pop(&r.queue)
+	}
+}
+
+// send chooses an engine and tells whether there was one.
+func (r *router) send(q *request) bool {
+	choice := routing.Request{
+		Zone:       zoneName(r.zone),
+		Priority:   q.priority,
+		PrefixHash: q.prefix,
+		Excluded:   q.excluded,
+		MinVersion: q.minVersion,
+	}
+	with := r.sim.plan.With
+	if q.live {
+		choice.PreferQuiet = with.Has(settings.MechanismQuiet)
+		choice.AvoidLoading = with.Has(settings.MechanismDrain)
+	} else if with.Has(settings.MechanismQueue) {
+		choice.Admission = &routing.Admission{Reserve: r.sim.plan.Reserve, QuietSlots: r.sim.plan.QuietSlots}
+	}
+	chosen := routing.Choose(r.policy, &r.pool, &choice)
+	if !chosen.Found {
+		q.excluded = nil
+		return false
+	}
+	r.transmit(q, r.sim.engineIndex[chosen.Backend.Name])
+	return true
+}
+
+// transmit sends the request to the engine.
+func (r *router) transmit(q *request, index int) {
+	e := r.sim.engines[index]
+	r.sim.keys++
+	s := &stream{key: batch.Key{RequestID: q.id, Attempt: r.sim.keys}, request: q, engine: e, router: r, sentAt: r.sim.now}
+	q.current = s
+	r.pool.Backends[index].InFlight++
+	if r.sim.cut(e.zone, r.zone) {
+		r.sim.after(unreachableAfter, func() { r.broken(s, batch.Progress{}) })
+		return
+	}
+	r.sim.after(r.sim.latency(e.zone, r.zone), func() { e.accept(s) })
+}
+
+// release ends a stream on this side and tells whether it had not ended yet.
+func (r *router) release(s *stream) bool {
+	if s.released {
+		return false
+	}
+	s.released = true
+	r.pool.Backends[s.engine.index].InFlight--
+	return true
+}
+
+func (r *router) started(s *stream, version int64) {
+	if !s.released && s.request.started != nil {
+		s.request.started(version)
+	}
+}
+
+func (r *router) ended(s *stream, progress batch.Progress, load batch.Load) {
+	if !r.release(s) {
+		r.sim.stats.WastedTokens += int64(progress.Tokens)
+		return
+	}
+	if r.sim.plan.With.Has(settings.MechanismAnswers) {
+		r.take(s.engine.index, load)
+	}
+	q := s.request
+	r.absorb(q, progress, s.engine.name)
+	q.current = nil
+	if !q.live {
+		r.lengths.Observe(q.prefix, q.length)
+	}
+	q.done()
+	r.pump()
+}
+
+// absorb appends what a stream produced to its request.
+func (r *router) absorb(q *request, progress batch.Progress, engine string) {
+	q.resumed += progress.Tokens
+	q.segments = append(q.segments, segmentsOf(progress, engine)...)
+}
+
+// refused tells that the engine's queue is full.
+func (r *router) refused(s *stream) {
+	if !r.release(s) {
+		return
+	}
+	q := s.request
+	q.current = nil
+	q.excluded = append(q.excluded, s.engine.name)
+	r.dispatch(q)
+}
+
+// broken tells that the stream broke off with the progress received; the
+// request goes on elsewhere within the retry budget.
+func (r *router) broken(s *stream, progress batch.Progress) {
+	if !r.release(s) {
+		return
+	}
+	r.pool.Backends[s.engine.index].Suspect = true
+	q := s.request
+	r.absorb(q, progress, s.engine.name)
+	q.current, q.moving, q.imported = nil, false, false
+	q.excluded = []string{s.engine.name}
+	r.sim.stats.BrokenStreams++
+	r.retry(q)
+}
+
+func (r *router) retry(q *request) {
+	if q.cancelled {
+		return
+	}
+	if r.budget.Retry(r.sim.instant()) {
+		r.dispatch(q)
+		return
+	}
+	r.sim.after(refusedPause, func() { r.retry(q) })
+}
+
+// cancel gives the request up.
+func (r *router) cancel(q *request) {
+	q.cancelled = true
+	r.sim.stats.WastedTokens += int64(q.resumed)
+	s := q.current
+	if s == nil || !r.release(s) {
+		return
+	}
+	r.sim.after(r.sim.latency(r.zone, s.engine.zone), func() { s.engine.cancel(s) })
+	r.pump()
+}
+
+// move exports the request's stream and resumes it at another engine.
+func (r *router) move(q *request, index int) {
+	s := q.current
+	if s == nil || q.moving || r.sim.cut(r.zone, s.engine.zone) {
+		return
+	}
+	q.moving = true
+	r.sim.after(r.sim.latency(r.zone, s.engine.zone), func() {
+		if r.sim.cut(r.zone, s.engine.zone) {
+			return
+		}
+		progress, ok := s.engine.export(s)
+		s.engine.reply(s, func() { r.exported(s, progress, ok, index) })
+	})
+}
+
+func (r *router) exported(s *stream, progress batch.Progress, ok bool, index int) {
+	q := s.request
+	q.moving = false
+	if !ok {
+		return
+	}
+	if !r.release(s) {
+		r.sim.stats.WastedTokens += int64(progress.Tokens)
+		return
+	}
+	r.sim.stats.Moves++
+	r.absorb(q, progress, s.engine.name)
+	q.imported = true
+	r.transmit(q, index)
+	r.pump()
+}
+
+// engineLoads returns the view as rollout.PlanMoves takes it.
+func (r *router) engineLoads() []rollout.EngineLoad {
+	loads := make([]rollout.EngineLoad, len(r.pool.Backends))
+	for i := range r.pool.Backends {
+		b := &r.pool.Backends[i]
+		loads[i] = rollout.EngineLoad{
+			Name: b.Name, Streams: b.Estimate(), Slots: b.Capacity, Version: b.Version,
+			Closed: b.Suspect || b.Loading != 0,
+		}
+	}
+	return loads
+}
+
+// requestQueue is a heap of requests that wait for a slot.
+type requestQueue []*request
+
+func (q requestQueue) Len() int { return len(q) }
+func (q requestQueue) Less(i, j int) bool {
+	a, b := q[i], q[j]
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	if a.expected != b.expected {
+		return a.expected > b.expected
+	}
+	return a.sequence < b.sequence
+}
+func (q requestQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *requestQueue) Push(value any) { *q = append(*q, value.(*request)) }
+
+// Pop implements heap.Interface.
+func (q *requestQueue) Pop() any {
+	last := len(*q) - 1
+	value := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	return value
+}
+
+func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
+
+func engineName(index int) string { return fmt.Sprintf("engine-%d", index) }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -13,6 +13,8 @@
 	ReasonSuspect    Reason = "suspect"
 	ReasonAtLimit    Reason = "at_limit"
 	ReasonOldVersion Reason = "old_version"
+	// ReasonNoSlot means that the request's Admission leaves no slot.
+	ReasonNoSlot Reason = "no_slot"
 )
 
 // Considered is one back end in an Explanation.
@@ -42,9 +44,11 @@
 }
 
 // HeldByLimit tells whether some back end could take the request but for its
-// in-flight limit.
+// in-flight limit or its admission.
 func (e *Explanation) HeldByLimit() bool {
-	return slices.ContainsFunc(e.Considered, func(c Considered) bool { return c.Reason == ReasonAtLimit })
+	return slices.ContainsFunc(e.Considered, func(c Considered) bool {
+		return c.Reason == ReasonAtLimit || c.Reason == ReasonNoSlot
+	})
 }
 
 // Choose picks a back end of pool for request. Suspect back ends are used only
@@ -91,6 +95,8 @@
 		return ReasonOldVersion
 	case b.Limit > 0 && b.InFlight >= b.Limit:
 		return ReasonAtLimit
+	case request.Admission != nil && request.Admission.FreeSlots(b) <= 0:
+		return ReasonNoSlot
 	case b.Suspect:
 		return ReasonSuspect
 	}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -99,10 +99,17 @@
 }
 
 func score(b *Backend, load func(*Backend) float64, request *Request) float64 {
-	if b.Zone == request.Zone {
-		return load(b)
+	value := load(b)
+	if b.Zone != request.Zone {
+		value += otherZonePenalty
 	}
-	return load(b) + otherZonePenalty
+	if request.PreferQuiet && !b.Quiet {
+		value += quietPenalty
+	}
+	if request.AvoidLoading && b.Loading != 0 {
+		value += loadingPenalty
+	}
+	return value
 }
 
 // powerOfTwo compares two back ends only, so that a stale view misleads many
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -23,6 +23,8 @@
 	Waiting  int   `json:"waiting"`
 	Capacity int   `json:"capacity"`
 	Version  int64 `json:"version,omitempty"`
+	// Loading is the version that it reports to be loading, zero if none.
+	Loading int64 `json:"loading,omitempty"`
 	// Reported is false until the first report has arrived.
 	Reported bool `json:"reported"`
 	// ReportAge is the time since the report arrived, in nanoseconds.
@@ -35,6 +37,8 @@
 	Limit int `json:"limit,omitempty"`
 	// Suspect says that the back end failed lately.
 	Suspect bool `json:"suspect,omitempty"`
+	// Quiet says that samples leave most of its slots free; see QuietNames.
+	Quiet bool `json:"quiet,omitempty"`
 	// Draining says that it takes no new work.
 	Draining bool `json:"draining,omitempty"`
 	// DrainReason says why it takes no new work.
@@ -61,8 +65,7 @@
 // CorrectedLoad returns the requests per slot, corrected by this node's own
 // requests since the report.
 func (b *Backend) CorrectedLoad() float64 {
-	estimate := b.Running + b.Waiting + b.InFlight - b.ReportInFlight
-	return float64(max(estimate, b.InFlight)) / float64(b.slots())
+	return float64(b.Estimate()) / float64(b.slots())
 }
 
 func (b *Backend) slots() int {
@@ -101,4 +104,11 @@
 	Excluded []string
 	// MinVersion is the lowest reported version that may serve the request.
 	MinVersion int64
+	// Admission, if not nil, leaves out back ends without a free slot.
+	Admission *Admission
+	// PreferQuiet prefers quiet back ends.
+	PreferQuiet bool
+	// AvoidLoading prefers back ends that do not load a version, which will
+	// pause them.
+	AvoidLoading bool
 }
