--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -52,7 +52,7 @@
 	outputFlag
 	Nodes       int           `long:"nodes" default:"3" description:"number of nodes"`
 	Engines     int           `long:"engines" default:"6" description:"number of stand-in engines"`
-	Steps       int           `long:"steps" default:"2" description:"number of steps of the trainer"`
+	Steps       int           `long:"steps" default:"3" description:"number of steps of the trainer"`
 	HistoryFile string        `long:"history-file" value-name:"FILE" description:"keep the event history for check-history"`
 	Timeout     time.Duration `long:"timeout" default:"1m" description:"give up after this time"`
 }
