--- a/internal/experiment/bound.go
+++ b/internal/experiment/bound.go
@@ -1,52 +1,67 @@
 package experiment
 
 import (
-	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
-// LowerBound returns a time that the sum of the trainers' idle times cannot go
-// below, whatever the schedule, even one that knows every length beforehand. It
-// is the larger of two relaxations.
+// lowerBound returns a time that the sum of the trainers' idle times cannot go
+// below, whatever the schedule, even one that knows every length beforehand.
 //
-// The first takes each trainer as if it had all engines to itself: a step is
-// ready no sooner after it was posted than its tokens take at the engines'
-// highest rate, nor than its longest sample takes alone in a batch. It overlaps
-// with training as far as the trainer posts ahead.
+// It combines two relaxations. Alone, a trainer has all engines to itself: a
+// step is ready no sooner after it was posted than its tokens take at the
+// engines' highest rate, nor than its longest sample takes alone in a batch; it
+// overlaps with training as far as the trainer posts ahead. Together, when a
+// trainer is the n-th to have all its samples, the engines have produced the
+// tokens of n trainers at no more than their highest rate. Whatever the order in
+// which the trainers get done, each of them gets done no sooner than either
+// says; the bound is that of the best order.
 //
-// The second counts all trainers' tokens against the engines' highest rate and
-// forgets everything else: the sum of the times at which the trainers have all
-// their samples is least if those with the fewest tokens go first. Trainers that
-// start at time zero and train for a known time are idle for the rest.
-//
-// Live requests, prefill, swaps, latencies and the lag of reports are left out
-// of both, so the bound is not reachable.
+// Live requests, prefill, swaps, latencies and the lag of reports are left out,
+// and so is all that comes from several trainers' posting step by step; the
+// bound is not reachable.
 func (s *simulation) lowerBound() time.Duration {
-	var alone, posted time.Duration
-	var totals []time.Duration
-	for i := range s.scenario.Trainers {
-		chain, tokens := s.boundAlone(i)
-		alone += chain
-		totals = append(totals, s.fastest(tokens))
-		posted += time.Duration(s.scenario.Steps-1) * s.scenario.Trainers[i].Train
+	trainers := make([]boundedTrainer, len(s.scenario.Trainers))
+	for i := range trainers {
+		trainers[i] = s.boundAlone(i)
+	}
+	return bestOrder(trainers, 0)
+}
+
+// boundedTrainer is what the bound needs of a trainer. All times are as if it
+// had the engines to itself.
+type boundedTrainer struct {
+	idle time.Duration
+	// work is the time of all its tokens at the engines' highest rate.
+	work time.Duration
+	// trained is the time that it trains before its last step.
+	trained time.Duration
+}
+
+// bestOrder returns the least sum of idle times over the orders in which the
+// trainers may get done, after others took the engines for begun.
+func bestOrder(trainers []boundedTrainer, begun time.Duration) time.Duration {
+	if len(trainers) == 0 {
+		return 0
 	}
-	slices.SortFunc(totals, cmp.Compare)
-	var together, sum time.Duration
-	for _, total := range totals {
-		sum += total
-		together += sum
+	best := time.Duration(math.MaxInt64)
+	for i, next := range trainers {
+		done := begun + next.work
+		idle := max(next.idle, done-next.trained)
+		rest := slices.Delete(slices.Clone(trainers), i, i+1)
+		best = min(best, idle+bestOrder(rest, done))
 	}
-	return max(alone, together-posted, 0)
+	return best
 }
 
-// boundAlone returns the idle time of a trainer that has all engines, and the
-// tokens of its samples.
-func (s *simulation) boundAlone(trainer int) (idle time.Duration, tokens int64) {
+// boundAlone relaxes one trainer.
+func (s *simulation) boundAlone(trainer int) boundedTrainer {
 	config := s.scenario.Trainers[trainer]
 	steps := s.scenario.Steps
 	begins := make([]time.Duration, steps+1)
-	var free time.Duration
+	var free, idle time.Duration
+	var tokens int64
 	for step := 1; step <= steps; step++ {
 		stepTokens, longest := s.sizes(trainer, step)
 		tokens += stepTokens
@@ -62,7 +77,7 @@
 		idle += begins[step] - free
 		free = begins[step] + config.Train
 	}
-	return idle, tokens
+	return boundedTrainer{idle: idle, work: s.fastest(tokens), trained: time.Duration(steps-1) * config.Train}
 }
 
 func (s *simulation) sizes(trainer, step int) (tokens int64, longest int) {
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -21,7 +21,9 @@
 	wakeup  int
 	down    bool
 	streams map[batch.Key]*stream
-	report  batch.Load
+	report  loadReport
+	// priorities counts the streams by priority.
+	priorities [api.PriorityLowest + 1]int
 	// reportAt is when the report was refreshed.
 	reportAt time.Duration
 	// fetching is the version that is being fetched, which does not pause the
@@ -29,6 +31,12 @@
 	fetching int64
 }
 
+// loadReport is an engine's load as a poll or an answer carries it.
+type loadReport struct {
+	batch.Load
+	priorities []int
+}
+
 // stream is one sending of a request to one engine.
 type stream struct {
 	key     batch.Key
@@ -57,7 +65,7 @@
 		streams: map[batch.Key]*stream{},
 	}
 	e.machine = batch.NewMachine(s.machineConfig(firstVersion))
-	e.report = e.machine.Load()
+	e.report = e.loadNow()
 	return e
 }
 
@@ -107,8 +115,8 @@
 		version := e.machine.Load().Version
 		e.reply(s, func() { s.router.started(s, version) })
 	case batch.EventEnded:
-		delete(e.streams, happened.Key)
-		progress, load := happened.Progress, e.machine.Load()
+		e.remove(s)
+		progress, load := happened.Progress, e.loadNow()
 		e.reply(s, func() { s.router.ended(s, progress, load) })
 	case batch.EventLoaded, batch.EventLoadFailed:
 		e.fetching = 0
@@ -146,6 +154,7 @@
 		return
 	}
 	e.streams[s.key] = s
+	e.priorities[r.priority]++
 	if e.sim.cut(e.zone, s.router.zone) {
 		e.goSilent(s)
 	}
@@ -177,30 +186,41 @@
 		return batch.Progress{}, false
 	}
 	progress, err := e.machine.Export(e.localNow(), s.key)
-	delete(e.streams, s.key)
+	e.remove(s)
 	e.advance()
 	return progress, err == nil
 }
 
 // produced returns the tokens that a stream has produced here so far.
 func (e *engine) produced(s *stream) int {
+	e.advance()
 	tokens, _ := e.machine.Produced(s.key)
 	return tokens
 }
 
 // currentReport returns the load report that a poll finds now.
-func (e *engine) currentReport() batch.Load {
+func (e *engine) currentReport() loadReport {
 	if e.sim.now-e.reportAt >= e.sim.scenario.ReportLag || e.reportAt == 0 {
 		e.advance()
-		e.report = e.machine.Load()
-		if e.fetching != 0 {
-			e.report.Loading = e.fetching
-		}
+		e.report = e.loadNow()
 		e.reportAt = e.sim.now
 	}
 	return e.report
 }
 
+func (e *engine) loadNow() loadReport {
+	report := loadReport{Load: e.machine.Load(), priorities: slices.Clone(e.priorities[:])}
+	if e.fetching != 0 {
+		report.Loading = e.fetching
+	}
+	return report
+}
+
+func (e *engine) remove(s *stream) {
+	delete(e.streams, s.key)
+	e.priorities[s.request.priority]--
+}
+
 // load fetches a version and then swaps to it.
 func (e *engine) load(version int64) {
 	if e.down || e.fetching != 0 {
@@ -228,6 +248,7 @@
 		e.reply(s, func() { s.router.broken(s, progress) })
 	}
 	clear(e.streams)
+	clear(e.priorities[:])
 }
 
 // restart begins anew with the version that the pool had last.
@@ -235,7 +256,7 @@
 	e.down = false
 	e.clock = engineClock{since: e.sim.now, factor: e.clock.factor}
 	e.machine = batch.NewMachine(e.sim.machineConfig(e.sim.version))
-	e.report = e.machine.Load()
+	e.report = e.loadNow()
 }
 
 func (e *engine) sortedStreams() []*stream {
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -33,6 +33,8 @@
 	// AloneP50MS and AloneP99MS are the same without training.
 	AloneP50MS float64 `json:"alone_p50_ms"`
 	AloneP99MS float64 `json:"alone_p99_ms"`
+	// ApplicationP99MS is of requests to the applications.
+	ApplicationP99MS float64 `json:"application_p99_ms"`
 	// Quantiles of live latency, for plots: of QuantileSteps equal steps.
 	LiveQuantilesMS []float64 `json:"live_quantiles_ms"`
 	Counters
@@ -68,6 +70,7 @@
 type statistics struct {
 	Counters
 	live           *hdrhistogram.Histogram
+	applications   *hdrhistogram.Histogram
 	stalenessSum   int64
 	stalenessMax   int64
 	stalenessCount int64
@@ -75,7 +78,10 @@
 }
 
 func newStatistics() statistics {
-	return statistics{live: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)}
+	return statistics{
+		live:         hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+		applications: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+	}
 }
 
 func (s *statistics) staleness(behind int64) {
@@ -90,6 +96,10 @@
 	_ = s.live.RecordValue(latency.Microseconds())
 }
 
+func (s *statistics) applicationLatency(latency time.Duration) {
+	_ = s.applications.RecordValue(latency.Microseconds())
+}
+
 func (s *statistics) liveQuantile(percent float64) float64 {
 	return milliseconds(s.live.ValueAtQuantile(percent))
 }
@@ -100,12 +110,13 @@
 func (s *simulation) result() Result {
 	result := Result{
 		Site: s.scenario.Site, Policy: s.plan.Name, Seed: s.seed, Baseline: s.plan.Name == s.scenario.Baseline,
-		Seconds:      s.now.Seconds(),
-		MaxStaleness: s.stats.stalenessMax,
-		LiveRequests: s.stats.live.TotalCount(),
-		LiveP50MS:    s.stats.liveQuantile(50),
-		LiveP99MS:    s.stats.liveQuantile(99),
-		Counters:     s.stats.Counters,
+		Seconds:          s.now.Seconds(),
+		MaxStaleness:     s.stats.stalenessMax,
+		LiveRequests:     s.stats.live.TotalCount(),
+		LiveP50MS:        s.stats.liveQuantile(50),
+		LiveP99MS:        s.stats.liveQuantile(99),
+		ApplicationP99MS: milliseconds(s.stats.applications.ValueAtQuantile(99)),
+		Counters:         s.stats.Counters,
 	}
 	if s.stats.stalenessCount > 0 {
 		result.MeanStaleness = float64(s.stats.stalenessSum) / float64(s.stats.stalenessCount)
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -3,9 +3,12 @@
 import (
 	"container/heap"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/backend"
+	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/emulator/batch"
 	"github.com/sliplift/sliplift/internal/limits"
 	"github.com/sliplift/sliplift/internal/rollout"
@@ -20,8 +23,6 @@
 	unreachableAfter = time.Second
 	// silentAfter is how long a node waits for a stream that has gone silent.
 	silentAfter = 2 * time.Second
-	// learntGroups bounds the groups of prompts whose lengths are learnt.
-	learntGroups = 1 << 16
 )
 
 // request is a sample attempt or a live request on its way through its streams.
@@ -33,6 +34,8 @@
 	priority   api.Priority
 	minVersion int64
 	live       bool
+	// urgency returns the priority as of now; nil for one that stays.
+	urgency func() api.Priority
 	// expected is the expected length, for the order in the queue.
 	expected float64
 	sequence int
@@ -41,8 +44,11 @@
 	segments []api.Segment
 	imported bool
 	excluded []string
-	current  *stream
-	moving   bool
+	router   *router
+	// given says that a router has it.
+	given   bool
+	current *stream
+	moving  bool
 	// cancelled says that nobody wants the result.
 	cancelled bool
 	started   func(version int64)
@@ -57,26 +63,24 @@
 	zone   int
 	policy routing.Policy
 	pool   routing.Pool
-	queue  requestQueue
-	budget *limits.RetryBudget
-	// lengths learns from the samples that end here.
-	lengths *rollout.LengthEstimator
+	// engines holds the engine of each back end of the pool, position the
+	// reverse, -1 for engines that the node does not use.
+	engines  []*engine
+	position []int
+	queue    requestQueue
+	budget   *limits.RetryBudget
 }
 
-func (s *simulation) newRouter(name string, zone int) *router {
+func (s *simulation) newRouter(name string, zone, subset int) *router {
 	policy, err := routing.NewPolicy(routing.PolicyName(s.plan.Routing), s.seed*1000+int64(len(s.routers)))
 	if err != nil {
 		panic("experiment: " + err.Error())
 	}
 	r := &router{
 		sim: s, name: name, zone: zone, policy: policy,
-		budget:  limits.NewRetryBudget(limits.DefaultRetryRatio, limits.DefaultRetryMinimum, limits.DefaultRetryBurst, s.instant()),
-		lengths: rollout.NewLengthEstimator(learntGroups),
-	}
-	r.pool = routing.Pool{Name: "pool", Backends: make([]routing.Backend, len(s.engines))}
-	for i, e := range s.engines {
-		r.pool.Backends[i] = routing.Backend{Name: e.name, Zone: zoneName(e.zone), Capacity: s.scenario.Capacity, Version: firstVersion}
+		budget: limits.NewRetryBudget(limits.DefaultRetryRatio, limits.DefaultRetryMinimum, limits.DefaultRetryBurst, s.instant()),
 	}
+	r.use(subset)
 	if s.plan.With.Has(settings.MechanismQuiet) {
 		r.markQuiet()
 	}
@@ -85,33 +89,55 @@
 	return r
 }
 
+// use chooses the engines that the node uses, as the product's nodes do.
+func (r *router) use(subset int) {
+	s := r.sim
+	configured := make([]configlog.Backend, len(s.engines))
+	for i, e := range s.engines {
+		configured[i] = configlog.Backend{Name: e.name, Zone: zoneName(e.zone)}
+	}
+	usable := func(configlog.Backend) bool { return false }
+	used := backend.Subset(configured, r.name, zoneName(r.zone), "", subset, usable)
+	r.pool = routing.Pool{Name: poolName, Backends: make([]routing.Backend, len(used))}
+	r.position = slices.Repeat([]int{-1}, len(s.engines))
+	for i, b := range used {
+		e := s.engines[s.engineIndex[b.Name]]
+		r.engines = append(r.engines, e)
+		r.position[e.index] = i
+		r.pool.Backends[i] = routing.Backend{Name: b.Name, Zone: b.Zone, Capacity: s.scenario.Capacity, Version: firstVersion}
+	}
+}
+
+func (r *router) backend(e *engine) *routing.Backend { return &r.pool.Backends[r.position[e.index]] }
+
 func (r *router) markQuiet() {
-	names := make([]string, len(r.pool.Backends))
-	for i := range names {
-		names[i] = r.pool.Backends[i].Name
+	names := make([]string, len(r.sim.engines))
+	for i, e := range r.sim.engines {
+		names[i] = e.name
 	}
 	for _, name := range routing.QuietNames(r.pool.Name, names, r.sim.plan.QuietShare) {
-		r.pool.Backends[r.sim.engineIndex[name]].Quiet = true
+		if position := r.position[r.sim.engineIndex[name]]; position >= 0 {
+			r.pool.Backends[position].Quiet = true
+		}
 	}
 }
 
 // poll fetches every engine's load report.
 func (r *router) poll() {
-	for i, e := range r.sim.engines {
-		if e.down || r.sim.cut(e.zone, r.zone) {
-			r.pool.Backends[i].Suspect = true
-			continue
+	for _, e := range r.engines {
+		unreachable := e.down || r.sim.cut(e.zone, r.zone)
+		r.backend(e).Suspect = unreachable
+		if !unreachable {
+			r.take(e, e.currentReport())
 		}
-		r.pool.Backends[i].Suspect = false
-		r.take(i, e.currentReport())
 	}
 	r.pump()
 }
 
-func (r *router) take(index int, load batch.Load) {
-	b := &r.pool.Backends[index]
+func (r *router) take(e *engine, load loadReport) {
+	b := r.backend(e)
 	b.Running, b.Waiting, b.Version = load.Running, load.Waiting, load.Version
-	b.Loading = load.Loading
+	b.Loading, b.Priorities = load.Loading, load.priorities
 	b.ReportInFlight = b.InFlight
 	b.Reported = true
 }
@@ -137,6 +163,17 @@
 	r.sim.after(refusedPause, func() { r.dispatch(q) })
 }
 
+// reorder takes in that priorities of waiting requests have changed.
+func (r *router) reorder() {
+	for _, q := range r.queue {
+		if q.urgency != nil {
+			q.priority = q.urgency()
+		}
+	}
+	heap.Init(&r.queue)
+	r.pump()
+}
+
 // pump sends waiting requests as long as there are free slots.
 func (r *router) pump() {
 	for len(r.queue) > 0 {
@@ -150,6 +187,9 @@
 
 // send chooses an engine and tells whether there was one.
 func (r *router) send(q *request) bool {
+	if q.urgency != nil {
+		q.priority = q.urgency()
+	}
 	choice := routing.Request{
 		Zone:       zoneName(r.zone),
 		Priority:   q.priority,
@@ -162,24 +202,26 @@
 		choice.PreferQuiet = with.Has(settings.MechanismQuiet)
 		choice.AvoidLoading = with.Has(settings.MechanismDrain)
 	} else if with.Has(settings.MechanismQueue) {
-		choice.Admission = &routing.Admission{Reserve: r.sim.plan.Reserve, QuietSlots: r.sim.plan.QuietSlots}
+		choice.Admission = &routing.Admission{
+			Reserve: r.sim.plan.Reserve, QuietSlots: r.sim.plan.QuietSlots, Overtake: with.Has(settings.MechanismOvertake),
+		}
 	}
 	chosen := routing.Choose(r.policy, &r.pool, &choice)
 	if !chosen.Found {
 		q.excluded = nil
 		return false
 	}
-	r.transmit(q, r.sim.engineIndex[chosen.Backend.Name])
+	r.transmit(q, r.sim.engines[r.sim.engineIndex[chosen.Backend.Name]])
 	return true
 }
 
 // transmit sends the request to the engine.
-func (r *router) transmit(q *request, index int) {
-	e := r.sim.engines[index]
+func (r *router) transmit(q *request, e *engine) {
 	r.sim.keys++
 	s := &stream{key: batch.Key{RequestID: q.id, Attempt: r.sim.keys}, request: q, engine: e, router: r, sentAt: r.sim.now}
 	q.current = s
-	r.pool.Backends[index].InFlight++
+	q.router = r
+	r.backend(e).InFlight++
 	if r.sim.cut(e.zone, r.zone) {
 		r.sim.after(unreachableAfter, func() { r.broken(s, batch.Progress{}) })
 		return
@@ -193,7 +235,7 @@
 		return false
 	}
 	s.released = true
-	r.pool.Backends[s.engine.index].InFlight--
+	r.backend(s.engine).InFlight--
 	return true
 }
 
@@ -203,20 +245,17 @@
 	}
 }
 
-func (r *router) ended(s *stream, progress batch.Progress, load batch.Load) {
+func (r *router) ended(s *stream, progress batch.Progress, load loadReport) {
 	if !r.release(s) {
 		r.sim.stats.WastedTokens += int64(progress.Tokens)
 		return
 	}
 	if r.sim.plan.With.Has(settings.MechanismAnswers) {
-		r.take(s.engine.index, load)
+		r.take(s.engine, load)
 	}
 	q := s.request
 	r.absorb(q, progress, s.engine.name)
 	q.current = nil
-	if !q.live {
-		r.lengths.Observe(q.prefix, q.length)
-	}
 	q.done()
 	r.pump()
 }
@@ -244,7 +283,7 @@
 	if !r.release(s) {
 		return
 	}
-	r.pool.Backends[s.engine.index].Suspect = true
+	r.backend(s.engine).Suspect = true
 	q := s.request
 	r.absorb(q, progress, s.engine.name)
 	q.current, q.moving, q.imported = nil, false, false
@@ -277,7 +316,7 @@
 }
 
 // move exports the request's stream and resumes it at another engine.
-func (r *router) move(q *request, index int) {
+func (r *router) move(q *request, to *engine) {
 	s := q.current
 	if s == nil || q.moving || r.sim.cut(r.zone, s.engine.zone) {
 		return
@@ -288,11 +327,11 @@
 			return
 		}
 		progress, ok := s.engine.export(s)
-		s.engine.reply(s, func() { r.exported(s, progress, ok, index) })
+		s.engine.reply(s, func() { r.exported(s, progress, ok, to) })
 	})
 }
 
-func (r *router) exported(s *stream, progress batch.Progress, ok bool, index int) {
+func (r *router) exported(s *stream, progress batch.Progress, ok bool, to *engine) {
 	q := s.request
 	q.moving = false
 	if !ok {
@@ -305,7 +344,7 @@
 	r.sim.stats.Moves++
 	r.absorb(q, progress, s.engine.name)
 	q.imported = true
-	r.transmit(q, index)
+	r.transmit(q, to)
 	r.pump()
 }
 
@@ -316,7 +355,10 @@
 		b := &r.pool.Backends[i]
 		loads[i] = rollout.EngineLoad{
 			Name: b.Name, Streams: b.Estimate(), Slots: b.Capacity, Version: b.Version,
-			Closed: b.Suspect || b.Loading != 0,
+			Closed: b.Suspect || b.Loading != 0, Quiet: b.Quiet,
+		}
+		if b.Quiet {
+			loads[i].Slots = r.sim.plan.LongSlots
 		}
 	}
 	return loads
@@ -350,6 +392,9 @@
 	return value
 }
 
+// poolName is the name of the one pool of engines.
+const poolName = "pool"
+
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
 
 func engineName(index int) string { return fmt.Sprintf("engine-%d", index) }
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -1,11 +1,13 @@
 package experiment
 
 import (
+	"fmt"
 	"math"
 	"math/rand"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/rollout"
 	"github.com/sliplift/sliplift/internal/routing"
 	"github.com/sliplift/sliplift/internal/settings"
 	"github.com/sliplift/sliplift/internal/weights"
@@ -16,6 +18,8 @@
 	controlInterval = 500 * time.Millisecond
 	// tailInterval is how often owners look for samples to move.
 	tailInterval = 500 * time.Millisecond
+	// shareInterval is how often owners tell one another what their steps want.
+	shareInterval = 500 * time.Millisecond
 	// creditInterval is how often the holder grants credits.
 	creditInterval = time.Second
 )
@@ -24,6 +28,7 @@
 const (
 	pathHolder  = "holder"
 	pathCredits = "credits"
+	pathPeers   = "peers"
 )
 
 // simulation is one run of a scenario under one policy and one seed.
@@ -45,8 +50,10 @@
 	cutZone  int
 	sequence int
 	keys     int
-	live     *liveTraffic
-	stats    statistics
+	// turn counts the samples that went to nodes in turn.
+	turn  int
+	live  *liveTraffic
+	stats statistics
 }
 
 // newSimulation returns a run at time zero. Without training, only the live
@@ -64,12 +71,13 @@
 		s.engineIndex[e.name] = i
 	}
 	if plan.Path == pathHolder {
-		s.holder = s.newRouter("holder", 0)
+		s.holder = s.newRouter("holder", 0, 0)
 	}
 	limits := weights.DefaultLimits()
 	limits.SwapShare = scenario.SwapShare
 	s.rollout = weights.NewRollout(limits)
 	s.live = s.newLiveTraffic()
+	s.newApplications()
 	if training {
 		s.startTraining()
 	}
@@ -88,6 +96,9 @@
 	if s.plan.With.Has(settings.MechanismMove) {
 		s.every(tailInterval, s.moveTails)
 	}
+	if s.plan.With.Has(settings.MechanismShare) {
+		s.every(shareInterval, s.share)
+	}
 	if s.plan.Path == pathCredits {
 		s.every(creditInterval, s.grantCredits)
 	}
@@ -116,23 +127,35 @@
 	return s.scenario.ZoneLatency
 }
 
+// slots returns how many streams the pool's engines run at once.
+func (s *simulation) slots() int { return s.scenario.Engines * s.scenario.Capacity }
+
 // cut tells whether the network between two zones is cut.
 func (s *simulation) cut(a, b int) bool {
 	return a != b && s.cutZone >= 0 && (a == s.cutZone || b == s.cutZone)
 }
 
 // routerFor returns the router of a new node in the zone.
-func (s *simulation) routerFor(zone int) *router {
+func (s *simulation) routerFor(zone, subset int) *router {
 	if s.holder != nil {
 		return s.holder
 	}
-	return s.newRouter("node", zone)
+	return s.newRouter(fmt.Sprintf("node-%d", len(s.routers)), zone, subset)
+}
+
+// sampleRouter returns the router that a trainer's next sample goes through.
+func (s *simulation) sampleRouter(t *trainer) *router {
+	if s.plan.Path != pathPeers {
+		return t.router
+	}
+	s.turn++
+	return s.live.routers[s.turn%len(s.live.routers)]
 }
 
 // submit brings a request from its node to its router, which is another node
 // where requests go through the lease holder.
 func (s *simulation) submit(r *router, zone int, q *request) {
-	if r != s.holder {
+	if r != s.holder && s.plan.Path != pathPeers {
 		r.submit(q)
 		return
 	}
@@ -184,12 +207,50 @@
 
 func (s *simulation) moveTails() {
 	for _, t := range s.trainers {
-		if p := t.steps[t.current]; p != nil {
-			p.moveTail()
+		for number := t.current; number <= t.posted; number++ {
+			if p := t.steps[number]; p != nil {
+				p.moveSamples()
+			}
 		}
 	}
 }
 
+// share plans how many samples of each step may be at engines.
+func (s *simulation) share() {
+	var open []*step
+	var demands []rollout.StepDemand
+	for _, t := range s.trainers {
+		for number := max(1, t.current); number <= t.posted; number++ {
+			if p := t.steps[number]; p != nil && p.started && !p.taken {
+				open = append(open, p)
+				demands = append(demands, p.demand())
+			}
+		}
+	}
+	order := rollout.ShareByNeed
+	if s.plan.With.Has(settings.MechanismShortest) {
+		order = rollout.ShareByWork
+	}
+	shares := rollout.PlanShares(order, s.sampleSlots(), demands)
+	s.after(s.scenario.ZoneLatency, func() {
+		for i, p := range open {
+			p.share = shares[i]
+			p.feed()
+		}
+	})
+}
+
+// sampleSlots returns how many samples the engines may run at once.
+func (s *simulation) sampleSlots() int {
+	perEngine := s.scenario.Capacity - s.plan.Reserve
+	total := perEngine * len(s.engines)
+	if s.plan.With.Has(settings.MechanismQuiet) {
+		quiet := int(math.Ceil(s.plan.QuietShare * float64(len(s.engines))))
+		total -= quiet * max(0, perEngine-s.plan.QuietSlots)
+	}
+	return total
+}
+
 // grantCredits shares the free slots of each engine out among the trainers'
 // nodes. A node always may have one request at an engine.
 func (s *simulation) grantCredits() {
@@ -201,7 +262,7 @@
 			if (i+k)%len(s.trainers) < free%len(s.trainers) {
 				share++
 			}
-			b := &t.router.pool.Backends[i]
+			b := t.router.backend(e)
 			b.Limit = max(1, b.InFlight+share)
 		}
 	}
@@ -221,7 +282,7 @@
 func (s *simulation) newLiveTraffic() *liveTraffic {
 	l := &liveTraffic{sim: s, random: s.work.randomFor("live")}
 	for i := range s.scenario.Nodes {
-		l.routers = append(l.routers, s.routerFor(i%s.scenario.Zones))
+		l.routers = append(l.routers, s.routerFor(i%s.scenario.Zones, s.scenario.Subset))
 	}
 	if s.scenario.LiveRate > 0 {
 		s.after(l.pause(), l.arrive)
--- a/internal/experiment/step.go
+++ b/internal/experiment/step.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"container/heap"
 	"fmt"
 	"time"
 
@@ -18,9 +19,6 @@
 	tailShare       = 0.05
 )
 
-// priorityAhead is for samples of a step that its trainer does not need yet.
-const priorityAhead = api.PriorityTraining + 2
-
 // step is a step at its owner, and the trainer's pulls of it.
 type step struct {
 	sim     *simulation
@@ -43,6 +41,12 @@
 	wakeup     int
 	finished   int
 	taken      bool
+	askedAt    time.Duration
+	// pending holds what waits for the step's share of the engines, share is
+	// that, and given counts what routers have of it.
+	pending requestQueue
+	share   int
+	given   int
 }
 
 func (t *trainer) newStep(number int) *step {
@@ -119,17 +123,18 @@
 	perPrompt := p.trainer.config.Samples
 	prompt := p.prompts[attempt.Index/perPrompt]
 	q := &request{
-		id:         fmt.Sprintf("%s/%d/%d", p.trainer.config.Name, p.number, attempt.Index),
+		id:         fmt.Sprintf("%s/%d/%d/%d", p.trainer.config.Name, p.number, attempt.Index, attempt.Number),
 		prompt:     prompt.text,
 		prefix:     prompt.prefix,
 		length:     prompt.lengths[attempt.Index%perPrompt],
-		priority:   p.priority(attempt.Priority),
+		priority:   attempt.Priority,
 		minVersion: attempt.MinVersion,
 	}
 	if p.sim.plan.With.Has(settings.MechanismLongest) {
-		q.expected = p.trainer.router.lengths.Expected(q.prefix)
+		q.expected = p.trainer.lengths.Expected(q.prefix)
 	}
 	p.count(attempt.Index)
+	q.urgency = func() api.Priority { return p.priority(attempt.Priority) }
 	q.started = func(version int64) {
 		p.ledger.Segment(attempt.Number, version, p.sim.instant())
 		p.changed()
@@ -137,7 +142,45 @@
 	q.done = func() { p.finish(attempt.Number, q) }
 	p.requests[attempt.Number] = q
 	p.order = append(p.order, attempt.Number)
-	p.sim.submit(p.trainer.router, p.trainer.index%p.sim.scenario.Zones, q)
+	heap.Push(&p.pending, q)
+	p.feed()
+}
+
+// feed gives samples to routers as far as the step's share goes.
+func (p *step) feed() {
+	unlimited := !p.sim.plan.With.Has(settings.MechanismShare)
+	for len(p.pending) > 0 && (unlimited || p.given < p.share) {
+		q := heap.Pop(&p.pending).(*request)
+		if q.cancelled {
+			continue
+		}
+		q.given = true
+		p.given++
+		p.sim.submit(p.sim.sampleRouter(p.trainer), p.trainer.index%p.sim.scenario.Zones, q)
+	}
+}
+
+// takeBack notes that a request is at no router any more.
+func (p *step) takeBack(q *request) {
+	if q.given {
+		q.given = false
+		p.given--
+	}
+	p.feed()
+}
+
+// demand is what the step tells other owners.
+func (p *step) demand() rollout.StepDemand {
+	counts := p.ledger.Counts()
+	demand := rollout.StepDemand{
+		Trainer: p.trainer.config.Name, Step: int64(p.number), Awaited: p.asked, NeededAt: p.trainer.trainEnds,
+		Samples: counts.Waiting + counts.Running, TokensLeft: p.tokensLeft(),
+		Total: len(p.starts),
+	}
+	if p.asked {
+		demand.NeededAt = p.askedAt
+	}
+	return demand
 }
 
 // count notes a start of an index; all but the first are extra.
@@ -149,14 +192,28 @@
 }
 
 func (p *step) priority(from api.Priority) api.Priority {
-	if p.sim.plan.With.Has(settings.MechanismPriority) && !p.asked {
-		return priorityAhead
+	with := p.sim.plan.With
+	switch {
+	case with.Has(settings.MechanismPriority) && !p.asked:
+		return rollout.PriorityAhead
+	case with.Has(settings.MechanismShortest):
+		return rollout.StepPriority(p.tokensLeft(), p.sim.slots())
 	}
 	return from
 }
 
+// tokensLeft returns how many tokens the step's samples are expected to take
+// yet, those that run counted as a half.
+func (p *step) tokensLeft() float64 {
+	counts := p.ledger.Counts()
+	samples := float64(counts.Waiting) + float64(counts.Running)/2
+	return samples * p.trainer.lengths.Mean()
+}
+
 func (p *step) finish(number int, q *request) {
 	delete(p.requests, number)
+	p.takeBack(q)
+	p.trainer.lengths.Observe(q.prefix, q.length)
 	sample := api.Sample{Trainer: p.trainer.config.Name, Step: int64(p.number), RequestID: q.id, Tokens: q.resumed, Segments: q.segments}
 	verdict := p.ledger.Finish(number, api.OutcomeCompleted, sample, 0, p.sim.instant())
 	if verdict == rollout.VerdictTooOld || verdict == rollout.VerdictLate {
@@ -182,10 +239,19 @@
 			continue
 		}
 		delete(p.requests, number)
-		p.trainer.router.cancel(q)
+		p.cancel(q)
 	}
 }
 
+func (p *step) cancel(q *request) {
+	p.takeBack(q)
+	if q.router == nil {
+		q.cancelled = true
+		return
+	}
+	q.router.cancel(q)
+}
+
 // commitSoon commits finished samples, at most once in each interval.
 func (p *step) commitSoon() {
 	if p.committing || !p.ledger.Pending() {
@@ -214,6 +280,10 @@
 // ask is the trainer's first pull.
 func (p *step) ask() {
 	p.asked = true
+	p.askedAt = p.sim.now
+	for _, r := range p.sim.routers {
+		r.reorder()
+	}
 	p.start()
 	p.handOut()
 }
@@ -266,7 +336,7 @@
 	p.trainer.generation = p.sim.now - p.begun
 	for _, number := range p.order {
 		if q := p.requests[number]; q != nil {
-			p.trainer.router.cancel(q)
+			p.cancel(q)
 		}
 	}
 	p.requests = nil
@@ -283,37 +353,57 @@
 	p.changed()
 }
 
-// moveTail moves the last samples to emptier engines.
-func (p *step) moveTail() {
-	if !p.asked || p.taken {
+// moveSamples moves the last samples of an awaited step to emptier engines, and
+// before that long ones to quiet engines; each as far as the node that runs it
+// sees.
+func (p *step) moveSamples() {
+	if p.taken {
 		return
 	}
-	var samples []rollout.RunningSample
 	byID := map[string]*request{}
+	samples := map[*router][]rollout.RunningSample{}
+	var routers []*router
+	tail := p.asked
 	for _, number := range p.order {
 		q := p.requests[number]
-		if q == nil {
+		switch {
+		case q == nil || q.moving:
 			continue
-		}
-		s := q.current
-		if s == nil {
+		case q.current == nil:
 			// Something still waits: this is not the tail yet.
-			if !q.moving {
-				return
-			}
-			continue
-		}
-		if q.moving {
+			tail = false
 			continue
 		}
 		byID[q.id] = q
-		samples = append(samples, rollout.RunningSample{
-			ID: q.id, Engine: s.engine.name, Tokens: q.resumed + s.engine.produced(s),
-			Since: p.sim.now - s.sentAt, MinVersion: q.minVersion,
-		})
-	}
-	router := p.trainer.router
-	for _, move := range rollout.PlanMoves(rollout.DefaultTailConfig(), samples, router.engineLoads()) {
-		router.move(byID[move.ID], p.sim.engineIndex[move.To])
+		if samples[q.router] == nil {
+			routers = append(routers, q.router)
+		}
+		samples[q.router] = append(samples[q.router], q.runningSample(p.sim.now))
+	}
+	for _, r := range routers {
+		for _, move := range p.planMoves(tail, samples[r], r.engineLoads()) {
+			r.move(byID[move.ID], p.sim.engines[p.sim.engineIndex[move.To]])
+		}
+	}
+}
+
+// longFactor is how many times the mean length a long sample has at least.
+const longFactor = 2
+
+func (p *step) planMoves(tail bool, samples []rollout.RunningSample, engines []rollout.EngineLoad) []rollout.Move {
+	config := rollout.DefaultTailConfig()
+	if tail {
+		return rollout.PlanMoves(config, samples, engines)
+	}
+	if !p.sim.plan.With.Has(settings.MechanismLong) {
+		return nil
+	}
+	return rollout.PlanLong(config, int(longFactor*p.trainer.lengths.Mean()), samples, engines)
+}
+
+func (q *request) runningSample(now time.Duration) rollout.RunningSample {
+	s := q.current
+	return rollout.RunningSample{
+		ID: q.id, Engine: s.engine.name, Tokens: q.resumed + s.engine.produced(s), Since: now - s.sentAt, MinVersion: q.minVersion,
 	}
 }
--- a/internal/experiment/trainer.go
+++ b/internal/experiment/trainer.go
@@ -3,15 +3,21 @@
 import (
 	"time"
 
+	"github.com/sliplift/sliplift/internal/rollout"
 	"github.com/sliplift/sliplift/internal/settings"
 )
 
+// learntGroups bounds the groups of prompts whose lengths are learnt.
+const learntGroups = 1 << 16
+
 // trainer asks for steps, trains on them and publishes versions.
 type trainer struct {
 	sim    *simulation
 	index  int
 	config settings.ExperimentTrainer
 	router *router
+	// lengths learns from the samples that end.
+	lengths *rollout.LengthEstimator
 	// version is the trainer's own.
 	version int64
 	// current is the step that it needs or trains on, counted from 1.
@@ -33,7 +39,8 @@
 
 func (s *simulation) newTrainer(index int) *trainer {
 	t := &trainer{sim: s, index: index, config: s.scenario.Trainers[index], version: firstVersion, steps: map[int]*step{}}
-	t.router = s.routerFor(index % s.scenario.Zones)
+	t.router = s.routerFor(index%s.scenario.Zones, 0)
+	t.lengths = rollout.NewLengthEstimator(learntGroups)
 	s.at(0, func() {
 		t.post(max(1, t.config.Ahead))
 		t.need(1)
--- a/internal/settings/experiment.go
+++ b/internal/settings/experiment.go
@@ -28,6 +28,7 @@
 	Applications     int           `long:"applications" default:"3" min:"0" max:"1000" unit:"instances" description:"number of application instances"`
 	Zones            int           `long:"zones" default:"3" min:"1" max:"1000" unit:"zones" description:"zones that engines, applications and nodes are spread over in turn"`
 	Nodes            int           `long:"nodes" default:"3" min:"1" max:"1000" unit:"nodes" description:"nodes beside live callers; each trainer has one more"`
+	Subset           int           `long:"subset" default:"0" min:"0" max:"20000" unit:"engines" description:"engines that a node beside callers uses; 0 is all"`
 	ZoneLatency      time.Duration `long:"zone-latency" default:"500us" min:"0s" max:"1s" description:"one-way latency between zones"`
 	LocalLatency     time.Duration `long:"local-latency" default:"100us" min:"0s" max:"1s" description:"one-way latency within a zone"`
 	CallerLatency    time.Duration `long:"caller-latency" default:"3ms" min:"0s" max:"1s" description:"one-way latency between a caller or trainer and its node"`
@@ -151,6 +152,14 @@
 	MechanismRerun = "rerun"
 	// MechanismQuiet keeps some engines lightly loaded for live requests.
 	MechanismQuiet = "quiet"
+	// MechanismShortest prefers the step with the least work left.
+	MechanismShortest = "shortest"
+	// MechanismShare gives the engines to one step after another.
+	MechanismShare = "share"
+	// MechanismLong moves long samples to quiet engines at any time.
+	MechanismLong = "long"
+	// MechanismOvertake gives urgent samples the slots of less urgent ones.
+	MechanismOvertake = "overtake"
 	// MechanismDrain keeps live requests off engines that are about to swap.
 	MechanismDrain = "drain"
 )
@@ -158,7 +167,7 @@
 func mechanisms() []string {
 	return []string{
 		MechanismAnswers, MechanismQueue, MechanismPriority, MechanismLongest, MechanismMove,
-		MechanismSecond, MechanismHold, MechanismRerun, MechanismQuiet, MechanismDrain,
+		MechanismSecond, MechanismHold, MechanismRerun, MechanismQuiet, MechanismShortest, MechanismShare, MechanismLong, MechanismOvertake, MechanismDrain,
 	}
 }
 
@@ -191,16 +200,19 @@
 	Name    string `long:"name" format:"name" mandatory:"yes"`
 	Routing string `long:"routing" default:"corrected" choice:"corrected" choice:"round_robin" choice:"least_loaded" choice:"power_of_two" choice:"affinity"`
 	// Path is how requests reach engines: chosen by the node itself, through
-	// the holder of the pool's lease, or within credits that the holder grants.
-	Path string     `long:"path" default:"direct" choice:"direct" choice:"holder" choice:"credits"`
+	// the holder of the pool's lease, within credits that the holder grants, or,
+	// for samples, chosen by the nodes in turn, each within its subset.
+	Path string     `long:"path" default:"direct" choice:"direct" choice:"holder" choice:"credits" choice:"peers"`
 	With Mechanisms `long:"with"`
 	// Reserve is the number of batch slots of an engine that training leaves
 	// free, with the mechanism queue.
 	Reserve int `long:"reserve" default:"0" min:"0" max:"10000" unit:"slots"`
 	// QuietShare is the share of engines that the mechanism quiet sets apart,
-	// QuietSlots how many samples each of those runs.
+	// QuietSlots how many requests each of those may have when a sample starts
+	// there, and LongSlots when a long or last one is moved there.
 	QuietShare float64 `long:"quiet-share" default:"0.2" min:"0" max:"1"`
 	QuietSlots int     `long:"quiet-slots" default:"4" min:"0" max:"10000" unit:"slots"`
+	LongSlots  int     `long:"long-slots" default:"6" min:"0" max:"10000" unit:"slots"`
 	// SecondAfter is the time after which the mechanism second begins another
 	// attempt.
 	SecondAfter time.Duration `long:"second-after" default:"30s" min:"1s" max:"1h"`
