emulator: an application takes in no more than it has room for

Change: an instance refuses by the sum of running and waiting requests. The test crashes the engine that runs most of the samples, requires that all of them run then, and that half of them (before: two) move and see the swap. Ruled out: a lower threshold in the test; a fault of the dispatcher.

--- a/internal/emulator/application/application.go
+++ b/internal/emulator/application/application.go
@@ -208,7 +208,9 @@
 	if a.role == api.RoleDraining {
 		return api.Refusal(http.StatusServiceUnavailable, api.CodeNoBackend, 0, "%s: draining", a.config.Name)
 	}
-	if a.running >= a.config.Capacity && a.waiting >= a.config.QueueLimit {
+	// Those that wait include some that are about to take a free slot, so only
+	// the sum is exact.
+	if a.running+a.waiting >= a.config.Capacity+a.config.QueueLimit {
 		return api.Refusal(http.StatusTooManyRequests, api.CodeOverloaded, queueRetryAfterMS,
 			"%s: %d requests wait", a.config.Name, a.waiting)
 	}
--- a/internal/load/history_test.go
+++ b/internal/load/history_test.go
@@ -93,7 +93,7 @@
 		w.swap("left")
 		w.swap("right")
 		time.Sleep(600 * time.Millisecond)
-		w.strike(fault.Fault{Target: "left", Kind: fault.KindCrash, DurationMS: 300})
+		w.strike(fault.Fault{Target: w.busiest(), Kind: fault.KindCrash, DurationMS: 300})
 		running.Wait()
 		w.bookTooMuch()
 		w.bookWithLostAnswer()
@@ -220,7 +220,9 @@
 	})
 }
 
-func sampleID(index int) string { return fmt.Sprintf("sample/%d", index) }
+const samplePrefix = "sample/"
+
+func sampleID(index int) string { return fmt.Sprint(samplePrefix, index) }
 
 // runSamples does what a trainer and a rollout do, without a node between them.
 func (w *world) runSamples() {
@@ -284,6 +286,28 @@
 	}
 }
 
+// busiest is the engine that runs most of the samples. Which one a sample went to
+// hangs on the order in which goroutines ran, but one has half of them.
+func (w *world) busiest() string {
+	running := map[string]int{}
+	for _, event := range w.sink.Events() {
+		switch {
+		case !strings.HasPrefix(event.RequestID, samplePrefix):
+		case event.Kind == history.KindStreamStarted:
+			running[event.Process]++
+		case event.Kind == history.KindStreamEnded:
+			running[event.Process]--
+		}
+	}
+	if running["left"]+running["right"] != samples {
+		w.t.Errorf("samples that run: %v", running)
+	}
+	if running["left"] > running["right"] {
+		return "left"
+	}
+	return "right"
+}
+
 func (w *world) strike(strike fault.Fault) {
 	if _, err := w.faults.Add(strike); err != nil {
 		w.t.Error(err)
@@ -365,8 +389,8 @@
 			both++
 		}
 	}
-	if both < 2 {
-		w.t.Errorf("%d of %d samples moved and saw a swap, want 2 or more", both, samples)
+	if both < samples/2 {
+		w.t.Errorf("%d of %d samples moved and saw a swap, want half of them", both, samples)
 	}
 }
 
