--- a/internal/configlog/simulation_test.go
+++ b/internal/configlog/simulation_test.go
@@ -165,7 +165,7 @@
 func confirmationTime(nodes int, loss float64, seed uint64, fanout int, ask bool) (confirmed, applied time.Duration, messages int) {
 	s := &spread{
 		simulation: newSimulation(nodes, loss, seed), fanout: fanout,
-		applied:    make([]bool, nodes), confirmed: make([]bool, nodes), missing: nodes,
+		applied: make([]bool, nodes), confirmed: make([]bool, nodes), missing: nodes,
 	}
 	left := nodes
 	onApply := func() {
