--- a/internal/configlog/service.go
+++ b/internal/configlog/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,6 +150,10 @@
 // callers must not change it.
 func (s *Service) Current() *State { return s.log.Load().State() }
 
+// Entries returns the newest entries that this node holds, oldest first. A node
+// that started from a snapshot lacks those before it.
+func (s *Service) Entries() []Entry { return slices.Clone(s.log.Load().entries) }
+
 // Ready tells whether this node knows the newest configuration as well as its
 // start allows; see the package comment. Once ready, a node stays ready.
 func (s *Service) Ready() bool { return s.ready.Load() }
