control: the shard count of a pool is part of the configuration

Cause: a pool's back ends must not move between leases as it grows, so the count is fixed by the change that creates the pool. Change: configlog.ShardCount; control.Shards reads Pool.Shards.

--- a/internal/control/controller_test.go
+++ b/internal/control/controller_test.go
@@ -169,7 +169,7 @@
 	}
 	state := poolOf(1, names...)
 	pool := state.Pools["rollouts"]
-	pool.Shards = ShardCount(len(names))
+	pool.Shards = configlog.ShardCount(len(names))
 	state.Pools["rollouts"] = pool
 	before := map[string]string{}
 	for _, shard := range Shards(state) {
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -10,9 +10,6 @@
 	"github.com/sliplift/sliplift/internal/configlog"
 )
 
-// backendsPerShard is the size at which a pool is given another shard.
-const backendsPerShard = 50
-
 // Shard is the part of a pool that one lease covers.
 type Shard struct {
 	// Name is the lease's name.
@@ -37,13 +34,6 @@
 	return best
 }
 
-// ShardCount returns the number of shards for a pool of that many back ends. It
-// is fixed when a pool is created, so that back ends do not move between leases
-// as the pool grows.
-func ShardCount(backends int) int {
-	return max(1, (backends+backendsPerShard-1)/backendsPerShard)
-}
-
 // Shards divides every pool of the configuration, in order of name.
 func Shards(state *configlog.State) []Shard {
 	var all []Shard
