lease: a new holder's epoch is at least the table's revision

Cause: a back end keeps the highest epoch it has seen from any holder. One that moves to another shard, after its pool is dropped and made again with another shard count, would refuse every order of a shard whose lease is younger. Ruled out: a fence for each shard at the back end, since the promise is stated for the highest epoch of any holder. Change: Want.LeastEpoch; the service passes the table's revision of its last scan.

--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -5,9 +5,11 @@
 // Row lease/SHARD of the table service names the holder, its epoch, the
 // duration and the nonce of the write that made the row. Every write is
 // conditional on the row's revision, so of two nodes that acquire at once one
-// wins. The epoch grows by one with each new holder and with nothing else; it
-// is the fence in every order, and a back end refuses orders below the highest
-// epoch it has seen. Rows are never deleted, also not those of dropped pools,
+// wins. The epoch grows with each new holder and with nothing else, to at least
+// the table's revision as of the holder's last scan; it is the fence in every
+// order, and a back end refuses orders below the highest epoch it has seen. Since
+// the table's revision only grows, a back end that moves between shards obeys
+// whichever lease was acquired last. Rows are never deleted, also not those of dropped pools,
 // because the epoch must never begin again.
 //
 // # Time
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -72,6 +72,10 @@
 	Successor string
 	// RenewEarly asks for a renewal before it is due.
 	RenewEarly bool
+	// LeastEpoch is the lowest epoch that a new holder may take. The table's
+	// revision serves as such: a back end that moves from one shard to another
+	// then sees a higher epoch from any lease acquired later, whichever shard's.
+	LeastEpoch int64
 }
 
 // Action says what a Write does.
@@ -222,7 +226,7 @@
 	}
 	switch action {
 	case ActionAcquire:
-		record.Epoch++
+		record.Epoch = max(record.Epoch+1, want.LeastEpoch)
 	case ActionRelease:
 		record.Holder = ""
 		record.Successor = want.Successor
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -91,6 +91,7 @@
 // scan reads all rows and shows them to the machines.
 func (s *Service) scan(ctx context.Context) error {
 	after := ""
+	var revision int64
 	found := map[string]Row{}
 	for {
 		page, err := s.scanPage(ctx, after)
@@ -105,11 +106,12 @@
 			found[row.Key] = Row{Record: record, Revision: row.Revision}
 			after = row.Key
 		}
+		revision = max(revision, page.Revision)
 		if !page.More {
 			break
 		}
 	}
-	s.observe(found)
+	s.observe(found, revision)
 	return nil
 }
 
@@ -130,9 +132,10 @@
 
 // observe takes rows that were read. The time is taken after the read, which
 // only makes observers wait longer.
-func (s *Service) observe(found map[string]Row) {
+func (s *Service) observe(found map[string]Row, tableRevision int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tableRevision = max(s.tableRevision, tableRevision)
 	now := time.Now()
 	s.lastScan = now
 	for shard, machine := range s.machines {
@@ -186,7 +189,7 @@
 
 // want tells a machine what placement asks of it.
 func (s *Service) want(now time.Time, shard string, machine *Machine) Want {
-	want := Want{Rank: s.placement.rank(shard, s.cfg.Node)}
+	want := Want{Rank: s.placement.rank(shard, s.cfg.Node), LeastEpoch: s.tableRevision}
 	_, acting := machine.Held(now)
 	switch {
 	case s.stopping:
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -85,12 +85,14 @@
 	machines  map[string]*Machine
 	placement *placement
 	// unplaced is set when the shards or members changed since the last placing.
-	unplaced    bool
-	shards      []Shard
-	moving      map[string]bool
-	stopping    bool
-	lastScan    time.Time
-	subscribers map[chan struct{}]struct{}
+	unplaced bool
+	shards   []Shard
+	moving   map[string]bool
+	stopping bool
+	lastScan time.Time
+	// tableRevision is the highest table revision that a scan told.
+	tableRevision int64
+	subscribers   map[chan struct{}]struct{}
 }
 
 // NewService returns a service without shards.
