--- /dev/null
+++ b/internal/roster/doc.go
@@ -0,0 +1,3 @@
+// Package roster keeps the configuration's list of claim members in step with
+// the nodes that are alive.
+package roster
--- /dev/null
+++ b/internal/roster/rules.go
@@ -0,0 +1,69 @@
+package roster
+
+import (
+	"time"
+
+	"github.com/sliplift/sliplift/internal/claim"
+)
+
+// Defaults of Rules.
+const (
+	DefaultSettle       = 2 * time.Second
+	DefaultFirstWait    = 10 * time.Second
+	DefaultJoinAfter    = 30 * time.Second
+	DefaultReplaceAfter = 2 * time.Minute
+	DefaultMaxMembers   = 512
+
+	// maxFormer bounds the former lists.
+	maxFormer = 2
+)
+
+// Rules says when the list changes. Zero values mean the defaults.
+type Rules struct {
+	// GroupSize, Window and MaxViewAge are those of package claim: Window is
+	// claim.ViewsConfig.Window, and MaxViewAge is zero where a node acts on a
+	// list however long ago it was confirmed.
+	GroupSize  int
+	Window     time.Duration
+	MaxViewAge time.Duration
+	// Settle is how long a member must be alive to be in the first list, or in
+	// one that replaces a list without a majority.
+	Settle time.Duration
+	// FirstWait bounds how long the first list waits for members that are only
+	// just alive.
+	FirstWait time.Duration
+	// JoinAfter is how long a member must be alive to be added.
+	JoinAfter time.Duration
+	// ReplaceAfter is how long a member must be gone to be removed.
+	ReplaceAfter time.Duration
+	// MaxMembers bounds the list, by which the size of a configuration entry is
+	// bounded.
+	MaxMembers int
+}
+
+func (r Rules) withDefaults() Rules {
+	setDefault(&r.GroupSize, claim.DefaultGroupSize)
+	setDefault(&r.Window, claim.Config{Validity: claim.DefaultValidity, RoundTimeout: claim.DefaultRoundTimeout}.Retention()+r.MaxViewAge)
+	setDefault(&r.Settle, DefaultSettle)
+	setDefault(&r.FirstWait, DefaultFirstWait)
+	setDefault(&r.JoinAfter, DefaultJoinAfter)
+	setDefault(&r.ReplaceAfter, DefaultReplaceAfter)
+	setDefault(&r.MaxMembers, DefaultMaxMembers)
+	return r
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// majority returns how many members of a list of that length can make a
+// majority of a group.
+func (r Rules) majority(members int) int {
+	size := min(r.GroupSize, members)
+	if size > 0 && size%2 == 0 {
+		size--
+	}
+	return claim.Majority(size)
+}
