--- a/cmd/sliplift/main.go
+++ b/cmd/sliplift/main.go
@@ -26,7 +26,7 @@
 		Stderr:     os.Stderr,
 		HTTPClient: &http.Client{Transport: transport},
 		Version:    telemetry.Version(),
-		Demo:       notBuilt{},
+		Demo:       clusterDemo{},
 	}
 	os.Exit(cli.Run(ctx, env, os.Args[1:]))
 }
--- /dev/null
+++ b/internal/node/build.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/sliplift/sliplift/internal/backend"
+	"github.com/sliplift/sliplift/internal/claim"
+	claimdispatcher "github.com/sliplift/sliplift/internal/claim/dispatcher"
+	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/control"
+	"github.com/sliplift/sliplift/internal/dispatch"
+	"github.com/sliplift/sliplift/internal/engine"
+	"github.com/sliplift/sliplift/internal/gateway"
+	"github.com/sliplift/sliplift/internal/lease"
+	"github.com/sliplift/sliplift/internal/machinewatch"
+	"github.com/sliplift/sliplift/internal/membership"
+	"github.com/sliplift/sliplift/internal/operator"
+	"github.com/sliplift/sliplift/internal/operator/catalog"
+	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/routing"
+)
+
+// buildCluster makes what nodes tell each other: transport, membership,
+// configuration and claims.
+func (n *Node) buildCluster() {
+	cfg := n.cfg.Settings
+	n.httpTransport = engine.NewTransport(n.cfg.Dial)
+	n.platform = platform.NewClient(&http.Client{Transport: n.httpTransport}, n.cfg.platformAddresses())
+	n.transport = peer.NewTransport(n.log, peer.Config{
+		Node:        cfg.Name,
+		Incarnation: n.cfg.Incarnation,
+		Address:     cfg.PeerAdvertised(),
+		Listener:    n.cfg.PeerListener,
+		Dial:        peer.DialFunc(n.cfg.Dial),
+		Limits:      peer.DefaultLimits(),
+	})
+	n.registry.MustRegister(n.transport)
+	n.membership = membership.NewService(n.log, n.membershipConfig(), n.transport)
+	n.configuration = configlog.NewService(n.log, configlog.Config{
+		Node:         cfg.Name,
+		Address:      cfg.PeerAdvertised(),
+		Table:        n.platform,
+		Peers:        n.transport,
+		Registry:     n.transport,
+		Members:      configMembers{n.membership},
+		Sink:         n.cfg.Sink,
+		SetDigest:    n.membership.SetDigest,
+		PollInterval: cfg.ConfigPollInterval,
+		Faults:       n.cfg.Faults.Configlog,
+	})
+	n.claims = claim.NewService(n.log, claim.Config{
+		Self:        cfg.Name,
+		Incarnation: n.cfg.Incarnation,
+		Validity:    cfg.ClaimValidity,
+		GroupSize:   cfg.ClaimReplicas,
+		Faults:      n.cfg.Faults.Claim,
+	}, n.transport, n.transport, claimView{n.configuration}, claim.NewTableRegistrar(n.platform))
+}
+
+func (n *Node) membershipConfig() membership.ServiceConfig {
+	cfg := n.cfg.Settings
+	protocol := membership.DefaultConfig()
+	protocol.Period = cfg.HeartbeatInterval
+	var seeds []membership.Seed
+	for _, seed := range cfg.Seeds {
+		seeds = append(seeds, membership.Seed{Name: seed.Name, Address: seed.Address})
+	}
+	return membership.ServiceConfig{
+		Self: membership.Identity{
+			Name:            cfg.Name,
+			Incarnation:     n.cfg.Incarnation,
+			PeerAddress:     cfg.PeerAdvertised(),
+			CallerAddress:   cfg.CallerAdvertised(),
+			OperatorAddress: cfg.OperatorAdvertised(),
+			Zone:            cfg.Zone,
+			Region:          cfg.Region,
+			Site:            cfg.Site,
+		},
+		Protocol: protocol,
+		Seeds:    seeds,
+		OnDigest: func(from membership.Member, digest int64) {
+			n.configuration.OnPeerRevision(from.Name, from.PeerAddress, digest)
+		},
+	}
+}
+
+// buildControl makes what the holder of a lease does.
+func (n *Node) buildControl() {
+	cfg := n.cfg.Settings
+	n.engines = engine.NewClient(&http.Client{Transport: n.httpTransport})
+	n.leases = lease.NewService(n.log, lease.Config{
+		Node:     cfg.Name,
+		Table:    n.platform,
+		Members:  leaseMembers{n},
+		Duration: cfg.LeaseDuration,
+		Faults:   n.cfg.Faults.Lease,
+	})
+	n.machines = machinewatch.NewWatcher(n.log, machinewatch.Config{
+		Node:     cfg.Name,
+		Address:  cfg.PeerAdvertised(),
+		Machines: n.platform,
+		Interval: cfg.MachinesPollInterval,
+		Peers:    n.transport,
+		Registry: n.transport,
+		Members:  configMembers{n.membership},
+	}, n.onLeaving)
+	n.controller = control.NewController(control.DefaultConfig(cfg.Name), n.log, n.leases, n.configuration, n.engines, n.machines)
+}
+
+// onLeaving takes the names that the machine list shows as leaving.
+func (n *Node) onLeaving(leaving []string) {
+	if n.cfg.Faults.IgnoreDrains {
+		return
+	}
+	n.backends.SetLeaving(leaving)
+	n.controller.Wake()
+}
+
+// buildDataPath makes what serves requests and steps.
+func (n *Node) buildDataPath() error {
+	cfg := n.cfg.Settings
+	backends := backend.DefaultConfig(cfg.Name, cfg.Zone, cfg.Region)
+	backends.PollInterval = cfg.LoadPollInterval
+	n.backends = backend.NewSet(n.log, backends, n.engines)
+	dispatching := dispatch.DefaultConfig(cfg.Name, cfg.Zone)
+	dispatching.Policy = routing.PolicyName(cfg.RoutingPolicy)
+	dispatching.Seed = n.cfg.Incarnation
+	dispatching.RetryRatio = cfg.RetryBudgetShare
+	dispatching.HedgeDelay = cfg.HedgeDelay
+	dispatching.CallerLimit = cfg.CallerLimit
+	dispatcher, err := dispatch.NewDispatcher(n.log, dispatching, n.engines, n.backends, claimdispatcher.NewClaimer(n.claims))
+	if err != nil {
+		return err
+	}
+	n.dispatcher = dispatcher
+	n.rollouts = rollout.NewService(n.log, rollout.Config{
+		Node:    cfg.Name,
+		Address: cfg.CallerAdvertised(),
+		Table:   n.platform,
+		Objects: n.platform,
+		Runner:  sampleRunner{n.dispatcher},
+		Scorer:  n.platform,
+		Lease:   cfg.LeaseDuration,
+		Faults:  n.cfg.Faults.Rollout,
+	})
+	return nil
+}
+
+// buildPorts makes the servers of the caller and operator ports.
+func (n *Node) buildPorts() {
+	cfg := n.cfg.Settings
+	n.gateway = gateway.NewServer(n.log, gateway.Config{
+		BodyLimit:   cfg.RequestBodyLimit,
+		MaxDeadline: cfg.MaxDeadline,
+	}, gateway.Services{
+		Live:      n.dispatcher,
+		Steps:     stepService{rollouts: n.rollouts, configuration: n.configuration},
+		Pools:     n.backends,
+		Readiness: n,
+	}, n.registry)
+	n.catalog = catalog.NewCatalog(n.log, catalog.Config{Node: cfg.Name, Settings: settingSpecs()}, n.sources(), n.transport)
+	n.catalog.Register(n.transport)
+	executor := query.NewExecutor(n.log, query.Config{Node: cfg.Name, Settings: settingSpecs()}, n.catalog, n.configuration)
+	n.operator = operator.NewServer(n.log, operator.ServerConfig{
+		Node:     cfg.Name,
+		Executor: executor,
+		Status:   n.status,
+		Metrics:  n.metrics(),
+	})
+}
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/control"
+	"github.com/sliplift/sliplift/internal/lease"
+)
+
+// followConfiguration hands each revision to the parts that work by it.
+func (n *Node) followConfiguration(ctx context.Context) {
+	changed, unsubscribe := n.configuration.Subscribe()
+	defer unsubscribe()
+	for {
+		n.applyConfiguration(n.configuration.Current())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (n *Node) applyConfiguration(state *configlog.State) {
+	n.backends.Apply(n.visibleState(state))
+	n.leases.SetShards(leaseShards(state))
+	n.controller.Wake()
+}
+
+// visibleState is the state, or for the test that shows what drains are for,
+// the state without them.
+func (n *Node) visibleState(state *configlog.State) *configlog.State {
+	if !n.cfg.Faults.IgnoreDrains {
+		return state
+	}
+	blind := *state
+	blind.Drains = nil
+	return &blind
+}
+
+// leaseShards are the shards of all pools, and the lease under which one node
+// keeps the list of claim members.
+func leaseShards(state *configlog.State) []lease.Shard {
+	shards := []lease.Shard{{Name: "cluster/claim-members"}}
+	for _, shard := range control.Shards(state) {
+		shards = append(shards, lease.Shard{Name: shard.Name, Zone: shard.Zone()})
+	}
+	return shards
+}
+
+func formatInt(value int64) string { return strconv.FormatInt(value, 10) }
--- /dev/null
+++ b/internal/node/stop.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/sliplift/sliplift/internal/history"
+)
+
+// stopFlag says whether a planned stop has begun.
+type stopFlag struct{ flag atomic.Bool }
+
+func (s *stopFlag) begin() bool { return s.flag.CompareAndSwap(false, true) }
+func (s *stopFlag) begun() bool { return s.flag.Load() }
+
+// Stop is the planned stop. It refuses new work at once, lets what is in flight
+// end, hands steps, claims and leases over, tells the other nodes and closes the
+// node. Work that is still in flight when ctx ends is cut off and counted.
+func (n *Node) Stop(ctx context.Context) {
+	if !n.stop.begin() {
+		return
+	}
+	n.record(history.Event{Kind: history.KindStopBegan})
+	n.log.WithField("in_flight", n.gateway.InFlight()).Info("planned stop began")
+	if n.cfg.Faults.CutOnStop {
+		n.endStop()
+		return
+	}
+	n.gateway.BeginStop()
+	n.rollouts.HandOver(ctx)
+	if err := n.leases.HandOver(ctx); err != nil {
+		n.log.WithError(err).Warn("leases were not handed over; they lapse")
+	}
+	if err := n.gateway.Wait(ctx); err != nil {
+		n.log.WithError(err).Warn("requests are cut off")
+	}
+	if !n.claims.HandOver(ctx) {
+		n.log.Warn("claims were not handed over; a restart of this node abstains")
+	}
+	if err := n.membership.Leave(ctx); err != nil && !isContextError(err) {
+		n.log.WithError(err).Warn("the other nodes were not told")
+	}
+	n.endStop()
+}
+
+func (n *Node) endStop() {
+	cut := n.gateway.InFlight()
+	n.close()
+	n.record(history.Event{Kind: history.KindStopEnded, Cut: cut})
+	n.log.WithField("cut", cut).Info("node stopped")
+}
+
+// Kill ends the node without telling anybody, as a crash does.
+func (n *Node) Kill() {
+	n.stop.begin()
+	n.close()
+}
+
+// close ends every loop and port. It is safe to call in any state.
+func (n *Node) close() {
+	n.cancelRun()
+	n.gateway.Close()
+	n.operator.Close()
+	n.rollouts.Close()
+	n.dispatcher.Close()
+	n.backends.Close()
+	n.claims.Close()
+	n.membership.Close()
+	n.transport.Close()
+	n.httpTransport.CloseIdleConnections()
+	n.running.Wait()
+}
