roster: reasons for safety, and limits on changes of addresses

A retry of a change of unknown fate that finds the table down says nothing about the earlier write, so the change stays open. A zone is taken only by a list that replaces another.

--- a/internal/roster/memory.go
+++ b/internal/roster/memory.go
@@ -27,6 +27,9 @@
 	lists     uint64
 	changedAt time.Time
 	settledAt time.Time
+	// revision is that of the lists, and revisedAt when this memory saw it first.
+	revision  int64
+	revisedAt time.Time
 }
 
 // NewMemory returns a memory that has seen nothing.
@@ -57,6 +60,10 @@
 
 // observeLists begins anew where the lists changed in more than addresses.
 func (m *Memory) observeLists(now time.Time, claims configlog.ClaimMembers) {
+	if m.revisedAt.IsZero() || claims.Revision != m.revision {
+		m.revision = claims.Revision
+		m.revisedAt = now
+	}
 	lists := hashLists(claims)
 	if m.changedAt.IsZero() || lists != m.lists {
 		m.lists = lists
--- a/internal/roster/propose.go
+++ b/internal/roster/propose.go
@@ -16,7 +16,10 @@
 	if sight.Cut {
 		return nil, false
 	}
-	p := proposal{now: now, rules: rules, claims: claims, memory: memory, sight: sight}
+	p := proposal{now: now, rules: rules, claims: claims, memory: memory, sight: sight, listed: map[string]bool{}}
+	for _, member := range claims.Current {
+		p.listed[member.Name] = true
+	}
 	if len(claims.Current) == 0 {
 		return p.first()
 	}
@@ -30,6 +33,8 @@
 	claims configlog.ClaimMembers
 	memory *Memory
 	sight  Sight
+	// listed holds the names of the current list.
+	listed map[string]bool
 }
 
 // first makes the first list. Nothing was granted before it, so it only waits
@@ -52,7 +57,7 @@
 
 // next replaces the list, drops former ones, or brings addresses up to date.
 func (p *proposal) next() (*configlog.SetClaimMembers, bool) {
-	change := &configlog.SetClaimMembers{Current: p.refresh(p.claims.Current, true)}
+	change := &configlog.SetClaimMembers{Current: p.refresh(p.claims.Current, false)}
 	for _, former := range p.claims.Former {
 		change.Former = append(change.Former, p.refresh(former, false))
 	}
@@ -67,7 +72,8 @@
 		change.Former = nil
 		return change, true
 	}
-	return change, !slices.Equal(change.Current, p.claims.Current)
+	moved := !slices.Equal(change.Current, p.claims.Current)
+	return change, moved && p.now.Sub(p.memory.revisedAt) >= refreshInterval
 }
 
 func (p *proposal) replace(change *configlog.SetClaimMembers, wanted []configlog.ClaimMember, windowPassed bool) *configlog.SetClaimMembers {
@@ -124,7 +130,7 @@
 func (p *proposal) joiners(least time.Duration) []configlog.ClaimMember {
 	var joiners []configlog.ClaimMember
 	for _, member := range p.sight.Members {
-		if p.memory.aliveFor(p.now, member.Name, least) && !contains(p.claims.Current, member.Name) {
+		if p.memory.aliveFor(p.now, member.Name, least) && !p.listed[member.Name] {
 			joiners = append(joiners, member.ClaimMember)
 		}
 	}
--- a/internal/roster/rules.go
+++ b/internal/roster/rules.go
@@ -16,6 +16,9 @@
 
 	// maxFormer bounds the former lists.
 	maxFormer = 2
+	// refreshInterval is the least time between a change and one of addresses
+	// only, so that many nodes that move at once cost few changes.
+	refreshInterval = 10 * time.Second
 )
 
 // Rules says when the list changes. Zero values mean the defaults.
--- a/internal/roster/service.go
+++ b/internal/roster/service.go
@@ -15,7 +15,7 @@
 
 // Defaults of Config.
 const (
-	DefaultInterval        = 500 * time.Millisecond
+	DefaultInterval        = time.Second
 	DefaultConfirmInterval = 5 * time.Second
 )
 
@@ -133,10 +133,7 @@
 
 func (s *Service) submit(ctx context.Context, change configlog.Change) {
 	result := s.configuration.Submit(ctx, change)
-	s.pending = nil
-	if result.Outcome == configlog.OutcomeUnknown {
-		s.pending = &change
-	}
+	s.pending = stillOpen(s.pending, change, result.Outcome)
 	list := change.Operation.SetClaimMembers
 	s.lg.WithFields(logrus.Fields{
 		"outcome":  result.Outcome,
@@ -146,6 +143,20 @@
 	}).Info("claim members submitted: " + result.Message)
 }
 
+// stillOpen returns the change if its fate is not known. Where the table cannot
+// be reached, nothing was written this time, but an earlier write may yet take
+// effect. A conflict is final: the row that the change was meant for is taken.
+func stillOpen(pending *configlog.Change, change configlog.Change, outcome configlog.Outcome) *configlog.Change {
+	switch outcome {
+	case configlog.OutcomeUnknown:
+		return &change
+	case configlog.OutcomeUnavailable:
+		return pending
+	default:
+		return nil
+	}
+}
+
 // confirm asks whether the list is applied, as long as that is open.
 func (s *Service) confirm(ctx context.Context, claims configlog.ClaimMembers) {
 	now := time.Now()
--- a/internal/roster/sight.go
+++ b/internal/roster/sight.go
@@ -1,6 +1,9 @@
 package roster
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/membership"
 )
@@ -61,10 +64,11 @@
 }
 
 func (s Sight) find(name string) (Member, bool) {
-	for _, member := range s.Members {
-		if member.Name == name {
-			return member, true
-		}
+	i, found := slices.BinarySearchFunc(s.Members, name, func(m Member, name string) int {
+		return strings.Compare(m.Name, name)
+	})
+	if !found {
+		return Member{}, false
 	}
-	return Member{}, false
+	return s.Members[i], true
 }
