--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -68,6 +68,7 @@
 		demoSpecification(),
 		querySpecification(),
 		shellSpecification(),
+		planSpecification(),
 		loadSpecification(),
 		experimentSpecification(),
 		checkConfigSpecification(),
