node: keeps the list of claim members, so bookings run

Cause: bookings were refused, since no list named the replicas of their keys. Change: roster.Service runs on every node and acts under its lease; SHOW NODES tells the answering node its own revision.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -20,6 +20,7 @@
 	"github.com/sliplift/sliplift/internal/platform"
 	"github.com/sliplift/sliplift/internal/query"
 	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/roster"
 	"github.com/sliplift/sliplift/internal/routing"
 )
 
@@ -51,13 +52,19 @@
 		PollInterval: cfg.ConfigPollInterval,
 		Faults:       n.cfg.Faults.Configlog,
 	})
-	n.claims = claim.NewService(n.log, claim.Config{
-		Self:        cfg.Name,
-		Incarnation: n.cfg.Incarnation,
-		Validity:    cfg.ClaimValidity,
-		GroupSize:   cfg.ClaimReplicas,
-		Faults:      n.cfg.Faults.Claim,
-	}, n.transport, n.transport, claimView{n.configuration}, claim.NewTableRegistrar(n.platform))
+	registrar := claim.NewTableRegistrar(n.platform)
+	n.claims = claim.NewService(n.log, n.claimConfig(), n.transport, n.transport, claimView{n.configuration}, registrar)
+}
+
+func (n *Node) claimConfig() claim.Config {
+	return claim.Config{
+		Self:         n.cfg.Settings.Name,
+		Incarnation:  n.cfg.Incarnation,
+		Validity:     n.cfg.Settings.ClaimValidity,
+		RoundTimeout: claim.DefaultRoundTimeout,
+		GroupSize:    n.cfg.Settings.ClaimReplicas,
+		Faults:       n.cfg.Faults.Claim,
+	}
 }
 
 func (n *Node) membershipConfig() membership.ServiceConfig {
@@ -107,6 +114,9 @@
 		Registry: n.transport,
 		Members:  configMembers{n.membership},
 	}, n.onLeaving)
+	claims := n.claimConfig()
+	rules := roster.Rules{GroupSize: claims.GroupSize, Window: claims.Retention()}
+	n.roster = roster.NewService(n.log, roster.Config{Node: cfg.Name, Rules: rules}, n.leases, n.configuration, n.membership)
 	n.controller = control.NewController(control.DefaultConfig(cfg.Name), n.log, n.leases, n.configuration, n.engines, n.machines)
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -7,6 +7,7 @@
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/control"
 	"github.com/sliplift/sliplift/internal/lease"
+	"github.com/sliplift/sliplift/internal/roster"
 )
 
 // followConfiguration hands each revision to the parts that work by it.
@@ -43,7 +44,7 @@
 // leaseShards are the shards of all pools, and the lease under which one node
 // keeps the list of claim members.
 func leaseShards(state *configlog.State) []lease.Shard {
-	shards := []lease.Shard{{Name: "cluster/claim-members"}}
+	shards := []lease.Shard{{Name: roster.LeaseShard}}
 	for _, shard := range control.Shards(state) {
 		shards = append(shards, lease.Shard{Name: shard.Name, Zone: shard.Zone()})
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sliplift/sliplift/internal/claim"
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/lease"
 	"github.com/sliplift/sliplift/internal/membership"
 	"github.com/sliplift/sliplift/internal/operator/catalog"
+	"github.com/sliplift/sliplift/internal/roster"
 )
 
 // configMembers gives the configuration log its view of the membership.
@@ -56,11 +58,15 @@
 	return alive
 }
 
-// catalogMembers returns the nodes as SHOW NODES tells them. The node's own
-// digest is its applied revision.
+// catalogMembers returns the nodes as SHOW NODES tells them. Of itself the node
+// knows its revision; of others, what they attached to their last heartbeat.
 func (n *Node) catalogMembers() []catalog.Member {
 	var members []catalog.Member
 	for _, member := range n.membership.Snapshot().Members {
+		revision := member.Digest
+		if member.Name == n.cfg.Settings.Name {
+			revision = n.configuration.Current().Revision
+		}
 		members = append(members, catalog.Member{
 			Name:        member.Name,
 			Address:     member.PeerAddress,
@@ -70,7 +76,7 @@
 			State:       catalog.MemberState(member.State),
 			Source:      member.Source,
 			Incarnation: member.Incarnation,
-			Revision:    member.Digest,
+			Revision:    revision,
 			LastHeard:   member.HeardAt,
 		})
 	}
@@ -81,7 +87,7 @@
 type claimView struct{ configuration *configlog.Service }
 
 // View implements claim.ViewSource.
-func (v claimView) View() claim.View { return claimViewOf(v.configuration.Current()) }
+func (v claimView) View() claim.View { return roster.View(v.configuration.Current(), time.Now()) }
 
 // watchMembership stops the node if a later process of its name is heard of.
 func (n *Node) watchMembership(ctx context.Context) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/sliplift/sliplift/internal/peer"
 	"github.com/sliplift/sliplift/internal/platform"
 	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/roster"
 	"github.com/sliplift/sliplift/internal/telemetry"
 )
 
@@ -53,6 +54,7 @@
 	leases        *lease.Service
 	machines      *machinewatch.Watcher
 	controller    *control.Controller
+	roster        *roster.Service
 	catalog       *catalog.Catalog
 	gateway       *gateway.Server
 	operator      *operator.Server
@@ -91,6 +93,7 @@
 	n.loop(n.leases.Run)
 	n.loop(n.machines.Run)
 	n.loop(n.controller.Run)
+	n.loop(n.roster.Run)
 	n.loop(n.followConfiguration)
 	n.loop(n.watchReadiness)
 	n.loop(n.watchMembership)
