--- a/internal/roster/doc.go
+++ b/internal/roster/doc.go
@@ -14,7 +14,9 @@
 // The first list is made as soon as GroupSize members, or all that are known if
 // there are fewer, have settled. Later, members that have been alive for
 // JoinAfter are added, and those that have been gone for ReplaceAfter are
-// removed, so a restart under the same name changes nothing. Nothing changes
+// removed, so a restart under the same name changes nothing. While it is open
+// whether a member that is gone comes back, others join after ReplaceAfter only,
+// so that a replacement is one change. Nothing changes
 // while a region is unreached: its members are at work, as far as anybody knows.
 // A member that is gone stays in the list where groups would otherwise become
 // smaller. Groups are chosen by rendezvous hashing, so a list that differs by
--- a/internal/roster/propose.go
+++ b/internal/roster/propose.go
@@ -89,12 +89,24 @@
 func (p *proposal) wanted() []configlog.ClaimMember {
 	gone := func(name string) bool { return p.memory.goneFor(p.now, name, p.rules.ReplaceAfter) }
 	staying := slices.DeleteFunc(p.refresh(p.claims.Current, true), func(m configlog.ClaimMember) bool { return gone(m.Name) })
-	list := p.bounded(staying, p.joiners(p.rules.JoinAfter))
+	list := p.bounded(staying, p.joiners(p.joinAfter()))
 	return p.fill(list)
 }
 
+// joinAfter is longer while a member of the list is gone but not yet removed, so
+// that its replacement takes one change, not two.
+func (p *proposal) joinAfter() time.Duration {
+	for name := range p.listed {
+		if p.lost(name) && !p.memory.goneFor(p.now, name, p.rules.ReplaceAfter) {
+			return max(p.rules.JoinAfter, p.rules.ReplaceAfter)
+		}
+	}
+	return p.rules.JoinAfter
+}
+
 // fill keeps members that are gone where groups would become smaller without
-// them: two of three replicas bear the same as one of one, and remember more.
+// them: two of three replicas that answer are better than one of one, which
+// forgets all when it restarts.
 func (p *proposal) fill(list []configlog.ClaimMember) []configlog.ClaimMember {
 	missing := min(p.rules.GroupSize, len(p.claims.Current)) - len(list)
 	if missing <= 0 {
