--- a/internal/migrate/position.go
+++ b/internal/migrate/position.go
@@ -72,13 +72,6 @@
 	return p, nil
 }
 
-// clone returns a position that can be changed without this one.
-func (p *position) clone() *position {
-	other := *p
-	other.backends = slices.Clone(p.backends)
-	return &other
-}
-
 // drain supposes that back end i is drained.
 func (p *position) drain(i int) {
 	if p.backends[i].Report == nil {
--- a/internal/migrate/render.go
+++ b/internal/migrate/render.go
@@ -57,19 +57,14 @@
 
 func verdict(plan Plan) string {
 	switch {
+	case !plan.Complete && len(plan.Waves) == 0:
+		return "the plan is not complete: " + plan.Blocked
 	case !plan.Complete:
-		return fmt.Sprintf("after %s the plan goes no further: %s", waveCount(len(plan.Waves)), plan.Blocked)
+		return fmt.Sprintf("the plan is not complete; after wave %d %s", len(plan.Waves), plan.Blocked)
 	case len(plan.Waves) == 0:
 		return "nothing is left to do"
 	}
-	return fmt.Sprintf("%s move the pool; after each, at least %.0f%% of the capacity is free", waveCount(len(plan.Waves)), 100*plan.MinFree)
-}
-
-func waveCount(waves int) string {
-	if waves == 1 {
-		return "1 wave"
-	}
-	return fmt.Sprintf("%d waves", waves)
+	return fmt.Sprintf("the plan is complete; nothing is drained unless %.0f%% of the capacity stays free", 100*plan.MinFree)
 }
 
 // RenderEvent writes what a run does as one line.
@@ -95,8 +90,12 @@
 	} else {
 		fmt.Fprintf(w, "how things stand now is unknown; seen last: %s\n", describeProgress(outcome.Progress, plan.From, plan.To))
 	}
-	if outcome.State != StateDone {
-		fmt.Fprintln(w, "the same command goes on from here; with --undo, or without it if this was an undo, it goes back")
+	switch {
+	case outcome.State == StateDone:
+	case plan.Undo:
+		fmt.Fprintln(w, "the same command goes on from here; without --undo it goes forth again")
+	default:
+		fmt.Fprintln(w, "the same command goes on from here; with --undo it goes back")
 	}
 }
 
--- a/internal/migrate/step.go
+++ b/internal/migrate/step.go
@@ -108,6 +108,9 @@
 	if missing := (wave+1)*resumeSize - progress.ToServing; missing > 0 && len(candidates) > 0 {
 		return resume(candidates, min(missing, resumeSize))
 	}
+	if progress.ToServing == 0 {
+		return Step{Action: ActionBlocked, Reason: "no back end of the site to move to is in service or can be resumed"}
+	}
 	drained := p.drainable(drainSize - progress.FromDrained%drainSize)
 	switch {
 	case len(drained) > 0:
@@ -155,26 +158,29 @@
 }
 
 // drainable returns up to count back ends of the old site that can be spared.
+// The demand stays the same whatever is drained, only the capacity goes.
 func (p *position) drainable(count int) []string {
-	after := p.clone()
+	load := p.load()
 	var names []string
 	for _, i := range p.from {
-		if len(names) == count {
-			break
-		}
-		if after.backends[i].Drained {
+		backend := p.backends[i]
+		if backend.Drained || len(names) == count {
 			continue
 		}
-		without := after.clone()
-		without.drain(i)
-		if without.load().fits(p.options.MinFree) {
-			after = without
-			names = append(names, p.backends[i].Name)
+		without := load
+		if backend.serves() {
+			without.Capacity -= backend.Report.Capacity
+		}
+		if without.fits(p.options.MinFree) {
+			load = without
+			names = append(names, backend.Name)
 		}
 	}
 	return names
 }
 
 func (p *position) whyBlocked(remaining int) string {
-	return fmt.Sprintf("%d back ends still to drain, and none can be spared: %s", remaining, p.overload(p.load()))
+	load := p.load()
+	return fmt.Sprintf("none of the %d that remain can be drained: demand is %d of capacity %d, and without one of them less than the share %.2f is free",
+		remaining, load.Demand, load.Capacity, p.options.MinFree)
 }
