claim: a former list counts for as long as the view names it

Cause: a node dropped a former list one window after it first saw the change. A region cut off right after the acceptance for longer than the window could then claim on the old list alone while the others no longer asked it. Ruled out: a limit on the age of the view, which refuses bookings in a long cut. Change: Views.Groups also covers View.Previous, which the roster keeps until the list that replaced it is known to be in force.

--- a/internal/claim/replica_test.go
+++ b/internal/claim/replica_test.go
@@ -176,3 +176,24 @@
 		t.Fatalf("%d groups after the window", got)
 	}
 }
+
+// TestNamedFormerListOutlivesItsWindow covers a region that was cut off before
+// it learned of a change: the list it acts on stays in the view until whoever
+// keeps the view knows that nobody acts on it.
+func TestNamedFormerListOutlivesItsWindow(t *testing.T) {
+	start := time.Unix(0, 0)
+	views := NewViews(ViewsConfig{GroupSize: 1, Window: time.Minute})
+	view := View{Revision: 2, Members: []Member{{Name: "b"}}, Previous: [][]Member{{{Name: "a"}}}}
+	views.Observe(view, start)
+	late := start.Add(time.Hour)
+	views.Observe(view, late)
+	if got := len(views.Groups("key")); got != 2 {
+		t.Errorf("%d groups while the view names the former list, want 2", got)
+	}
+	view.Revision, view.Previous = 3, nil
+	views.Observe(view, late)
+	views.Observe(view, late.Add(time.Minute))
+	if got := len(views.Groups("key")); got != 1 {
+		t.Errorf("%d groups after the list was dropped and the window passed, want 1", got)
+	}
+}
--- a/internal/claim/view.go
+++ b/internal/claim/view.go
@@ -82,11 +82,19 @@
 }
 
 // Groups returns the groups of which a claim of key needs majorities: that of
-// the current list first, then those of former lists, without repetition.
+// the current list first, then those of former lists, without repetition. A
+// former list counts for Window after this node learned of its end, and for as
+// long as the view itself names it: whoever keeps the view may know of a node
+// that still acts on it.
 func (v *Views) Groups(key string) [][]Member {
-	groups := [][]Member{GroupFor(key, v.current.Members, v.config.GroupSize)}
+	lists := [][]Member{v.current.Members}
+	lists = append(lists, v.current.Previous...)
 	for _, former := range v.former {
-		group := GroupFor(key, former.members, v.config.GroupSize)
+		lists = append(lists, former.members)
+	}
+	var groups [][]Member
+	for _, members := range lists {
+		group := GroupFor(key, members, v.config.GroupSize)
 		known := slices.ContainsFunc(groups, func(g []Member) bool { return sameNames(g, group) })
 		if !known {
 			groups = append(groups, group)
