--- a/internal/migrate/plan.go
+++ b/internal/migrate/plan.go
@@ -73,7 +73,7 @@
 		Pool: options.Pool, From: from, To: to, Undo: options.Undo,
 		Revision: snapshot.Revision, AsOf: snapshot.AsOf, Target: snapshot.Target,
 		WaveShare: options.WaveShare, MinFree: options.MinFree,
-		Progress: p.progress(), Load: p.load(), options: options,
+		Progress: p.progress(), Load: p.load(), Waves: []Wave{}, options: options,
 		FinishMS: finishTime(p, snapshot.FinishedPerSecond),
 		Risks:    risks(snapshot, p),
 	}
--- a/internal/migrate/render.go
+++ b/internal/migrate/render.go
@@ -29,7 +29,6 @@
 			return err
 		}
 	}
-	renderWaits(w, plan)
 	for _, risk := range plan.Risks {
 		fmt.Fprintf(w, "risk: %s\n", risk)
 	}
@@ -47,14 +46,6 @@
 	return table.Flush()
 }
 
-func renderWaits(w io.Writer, plan Plan) {
-	for _, wave := range plan.Waves {
-		for _, wait := range wave.Waits {
-			fmt.Fprintf(w, "wave %d waits: %s\n", wave.Number, wait)
-		}
-	}
-}
-
 func verdict(plan Plan) string {
 	switch {
 	case !plan.Complete && len(plan.Waves) == 0:
@@ -105,6 +96,9 @@
 }
 
 func describeLoad(load Load) string {
+	if load.Capacity == 0 {
+		return "the load is unknown: no back end that serves reports"
+	}
 	return fmt.Sprintf("demand %d of capacity %d (%s)", load.Demand, load.Capacity, percentage(load))
 }
 
--- a/internal/migrate/step.go
+++ b/internal/migrate/step.go
@@ -181,6 +181,9 @@
 
 func (p *position) whyBlocked(remaining int) string {
 	load := p.load()
+	if load.Capacity == 0 {
+		return fmt.Sprintf("none of the %d that remain can be drained: no back end that serves reports", remaining)
+	}
 	return fmt.Sprintf("none of the %d that remain can be drained: demand is %d of capacity %d, and without one of them less than the share %.2f is free",
 		remaining, load.Demand, load.Capacity, p.options.MinFree)
 }
