--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -210,7 +210,7 @@
 	c.mu.Lock()
 	delete(c.nodes, name)
 	c.mu.Unlock()
-	c.config.Sink.Record(history.Event{Kind: history.KindNodeEnded, Process: "cluster", Node: name})
+	c.config.Sink.Record(history.Event{Kind: history.KindNodeEnded, Process: name})
 }
 
 // Emulator returns the stand-ins, for their faults.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -43,6 +43,15 @@
 	// dropped, because the engine also sees the connection close.
 	CancelTimeout time.Duration
 	CancelLimit   int
+	Faults        Faults
+}
+
+// Faults switches mechanisms off, so that tests can show that a check fails
+// without them. The zero value leaves all on.
+type Faults struct {
+	// RefuseAfterSending says refused of every request that did not complete,
+	// also after it was sent.
+	RefuseAfterSending bool
 }
 
 // DefaultConfig returns the settings for a node.
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -59,7 +59,7 @@
 // outcome returns what is known of a request that will not be sent again.
 func (e *execution) outcome() api.Outcome {
 	switch {
-	case !e.sent:
+	case !e.sent || e.d.cfg.Faults.RefuseAfterSending:
 		return api.OutcomeRefused
 	case e.request.Repeatable && e.ran:
 		return api.OutcomeFailed
--- a/internal/engine/assembler.go
+++ b/internal/engine/assembler.go
@@ -17,11 +17,13 @@
 type assembler struct {
 	requestID string
 	attempt   int
-	next      int64
-	text      strings.Builder
-	tokens    int
-	segments  []api.Segment
-	last      *api.StreamFrame
+	// trusting is Faults.TrustFrames.
+	trusting bool
+	next     int64
+	text     strings.Builder
+	tokens   int
+	segments []api.Segment
+	last     *api.StreamFrame
 	// early holds frames that arrived before an earlier one; nil while there
 	// were none.
 	early map[int64]*api.StreamFrame
@@ -31,11 +33,13 @@
 // which may be nil. Frames of other attempts and duplicates are dropped without
 // an error. An error means that the stream cannot be continued.
 func (a *assembler) add(frame *api.StreamFrame, onFrame func(api.StreamFrame) error) error {
-	if a.foreign(frame) || frame.Sequence < a.next || a.last != nil {
-		return nil
-	}
-	if frame.Sequence > a.next {
-		return a.keep(frame)
+	if !a.trusting {
+		if a.foreign(frame) || frame.Sequence < a.next || a.last != nil {
+			return nil
+		}
+		if frame.Sequence > a.next {
+			return a.keep(frame)
+		}
 	}
 	for frame != nil && a.last == nil {
 		if err := a.take(frame); err != nil {
@@ -84,6 +88,9 @@
 	}
 	last := *frame
 	a.last = &last
+	if a.trusting {
+		return nil
+	}
 	return a.checkTotals(frame)
 }
 
@@ -121,6 +128,11 @@
 	result.Text = a.text.String()
 	result.Tokens = a.tokens
 	result.Segments = a.segments
+	if a.last == nil && a.trusting && a.tokens > 0 {
+		result.State = StateComplete
+		result.Err = nil
+		return result
+	}
 	if a.last == nil {
 		if err == nil {
 			result.Err = a.cut()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -32,8 +32,9 @@
 // Client calls back ends by their host:port address. It is safe for
 // concurrent use.
 type Client struct {
-	http  *http.Client
-	sling *sling.Sling
+	http   *http.Client
+	sling  *sling.Sling
+	faults Faults
 }
 
 // NewClient returns a client over httpClient, which is not changed. Its
@@ -61,9 +62,11 @@
 		return Result{State: state, Err: err}
 	}
 	defer response.Body.Close()
-	frames := &assembler{requestID: request.RequestID, attempt: request.Attempt}
+	frames := &assembler{requestID: request.RequestID, attempt: request.Attempt, trusting: c.faults.TrustFrames}
 	err = readFrames(response.Body, frames, onFrame)
-	return frames.result(err)
+	result := frames.result(err)
+	result.Load = c.faults.seen(result.Load)
+	return result
 }
 
 // Invoke runs request on the application instance at address.
@@ -84,7 +87,7 @@
 	if !checksumMatches(answer.Checksum, answer.Body) {
 		return InvokeResult{State: StatePartial, Err: ErrCorrupt.Errorf("checksum %q does not match the body", answer.Checksum)}
 	}
-	return InvokeResult{State: StateComplete, Body: answer.Body, Load: answer.Load}
+	return InvokeResult{State: StateComplete, Body: answer.Body, Load: c.faults.seen(answer.Load)}
 }
 
 // send posts body and returns a response of status 200, or how far the
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -13,7 +13,7 @@
 func (c *Client) Load(ctx context.Context, address string) (api.LoadReport, error) {
 	var report api.LoadReport
 	err := c.call(ctx, c.sling.New().Get("http://"+address+"/v1/load"), &report)
-	return report, err
+	return *c.faults.seen(&report), err
 }
 
 // CacheEvents returns the cache events behind the sequence number after.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -97,7 +97,7 @@
 // buildControl makes what the holder of a lease does.
 func (n *Node) buildControl() {
 	cfg := n.cfg.Settings
-	n.engines = engine.NewClient(&http.Client{Transport: n.httpTransport})
+	n.engines = engine.NewClient(&http.Client{Transport: n.httpTransport}).WithFaults(n.engineFaults())
 	n.leases = lease.NewService(n.log, lease.Config{
 		Node:     cfg.Name,
 		Table:    n.platform,
@@ -117,7 +117,13 @@
 	claims := n.claimConfig()
 	rules := roster.Rules{GroupSize: claims.GroupSize, Window: claims.Retention()}
 	n.roster = roster.NewService(n.log, roster.Config{Node: cfg.Name, Rules: rules}, n.leases, n.configuration, n.membership)
-	n.controller = control.NewController(control.DefaultConfig(cfg.Name), n.log, n.leases, n.configuration, n.engines, n.machines)
+	n.controller = control.NewController(control.DefaultConfig(cfg.Name), n.log, n.leases, visibleConfiguration{n}, n.engines, visibleMachines{n})
+}
+
+func (n *Node) engineFaults() engine.Faults {
+	faults := n.cfg.Faults.Engine
+	faults.HideLeaving = faults.HideLeaving || n.cfg.Faults.IgnoreDrains
+	return faults
 }
 
 // onLeaving takes the names that the machine list shows as leaving.
@@ -141,6 +147,7 @@
 	dispatching.RetryRatio = cfg.RetryBudgetShare
 	dispatching.HedgeDelay = cfg.HedgeDelay
 	dispatching.CallerLimit = cfg.CallerLimit
+	dispatching.Faults = n.cfg.Faults.Dispatch
 	dispatcher, err := dispatch.NewDispatcher(n.log, dispatching, n.engines, n.backends, claimdispatcher.NewClaimer(n.claims))
 	if err != nil {
 		return err
@@ -151,7 +158,7 @@
 		Address: cfg.CallerAdvertised(),
 		Table:   n.platform,
 		Objects: n.platform,
-		Runner:  sampleRunner{n.dispatcher},
+		Runner:  n.sampleRunner(),
 		Scorer:  n.platform,
 		Lease:   cfg.LeaseDuration,
 		Faults:  n.cfg.Faults.Rollout,
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/sliplift/sliplift/internal/claim"
 	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/dispatch"
 	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/lease"
@@ -40,7 +41,13 @@
 	Claim     claim.Faults
 	Configlog configlog.Faults
 	Lease     lease.Faults
-	// IgnoreDrains keeps the node's own view from learning of drains.
+	Engine    engine.Faults
+	Dispatch  dispatch.Faults
+	// VersionsFromConfiguration names in samples the pool's target version
+	// instead of those that the streams reported.
+	VersionsFromConfiguration bool
+	// IgnoreDrains keeps the node from learning of drains, and from ordering back
+	// ends to refuse.
 	IgnoreDrains bool
 	// CutOnStop ends a planned stop without waiting for what is in flight.
 	CutOnStop bool
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -41,6 +41,25 @@
 	return &blind
 }
 
+// visibleConfiguration gives the control loop the configuration.
+type visibleConfiguration struct{ node *Node }
+
+// Current implements control.Configuration.
+func (v visibleConfiguration) Current() *configlog.State {
+	return v.node.visibleState(v.node.configuration.Current())
+}
+
+// visibleMachines gives the control loop the machines that leave.
+type visibleMachines struct{ node *Node }
+
+// Leaving implements control.MachineWatch.
+func (v visibleMachines) Leaving() map[string]bool {
+	if v.node.cfg.Faults.IgnoreDrains {
+		return nil
+	}
+	return v.node.machines.Leaving()
+}
+
 // leaseShards are the shards of all pools, and the lease under which one node
 // keeps the list of claim members.
 func leaseShards(state *configlog.State) []lease.Shard {
--- a/internal/node/steps.go
+++ b/internal/node/steps.go
@@ -43,6 +43,30 @@
 	}
 }
 
+// configuredVersions names the configured version in samples, for the test that
+// shows what the streams' own reports are for.
+type configuredVersions struct {
+	rollout.Runner
+	configuration *configlog.Service
+}
+
+// Run implements rollout.Runner.
+func (r configuredVersions) Run(ctx context.Context, request rollout.RunRequest) rollout.RunResult {
+	result := r.Runner.Run(ctx, request)
+	version := r.configuration.Current().Pools[request.Pool].TargetVersion()
+	for i := range result.Segments {
+		result.Segments[i].Version = version
+	}
+	return result
+}
+
+func (n *Node) sampleRunner() rollout.Runner {
+	if n.cfg.Faults.VersionsFromConfiguration {
+		return configuredVersions{sampleRunner{n.dispatcher}, n.configuration}
+	}
+	return sampleRunner{n.dispatcher}
+}
+
 // stepService joins the rollout service and the configuration log into what the
 // gateway serves to trainers.
 type stepService struct {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sliplift/sliplift/internal/history"
 )
@@ -29,13 +30,31 @@
 	}
 	n.gateway.BeginStop()
 	n.handOver(ctx)
-	if !n.claims.HandOver(ctx) {
+	n.handOverClaims(ctx)
+	n.leave(ctx)
+	n.endStop()
+}
+
+// farewellTimeout bounds each of the last messages to the other nodes. They are
+// sent also where the work in flight used up the time of the stop: without them
+// the others wait for a node that is gone, and its restart takes no part in
+// claims.
+const farewellTimeout = 5 * time.Second
+
+func (n *Node) handOverClaims(ctx context.Context) {
+	farewell, cancel := context.WithTimeout(context.WithoutCancel(ctx), farewellTimeout)
+	defer cancel()
+	if !n.claims.HandOver(farewell) {
 		n.log.Warn("claims were not handed over; a restart of this node abstains")
 	}
-	if err := n.membership.Leave(ctx); err != nil && !isContextError(err) {
+}
+
+func (n *Node) leave(ctx context.Context) {
+	farewell, cancel := context.WithTimeout(context.WithoutCancel(ctx), farewellTimeout)
+	defer cancel()
+	if err := n.membership.Leave(farewell); err != nil && !isContextError(err) {
 		n.log.WithError(err).Warn("the other nodes were not told")
 	}
-	n.endStop()
 }
 
 // handOver gives up steps and leases while what is in flight ends; each of the
@@ -43,11 +62,7 @@
 func (n *Node) handOver(ctx context.Context) {
 	var tasks sync.WaitGroup
 	tasks.Go(func() { n.rollouts.HandOver(ctx) })
-	tasks.Go(func() {
-		if err := n.leases.HandOver(ctx); err != nil {
-			n.log.WithError(err).Warn("leases were not handed over; they lapse")
-		}
-	})
+	tasks.Go(func() { n.handOverLeases(ctx) })
 	tasks.Go(func() {
 		if err := n.gateway.Wait(ctx); err != nil {
 			n.log.WithError(err).Warn("requests are cut off")
@@ -56,6 +71,16 @@
 	tasks.Wait()
 }
 
+// handOverLeases waits no longer than a lease lasts: one that could not be given
+// up by then, because the platform's store is down, has lapsed.
+func (n *Node) handOverLeases(ctx context.Context) {
+	lasting, cancel := context.WithTimeout(ctx, n.cfg.Settings.LeaseDuration)
+	defer cancel()
+	if err := n.leases.HandOver(lasting); err != nil {
+		n.log.WithError(err).Warn("leases were not handed over; they lapse")
+	}
+}
+
 func (n *Node) endStop() {
 	cut := n.gateway.InFlight()
 	n.close()
