--- a/internal/configlog/apply.go
+++ b/internal/configlog/apply.go
@@ -173,22 +173,44 @@
 }
 
 // addBackends stores pool with the back ends appended. Names are unique in the
-// whole cluster, because a drain order names a back end without its pool.
+// whole cluster, because a drain order names a back end without its pool. Each
+// name is looked up in an index and not in all pools, since a pool may be made
+// with thousands of back ends on every node at once.
 func (s *State) addBackends(pool Pool, backends []Backend) error {
 	s.Pools[pool.Name] = pool
+	holders := map[string]string{}
+	if len(backends) > 0 {
+		holders = s.backendHolders()
+	}
+	// Published states share the slice that is copied here.
+	grown := make([]Backend, 0, len(pool.Backends)+len(backends))
+	grown = append(grown, pool.Backends...)
 	for _, backend := range backends {
 		if err := backend.validate(); err != nil {
 			return err
 		}
-		if holder, taken := s.backendPool(backend.Name); taken {
+		if holder, taken := holders[backend.Name]; taken {
 			return ErrExists.Errorf("back end %q is in pool %q", backend.Name, holder)
 		}
-		pool.Backends = append(slices.Clone(pool.Backends), backend)
-		s.Pools[pool.Name] = pool
+		holders[backend.Name] = pool.Name
+		grown = append(grown, backend)
 	}
+	pool.Backends = grown
+	s.Pools[pool.Name] = pool
 	return nil
 }
 
+// backendHolders returns the pool of every back end by the back end's name.
+func (s *State) backendHolders() map[string]string {
+	holders := map[string]string{}
+	for _, pool := range s.Pools {
+		for _, backend := range pool.Backends {
+			holders[backend.Name] = pool.Name
+		}
+	}
+	return holders
+}
+
 func (p Pool) validate() error {
 	switch {
 	case !namePattern.MatchString(p.Name):
