--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -21,9 +21,7 @@
 	wakeup  int
 	down    bool
 	streams map[batch.Key]*stream
-	report  loadReport
-	// priorities counts the streams by priority.
-	priorities [api.PriorityLowest + 1]int
+	report  batch.Load
 	// reportAt is when the report was refreshed.
 	reportAt time.Duration
 	// fetching is the version that is being fetched, which does not pause the
@@ -31,12 +29,6 @@
 	fetching int64
 }
 
-// loadReport is an engine's load as a poll or an answer carries it.
-type loadReport struct {
-	batch.Load
-	priorities []int
-}
-
 // stream is one sending of a request to one engine.
 type stream struct {
 	key     batch.Key
@@ -115,7 +107,7 @@
 		version := e.machine.Load().Version
 		e.reply(s, func() { s.router.started(s, version) })
 	case batch.EventEnded:
-		e.remove(s)
+		delete(e.streams, s.key)
 		progress, load := happened.Progress, e.loadNow()
 		e.reply(s, func() { s.router.ended(s, progress, load) })
 	case batch.EventLoaded, batch.EventLoadFailed:
@@ -154,7 +146,6 @@
 		return
 	}
 	e.streams[s.key] = s
-	e.priorities[r.priority]++
 	if e.sim.cut(e.zone, s.router.zone) {
 		e.goSilent(s)
 	}
@@ -186,7 +177,7 @@
 		return batch.Progress{}, false
 	}
 	progress, err := e.machine.Export(e.localNow(), s.key)
-	e.remove(s)
+	delete(e.streams, s.key)
 	e.advance()
 	return progress, err == nil
 }
@@ -199,7 +190,7 @@
 }
 
 // currentReport returns the load report that a poll finds now.
-func (e *engine) currentReport() loadReport {
+func (e *engine) currentReport() batch.Load {
 	if e.sim.now-e.reportAt >= e.sim.scenario.ReportLag || e.reportAt == 0 {
 		e.advance()
 		e.report = e.loadNow()
@@ -208,19 +199,14 @@
 	return e.report
 }
 
-func (e *engine) loadNow() loadReport {
-	report := loadReport{Load: e.machine.Load(), priorities: slices.Clone(e.priorities[:])}
+func (e *engine) loadNow() batch.Load {
+	report := e.machine.Load()
 	if e.fetching != 0 {
 		report.Loading = e.fetching
 	}
 	return report
 }
 
-func (e *engine) remove(s *stream) {
-	delete(e.streams, s.key)
-	e.priorities[s.request.priority]--
-}
-
 // load fetches a version and then swaps to it.
 func (e *engine) load(version int64) {
 	if e.down || e.fetching != 0 {
@@ -248,7 +234,6 @@
 		e.reply(s, func() { s.router.broken(s, progress) })
 	}
 	clear(e.streams)
-	clear(e.priorities[:])
 }
 
 // restart begins anew with the version that the pool had last.
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -19,6 +19,10 @@
 const (
 	// refusedPause is the wait after a refusal.
 	refusedPause = 100 * time.Millisecond
+	// refusalsInTurn is how many engines are asked before such a wait. The
+	// product takes refusals from the retry budget; here they are free, which
+	// favours the policies that are refused most.
+	refusalsInTurn = 16
 	// unreachableAfter is how long a connection attempt over a cut takes.
 	unreachableAfter = time.Second
 	// silentAfter is how long a node waits for a stream that has gone silent.
@@ -134,10 +138,10 @@
 	r.pump()
 }
 
-func (r *router) take(e *engine, load loadReport) {
+func (r *router) take(e *engine, load batch.Load) {
 	b := r.backend(e)
 	b.Running, b.Waiting, b.Version = load.Running, load.Waiting, load.Version
-	b.Loading, b.Priorities = load.Loading, load.priorities
+	b.Loading = load.Loading
 	b.ReportInFlight = b.InFlight
 	b.Reported = true
 }
@@ -159,6 +163,7 @@
 	if q.cancelled || r.send(q) {
 		return
 	}
+	q.excluded = nil
 	r.sim.stats.Refusals++
 	r.sim.after(refusedPause, func() { r.dispatch(q) })
 }
@@ -200,15 +205,13 @@
 	with := r.sim.plan.With
 	if q.live {
 		choice.PreferQuiet = with.Has(settings.MechanismQuiet)
-		choice.AvoidLoading = with.Has(settings.MechanismDrain)
 	} else if with.Has(settings.MechanismQueue) {
 		choice.Admission = &routing.Admission{
-			Reserve: r.sim.plan.Reserve, QuietSlots: r.sim.plan.QuietSlots, Overtake: with.Has(settings.MechanismOvertake),
+			Reserve: r.sim.plan.Reserve, QuietSlots: r.sim.plan.QuietSlots,
 		}
 	}
 	chosen := routing.Choose(r.policy, &r.pool, &choice)
 	if !chosen.Found {
-		q.excluded = nil
 		return false
 	}
 	r.transmit(q, r.sim.engines[r.sim.engineIndex[chosen.Backend.Name]])
@@ -245,7 +248,7 @@
 	}
 }
 
-func (r *router) ended(s *stream, progress batch.Progress, load loadReport) {
+func (r *router) ended(s *stream, progress batch.Progress, load batch.Load) {
 	if !r.release(s) {
 		r.sim.stats.WastedTokens += int64(progress.Tokens)
 		return
@@ -274,7 +277,15 @@
 	q := s.request
 	q.current = nil
 	q.excluded = append(q.excluded, s.engine.name)
-	r.dispatch(q)
+	r.sim.stats.Refusals++
+	if len(q.excluded) < refusalsInTurn {
+		r.dispatch(q)
+		return
+	}
+	r.sim.after(refusedPause, func() {
+		q.excluded = nil
+		r.dispatch(q)
+	})
 }
 
 // broken tells that the stream broke off with the progress received; the
@@ -355,10 +366,10 @@
 		b := &r.pool.Backends[i]
 		loads[i] = rollout.EngineLoad{
 			Name: b.Name, Streams: b.Estimate(), Slots: b.Capacity, Version: b.Version,
-			Closed: b.Suspect || b.Loading != 0, Quiet: b.Quiet,
+			Closed: b.Suspect || b.Loading != 0,
 		}
 		if b.Quiet {
-			loads[i].Slots = r.sim.plan.LongSlots
+			loads[i].Slots = r.sim.plan.QuietSlots
 		}
 	}
 	return loads
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -11,6 +11,10 @@
 // virtualLimit ends a run that makes no progress, in virtual time.
 const virtualLimit = 48 * time.Hour
 
+// aloneRequests is how many live requests a run without training takes at most;
+// they are plenty for a 99th percentile.
+const aloneRequests = 200_000
+
 // Run plays the scenario under one policy with one seed, and then the same
 // live traffic for as long without training.
 func Run(scenario *settings.Experiment, policy *settings.ExperimentPolicy, seed int64) Result {
@@ -19,7 +23,7 @@
 	result := s.result()
 	result.LowerBoundSeconds = s.lowerBound().Seconds()
 	alone := newSimulation(scenario, policy, seed, false)
-	alone.run(s.now, func() bool { return false })
+	alone.run(s.now, func() bool { return alone.stats.live.TotalCount() >= aloneRequests })
 	result.AloneP50MS = alone.stats.liveQuantile(50)
 	result.AloneP99MS = alone.stats.liveQuantile(99)
 	return result
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -127,9 +127,6 @@
 	return s.scenario.ZoneLatency
 }
 
-// slots returns how many streams the pool's engines run at once.
-func (s *simulation) slots() int { return s.scenario.Engines * s.scenario.Capacity }
-
 // cut tells whether the network between two zones is cut.
 func (s *simulation) cut(a, b int) bool {
 	return a != b && s.cutZone >= 0 && (a == s.cutZone || b == s.cutZone)
@@ -207,10 +204,8 @@
 
 func (s *simulation) moveTails() {
 	for _, t := range s.trainers {
-		for number := t.current; number <= t.posted; number++ {
-			if p := t.steps[number]; p != nil {
-				p.moveSamples()
-			}
+		if p := t.steps[t.current]; p != nil {
+			p.moveTail()
 		}
 	}
 }
@@ -227,11 +222,7 @@
 			}
 		}
 	}
-	order := rollout.ShareByNeed
-	if s.plan.With.Has(settings.MechanismShortest) {
-		order = rollout.ShareByWork
-	}
-	shares := rollout.PlanShares(order, s.sampleSlots(), demands)
+	shares := rollout.PlanShares(s.sampleSlots(), demands)
 	s.after(s.scenario.ZoneLatency, func() {
 		for i, p := range open {
 			p.share = shares[i]
--- a/internal/experiment/step.go
+++ b/internal/experiment/step.go
@@ -174,8 +174,7 @@
 	counts := p.ledger.Counts()
 	demand := rollout.StepDemand{
 		Trainer: p.trainer.config.Name, Step: int64(p.number), Awaited: p.asked, NeededAt: p.trainer.trainEnds,
-		Samples: counts.Waiting + counts.Running, TokensLeft: p.tokensLeft(),
-		Total: len(p.starts),
+		Samples: counts.Waiting + counts.Running,
 	}
 	if p.asked {
 		demand.NeededAt = p.askedAt
@@ -192,24 +191,12 @@
 }
 
 func (p *step) priority(from api.Priority) api.Priority {
-	with := p.sim.plan.With
-	switch {
-	case with.Has(settings.MechanismPriority) && !p.asked:
+	if p.sim.plan.With.Has(settings.MechanismPriority) && !p.asked {
 		return rollout.PriorityAhead
-	case with.Has(settings.MechanismShortest):
-		return rollout.StepPriority(p.tokensLeft(), p.sim.slots())
 	}
 	return from
 }
 
-// tokensLeft returns how many tokens the step's samples are expected to take
-// yet, those that run counted as a half.
-func (p *step) tokensLeft() float64 {
-	counts := p.ledger.Counts()
-	samples := float64(counts.Waiting) + float64(counts.Running)/2
-	return samples * p.trainer.lengths.Mean()
-}
-
 func (p *step) finish(number int, q *request) {
 	delete(p.requests, number)
 	p.takeBack(q)
@@ -353,17 +340,15 @@
 	p.changed()
 }
 
-// moveSamples moves the last samples of an awaited step to emptier engines, and
-// before that long ones to quiet engines; each as far as the node that runs it
-// sees.
-func (p *step) moveSamples() {
-	if p.taken {
+// moveTail moves the last samples of an awaited step to emptier engines, each
+// as far as the node that runs it sees.
+func (p *step) moveTail() {
+	if !p.asked || p.taken || !rollout.DefaultTailConfig().InTail(len(p.requests), len(p.starts)) {
 		return
 	}
 	byID := map[string]*request{}
 	samples := map[*router][]rollout.RunningSample{}
 	var routers []*router
-	tail := p.asked
 	for _, number := range p.order {
 		q := p.requests[number]
 		switch {
@@ -371,8 +356,7 @@
 			continue
 		case q.current == nil:
 			// Something still waits: this is not the tail yet.
-			tail = false
-			continue
+			return
 		}
 		byID[q.id] = q
 		if samples[q.router] == nil {
@@ -381,26 +365,12 @@
 		samples[q.router] = append(samples[q.router], q.runningSample(p.sim.now))
 	}
 	for _, r := range routers {
-		for _, move := range p.planMoves(tail, samples[r], r.engineLoads()) {
+		for _, move := range rollout.PlanMoves(rollout.DefaultTailConfig(), samples[r], r.engineLoads()) {
 			r.move(byID[move.ID], p.sim.engines[p.sim.engineIndex[move.To]])
 		}
 	}
 }
 
-// longFactor is how many times the mean length a long sample has at least.
-const longFactor = 2
-
-func (p *step) planMoves(tail bool, samples []rollout.RunningSample, engines []rollout.EngineLoad) []rollout.Move {
-	config := rollout.DefaultTailConfig()
-	if tail {
-		return rollout.PlanMoves(config, samples, engines)
-	}
-	if !p.sim.plan.With.Has(settings.MechanismLong) {
-		return nil
-	}
-	return rollout.PlanLong(config, int(longFactor*p.trainer.lengths.Mean()), samples, engines)
-}
-
 func (q *request) runningSample(now time.Duration) rollout.RunningSample {
 	s := q.current
 	return rollout.RunningSample{
--- a/internal/rollout/lengths.go
+++ b/internal/rollout/lengths.go
@@ -40,9 +40,6 @@
 	}
 }
 
-// Mean returns the mean length of all samples so far, zero if there was none.
-func (e *LengthEstimator) Mean() float64 { return e.all.mean }
-
 // Expected returns the mean length of the group's samples so far, that of all
 // samples if there was none, and zero if there was none at all.
 func (e *LengthEstimator) Expected(group uint64) float64 {
--- a/internal/rollout/tail.go
+++ b/internal/rollout/tail.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -15,6 +14,9 @@
 
 // TailConfig bounds what PlanMoves does.
 type TailConfig struct {
+	// TailShare is the share of a step's samples that may be left when moves
+	// begin; before that, moves only trade places.
+	TailShare float64
 	// MinimumGain is the least number of streams by which the new engine must
 	// be emptier than the present one, the moved sample counted.
 	MinimumGain int
@@ -27,7 +29,7 @@
 // DefaultTailConfig returns the limits that docs/design/routing.md was measured
 // with.
 func DefaultTailConfig() TailConfig {
-	return TailConfig{MinimumGain: 2, Settle: 2 * time.Second, MaxMoves: 64}
+	return TailConfig{TailShare: 0.1, MinimumGain: 3, Settle: 2 * time.Second, MaxMoves: 64}
 }
 
 // RunningSample is a sample that may be moved.
@@ -50,8 +52,6 @@
 	Streams int
 	Slots   int
 	Version int64
-	// Quiet says that samples may use few slots there.
-	Quiet bool
 	// Closed says that it takes no sample: it drains, is suspect or swaps.
 	Closed bool
 }
@@ -63,6 +63,12 @@
 	To   string
 }
 
+// InTail tells whether so few of a step's samples are left that moving them
+// pays.
+func (c TailConfig) InTail(left, samples int) bool {
+	return float64(left) <= c.TailShare*float64(samples)
+}
+
 // PlanMoves returns the moves that spread the last samples of a step over the
 // emptiest engines, where a step of the batch takes the least time. Samples with
 // the most tokens go first: with a long-tailed distribution of lengths they are
@@ -116,39 +122,6 @@
 // PriorityAhead is for samples of a step that its trainer does not need yet.
 const PriorityAhead = api.PriorityTraining + 2
 
-// tailTokensPerSlot is the work left, in tokens for each slot of the pool, up to
-// which a step has api.PriorityStepTail.
-const tailTokensPerSlot = 64
-
-// PlanLong returns the moves of samples that have turned out to be long, those
-// of at least longTokens, to quiet engines. It is for the time when other
-// samples of the step still wait: they set the time of the step, unless a sample
-// takes longer than all of that.
-func PlanLong(config TailConfig, longTokens int, samples []RunningSample, engines []EngineLoad) []Move {
-	long := slices.DeleteFunc(slices.Clone(samples), func(s RunningSample) bool { return s.Tokens < longTokens })
-	if len(long) == 0 {
-		return nil
-	}
-	onlyQuiet := slices.Clone(engines)
-	for i := range onlyQuiet {
-		onlyQuiet[i].Closed = onlyQuiet[i].Closed || !onlyQuiet[i].Quiet
-	}
-	return PlanMoves(config, long, onlyQuiet)
-}
-
-// StepPriority returns the priority of a sample that starts now of a step that
-// its trainer waits for. The less work the step has left, the higher: of two
-// steps that share the engines, one is then done early and the other no later,
-// in place of both late. tokensLeft is the expected number of tokens that the
-// step still takes, slots the streams that the pool runs at once.
-func StepPriority(tokensLeft float64, slots int) api.Priority {
-	doublings := math.Log2(tokensLeft / float64(max(1, slots)) / tailTokensPerSlot)
-	if !(doublings > 0) {
-		return api.PriorityStepTail
-	}
-	return min(api.PriorityTraining, api.PriorityStepTail+1+api.Priority(doublings))
-}
-
 // StartDelay returns how long to hold back the samples of a step that was
 // posted before its trainer needs it. untilNeeded is the expected time until
 // the trainer asks for it, generation the expected time that its samples take.
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -6,8 +6,6 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/sliplift/sliplift/internal/api"
 )
 
 // Admission keeps batch slots of engines free for requests that somebody waits
@@ -18,37 +16,18 @@
 	Reserve int
 	// QuietSlots is the number of slots that may be used at a quiet back end.
 	QuietSlots int
-	// Overtake lets a request have the slots of requests with a lower priority,
-	// which the back end preempts for it. It needs Backend.Priorities.
-	Overtake bool
 }
 
-// FreeSlots returns how many more requests of the priority the back end may
-// get; it may be negative.
-func (a Admission) FreeSlots(b *Backend, priority api.Priority) int {
+// FreeSlots returns how many more requests the back end may get; it may be
+// negative.
+func (a Admission) FreeSlots(b *Backend) int {
 	slots := b.slots() - a.Reserve
 	if b.Quiet {
 		slots = min(slots, a.QuietSlots)
 	}
-	if a.Overtake && b.Priorities != nil {
-		return slots - b.estimateUpTo(priority)
-	}
 	return slots - b.Estimate()
 }
 
-// estimateUpTo returns the estimate of the requests that go before one more of
-// the priority. Of the change since the report only growth counts, because the
-// priorities of what ended are not known.
-func (b *Backend) estimateUpTo(priority api.Priority) int {
-	before := 0
-	for p, count := range b.Priorities {
-		if p <= int(priority) {
-			before += count
-		}
-	}
-	return before + max(0, b.InFlight-b.ReportInFlight)
-}
-
 // Estimate returns the requests at the back end, running or waiting, corrected
 // by this node's own since the report.
 func (b *Backend) Estimate() int {
@@ -59,10 +38,6 @@
 // request that prefers quiet ones, in requests per slot.
 const quietPenalty = 0.5
 
-// loadingPenalty is added to the score of a back end that is loading a version
-// for a request that avoids those, in requests per slot.
-const loadingPenalty = 1
-
 // QuietNames returns the names of the back ends that are kept quiet: a share of
 // them, rounded up, which depends on the names alone, so that all nodes agree.
 func QuietNames(pool string, names []string, share float64) []string {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -95,7 +95,7 @@
 		return ReasonOldVersion
 	case b.Limit > 0 && b.InFlight >= b.Limit:
 		return ReasonAtLimit
-	case request.Admission != nil && request.Admission.FreeSlots(b, request.Priority) <= 0:
+	case request.Admission != nil && request.Admission.FreeSlots(b) <= 0:
 		return ReasonNoSlot
 	case b.Suspect:
 		return ReasonSuspect
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -106,9 +106,6 @@
 	if request.PreferQuiet && !b.Quiet {
 		value += quietPenalty
 	}
-	if request.AvoidLoading && b.Loading != 0 {
-		value += loadingPenalty
-	}
 	return value
 }
 
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -25,9 +25,6 @@
 	Version  int64 `json:"version,omitempty"`
 	// Loading is the version that it reports to be loading, zero if none.
 	Loading int64 `json:"loading,omitempty"`
-	// Priorities counts the reported requests by their api.Priority; nil where
-	// the back end does not report it. It is not changed once set.
-	Priorities []int `json:"priorities,omitempty"`
 	// Reported is false until the first report has arrived.
 	Reported bool `json:"reported"`
 	// ReportAge is the time since the report arrived, in nanoseconds.
@@ -111,7 +108,4 @@
 	Admission *Admission
 	// PreferQuiet prefers quiet back ends.
 	PreferQuiet bool
-	// AvoidLoading prefers back ends that do not load a version, which will
-	// pause them.
-	AvoidLoading bool
 }
--- a/internal/settings/experiment.go
+++ b/internal/settings/experiment.go
@@ -152,22 +152,14 @@
 	MechanismRerun = "rerun"
 	// MechanismQuiet keeps some engines lightly loaded for live requests.
 	MechanismQuiet = "quiet"
-	// MechanismShortest prefers the step with the least work left.
-	MechanismShortest = "shortest"
 	// MechanismShare gives the engines to one step after another.
 	MechanismShare = "share"
-	// MechanismLong moves long samples to quiet engines at any time.
-	MechanismLong = "long"
-	// MechanismOvertake gives urgent samples the slots of less urgent ones.
-	MechanismOvertake = "overtake"
-	// MechanismDrain keeps live requests off engines that are about to swap.
-	MechanismDrain = "drain"
 )
 
 func mechanisms() []string {
 	return []string{
 		MechanismAnswers, MechanismQueue, MechanismPriority, MechanismLongest, MechanismMove,
-		MechanismSecond, MechanismHold, MechanismRerun, MechanismQuiet, MechanismShortest, MechanismShare, MechanismLong, MechanismOvertake, MechanismDrain,
+		MechanismSecond, MechanismHold, MechanismRerun, MechanismQuiet, MechanismShare,
 	}
 }
 
@@ -209,10 +201,9 @@
 	Reserve int `long:"reserve" default:"0" min:"0" max:"10000" unit:"slots"`
 	// QuietShare is the share of engines that the mechanism quiet sets apart,
 	// QuietSlots how many requests each of those may have when a sample starts
-	// there, and LongSlots when a long or last one is moved there.
+	// or is moved there.
 	QuietShare float64 `long:"quiet-share" default:"0.2" min:"0" max:"1"`
 	QuietSlots int     `long:"quiet-slots" default:"4" min:"0" max:"10000" unit:"slots"`
-	LongSlots  int     `long:"long-slots" default:"6" min:"0" max:"10000" unit:"slots"`
 	// SecondAfter is the time after which the mechanism second begins another
 	// attempt.
 	SecondAfter time.Duration `long:"second-after" default:"30s" min:"1s" max:"1h"`
