--- a/internal/faulttest/trigger.go
+++ b/internal/faulttest/trigger.go
@@ -72,6 +72,13 @@
 	n.triggers = append(n.triggers, &trigger{moment: m, count: count, do: do})
 }
 
+// Forget drops the triggers that have not struck.
+func (n *Network) Forget() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.triggers = nil
+}
+
 // Pending counts the triggers that have not struck.
 func (n *Network) Pending() int {
 	n.mu.Lock()
--- a/internal/faulttest/world.go
+++ b/internal/faulttest/world.go
@@ -15,6 +15,7 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/cluster"
 	"github.com/sliplift/sliplift/internal/emulator"
+	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/load"
 	"github.com/sliplift/sliplift/internal/node"
@@ -275,6 +276,25 @@
 	return highest
 }
 
+// EngineVersions returns the weight versions of the engines, as they report
+// them, in the order of their names; zero where an engine does not answer.
+func (w *World) EngineVersions(ctx context.Context) []int64 {
+	client := engine.NewClient(w.httpClient(observerName))
+	engines, _, _ := w.cluster.Backends()
+	var versions []int64
+	for _, backend := range engines {
+		report, err := client.Load(ctx, backend.Address)
+		if err != nil {
+			report.Version = 0
+		}
+		versions = append(versions, report.Version)
+	}
+	return versions
+}
+
+// observerName is the host that looks at engines from outside.
+const observerName = "observer"
+
 // Close ends everything at once.
 func (w *World) Close() {
 	for _, running := range w.cluster.Nodes() {
--- a/internal/load/nodes.go
+++ b/internal/load/nodes.go
@@ -14,6 +14,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/platform"
 )
 
 // Node is a node that a client may call.
@@ -67,6 +68,13 @@
 	return n.doAt(ctx, n.node(), build, answer)
 }
 
+// doWithin is do with a bound on the time of the answer.
+func (n *nodes) doWithin(ctx context.Context, limit time.Duration, build func(*sling.Sling) *sling.Sling, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return n.do(ctx, build, answer)
+}
+
 // doAt sends one request to the node, and goes on to the next one if the
 // answer says that another may do better.
 func (n *nodes) doAt(ctx context.Context, node Node, build func(*sling.Sling) *sling.Sling, answer any) error {
@@ -95,7 +103,7 @@
 // trying again does not help.
 func retryDelay(err error, unanswered time.Duration) (time.Duration, bool) {
 	var answer *api.Error
-	if !errors.As(err, &answer) {
+	if !errors.As(err, &answer) || errors.Is(err, platform.ErrUncertain) {
 		return unanswered, true
 	}
 	if answer.RetryAfterMS <= 0 {
--- a/internal/load/step.go
+++ b/internal/load/step.go
@@ -39,7 +39,7 @@
 	path := t.stepPath(r.step, "")
 	var response api.StepResponse
 	err := t.retry(ctx, "post step", func() error {
-		return t.nodes.do(ctx, func(s *sling.Sling) *sling.Sling { return s.Post(path).BodyJSON(r.request) }, &response)
+		return t.nodes.doWithin(ctx, callTimeout, func(s *sling.Sling) *sling.Sling { return s.Post(path).BodyJSON(r.request) }, &response)
 	})
 	if err != nil {
 		return err
--- a/internal/load/trainer.go
+++ b/internal/load/trainer.go
@@ -49,6 +49,9 @@
 	// answerGrace is how much longer than PullWait an answer may take before
 	// the trainer pulls again.
 	answerGrace = 5 * time.Second
+	// callTimeout bounds one sending of a call that changes something, so that
+	// a node that is paused does not hold the trainer up.
+	callTimeout = 10 * time.Second
 )
 
 func (c TrainerConfig) withDefaults() TrainerConfig {
@@ -146,7 +149,7 @@
 	request := api.VersionRequest{Pool: t.cfg.Pool, Version: version}
 	path := "/v1/trainers/" + url.PathEscape(t.cfg.Name) + "/versions"
 	err = t.retry(ctx, "publish version", func() error {
-		return t.nodes.do(ctx, func(s *sling.Sling) *sling.Sling { return s.Post(path).BodyJSON(request) }, &response)
+		return t.nodes.doWithin(ctx, callTimeout, func(s *sling.Sling) *sling.Sling { return s.Post(path).BodyJSON(request) }, &response)
 	})
 	if err != nil && !alreadyPublished(err) {
 		return response, err
