control: a settled shard is read less often

Cause: the holder of a shard of 50 samplers read 50 reports a second for as long as it held the lease. Ruled out: a longer interval for all (a version must be on all samplers within 39 s, which takes about five waves). Change: shards in which nothing is under way share 12 reports a second, at most 5 s apart; a change of the configuration or of the machine list reads at once. Shards of up to 12 back ends are read every second as before. In virtual time a settled shard of 48 is read every 4 s (TestPace).

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -45,17 +45,25 @@
 	ReportTimeout time.Duration
 	// Concurrency bounds reports and orders under way at one time.
 	Concurrency int
-	Limits      weights.Limits
+	// SettledReports is how many reports a second are read of settled shards,
+	// all held shards together. It is what bounds the bytes that a holder spends
+	// while there is nothing to order; see pace.
+	SettledReports float64
+	// SettledInterval bounds the time between two readings of a settled shard.
+	SettledInterval time.Duration
+	Limits          weights.Limits
 }
 
 // DefaultConfig returns the settings that docs/CAPACITY.md is worked out for.
 func DefaultConfig(node string) Config {
 	return Config{
-		Node:          node,
-		Interval:      time.Second,
-		ReportTimeout: time.Second,
-		Concurrency:   32,
-		Limits:        weights.DefaultLimits(),
+		Node:            node,
+		Interval:        time.Second,
+		ReportTimeout:   time.Second,
+		Concurrency:     32,
+		SettledReports:  12,
+		SettledInterval: 5 * time.Second,
+		Limits:          weights.DefaultLimits(),
 	}
 }
 
@@ -70,6 +78,9 @@
 	wake          chan struct{}
 	slots         chan struct{}
 
+	// pace belongs to Run.
+	pace *pace
+
 	mu       sync.Mutex
 	rollouts map[string]*weights.Rollout
 	reports  map[string]BackendReport
@@ -97,6 +108,7 @@
 		machines:      machines,
 		wake:          make(chan struct{}, 1),
 		slots:         make(chan struct{}, cfg.Concurrency),
+		pace:          newPace(cfg.SettledReports, cfg.SettledInterval),
 		rollouts:      map[string]*weights.Rollout{},
 		reports:       map[string]BackendReport{},
 	}
@@ -121,25 +133,41 @@
 			return
 		case <-ticker.C:
 		case <-c.wake:
+			c.pace.hurry()
 		}
 	}
 }
 
-// round serves each held shard once, all of them side by side.
+// round serves each held shard that is due once, all of them side by side.
 func (c *Controller) round(ctx context.Context) {
 	state := c.configuration.Current()
 	held := make(map[string]bool)
+	settled := make(map[string]*bool)
 	var group sync.WaitGroup
 	shards := Shards(state)
+	now := time.Now()
 	for _, shard := range shards {
 		epoch, ok := c.lessor.Held(shard.Name)
 		if !ok {
 			continue
 		}
 		held[shard.Name] = true
-		group.Go(func() { c.serveShard(ctx, state, shard, epoch, len(shards)) })
+		if !c.pace.due(now, shard.Name) {
+			continue
+		}
+		outcome := new(bool)
+		settled[shard.Name] = outcome
+		group.Go(func() { *outcome = c.serveShard(ctx, state, shard, epoch, len(shards)) })
 	}
 	group.Wait()
+	for _, shard := range shards {
+		switch outcome := settled[shard.Name]; {
+		case !held[shard.Name]:
+			c.pace.forget(shard.Name)
+		case outcome != nil:
+			c.pace.served(now, shard.Name, len(shard.Backends), *outcome)
+		}
+	}
 	c.forget(held, shards)
 }
 
@@ -166,13 +194,19 @@
 	}
 }
 
-func (c *Controller) serveShard(ctx context.Context, state *configlog.State, shard Shard, epoch int64, shardCount int) {
+// serveShard reads the shard's back ends, sends the orders that are due, and
+// tells whether the shard is settled: nothing was ordered and no load is under
+// way or waiting. Back ends that are not heard, or were set aside, do not keep a
+// shard from being settled, since some always are.
+func (c *Controller) serveShard(ctx context.Context, state *configlog.State, shard Shard, epoch int64, shardCount int) bool {
 	reports := c.readReports(ctx, shard)
 	c.remember(reports)
-	c.sendRoles(ctx, state, shard, epoch, reports)
-	if shard.Pool.Kind == configlog.PoolEngines {
-		c.sendVersions(ctx, shard, epoch, reports, limitsFor(c.cfg.Limits, state, shardCount))
+	settled := c.sendRoles(ctx, state, shard, epoch, reports) == 0
+	if shard.Pool.Kind != configlog.PoolEngines {
+		return settled
 	}
+	progress := c.sendVersions(ctx, shard, epoch, reports, limitsFor(c.cfg.Limits, state, shardCount))
+	return settled && progress.Loading == 0 && progress.Waiting == 0
 }
 
 // remember keeps a back end's last good report where the new attempt failed.
@@ -188,7 +222,8 @@
 	}
 }
 
-func (c *Controller) sendRoles(ctx context.Context, state *configlog.State, shard Shard, epoch int64, reports []BackendReport) {
+// sendRoles returns the number of orders that were due.
+func (c *Controller) sendRoles(ctx context.Context, state *configlog.State, shard Shard, epoch int64, reports []BackendReport) int {
 	var known []drain.Report
 	for _, report := range reports {
 		known = append(known, drain.Report{
@@ -199,7 +234,8 @@
 		})
 	}
 	var group sync.WaitGroup
-	for _, order := range drain.Orders(state, c.machines.Leaving(), known) {
+	due := drain.Orders(state, c.machines.Leaving(), known)
+	for _, order := range due {
 		group.Go(func() {
 			request := api.Order{Shard: shard.Name, Epoch: epoch, Holder: c.cfg.Node, Kind: api.OrderSetRole, Role: order.Role}
 			err := c.order(ctx, order.Backend, request)
@@ -207,9 +243,11 @@
 		})
 	}
 	group.Wait()
+	return len(due)
 }
 
-func (c *Controller) sendVersions(ctx context.Context, shard Shard, epoch int64, reports []BackendReport, limits weights.Limits) {
+// sendVersions returns how far the shard is, the orders just sent included.
+func (c *Controller) sendVersions(ctx context.Context, shard Shard, epoch int64, reports []BackendReport, limits weights.Limits) weights.Progress {
 	var engines []weights.Engine
 	backends := map[string]configlog.Backend{}
 	for _, report := range reports {
@@ -224,7 +262,7 @@
 		})
 	}
 	rollout := c.rollout(shard.Name, limits)
-	orders := c.step(rollout, shard.Pool, engines)
+	orders, progress := c.step(rollout, shard.Pool, engines)
 	var group sync.WaitGroup
 	for _, order := range orders {
 		group.Go(func() {
@@ -237,6 +275,7 @@
 		})
 	}
 	group.Wait()
+	return progress
 }
 
 func (c *Controller) rollout(shard string, limits weights.Limits) *weights.Rollout {
@@ -251,10 +290,11 @@
 	return current
 }
 
-func (c *Controller) step(rollout *weights.Rollout, pool configlog.Pool, engines []weights.Engine) []weights.Order {
+func (c *Controller) step(rollout *weights.Rollout, pool configlog.Pool, engines []weights.Engine) ([]weights.Order, weights.Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return rollout.Step(time.Now(), pool.TargetVersion(), pool.PinnedVersion != 0, engines)
+	orders := rollout.Step(time.Now(), pool.TargetVersion(), pool.PinnedVersion != 0, engines)
+	return orders, rollout.Progress()
 }
 
 func (c *Controller) orderFailed(rollout *weights.Rollout, engine string) {
--- a/internal/control/controller_test.go
+++ b/internal/control/controller_test.go
@@ -20,6 +20,8 @@
 	mu      sync.Mutex
 	reports map[string]api.LoadReport
 	orders  []api.Order
+	// reads counts the reports that were read.
+	reads int
 	// beforeOrder runs before an order takes effect, outside the lock.
 	beforeOrder func()
 }
@@ -27,6 +29,7 @@
 func (f *fakeBackends) Load(_ context.Context, address string) (api.LoadReport, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reads++
 	report, ok := f.reports[address]
 	if !ok {
 		return report, fmt.Errorf("%s is gone", address)
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -10,6 +10,10 @@
 // it has seen. So a holder that was paused past its lease harms nothing, even if
 // its check passed just before the pause.
 //
+// A shard in which an order or a load is under way is read in every round. One
+// that is settled is read less often the more back ends this node holds, and at
+// once after a change of the configuration or of the machine list.
+//
 // The loop holds no state that a new holder would miss: it starts from the back
 // ends' reports.
 package control
