backend: polls are bounded for each node, and put off by answers

Cause: a node read 32 reports a second of each pool that it uses, 12 kB/s at 375 bytes a report; two pools went over the 17 kB/s for control. Change: all polls of a node together are at most 24 a second (9 kB/s), which is 500 ms for up to 12 back ends as before; a back end whose report came with an answer is not polled until that report is as old as a poll would leave it.

--- a/internal/backend/doc.go
+++ b/internal/backend/doc.go
@@ -12,5 +12,7 @@
 // A back end takes no new work from the moment that the Set learns that it
 // leaves, by whichever of the three ways is first: a drain order in the
 // configuration, the platform's machine list, or the back end's own report.
-// A report carried on an answer counts like a polled one.
+// A report carried on an answer counts like a polled one, and puts the next poll
+// of that back end off. Config.PollRate bounds the polls of all back ends
+// together, so that many pools cost a node no more than a few.
 package backend
--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -26,10 +26,44 @@
 			return
 		}
 		s.polled(t, report, err)
-		if !sleep(ctx, jitter(random, s.cfg.PollInterval)) {
+		if !sleep(ctx, jitter(random, s.pollInterval())) {
 			return
 		}
+		for wait := s.stillFresh(t); wait > 0; wait = s.stillFresh(t) {
+			if !sleep(ctx, wait) {
+				return
+			}
+		}
+	}
+}
+
+// pollInterval returns the mean time between two polls of a back end: that of
+// the settings, or as much longer as PollRate asks for.
+func (s *Set) pollInterval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pollIntervalLocked()
+}
+
+func (s *Set) pollIntervalLocked() time.Duration {
+	if s.cfg.PollRate <= 0 {
+		return s.cfg.PollInterval
+	}
+	needed := time.Duration(float64(len(s.backends)) / s.cfg.PollRate * float64(time.Second))
+	return max(s.cfg.PollInterval, needed)
+}
+
+// stillFresh returns how long the poll of a back end can wait because an answer
+// has just carried its report; it is never older than a poll would leave it.
+func (s *Set) stillFresh(t *tracked) time.Duration {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !t.reported || t.pollFailures > 0 {
+		return 0
 	}
+	shortest := time.Duration((1 - jitterShare) * float64(s.pollIntervalLocked()))
+	return shortest - now.Sub(t.reportedAt)
 }
 
 func (s *Set) load(ctx context.Context, address string) (api.LoadReport, error) {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -26,6 +26,9 @@
 	// PollInterval is the mean time between two load reports of a back end;
 	// each wait is drawn within a quarter of it.
 	PollInterval time.Duration
+	// PollRate bounds the polls a second of all back ends together, by making
+	// the interval longer; zero or less means no bound.
+	PollRate float64
 	// PollTimeout bounds one poll.
 	PollTimeout time.Duration
 	// SubsetSize bounds the back ends of a pool that the node uses; zero or
@@ -41,6 +44,7 @@
 		Zone:         zone,
 		Region:       region,
 		PollInterval: 500 * time.Millisecond,
+		PollRate:     24,
 		PollTimeout:  500 * time.Millisecond,
 		SubsetSize:   16,
 		Health: HealthConfig{
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -59,6 +60,13 @@
 	return count
 }
 
+// counts returns the number of polls by address.
+func (f *fakeLoads) counts() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.polls)
+}
+
 // TestSet tells stories about one Set with back ends a, b and c of a pool p.
 func TestSet(t *testing.T) {
 	datadriven.Walk(t, "testdata/set", func(t *testing.T, path string) {
@@ -258,3 +266,41 @@
 		}
 	})
 }
+
+// TestPollRate checks that a node with many back ends polls each less often, and
+// one that answers requests not at all.
+func TestPollRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lg := logrus.New()
+		lg.SetOutput(io.Discard)
+		loads := &fakeLoads{reports: map[string]api.LoadReport{}, polls: map[string]int{}}
+		cfg := DefaultConfig("n", "z", "r")
+		cfg.SubsetSize = 0
+		set := NewSet(lg, cfg, loads)
+		defer set.Close()
+		pool := configlog.Pool{Name: "p"}
+		for i := range 48 {
+			name := fmt.Sprintf("e%d", i)
+			loads.set(name, api.LoadReport{})
+			pool.Backends = append(pool.Backends, configlog.Backend{Name: name, Address: name})
+		}
+		set.Apply(&configlog.State{Revision: 1, Pools: map[string]configlog.Pool{"p": pool}})
+		const seconds = 60
+		for range 10 * seconds {
+			time.Sleep(100 * time.Millisecond)
+			if ticket, ok := set.Acquire("p", "e0"); ok {
+				ticket.Release(FailureNone, &api.LoadReport{AsOfMS: time.Now().UnixMilli()})
+			}
+		}
+		total := 0
+		for _, polls := range loads.counts() {
+			total += polls
+		}
+		if want := cfg.PollRate * seconds; float64(total) > 1.1*want || float64(total) < 0.9*want {
+			t.Errorf("%d polls in %d s, want about %.0f", total, seconds, want)
+		}
+		if polls := loads.counts()["e0"]; polls != 1 {
+			t.Errorf("the back end that answers requests was polled %d times, want once", polls)
+		}
+	})
+}
