experiment, rollout, routing: tests of the planners; a policy that knows lengths

Change: stories for PlanMoves, PlanShares and admission, tests of StartDelay, LengthEstimator and QuietNames. Workloads are unchanged.

--- a/internal/experiment/step.go
+++ b/internal/experiment/step.go
@@ -133,6 +133,9 @@
 	if p.sim.plan.With.Has(settings.MechanismLongest) {
 		q.expected = p.trainer.lengths.Expected(q.prefix)
 	}
+	if p.sim.plan.With.Has(settings.MechanismOracle) {
+		q.expected = float64(q.length)
+	}
 	p.count(attempt.Index)
 	q.urgency = func() api.Priority { return p.priority(attempt.Priority) }
 	q.started = func(version int64) {
--- /dev/null
+++ b/internal/rollout/tail_test.go
@@ -0,0 +1,92 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestTailStories asks the planners. Commands: engine and sample make the
+// snapshot that moves is asked for; step makes the demands that shares is.
+func TestTailStories(t *testing.T) {
+	datadriven.Walk(t, "testdata/tail", func(t *testing.T, path string) {
+		config := TailConfig{MinimumGain: 3, Settle: time.Second, MaxMoves: 10}
+		var engines []EngineLoad
+		var samples []RunningSample
+		var steps []StepDemand
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			switch d.Cmd {
+			case "engine":
+				engine := EngineLoad{Slots: 16, Closed: d.HasArg("closed")}
+				d.ScanArgs(t, "name", &engine.Name)
+				d.ScanArgs(t, "streams", &engine.Streams)
+				d.MaybeScanArgs(t, "slots", &engine.Slots)
+				d.MaybeScanArgs(t, "version", &engine.Version)
+				engines = append(engines, engine)
+			case "sample":
+				sample := RunningSample{Since: time.Minute}
+				d.ScanArgs(t, "id", &sample.ID)
+				d.ScanArgs(t, "engine", &sample.Engine)
+				d.ScanArgs(t, "tokens", &sample.Tokens)
+				d.MaybeScanArgs(t, "min_version", &sample.MinVersion)
+				if d.HasArg("fresh") {
+					sample.Since = 0
+				}
+				samples = append(samples, sample)
+			case "moves":
+				for _, move := range PlanMoves(config, samples, engines) {
+					fmt.Fprintf(&out, "%s from %s to %s\n", move.ID, move.From, move.To)
+				}
+			case "step":
+				demand := StepDemand{Awaited: d.HasArg("awaited")}
+				var needed int
+				d.ScanArgs(t, "trainer", &demand.Trainer)
+				d.ScanArgs(t, "samples", &demand.Samples)
+				d.ScanArgs(t, "needed", &needed)
+				demand.NeededAt = time.Duration(needed) * time.Second
+				steps = append(steps, demand)
+			case "shares":
+				var slots int
+				d.ScanArgs(t, "slots", &slots)
+				for i, share := range PlanShares(slots, steps) {
+					fmt.Fprintf(&out, "%s %d\n", steps[i].Trainer, share)
+				}
+			default:
+				t.Fatalf("unknown command %s", d.Cmd)
+			}
+			return out.String()
+		})
+	})
+}
+
+func TestStartDelay(t *testing.T) {
+	const needed, generation = 100 * time.Second, 40 * time.Second
+	var delays []time.Duration
+	for _, idleWeight := range []float64{0, 0.5, 1} {
+		delays = append(delays, StartDelay(idleWeight, needed, generation))
+	}
+	if want := []time.Duration{100 * time.Second, 75 * time.Second, 50 * time.Second}; !slices.Equal(delays, want) {
+		t.Errorf("%v, want %v", delays, want)
+	}
+	if delay := StartDelay(1, needed, 5*needed); delay != 0 {
+		t.Errorf("delay %s though the samples take longer than is left", delay)
+	}
+}
+
+func TestLengthEstimator(t *testing.T) {
+	lengths := NewLengthEstimator(1)
+	if expected := lengths.Expected(1); expected != 0 {
+		t.Errorf("%.0f expected of nothing", expected)
+	}
+	lengths.Observe(1, 100)
+	lengths.Observe(1, 300)
+	lengths.Observe(2, 800)
+	if one, other := lengths.Expected(1), lengths.Expected(2); one != 200 || other != 400 {
+		t.Errorf("expected %.0f of a known group and %.0f of one beyond the limit", one, other)
+	}
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -50,6 +51,8 @@
 			b.Suspect = true
 		case name == "draining":
 			b.Draining = true
+		case name == "quiet":
+			b.Quiet = true
 		case targets[name] != nil:
 			if _, err := fmt.Sscan(value, targets[name]); err != nil {
 				t.Fatalf("%s: %v", field, err)
@@ -70,6 +73,12 @@
 	d.MaybeScanArgs(t, "zone", &request.Zone)
 	d.MaybeScanArgs(t, "min_version", &request.MinVersion)
 	d.MaybeScanArgs(t, "hint", &request.AffinityHint)
+	request.PreferQuiet = d.HasArg("prefer_quiet")
+	if d.HasArg("admission") {
+		request.Admission = &Admission{}
+		d.MaybeScanArgs(t, "reserve", &request.Admission.Reserve)
+		d.MaybeScanArgs(t, "quiet_slots", &request.Admission.QuietSlots)
+	}
 	var prompt string
 	d.MaybeScanArgs(t, "prompt", &prompt)
 	request.PrefixHash = PrefixHash(prompt)
@@ -101,6 +110,17 @@
 	return out.String()
 }
 
+// TestQuietNames checks that the set depends on the names alone and not on
+// their order, and that it is a share rounded up.
+func TestQuietNames(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	forward := QuietNames("p", names, 0.3)
+	slices.Reverse(names)
+	if backward := QuietNames("p", names, 0.3); len(forward) != 2 || !slices.Equal(forward, backward) {
+		t.Errorf("%v and %v", forward, backward)
+	}
+}
+
 func reasonText(reason Reason) string {
 	if reason == ReasonEligible {
 		return "eligible"
--- a/internal/settings/experiment.go
+++ b/internal/settings/experiment.go
@@ -142,6 +142,9 @@
 	MechanismPriority = "priority"
 	// MechanismLongest starts the samples first that are expected to be longest.
 	MechanismLongest = "longest"
+	// MechanismOracle starts the longest samples first, knowing their lengths.
+	// No product can; it shows what not knowing them costs.
+	MechanismOracle = "oracle"
 	// MechanismMove moves samples to emptier engines in the tail of a step.
 	MechanismMove = "move"
 	// MechanismSecond starts second attempts in the tail of a step.
@@ -159,7 +162,7 @@
 func mechanisms() []string {
 	return []string{
 		MechanismAnswers, MechanismQueue, MechanismPriority, MechanismLongest, MechanismMove,
-		MechanismSecond, MechanismHold, MechanismRerun, MechanismQuiet, MechanismShare,
+		MechanismSecond, MechanismHold, MechanismRerun, MechanismQuiet, MechanismShare, MechanismOracle,
 	}
 }
 
