--- a/internal/experiment/capacity/lines.go
+++ b/internal/experiment/capacity/lines.go
@@ -25,6 +25,7 @@
 		cell func(Size) string
 	}{
 		{"nodes", func(s Size) string { return fmt.Sprint(s.Nodes) }},
+		{"failed", func(s Size) string { return s.Failed }},
 		{"load of the machine", func(s Size) string { return s.Load }},
 		{"% of a core for each node", func(s Size) string { return fmt.Sprintf("%.2f (worst %.2f)", s.CorePercent, s.CoreHighest) }},
 		{"memory for each node", func(s Size) string { return kilobytes(s.MemoryBytes) }},
--- a/internal/experiment/capacity/result.go
+++ b/internal/experiment/capacity/result.go
@@ -23,7 +23,9 @@
 // Size is what a cluster of one size costs and how fast it acts. Rates are
 // medians over the intervals.
 type Size struct {
-	Nodes   int     `json:"nodes"`
+	Nodes int `json:"nodes"`
+	// Failed says why the phases that follow were not measured.
+	Failed  string  `json:"failed,omitempty"`
 	Shards  int     `json:"shards"`
 	Load    string  `json:"load"`
 	FormsMS float64 `json:"forms_ms"`
--- a/internal/experiment/capacity/run.go
+++ b/internal/experiment/capacity/run.go
@@ -8,7 +8,8 @@
 	"github.com/zeebo/errs/v2"
 )
 
-// Run measures each cluster size and then the slopes of the data roles.
+// Run measures each cluster size and then the slopes of the data roles. A size
+// that could not be measured says so in its entry, and the others go on.
 func Run(ctx context.Context, cfg Config) (Result, error) {
 	result := Result{Machine: Machine{
 		Processors: runtime.GOMAXPROCS(0), Go: runtime.Version(), LoadBefore: loadAverage(), FileLimit: fileLimit(),
@@ -16,9 +17,12 @@
 	for _, nodes := range cfg.Nodes {
 		size, err := measureSize(ctx, cfg, nodes)
 		if err != nil {
-			return result, err
+			size.Failed = err.Error()
 		}
 		result.Sizes = append(result.Sizes, size)
+		if ctx.Err() != nil {
+			return result, ctx.Err()
+		}
 	}
 	if cfg.Slopes {
 		slopes, err := measureSlopes(ctx, cfg)
