engine: token counts whose sum overflows make a stream corrupt

Cause: two frames of 2^63-1 tokens each summed to -2, which the end marker could confirm, so a stream with a negative count passed as complete.

Change: a stream counts at most 2^31-1 tokens.

--- a/internal/engine/assembler.go
+++ b/internal/engine/assembler.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"strconv"
 	"strings"
 
@@ -12,6 +13,9 @@
 // reorderLimit bounds the frames that are kept while an earlier one is missing.
 const reorderLimit = 64
 
+// tokenLimit bounds the tokens of a stream, so that their sum cannot overflow.
+const tokenLimit = math.MaxInt32
+
 // assembler puts the frames of one stream together. It is a state machine over
 // frames without I/O.
 type assembler struct {
@@ -77,7 +81,7 @@
 
 // take appends the next frame.
 func (a *assembler) take(frame *api.StreamFrame) error {
-	if frame.Tokens < 0 {
+	if frame.Tokens < 0 || frame.Tokens > tokenLimit-a.tokens {
 		return ErrCorrupt.Errorf("frame %d counts %d tokens", frame.Sequence, frame.Tokens)
 	}
 	a.next++
