--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -74,7 +74,6 @@
 	stalenessSum   int64
 	stalenessMax   int64
 	stalenessCount int64
-	waits          []time.Duration
 }
 
 func newStatistics() statistics {
--- a/internal/experiment/step.go
+++ b/internal/experiment/step.go
@@ -39,7 +39,6 @@
 	committing bool
 	commitAt   time.Duration
 	wakeup     int
-	finished   int
 	taken      bool
 	askedAt    time.Duration
 	// pending holds what waits for the step's share of the engines, share is
@@ -258,7 +257,6 @@
 	p.committing = false
 	p.commitAt = p.sim.now + commitInterval
 	p.ledger.Commit(p.sim.instant())
-	p.finished = len(proposal.Samples)
 	if p.asked {
 		p.handOut()
 	}
@@ -373,10 +371,3 @@
 		}
 	}
 }
-
-func (q *request) runningSample(now time.Duration) rollout.RunningSample {
-	s := q.current
-	return rollout.RunningSample{
-		ID: q.id, Engine: s.engine.name, Tokens: q.resumed + s.engine.produced(s), Since: now - s.sentAt, MinVersion: q.minVersion,
-	}
-}
--- a/internal/experiment/trainer.go
+++ b/internal/experiment/trainer.go
@@ -30,9 +30,8 @@
 	idle         time.Duration
 	finishedAt   time.Duration
 	done         bool
-	// needed is when it asked for its last step, for the owner's forecast.
-	trainTime time.Duration
-	// generation is how long the last step's samples took.
+	// generation is how long the last step's samples took, trainEnds when the
+	// trainer is done with the step that it trains on.
 	generation time.Duration
 	trainEnds  time.Duration
 }
@@ -72,7 +71,6 @@
 // take gets the last samples of the step it waits for.
 func (t *trainer) take() {
 	t.idle += t.sim.now - t.waitingSince
-	t.sim.stats.waits = append(t.sim.stats.waits, t.sim.now-t.waitingSince)
 	t.waiting = false
 	delete(t.steps, t.current)
 	t.post(t.current + t.config.Ahead)
@@ -82,7 +80,6 @@
 
 // trained publishes a version and goes on with the next step.
 func (t *trainer) trained() {
-	t.trainTime = t.config.Train
 	if t.sim.scenario.WeightInterval == 0 {
 		t.sim.publish(t)
 	}
