gateway, lease, catalog, dispatch: what a reading of the running system found

Cause, each seen in a run of the example system: - a drained node refused the pulls of the steps it owned, so the trainer stood still for the whole drain, while no other node could take the step over; - SHOW nodes said that a zone's drain drains its nodes, which go on serving; - a shard that a stopping node gave away was handed back to it once, and had no holder for 9.5 s until its lease lapsed; - in-flight-limit was checked as a setting and used by nothing; - a failing back end was reported as full, and a full pool as out of retries; - SHOW steps had age 0 and took acknowledged for delivered; - failed orders were logged as ordered. Ruled out: handing the steps of a drained node over, since a drain may be undone at any moment and a step that is moved generates its unfinished samples again. Change: readiness is asked of new work only; nodes count as drained by drains of nodes only; a new holder's settle time begins when it acquires, and nodes on leaving machines get no leases; the limit is kept; the codes say what the back ends said; orders that fail are warnings.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -239,7 +239,7 @@
 		group.Go(func() {
 			request := api.Order{Shard: shard.Name, Epoch: epoch, Holder: c.cfg.Node, Kind: api.OrderSetRole, Role: order.Role}
 			err := c.order(ctx, order.Backend, request)
-			c.logOrder(order.Backend.Name, request, err).WithField("reason", order.Reason).Info("role ordered")
+			c.logOrder(order.Backend.Name, request, roleReason(order.Reason), err)
 		})
 	}
 	group.Wait()
@@ -271,7 +271,7 @@
 			if err != nil {
 				c.orderFailed(rollout, order.Engine)
 			}
-			c.logOrder(order.Engine, request, err).Info("version ordered")
+			c.logOrder(order.Engine, request, "new target version", err)
 		})
 	}
 	group.Wait()
@@ -317,15 +317,25 @@
 	return err
 }
 
-func (c *Controller) logOrder(backend string, order api.Order, err error) logrus.FieldLogger {
-	fields := logrus.Fields{"back_end": backend, "shard": order.Shard, "epoch": order.Epoch}
+// roleReason names the reason of a role order in the log.
+func roleReason(reason drain.Reason) string {
+	if reason == drain.ReasonNone {
+		return "nothing drains it any more"
+	}
+	return string(reason)
+}
+
+// logOrder writes one line for an order that was sent, or could not be.
+func (c *Controller) logOrder(backend string, order api.Order, reason string, err error) {
+	fields := logrus.Fields{"back_end": backend, "shard": order.Shard, "epoch": order.Epoch, "reason": reason}
 	if order.Kind == api.OrderLoadVersion {
 		fields["version"] = order.Version
 	} else {
 		fields["role"] = order.Role
 	}
 	if err != nil {
-		return c.log.WithFields(fields).WithError(err)
+		c.log.WithFields(fields).WithError(err).Warn("order failed")
+		return
 	}
-	return c.log.WithFields(fields)
+	c.log.WithFields(fields).Info("order taken")
 }
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -227,11 +227,20 @@
 	case next == verdictStop:
 		return e.failure(http.StatusBadGateway, api.CodeBackendFailed, 0, "back end %s: %v", e.last, e.lastErr)
 	case e.attempts-e.hedges >= e.d.cfg.MaxAttempts && e.refusal != nil && !e.sent:
-		return e.overloaded(pool)
+		return e.turnedAway(pool)
 	case e.attempts-e.hedges >= e.d.cfg.MaxAttempts:
 		return e.failure(http.StatusBadGateway, api.CodeBackendFailed, e.advice(pool), "%d attempts, the last on %s: %v", e.attempts, e.last, e.lastErr)
 	case next == verdictRetry && !e.d.mayRetry():
-		return e.failure(http.StatusServiceUnavailable, api.CodeRetryBudget, e.advice(pool), "no retry left after: %v", e.lastErr)
+		return e.noRetryLeft(pool)
 	}
 	return nil
 }
+
+// noRetryLeft ends a request for which the retry budget has nothing left. One
+// that was only turned away is told why, which says more than the budget does.
+func (e *execution) noRetryLeft(pool *routing.Pool) *api.Error {
+	if e.refusal != nil && !e.sent {
+		return e.turnedAway(pool)
+	}
+	return e.failure(http.StatusServiceUnavailable, api.CodeRetryBudget, e.advice(pool), "no retry left after: %v", e.lastErr)
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -164,6 +164,8 @@
 	switch word {
 	case "refuse":
 		httpjson.WriteError(w, api.Refusal(http.StatusTooManyRequests, api.CodeOverloaded, 700, "full"))
+	case "failing":
+		httpjson.WriteError(w, api.Refusal(http.StatusServiceUnavailable, api.CodeNoBackend, 700, "down"))
 	case "invalid":
 		httpjson.WriteError(w, api.Invalid("prompt: too long"))
 	case "error":
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -88,11 +88,21 @@
 
 // noBackend ends a request that no back end may take.
 func (e *execution) noBackend(pool *routing.Pool, explanation *routing.Explanation) Result {
-	if explanation.HeldByLimit() || (e.refusal != nil && !e.sent) {
+	if explanation.HeldByLimit() {
 		return e.fail(e.overloaded(pool))
 	}
-	return e.fail(e.failure(http.StatusServiceUnavailable, api.CodeNoBackend, e.advice(pool),
-		"no back end of pool %s can take the request (of %d that this node uses)", pool.Name, len(pool.Backends)))
+	return e.fail(e.turnedAway(pool))
+}
+
+// turnedAway ends a request that no back end took, by what the last one that
+// refused it said: full is not the same as failing or draining.
+func (e *execution) turnedAway(pool *routing.Pool) *api.Error {
+	full := e.refusal != nil && e.refusal.Code != api.CodeNoBackend
+	if full && !e.sent {
+		return e.overloaded(pool)
+	}
+	return e.failure(http.StatusServiceUnavailable, api.CodeNoBackend, e.advice(pool),
+		"no back end of pool %s can take the request (of %d that this node uses)", pool.Name, len(pool.Backends))
 }
 
 func (e *execution) overloaded(pool *routing.Pool) *api.Error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -328,3 +328,36 @@
 		}
 	})
 }
+
+// TestDrainedNodeGoesOnWithItsSteps covers a node that an operator drained: it
+// takes no new work, and trainers still get the samples of the steps it owns.
+func TestDrainedNodeGoesOnWithItsSteps(t *testing.T) {
+	handler := newServer(&readiness{err: errors.New("drained")}, io.Discard).Handler()
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"GET", "/v1/trainers/t/steps/1/samples?cursor=0&version=1&limit=1", "", http.StatusOK},
+		{"POST", "/v1/trainers/t/steps/1/ack", `{"cursor":1}`, http.StatusOK},
+		{"POST", "/v1/trainers/t/steps/2", `{}`, http.StatusServiceUnavailable},
+		{"POST", "/v1/requests", `{}`, http.StatusServiceUnavailable},
+	} {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+		if recorder.Code != c.status {
+			t.Errorf("%s %s: status %d, want %d: %s", c.method, c.path, recorder.Code, c.status, recorder.Body)
+		}
+	}
+}
+
+func TestInFlightLimit(t *testing.T) {
+	server := newServer(&readiness{}, io.Discard)
+	server.cfg.InFlightLimit = 1
+	server.live.enter("in flight")
+	body := `{"pool":"app","deadline_ms":1000,"repeatable":true}`
+	recorder := httptest.NewRecorder()
+	server.Handler().ServeHTTP(recorder, httptest.NewRequest("POST", "/v1/requests", strings.NewReader(body)))
+	if recorder.Code != http.StatusTooManyRequests || recorder.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q: %s", recorder.Code, recorder.Header().Get("Retry-After"), recorder.Body)
+	}
+}
--- a/internal/gateway/live.go
+++ b/internal/gateway/live.go
@@ -20,6 +20,8 @@
 	maxNameLength = 128
 	// maxKeyLength bounds idempotency keys, in bytes.
 	maxKeyLength = 256
+	// overloadedRetryMS is the advice of a node whose in-flight limit is reached.
+	overloadedRetryMS = 100
 )
 
 func (s *Server) serveLive(w http.ResponseWriter, r *http.Request, entry *record) answer {
@@ -44,6 +46,11 @@
 		return failed(err)
 	}
 	defer s.live.leave(body.RequestID)
+	if limit := s.cfg.InFlightLimit; limit > 0 && s.live.count() > limit {
+		err := api.Refusal(http.StatusTooManyRequests, api.CodeOverloaded, overloadedRetryMS, "%d live requests are in flight in this node", limit)
+		err.RequestID = body.RequestID
+		return failed(err)
+	}
 	result := s.services.Live.Do(r.Context(), dispatch.Request{
 		RequestID:      body.RequestID,
 		Caller:         body.Caller,
@@ -153,6 +160,12 @@
 	return true
 }
 
+func (q *requestIDs) count() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.ids)
+}
+
 func (q *requestIDs) leave(id string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/gateway/middleware.go
+++ b/internal/gateway/middleware.go
@@ -34,8 +34,20 @@
 // handler serves one operation and fills the record in.
 type handler func(w http.ResponseWriter, r *http.Request, entry *record) answer
 
-// operation wraps a handler: it refuses while the node stops or is not ready,
-// answers panics, and logs and counts every request.
+// whenReady wraps a handler of new work: it refuses while the node is not ready.
+// Pulls and acknowledgements are not new work; a node that is drained goes on
+// answering them for the steps it owns.
+func (s *Server) whenReady(serve handler) handler {
+	return func(w http.ResponseWriter, r *http.Request, entry *record) answer {
+		if err := s.notReady(); err != nil {
+			return failed(err)
+		}
+		return serve(w, r, entry)
+	}
+}
+
+// operation wraps a handler: it refuses while the node stops, answers panics,
+// and logs and counts every request.
 func (s *Server) operation(name operation, serve handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		started := time.Now()
@@ -61,9 +73,6 @@
 // admit runs the handler if the node takes requests, and tells whether the
 // request was counted as in flight.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request, entry *record, serve handler) (result answer, entered bool) {
-	if err := s.mayServe(); err != nil {
-		return failed(err), false
-	}
 	if !s.stop.enter() {
 		return failed(s.stoppingError()), false
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -73,6 +73,8 @@
 	MaxSamples int
 	// MaxTokens bounds the answer that a request may ask an engine for.
 	MaxTokens int
+	// InFlightLimit bounds the live requests in flight; zero means no bound.
+	InFlightLimit int
 	// StopLinger is how long a node that has finished its requests goes on
 	// refusing new ones, so that callers get an answer and not a closed port.
 	StopLinger time.Duration
@@ -136,11 +138,11 @@
 
 func (s *Server) routes(registry *prometheus.Registry) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/requests", s.operation(operationLive, s.serveLive))
-	mux.Handle("POST /v1/trainers/{trainer}/steps/{step}", s.operation(operationPost, s.servePost))
+	mux.Handle("POST /v1/requests", s.operation(operationLive, s.whenReady(s.serveLive)))
+	mux.Handle("POST /v1/trainers/{trainer}/steps/{step}", s.operation(operationPost, s.whenReady(s.servePost)))
 	mux.Handle("GET /v1/trainers/{trainer}/steps/{step}/samples", s.operation(operationPull, s.servePull))
 	mux.Handle("POST /v1/trainers/{trainer}/steps/{step}/ack", s.operation(operationAck, s.serveAck))
-	mux.Handle("POST /v1/trainers/{trainer}/versions", s.operation(operationPublish, s.servePublish))
+	mux.Handle("POST /v1/trainers/{trainer}/versions", s.operation(operationPublish, s.whenReady(s.servePublish)))
 	mux.HandleFunc("GET /healthz", s.serveHealth)
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
@@ -169,6 +171,11 @@
 	if s.stop.stopping() {
 		return s.stoppingError()
 	}
+	return s.notReady()
+}
+
+// notReady returns why the node takes no new work, nil if it does.
+func (s *Server) notReady() *api.Error {
 	if s.services.Readiness == nil {
 		return nil
 	}
--- a/internal/lease/placement.go
+++ b/internal/lease/placement.go
@@ -137,6 +137,14 @@
 	return ""
 }
 
+// acquired tells that the node has just got the shard: whoever held it before
+// may be about to stop and not have said so yet, so the settle time begins again.
+func (p *placement) acquired(now time.Time, shard string) {
+	if placed, ok := p.shards[shard]; ok {
+		placed.preferredSince = now
+	}
+}
+
 // takeMove tells whether the holder should hand the shard over to its preferred
 // member now, and counts the move if so.
 func (p *placement) takeMove(now time.Time, shard, holder string) bool {
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -154,7 +154,9 @@
 	}
 	row, _ := machine.Row()
 	s.lg.WithFields(map[string]any{"shard": shard, "holding": after, "epoch": row.Record.Epoch}).Info("lease changed")
-	if !after {
+	if after {
+		s.placement.acquired(time.Now(), shard)
+	} else {
 		delete(s.moving, shard)
 	}
 	s.notify()
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -170,8 +170,9 @@
 func (n *Node) buildPorts() {
 	cfg := n.cfg.Settings
 	n.gateway = gateway.NewServer(n.log, gateway.Config{
-		BodyLimit:   cfg.RequestBodyLimit,
-		MaxDeadline: cfg.MaxDeadline,
+		BodyLimit:     cfg.RequestBodyLimit,
+		MaxDeadline:   cfg.MaxDeadline,
+		InFlightLimit: cfg.InFlightLimit,
 	}, gateway.Services{
 		Live:      n.dispatcher,
 		Steps:     stepService{rollouts: n.rollouts, configuration: n.configuration},
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -41,7 +41,8 @@
 }
 
 // leaseMembers gives the leases the nodes that may hold them: those alive that
-// no operator drains and, for this node, that no stop has begun on.
+// no operator drains, whose machine does not leave and, for this node, that no
+// stop has begun on.
 type leaseMembers struct{ node *Node }
 
 // Alive implements lease.Members.
@@ -50,7 +51,8 @@
 	var alive []lease.Member
 	for _, member := range m.node.membership.Alive() {
 		stopping := member.Name == m.node.cfg.Settings.Name && m.node.stop.begun()
-		if stopping || state.HasDrain(configlog.DrainNode, member.Name) {
+		leaving := m.node.machines.Leaving()[member.Name]
+		if stopping || leaving || state.HasDrain(configlog.DrainNode, member.Name) {
 			continue
 		}
 		alive = append(alive, lease.Member{Name: member.Name, Zone: member.Zone})
--- a/internal/node/sources.go
+++ b/internal/node/sources.go
@@ -72,8 +72,9 @@
 			Epoch:        status.Epoch,
 			Samples:      status.Samples,
 			Finished:     status.Finished + status.Committed + status.Acknowledged,
-			Delivered:    int(status.Cursor),
+			Delivered:    int(status.HandedOut),
 			Acknowledged: status.Acknowledged,
+			AgeMS:        time.Since(status.Since).Milliseconds(),
 		})
 	}
 	return steps
--- a/internal/operator/catalog/cluster.go
+++ b/internal/operator/catalog/cluster.go
@@ -46,10 +46,10 @@
 	return query.Bool(v.nodeDrained(member))
 }
 
+// nodeDrained tells whether the node takes no new work. Drains of a zone or site
+// cover its back ends; the nodes there go on serving the callers beside them.
 func (v view) nodeDrained(member Member) bool {
-	return v.state.HasDrain(configlog.DrainNode, member.Name) ||
-		v.state.HasDrain(configlog.DrainZone, member.Zone) ||
-		v.state.HasDrain(configlog.DrainSite, member.Site)
+	return v.state.HasDrain(configlog.DrainNode, member.Name)
 }
 
 func buildSteps(table *query.Table, v view) {
--- a/internal/rollout/delivery.go
+++ b/internal/rollout/delivery.go
@@ -50,10 +50,12 @@
 	// row.
 	cursor          int64
 	committedCursor int64
-	voidsWanted     int
-	manifests       []manifestSpan
-	lastObject      int
-	inFlight        *Proposal
+	// handedOut is the highest position that an answer to a pull reached.
+	handedOut   int64
+	voidsWanted int
+	manifests   []manifestSpan
+	lastObject  int
+	inFlight    *Proposal
 }
 
 // next returns the position that the next sample gets.
@@ -253,9 +255,13 @@
 		answer.NextCursor++
 	}
 	answer.Done = l.allPlacedBelow(answer.NextCursor)
+	d.handedOut = max(d.handedOut, answer.NextCursor)
 	return answer, nil
 }
 
+// HandedOut returns the position that the furthest answer to a pull reached.
+func (l *Ledger) HandedOut() int64 { return max(l.delivery.handedOut, l.delivery.cursor) }
+
 // allPlacedBelow tells whether every index has its sample below the cursor.
 func (l *Ledger) allPlacedBelow(cursor int64) bool {
 	d := &l.delivery
--- a/internal/rollout/owned.go
+++ b/internal/rollout/owned.go
@@ -19,6 +19,8 @@
 	store  store
 	key    stepKey
 	spec   api.StepRequest
+	// since is when this node came to own the step.
+	since time.Time
 	// posted is the record with which the step began here.
 	posted StepRecord
 	// ctx ends when the step ends here; its attempts run under it.
@@ -50,6 +52,7 @@
 		lg:       s.lg.WithFields(logrus.Fields{"trainer": key.trainer, "step": key.step, "epoch": record.Epoch}),
 		config:   s.config,
 		store:    s.store,
+		since:    time.Now(),
 		key:      key,
 		spec:     spec,
 		ctx:      ctx,
@@ -251,6 +254,8 @@
 		Version:    o.ledger.version,
 		Cursor:     cursor,
 		Counts:     o.ledger.Counts(),
+		HandedOut:  o.ledger.HandedOut(),
+		Since:      o.since,
 		LeaseValid: o.mayHandOut(time.Now()),
 	}
 }
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -235,6 +235,10 @@
 	Version int64  `json:"version"`
 	Cursor  int64  `json:"cursor"`
 	Counts
+	// HandedOut is the number of positions that answers to pulls reached.
+	HandedOut int64 `json:"handed_out"`
+	// Since is when this node came to own the step.
+	Since time.Time `json:"since"`
 	// LeaseValid says whether the node may hand samples out at this moment.
 	LeaseValid bool `json:"lease_valid"`
 }
