node, lease, control: what operators need to see of the control parts

Cause: a table outage left no line in the log, an engine that was set aside showed nowhere, and leases, steps, claims and versions had no metrics.

--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -217,6 +217,7 @@
 		return false
 	}
 	response, err := s.cfg.Table.Commit(ctx, s.transaction(writes))
+	s.noteTable(err)
 	now := time.Now()
 	var answer *api.Error
 	switch {
@@ -231,6 +232,23 @@
 	return err == nil
 }
 
+// noteTable logs when the table service stops and begins to answer. A definite
+// answer of any kind is one.
+func (s *Service) noteTable(err error) {
+	var answer *api.Error
+	silent := err != nil && !errors.As(err, &answer)
+	s.mu.Lock()
+	changed := silent != s.tableSilent
+	s.tableSilent = silent
+	s.mu.Unlock()
+	switch {
+	case changed && silent:
+		s.lg.WithError(err).Warn("the table service does not answer; leases lapse unless it comes back")
+	case changed:
+		s.lg.Info("the table service answers again")
+	}
+}
+
 func (s *Service) transaction(writes []Write) api.Transaction {
 	transaction := api.Transaction{ID: newNonce()}
 	for _, write := range writes {
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -92,6 +92,8 @@
 	lastScan time.Time
 	// tableRevision is the highest table revision that a scan told.
 	tableRevision int64
+	// tableSilent says that the last write got no answer.
+	tableSilent bool
 	subscribers   map[chan struct{}]struct{}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 		return nil, err
 	}
 	n.buildPorts()
+	n.registerMetrics()
 	return n, nil
 }
 
