cli, settings, slipliftd: messages name what is wrong; the trial loads its weights

The default is now "language"; TestReadme asks for version 2 at all six engines and failed with the old default. - A missing settings file was followed by a fault for each mandatory key; only the file is named now. Go types no longer stand in messages on flags. - A taken port is named with its key (slipliftd) or stand-in (emulator), and a history file with its key. - A node without table service said nothing about it; it now warns that it is not ready and why. - load showed counts without a reason, retried a trainer's call in silence, and took an empty pool, no duration or no samples; now it prints the last error, warns every 5 s, and refuses those. Addresses of query and load are checked. - check-config and demo exit with 2 for a file that cannot be opened.

--- a/cmd/sliplift-emulator/main.go
+++ b/cmd/sliplift-emulator/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/emulator"
 	"github.com/sliplift/sliplift/internal/settings"
@@ -42,7 +43,7 @@
 	defer stop()
 	sink, closeSink, err := telemetry.OpenHistory(lg, cfg.HistoryFile)
 	if err != nil {
-		return err
+		return errs.Errorf("history-file: %w", err)
 	}
 	defer closeSink()
 	listen := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
--- a/cmd/slipliftd/main.go
+++ b/cmd/slipliftd/main.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/node"
 	"github.com/sliplift/sliplift/internal/settings"
@@ -42,7 +43,7 @@
 	defer cancel()
 	sink, closeSink, err := telemetry.OpenHistory(lg, cfg.HistoryFile)
 	if err != nil {
-		return err
+		return errs.Errorf("history-file: %w", err)
 	}
 	defer closeSink()
 	config := node.Config{Settings: *cfg, Incarnation: time.Now().UnixMicro(), Log: lg, Sink: sink}
@@ -68,17 +69,18 @@
 // listen opens the node's ports.
 func listen(config *node.Config) error {
 	ports := []struct {
+		key      string
 		address  string
 		listener *net.Listener
 	}{
-		{config.Settings.CallerAddress, &config.CallerListener},
-		{config.Settings.OperatorAddress, &config.OperatorListener},
-		{config.Settings.PeerAddress, &config.PeerListener},
+		{"caller-address", config.Settings.CallerAddress, &config.CallerListener},
+		{"operator-address", config.Settings.OperatorAddress, &config.OperatorListener},
+		{"peer-address", config.Settings.PeerAddress, &config.PeerListener},
 	}
 	for _, port := range ports {
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
-			return err
+			return errs.Errorf("%s: %w", port.key, err)
 		}
 		*port.listener = listener
 	}
--- a/internal/cli/check_config.go
+++ b/internal/cli/check_config.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 
 	"github.com/sliplift/sliplift/internal/settings"
 )
@@ -32,6 +33,9 @@
 func (c *checkConfigCommand) run(_ context.Context, env *Environment) error {
 	faulty := false
 	for _, file := range c.Arguments.Files {
+		if _, err := os.Stat(file); err != nil {
+			return errUsage.Wrap(err)
+		}
 		target := c.target()
 		err := settings.LoadFile(file, target)
 		var faults settings.Faults
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -18,6 +18,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/zeebo/errs/v2"
+
+	"github.com/sliplift/sliplift/internal/settings"
 )
 
 // Program is the name of the tool.
@@ -111,7 +113,7 @@
 		fmt.Fprintln(e.Stdout, strings.TrimRight(flagError.Message, "\n"))
 		return ExitDone
 	}
-	fmt.Fprintf(e.Stderr, "%s: %v\nTry: %s --help\n", Program, err, Program)
+	fmt.Fprintf(e.Stderr, "%s: %s\nTry: %s --help\n", Program, settings.ArgumentText(err), Program)
 	return ExitUsage
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -92,6 +92,12 @@
 		{"shell without statements", nil, []string{"shell", "-n", nobody}, ExitDone, ""},
 		{"load without a pool", nil, []string{"load"}, ExitUsage, "--pool"},
 		{"load at nobody", nil, []string{"load", "--pool", "p", "-n", nobody, "--requests", "3"}, ExitNo, "unknown"},
+		{"load of nothing", nil, []string{"load", "--pool", "p", "--duration", "0s"}, ExitUsage, "--duration must be longer"},
+		{"load without samples", nil, []string{"load", "--pool", "p", "--samples", "0"}, ExitUsage, "--samples must be at least 1"},
+		{"load at a name", nil, []string{"load", "--pool", "p", "-n", "nobody"}, ExitUsage, "flag `-n, --node': must be IP:PORT or NAME=IP:PORT"},
+		{"history not writable", nil, []string{"load", "--pool", "p", "--history-file", "/no/file"}, ExitUsage, "--history-file: "},
+		{"question to a name", nil, []string{"query", "-n", "localhost:7001", "SHOW nodes"}, ExitUsage, "must be IP:PORT"},
+		{"settings missing", nil, []string{"check-config", good + "x"}, ExitUsage, "no such file"},
 		{"baseline too short", nil, []string{"load", "--pool", "p", "--baseline-engine", nobody, "--duration", "1s"}, ExitUsage, "at least 2s"},
 	}
 	for _, test := range tests {
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"strconv"
 	"time"
 
@@ -85,6 +87,9 @@
 		Progress:    progress.show,
 	})
 	progress.done()
+	if cannotOpen(err) {
+		return errUsage.Errorf("--history-file: %w", err)
+	}
 	if err != nil {
 		return err
 	}
@@ -103,6 +108,12 @@
 	return nil
 }
 
+// cannotOpen tells whether err says that a file cannot be opened.
+func cannotOpen(err error) bool {
+	var pathError *fs.PathError
+	return errors.As(err, &pathError) && pathError.Op == "open"
+}
+
 func (s DemoSummary) lines() [][]string {
 	return [][]string{
 		{"nodes", strconv.Itoa(s.Nodes)},
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,8 +27,8 @@
 	outputFlag
 	Target         string        `long:"target" default:"node" choice:"node" choice:"engine" choice:"trainer" description:"send live requests to a node or to an engine itself, or act as a trainer"`
 	Nodes          []load.Node   `long:"node" short:"n" default:"n1=127.0.0.1:7000" value-name:"[NAME=]IP:PORT" description:"caller address of a node, with its name for the history; repeat it for those to fall over to"`
-	Engine         string        `long:"engine" value-name:"IP:PORT" description:"address of the engine, for --target engine"`
-	BaselineEngine string        `long:"baseline-engine" value-name:"IP:PORT" description:"also call this engine itself, in turns with the node, and print what the node adds"`
+	Engine         address       `long:"engine" value-name:"IP:PORT" description:"address of the engine, for --target engine"`
+	BaselineEngine address       `long:"baseline-engine" value-name:"IP:PORT" description:"also call this engine itself, in turns with the node, and print what the node adds"`
 	Caller         string        `long:"caller" default:"load" description:"name under which requests are sent"`
 	Pool           string        `long:"pool" required:"yes" description:"pool that is asked"`
 	Booking        bool          `long:"booking" description:"send requests that must not run twice, each with an idempotency key"`
@@ -44,14 +45,14 @@
 }
 
 type trainerFlags struct {
-	WeightsAddress string `long:"weights-address" default:"127.0.0.1:7303" value-name:"IP:PORT" description:"weight store that versions are published to"`
-	Model          string `long:"model" default:"model" description:"model of the published versions"`
-	Steps          int64  `long:"steps" default:"2" description:"number of steps"`
-	FirstStep      int64  `long:"first-step" default:"1" description:"number of the first step; a trainer's steps are posted once"`
-	Prompts        int    `long:"prompts" default:"16" description:"prompts of a step"`
-	Samples        int    `long:"samples" default:"4" description:"samples per prompt"`
-	VersionBound   int64  `long:"version-bound" default:"1" description:"versions that a sample may be behind the trainer"`
-	FirstVersion   int64  `long:"first-version" default:"1" description:"version of the weights at the first step; each step publishes the next"`
+	WeightsAddress address `long:"weights-address" default:"127.0.0.1:7303" value-name:"IP:PORT" description:"weight store that versions are published to"`
+	Model          string  `long:"model" default:"language" description:"model of the published versions, as the pool names it"`
+	Steps          int64   `long:"steps" default:"2" description:"number of steps"`
+	FirstStep      int64   `long:"first-step" default:"1" description:"number of the first step; a trainer's steps are posted once"`
+	Prompts        int     `long:"prompts" default:"16" description:"prompts of a step"`
+	Samples        int     `long:"samples" default:"4" description:"samples per prompt"`
+	VersionBound   int64   `long:"version-bound" default:"1" description:"versions that a sample may be behind the trainer"`
+	FirstVersion   int64   `long:"first-version" default:"1" description:"version of the weights at the first step; each step publishes the next"`
 }
 
 func loadSpecification() specification {
@@ -79,7 +80,7 @@
 	}
 	sink, closeSink, err := telemetry.OpenHistory(lg, c.HistoryFile)
 	if err != nil {
-		return errUsage.Wrap(err)
+		return errUsage.Errorf("--history-file: %w", err)
 	}
 	defer closeSink()
 	if c.Target == targetTrainer {
@@ -90,17 +91,47 @@
 
 func (c *loadCommand) check() error {
 	switch {
+	case c.Pool == "":
+		return errUsage.Errorf("--pool must not be empty")
 	case c.Target == targetEngine && c.Engine == "":
 		return errUsage.Errorf("--target engine needs --engine")
 	case c.BaselineEngine != "" && c.Target != targetNode:
 		return errUsage.Errorf("--baseline-engine goes with --target node")
 	case c.BaselineEngine != "" && c.Duration < load.MinimumComparison:
 		return errUsage.Errorf("--duration must be at least %s with --baseline-engine", load.MinimumComparison)
-	case c.Concurrency < 1:
-		return errUsage.Errorf("--concurrency must be at least 1")
 	case c.Priority < int(api.PriorityLive) || c.Priority > int(api.PriorityLowest):
 		return errUsage.Errorf("--priority must be from %d to %d", api.PriorityLive, api.PriorityLowest)
 	}
+	return c.checkLeast()
+}
+
+// checkLeast refuses numbers and durations with which nothing would be sent.
+func (c *loadCommand) checkLeast() error {
+	for _, flag := range []struct {
+		name         string
+		value, least int64
+	}{
+		{"concurrency", int64(c.Concurrency), 1},
+		{"requests", c.Requests, 0},
+		{"attempts", int64(c.Attempts), 1},
+		{"max-tokens", int64(c.MaxTokens), 1},
+		{"steps", c.Trainer.Steps, 1},
+		{"prompts", int64(c.Trainer.Prompts), 1},
+		{"samples", int64(c.Trainer.Samples), 1},
+		{"version-bound", c.Trainer.VersionBound, 0},
+	} {
+		if flag.value < flag.least {
+			return errUsage.Errorf("--%s must be at least %d", flag.name, flag.least)
+		}
+	}
+	switch {
+	case c.Duration <= 0:
+		return errUsage.Errorf("--duration must be longer than 0s")
+	case c.Deadline < time.Millisecond:
+		return errUsage.Errorf("--deadline must be at least 1ms")
+	case c.Rate < 0:
+		return errUsage.Errorf("--rate must not be negative")
+	}
 	return nil
 }
 
@@ -120,22 +151,46 @@
 	progress := newProgress(env)
 	progress.show(fmt.Sprintf("running for %s", c.Duration))
 	defer progress.done()
-	throughNode := load.ThroughNode(load.NewCaller(cfg, env.HTTPClient, sink), prompt)
+	var failures lastError
+	throughNode := failures.watch(load.NewCaller(cfg, env.HTTPClient, sink), prompt)
 	if c.BaselineEngine != "" {
-		direct := load.Direct(env.HTTPClient, c.BaselineEngine, cfg, prompt)
+		direct := load.Direct(env.HTTPClient, string(c.BaselineEngine), cfg, prompt)
 		comparison := load.Compare(ctx, run, throughNode, direct)
 		progress.done()
+		failures.print(env)
 		return c.finish(env, comparison, comparisonLines(comparison), comparison.Node, comparison.Direct)
 	}
 	sender := throughNode
 	if c.Target == targetEngine {
-		sender = load.Direct(env.HTTPClient, c.Engine, cfg, prompt)
+		sender = load.Direct(env.HTTPClient, string(c.Engine), cfg, prompt)
 	}
 	report := load.NewRunner(run, sender).Run(ctx).Report(c.Target)
 	progress.done()
+	failures.print(env)
 	return c.finish(env, report, reportLines(report), report)
 }
 
+// lastError keeps why a request did not complete: without it a run at a wrong
+// address shows numbers and no reason.
+type lastError struct{ err atomic.Pointer[error] }
+
+// watch returns a sender through the caller's nodes that keeps its last error.
+func (l *lastError) watch(caller *load.Caller, prompt func(number int64) string) load.Sender {
+	return func(ctx context.Context, number int64) api.Outcome {
+		answer := caller.Send(ctx, prompt(number))
+		if answer.Err != nil {
+			l.err.Store(&answer.Err)
+		}
+		return answer.Outcome
+	}
+}
+
+func (l *lastError) print(env *Environment) {
+	if last := l.err.Load(); last != nil {
+		fmt.Fprintf(env.Stderr, "%s: the last request that did not complete: %v\n", Program, *last)
+	}
+}
+
 // finish prints the results; the answer is no if nothing completed at one of
 // the targets.
 func (c *loadCommand) finish(env *Environment, value any, lines [][]string, reports ...load.Report) error {
@@ -185,7 +240,7 @@
 
 func (c *loadCommand) runTrainer(ctx context.Context, env *Environment, lg *logrus.Logger, sink history.Sink) error {
 	flags := c.Trainer
-	weights := platform.NewClient(env.HTTPClient, platform.Addresses{Weights: flags.WeightsAddress})
+	weights := platform.NewClient(env.HTTPClient, platform.Addresses{Weights: string(flags.WeightsAddress)})
 	trainer := load.NewTrainer(lg, load.TrainerConfig{
 		Name: c.Caller, Nodes: c.Nodes, Pool: c.Pool, Model: flags.Model,
 		Version: flags.FirstVersion, VersionBound: flags.VersionBound,
--- a/internal/cli/query.go
+++ b/internal/cli/query.go
@@ -12,8 +12,8 @@
 
 // nodeFlags name the node whose operator port is asked.
 type nodeFlags struct {
-	Node   string `long:"node" short:"n" default:"127.0.0.1:7001" value-name:"IP:PORT" description:"operator address of a node; any node answers for all"`
-	Author string `long:"author" env:"USER" description:"name under which changes are logged"`
+	Node   address `long:"node" short:"n" default:"127.0.0.1:7001" value-name:"IP:PORT" description:"operator address of a node; any node answers for all"`
+	Author string  `long:"author" env:"USER" description:"name under which changes are logged"`
 }
 
 type queryCommand struct {
@@ -47,7 +47,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	client := operator.NewClient(env.HTTPClient, c.Node)
+	client := operator.NewClient(env.HTTPClient, string(c.Node))
 	return operatorError(operator.Run(ctx, client, source, c.options(env, c.outputFlag), env.Stdout))
 }
 
--- a/internal/cli/shell.go
+++ b/internal/cli/shell.go
@@ -36,7 +36,7 @@
 func (c *shellCommand) run(ctx context.Context, env *Environment) error {
 	_, terminalInput := terminalWidth(env.Stdin)
 	code, err := shell.Run(ctx, shell.Config{
-		Client:      operator.NewClient(env.HTTPClient, c.Node),
+		Client:      operator.NewClient(env.HTTPClient, string(c.Node)),
 		Options:     c.options(env, c.outputFlag),
 		Input:       io.NopCloser(env.Stdin),
 		Output:      env.Stdout,
--- a/internal/configlog/service.go
+++ b/internal/configlog/service.go
@@ -103,6 +103,9 @@
 	ready   atomic.Bool
 	pulls   chan string
 	compact chan struct{}
+	// unread counts the reads that did not succeed before the node was ready. It
+	// belongs to pollLoop.
+	unread int
 
 	// applying orders adoptions, so that the digest and the history never show
 	// a node going back.
@@ -246,13 +249,31 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	s.lg.WithError(err).Debug("cannot read the configuration log")
+	s.reportUnread(err)
 	if !s.Ready() && s.catchUpWithPeers(ctx) {
 		s.becomeReady("a majority of the members told their revisions")
 	}
 	return err
 }
 
+// unreadWarnings is the number of unsuccessful reads after which a node that is
+// not ready says so again.
+const unreadWarnings = 10
+
+// reportUnread logs a read that did not succeed. A node that waits for its
+// first configuration says so where operators look.
+func (s *Service) reportUnread(err error) {
+	lg := s.lg.WithError(err)
+	if s.Ready() {
+		lg.Debug("cannot read the configuration log")
+		return
+	}
+	if s.unread%unreadWarnings == 0 {
+		lg.Warn("the table service does not answer; the node waits for its configuration and is not ready")
+	}
+	s.unread++
+}
+
 // learn adopts a log that this node read or wrote, and pushes what is new.
 func (s *Service) learn(log *Log) {
 	if s.adopt(log) && s.Ready() {
--- a/internal/emulator/server/server.go
+++ b/internal/emulator/server/server.go
@@ -52,7 +52,7 @@
 func Start(lg logrus.FieldLogger, config Config) (*Server, error) {
 	listener, err := config.Listen(config.Address)
 	if err != nil {
-		return nil, errs.Wrap(err)
+		return nil, errs.Errorf("%s: %w", config.Name, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
--- a/internal/load/trainer.go
+++ b/internal/load/trainer.go
@@ -52,6 +52,9 @@
 	// callTimeout bounds one sending of a call that changes something, so that
 	// a node that is paused does not hold the trainer up.
 	callTimeout = 10 * time.Second
+	// warnInterval is the time without success after which a trainer says so
+	// where its user sees it, and says so again.
+	warnInterval = 5 * time.Second
 )
 
 func (c TrainerConfig) withDefaults() TrainerConfig {
@@ -177,6 +180,7 @@
 // retry repeats call until it succeeds, the context ends, or its error says
 // that repeating does not help. Every call it is used for is idempotent.
 func (t *Trainer) retry(ctx context.Context, what string, call func() error) error {
+	warned := time.Now()
 	for {
 		err := call()
 		if err == nil {
@@ -186,7 +190,11 @@
 		if !again {
 			return errs.Errorf("%s: %w", what, err)
 		}
-		t.lg.WithError(err).WithField("retry_in", delay).Debugf("%s: no success yet", what)
+		level := logrus.DebugLevel
+		if time.Since(warned) >= warnInterval {
+			level, warned = logrus.WarnLevel, time.Now()
+		}
+		t.lg.WithError(err).WithField("retry_in", delay).Logf(level, "%s: no success yet", what)
 		if waitErr := wait(ctx, delay); waitErr != nil {
 			return errs.Errorf("%s: %w, last: %w", what, waitErr, err)
 		}
--- a/internal/processtest/examples_test.go
+++ b/internal/processtest/examples_test.go
@@ -59,6 +59,10 @@
 	}
 }
 
+// everyVersionLoaded is a command that succeeds once the six engines have what
+// the trainer's second step published.
+const everyVersionLoaded = `bin/sliplift query "SHOW versions WHERE loaded = 2" | grep '^6 rows'`
+
 // TestReadme runs the commands of the README's section on separate processes as
 // they stand there, but for two things: the programs are those that TestMain
 // built, and the block that measures is left out. It is the slowest test and the
@@ -92,6 +96,7 @@
 		}
 		runReadmeLine(t, directory, line)
 	}
+	runReadmeLine(t, directory, everyVersionLoaded)
 	for i := len(servers) - 1; i >= 0; i-- {
 		servers[i].signal(syscall.SIGTERM)
 		if code, err := servers[i].waitExit(); err != nil || code != 0 {
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -13,14 +13,15 @@
 // readFile returns the lines of the file without the faulty ones, and a fault
 // for each of those, in the order of the file. The library stops at the first
 // fault, so each faulty line is blanked and the file read again until none is
-// left. An empty path stands for an empty file.
+// left. An empty path stands for an empty file. A file that cannot be read is
+// returned as an error: what else is wrong then follows from it.
 func readFile(path string, target Settings) ([]string, Faults, error) {
 	if path == "" {
 		return nil, nil, nil
 	}
 	content, err := os.ReadFile(path)
 	if err != nil {
-		return nil, Faults{{Key: "config", Value: path, Allowed: err.Error()}}, nil
+		return nil, nil, Faults{{Key: "config", Value: path, Allowed: err.Error()}}
 	}
 	lines := strings.Split(string(content), "\n")
 	found := map[int]Fault{}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"regexp"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
@@ -162,16 +163,24 @@
 	return faults
 }
 
+// goTypePattern is what the library says about the Go type of a flag's field.
+var goTypePattern = regexp.MustCompile(` \(expected [^)]*\)`)
+
+// ArgumentText returns the library's message on an argument without the Go
+// types that it names.
+func ArgumentText(err error) string { return goTypePattern.ReplaceAllString(err.Error(), "") }
+
 // argumentError adds what the flag allows to the library's message.
 func argumentError(parser *flags.Parser, err error) string {
-	text := err.Error()
+	text := ArgumentText(err)
 	var flagError *flags.Error
 	if !errors.As(err, &flagError) || flagError.Type != flags.ErrMarshal {
 		return text
 	}
 	eachOption(parser, func(option *flags.Option) {
-		if strings.Contains(flagError.Message, "--"+option.LongName+"'") {
-			text += "; " + boundsText(option)
+		bounds := boundsText(option)
+		if bounds != "" && strings.Contains(flagError.Message, "--"+option.LongName+"'") {
+			text += "; " + bounds
 		}
 	})
 	return text
