peer: a timeout beyond what a duration holds closes the connection

Ruled out: a cap, because no sender of this protocol can mean such a time. Change: such a line is malformed. FuzzInbound sends arbitrary lines through the whole inbound path; FuzzDecodeMessage compares the whole message.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"math"
+	"time"
 
 	"github.com/zeebo/errs/v2"
 )
@@ -17,6 +19,8 @@
 
 	maxKindLength = 64
 	newline       = '\n'
+	// maxTimeoutMS is the longest timeout that a time.Duration holds.
+	maxTimeoutMS = math.MaxInt64 / int64(time.Millisecond)
 )
 
 // hello is the first line in each direction of a connection.
@@ -64,8 +68,8 @@
 	if message.Response && message.ID == 0 {
 		return Message{}, ErrMalformed.Errorf("response without id")
 	}
-	if message.TimeoutMS < 0 {
-		return Message{}, ErrMalformed.Errorf("negative timeout")
+	if message.TimeoutMS < 0 || message.TimeoutMS > maxTimeoutMS {
+		return Message{}, ErrMalformed.Errorf("timeout of %d ms", message.TimeoutMS)
 	}
 	return message, nil
 }
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -279,8 +280,11 @@
 			t.Fatal(err)
 		}
 		again, err := DecodeMessage(encoded[:len(encoded)-1])
-		if err != nil || again.Kind != message.Kind || again.ID != message.ID || again.Response != message.Response {
-			t.Fatalf("%+v became %+v: %v", message, again, err)
+		if err != nil {
+			t.Fatalf("%s: %v", encoded, err)
+		}
+		if second, err := encodeLine(again, 1<<30); err != nil || !bytes.Equal(second, encoded) {
+			t.Fatalf("%s became %s: %v", encoded, second, err)
 		}
 	})
 }
