history: damaged lines of one byte, lines without a kind, absurd counts

Cause: a last line of one byte was skipped as if it were empty; null and {} were taken as events; and a step with a count near 2^63 that was done without its samples was judged one missing sample at a time, without an end. Ruled out: skipping lines of white space, which were refused before and still are. Change: only empty lines are skipped, an event must have a kind, and of missing samples the first maxViolations are named and the rest counted.

--- a/internal/history/judge_samples.go
+++ b/internal/history/judge_samples.go
@@ -182,11 +182,26 @@
 		j.found.breach(evidence(*step.done), "step %d of %s is done but was not posted", id.step, id.trainer)
 		return
 	}
-	for index := range step.count {
+	j.judgeMissing(id, step)
+}
+
+// judgeMissing names the first missing samples and counts the rest, so that a
+// history with an absurd count is judged in the time of its lines.
+func (j *deliveryJudge) judgeMissing(id stepID, step *stepTruth) {
+	missing := max(step.count, 0)
+	for index := range step.delivered {
+		if index >= 0 && index < step.count {
+			missing--
+		}
+	}
+	named := 0
+	for index := 0; named < min(missing, maxViolations); index++ {
 		if _, delivered := step.delivered[index]; !delivered {
 			j.found.breach(evidence(*step.done), "step %d of %s is done without sample %d of %d", id.step, id.trainer, index, step.count)
+			named++
 		}
 	}
+	j.found.ViolationCount += missing - named
 }
 
 // judgeIndexes looks for samples that the step never asked for.
--- a/internal/history/read.go
+++ b/internal/history/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -38,11 +39,14 @@
 		if readErr != nil && !errors.Is(readErr, io.EOF) {
 			return ErrRead.Errorf("%v: %w", position, readErr)
 		}
-		if len(line) > 1 {
+		if len(bytes.TrimSuffix(line, []byte("\n"))) > 0 {
 			var event Event
 			if err := json.Unmarshal(line, &event); err != nil {
 				return ErrRead.Errorf("%v: %w", position, err)
 			}
+			if event.Kind == "" {
+				return ErrRead.Errorf("%v: event without a kind", position)
+			}
 			visit(event, position)
 		}
 		if readErr != nil {
