gateway: typed answers to odd paths, and names must be UTF-8

Cause: paths that are not clean, such as //v1/requests, got the mux's redirect and "*" its empty 400, although every answer but a success is an api.Error. A trainer's name of broken UTF-8 in the path became another one in JSON. Ruled out: cleaning the path in place, because a body sent to a path that does not exist is best refused. Change: such paths are refused with not_found, such names with invalid_field.

--- a/internal/gateway/live.go
+++ b/internal/gateway/live.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 
@@ -129,12 +130,15 @@
 	return nil
 }
 
-// checkName refuses names that are too long or hold control characters or
-// spaces; an empty name passes.
+// checkName refuses names that are too long, are not UTF-8 (JSON would make
+// several of them equal) or hold control characters or spaces; an empty name passes.
 func checkName(field, name string, limit int) *api.Error {
 	if len(name) > limit {
 		return api.Invalid("%s: %d bytes, over %d", field, len(name), limit)
 	}
+	if !utf8.ValidString(name) {
+		return api.Invalid("%s: not UTF-8", field)
+	}
 	if strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
 		return api.Invalid("%s: holds a space or control character", field)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"path"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -147,7 +148,19 @@
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("/", serveUnknownPath)
-	return mux
+	return exactPaths(mux)
+}
+
+// exactPaths answers paths that the mux would redirect or refuse without a
+// typed error, such as "//v1/requests".
+func exactPaths(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if escaped := r.URL.EscapedPath(); r.RequestURI == "*" || path.Clean("/"+escaped) != escaped {
+			serveUnknownPath(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func serveUnknownPath(w http.ResponseWriter, r *http.Request) {
