--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -293,8 +293,14 @@
 func (c *Controller) step(rollout *weights.Rollout, pool configlog.Pool, engines []weights.Engine) ([]weights.Order, weights.Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before := len(rollout.Progress().SetAside)
 	orders := rollout.Step(time.Now(), pool.TargetVersion(), pool.PinnedVersion != 0, engines)
-	return orders, rollout.Progress()
+	progress := rollout.Progress()
+	if len(progress.SetAside) > before {
+		fields := logrus.Fields{"pool": pool.Name, "version": progress.Target, "back_ends": progress.SetAside}
+		c.log.WithFields(fields).Warn("engines failed to load the version too often and are set aside")
+	}
+	return orders, progress
 }
 
 func (c *Controller) orderFailed(rollout *weights.Rollout, engine string) {
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -94,7 +94,7 @@
 	tableRevision int64
 	// tableSilent says that the last write got no answer.
 	tableSilent bool
-	subscribers   map[chan struct{}]struct{}
+	subscribers map[chan struct{}]struct{}
 }
 
 // NewService returns a service without shards.
