machinewatch: Config.Address is back, its removal broke the build

Cause: removed the field, which internal/experiment/capacity sets too; only the two changed packages had been vetted, so main did not build. Ruled out: changing internal/experiment/capacity here, which others are working on. Nothing reads the field still; it can go once the three places change together.

--- a/internal/machinewatch/watcher.go
+++ b/internal/machinewatch/watcher.go
@@ -42,8 +42,9 @@
 
 // Config holds what a Watcher needs. Zero durations and counts mean the defaults.
 type Config struct {
-	// Node is this node's name.
+	// Node and Address are this node's name and peer address.
 	Node     string
+	Address  string
 	Machines Lister
 	Peers    peer.Caller
 	// Registry takes the handlers of this watcher.
