daemon: the frame that slipliftd and sliplift-emulator share

Ruled out: a function of settings or of telemetry; neither should know the other. Change: package daemon has Main; the commands keep what is theirs. Behaviour is the same.

--- a/cmd/slipliftd/main.go
+++ b/cmd/slipliftd/main.go
@@ -6,46 +6,31 @@
 	"context"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs/v2"
 
+	"github.com/sliplift/sliplift/internal/daemon"
+	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/node"
 	"github.com/sliplift/sliplift/internal/settings"
-	"github.com/sliplift/sliplift/internal/telemetry"
 )
 
-// exitFailed is the exit code of a process that could not start or go on.
-const exitFailed = 1
-
 func main() {
 	cfg := &settings.Node{}
-	code, proceed := settings.Start(settings.NodeProgram, telemetry.Version(), os.Args[1:], cfg, os.Stdout, os.Stderr)
-	if !proceed {
-		os.Exit(code)
-	}
-	lg, err := telemetry.NewLogger(cfg.LogLevel, telemetry.Format(cfg.LogFormat), os.Stderr)
-	if err != nil {
-		panic("settings let through: " + err.Error())
-	}
-	if err := run(cfg, lg); err != nil {
-		lg.WithError(err).Error("stopped")
-		os.Exit(exitFailed)
-	}
+	os.Exit(daemon.Main(daemon.Program{
+		Name:      settings.NodeProgram,
+		Settings:  cfg,
+		Telemetry: &cfg.Telemetry,
+		Run: func(ctx context.Context, lg *logrus.Logger, sink history.Sink) error {
+			return run(ctx, cfg, lg, sink)
+		},
+	}))
 }
 
-// run serves until the process is told to stop, and then stops in order.
-func run(cfg *settings.Node, lg *logrus.Logger) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
-	sink, closeSink, err := telemetry.OpenHistory(lg, cfg.HistoryFile)
-	if err != nil {
-		return errs.Errorf("history-file: %w", err)
-	}
-	defer closeSink()
+// run serves until ctx ends, and then stops in order.
+func run(ctx context.Context, cfg *settings.Node, lg *logrus.Logger, sink history.Sink) error {
 	config := node.Config{Settings: *cfg, Incarnation: time.Now().UnixMicro(), Log: lg, Sink: sink}
 	if err := listen(&config); err != nil {
 		return err
