catalog: engines and applications are one builder

Cause: the two functions differed in the kind of the pools and in two cells. Change: buildBackends(kind); only engines have the cells version and loading. Measured: testdata/catalog passes unchanged.

--- a/internal/operator/catalog/backends.go
+++ b/internal/operator/catalog/backends.go
@@ -56,40 +56,33 @@
 	return string(load.Role)
 }
 
-func buildEngines(table *query.Table, v view) {
-	for _, pool := range sortedPools(v.state) {
-		if pool.Kind != configlog.PoolEngines {
-			continue
-		}
-		for _, backend := range pool.Backends {
-			load := v.loadOf(backend.Name)
-			table.Append(
-				query.Text(backend.Name), query.Text(pool.Name),
-				query.TextOrNone(backend.Zone), query.TextOrNone(backend.Region), query.TextOrNone(backend.Site),
-				load.role, load.running, load.waiting, load.capacity, load.version, load.loading,
-				load.age, query.Bool(v.state.Drained(backend)), load.node, query.Text(backend.Address),
-			)
+// buildBackends returns what fills the table of the back ends of pools of the
+// kind. Only engines have versions.
+func buildBackends(kind configlog.PoolKind) func(*query.Table, view) {
+	return func(table *query.Table, v view) {
+		for _, pool := range sortedPools(v.state) {
+			if pool.Kind != kind {
+				continue
+			}
+			for _, backend := range pool.Backends {
+				v.appendBackend(table, pool, backend)
+			}
 		}
+		v.noteSilent(table, kind)
 	}
-	v.noteSilent(table, configlog.PoolEngines)
 }
 
-func buildApplications(table *query.Table, v view) {
-	for _, pool := range sortedPools(v.state) {
-		if pool.Kind != configlog.PoolApplications {
-			continue
-		}
-		for _, backend := range pool.Backends {
-			load := v.loadOf(backend.Name)
-			table.Append(
-				query.Text(backend.Name), query.Text(pool.Name),
-				query.TextOrNone(backend.Zone), query.TextOrNone(backend.Region), query.TextOrNone(backend.Site),
-				load.role, load.running, load.waiting, load.capacity,
-				load.age, query.Bool(v.state.Drained(backend)), load.node, query.Text(backend.Address),
-			)
-		}
+func (v view) appendBackend(table *query.Table, pool configlog.Pool, backend configlog.Backend) {
+	load := v.loadOf(backend.Name)
+	cells := []query.Value{
+		query.Text(backend.Name), query.Text(pool.Name),
+		query.TextOrNone(backend.Zone), query.TextOrNone(backend.Region), query.TextOrNone(backend.Site),
+		load.role, load.running, load.waiting, load.capacity,
+	}
+	if pool.Kind == configlog.PoolEngines {
+		cells = append(cells, load.version, load.loading)
 	}
-	v.noteSilent(table, configlog.PoolApplications)
+	table.Append(append(cells, load.age, query.Bool(v.state.Drained(backend)), load.node, query.Text(backend.Address))...)
 }
 
 // noteSilent counts the back ends without a report.
--- a/internal/operator/catalog/catalog.go
+++ b/internal/operator/catalog/catalog.go
@@ -62,8 +62,8 @@
 // builders fill tables from a view.
 var builders = map[query.TableName]func(*query.Table, view){
 	query.TableNodes:        buildNodes,
-	query.TableEngines:      buildEngines,
-	query.TableApplications: buildApplications,
+	query.TableEngines:      buildBackends(configlog.PoolEngines),
+	query.TableApplications: buildBackends(configlog.PoolApplications),
 	query.TablePools:        buildPools,
 	query.TableSteps:        buildSteps,
 	query.TableLeases:       buildLeases,
