--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -1,6 +1,9 @@
 package claim
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Config.
 const (
@@ -46,20 +49,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Validity, DefaultValidity)
-	setDefault(&c.RoundTimeout, DefaultRoundTimeout)
-	setDefault(&c.GroupSize, DefaultGroupSize)
-	setDefault(&c.ClockSkew, DefaultClockSkew)
-	setDefault(&c.MaxEntries, DefaultMaxEntries)
-	setDefault(&c.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	c.Validity = cmp.Or(c.Validity, DefaultValidity)
+	c.RoundTimeout = cmp.Or(c.RoundTimeout, DefaultRoundTimeout)
+	c.GroupSize = cmp.Or(c.GroupSize, DefaultGroupSize)
+	c.ClockSkew = cmp.Or(c.ClockSkew, DefaultClockSkew)
+	c.MaxEntries = cmp.Or(c.MaxEntries, DefaultMaxEntries)
+	c.MaxAnswerBytes = cmp.Or(c.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	return c
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Retention is how long a replica keeps a grant.
 func (c Config) Retention() time.Duration { return c.Validity + c.RoundTimeout }
--- a/internal/configlog/service.go
+++ b/internal/configlog/service.go
@@ -1,6 +1,7 @@
 package configlog
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -68,13 +69,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.PollInterval, DefaultPollInterval)
-	setDefault(&c.OperationTimeout, DefaultOperationTimeout)
-	setDefault(&c.SubmitTimeout, DefaultSubmitTimeout)
-	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
-	setDefault(&c.ConfirmationAge, DefaultConfirmationAge)
-	setDefault(&c.ReadersPerRegion, DefaultReadersPerRegion)
-	setDefault(&c.PushFanout, DefaultPushFanout)
+	c.PollInterval = cmp.Or(c.PollInterval, DefaultPollInterval)
+	c.OperationTimeout = cmp.Or(c.OperationTimeout, DefaultOperationTimeout)
+	c.SubmitTimeout = cmp.Or(c.SubmitTimeout, DefaultSubmitTimeout)
+	c.PeerTimeout = cmp.Or(c.PeerTimeout, DefaultPeerTimeout)
+	c.ConfirmationAge = cmp.Or(c.ConfirmationAge, DefaultConfirmationAge)
+	c.ReadersPerRegion = cmp.Or(c.ReadersPerRegion, DefaultReadersPerRegion)
+	c.PushFanout = cmp.Or(c.PushFanout, DefaultPushFanout)
 	if c.Sink == nil {
 		c.Sink = history.Discard{}
 	}
@@ -84,13 +85,6 @@
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Service is a node's copy of the configuration. All methods may be called
 // concurrently.
 type Service struct {
--- a/internal/configlog/spread.go
+++ b/internal/configlog/spread.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"time"
 
 	"github.com/zeebo/errs/v2"
 
@@ -214,27 +213,3 @@
 	others := known - 1
 	return highest, len(answers) > 0 && len(answers) >= others/2+1
 }
-
-// timedTable bounds each operation on the table.
-type timedTable struct {
-	table   Table
-	timeout time.Duration
-}
-
-func (t timedTable) Commit(ctx context.Context, transaction api.Transaction) (api.TransactionResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.timeout)
-	defer cancel()
-	return t.table.Commit(ctx, transaction)
-}
-
-func (t timedTable) Get(ctx context.Context, key string) (api.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.timeout)
-	defer cancel()
-	return t.table.Get(ctx, key)
-}
-
-func (t timedTable) Scan(ctx context.Context, prefix, after string, limit int) (api.ScanResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.timeout)
-	defer cancel()
-	return t.table.Scan(ctx, prefix, after, limit)
-}
--- a/internal/configlog/state.go
+++ b/internal/configlog/state.go
@@ -56,14 +56,18 @@
 type DrainScope string
 
 const (
+	// DrainEngine is one back end, an application instance too.
 	DrainEngine DrainScope = "engine"
-	DrainNode   DrainScope = "node"
-	DrainZone   DrainScope = "zone"
-	DrainSite   DrainScope = "site"
+	// DrainNode is a node of this service.
+	DrainNode DrainScope = "node"
+	// DrainZone is every back end of a zone.
+	DrainZone DrainScope = "zone"
+	// DrainSite is every back end of a site.
+	DrainSite DrainScope = "site"
 )
 
 // Drain is a standing order that a back end, node, zone or site takes no new
-// work. DrainEngine also names application instances.
+// work.
 type Drain struct {
 	Scope DrainScope `json:"scope"`
 	Name  string     `json:"name"`
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -58,20 +59,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Duration, DefaultDuration)
-	setDefault(&c.Settle, DefaultSettle)
-	setDefault(&c.MoveInterval, DefaultMoveInterval)
-	setDefault(&c.OperationsPerSecond, DefaultOperationsPerSecond)
+	c.Duration = cmp.Or(c.Duration, DefaultDuration)
+	c.Settle = cmp.Or(c.Settle, DefaultSettle)
+	c.MoveInterval = cmp.Or(c.MoveInterval, DefaultMoveInterval)
+	c.OperationsPerSecond = cmp.Or(c.OperationsPerSecond, DefaultOperationsPerSecond)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Service holds this node's leases. All methods may be called concurrently.
 type Service struct {
 	lg      logrus.FieldLogger
@@ -170,7 +164,7 @@
 }
 
 // Leases returns what this node knows of all leases, by shard. A node that is
-// no candidate for any shard reads the table only on Refresh.
+// no candidate for any shard does not read the table: see Status.AsOf.
 func (s *Service) Leases() []Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -201,9 +195,6 @@
 	return status
 }
 
-// Refresh reads all rows, for Leases.
-func (s *Service) Refresh(ctx context.Context) error { return s.scan(ctx) }
-
 // Subscribe returns a channel that gets a value after this node gained or lost
 // a lease. The returned function ends it.
 func (s *Service) Subscribe() (<-chan struct{}, func()) {
--- a/internal/rollout/pull.go
+++ b/internal/rollout/pull.go
@@ -8,6 +8,17 @@
 	"github.com/sliplift/sliplift/internal/api"
 )
 
+// PullQuery holds the query parameters of a pull.
+type PullQuery struct {
+	Cursor int64
+	// Version is the trainer's version.
+	Version int64
+	// Limit is the largest number of samples; zero means Config.PullLimit.
+	Limit int
+	// Wait is how long to wait for the first sample.
+	Wait time.Duration
+}
+
 // Pull answers with committed samples from the query's cursor on, or with none
 // if there are none within the query's wait.
 func (s *Service) Pull(ctx context.Context, trainer string, step int64, query PullQuery) (api.PullResponse, *api.Error) {
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
 )
@@ -37,14 +36,3 @@
 type Runner interface {
 	Run(ctx context.Context, request RunRequest) RunResult
 }
-
-// PullQuery holds the query parameters of a pull.
-type PullQuery struct {
-	Cursor int64
-	// Version is the trainer's version.
-	Version int64
-	// Limit is the largest number of samples; zero means Config.PullLimit.
-	Limit int
-	// Wait is how long to wait for the first sample.
-	Wait time.Duration
-}
--- a/internal/roster/rules.go
+++ b/internal/roster/rules.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/claim"
@@ -45,22 +46,16 @@
 }
 
 func (r Rules) withDefaults() Rules {
-	setDefault(&r.GroupSize, claim.DefaultGroupSize)
-	setDefault(&r.Window, claim.Config{Validity: claim.DefaultValidity, RoundTimeout: claim.DefaultRoundTimeout}.Retention()+r.MaxViewAge)
-	setDefault(&r.Settle, DefaultSettle)
-	setDefault(&r.FirstWait, DefaultFirstWait)
-	setDefault(&r.JoinAfter, DefaultJoinAfter)
-	setDefault(&r.ReplaceAfter, DefaultReplaceAfter)
-	setDefault(&r.MaxMembers, DefaultMaxMembers)
+	r.GroupSize = cmp.Or(r.GroupSize, claim.DefaultGroupSize)
+	r.Window = cmp.Or(r.Window, claim.Config{Validity: claim.DefaultValidity, RoundTimeout: claim.DefaultRoundTimeout}.Retention()+r.MaxViewAge)
+	r.Settle = cmp.Or(r.Settle, DefaultSettle)
+	r.FirstWait = cmp.Or(r.FirstWait, DefaultFirstWait)
+	r.JoinAfter = cmp.Or(r.JoinAfter, DefaultJoinAfter)
+	r.ReplaceAfter = cmp.Or(r.ReplaceAfter, DefaultReplaceAfter)
+	r.MaxMembers = cmp.Or(r.MaxMembers, DefaultMaxMembers)
 	return r
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // majority returns how many members of a list of that length can make a
 // majority of a group.
 func (r Rules) majority(members int) int {
--- a/internal/roster/service.go
+++ b/internal/roster/service.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -68,8 +69,8 @@
 // NewService returns a service that does nothing until Run.
 func NewService(lg logrus.FieldLogger, cfg Config, lessor Lessor, configuration Configuration, members Members) *Service {
 	cfg.Rules = cfg.Rules.withDefaults()
-	setDefault(&cfg.Interval, DefaultInterval)
-	setDefault(&cfg.ConfirmInterval, DefaultConfirmInterval)
+	cfg.Interval = cmp.Or(cfg.Interval, DefaultInterval)
+	cfg.ConfirmInterval = cmp.Or(cfg.ConfirmInterval, DefaultConfirmInterval)
 	return &Service{
 		lg:            lg.WithField("component", "roster"),
 		cfg:           cfg,
