processtest: ports that nobody else keeps; all nodes stop at once at the end

Cause: in one of four runs under load two stand-ins found their ports taken, on loopback addresses that no other test used. Go starts a process by a copy of itself, which has the listeners of the tests until it runs its program; one that another test started at that moment kept ports that were given up for a third. Ruled out: trying again with other ports, since the settings of other processes already name them. Change: ports are given up and processes started under one lock. At the end of a test all nodes are told to stop at once, which is shorter and proves more.

--- a/internal/processtest/examples_test.go
+++ b/internal/processtest/examples_test.go
@@ -88,7 +88,7 @@
 	var servers []*process
 	for i, line := range blocks[0] {
 		command := strings.Replace(line, "go run ./cmd/", "exec bin/", 1)
-		servers = append(servers, startProcess(t, fmt.Sprintf("server-%d", i+1), directory, "/bin/sh", "-c", command))
+		servers = append(servers, startProcess(t, fmt.Sprintf("server-%d", i+1), directory, nil, "/bin/sh", "-c", command))
 	}
 	for _, line := range blocks[1] {
 		if strings.HasPrefix(line, "go build ") {
--- a/internal/processtest/messages_test.go
+++ b/internal/processtest/messages_test.go
@@ -38,9 +38,7 @@
 	misspelt := write("misspelt.ini", nodeText(free)+"heartbeat-intervall = 1s\n")
 	emulator := write("emulator.ini", "control-address = "+free.address("control")+"\n")
 	missing := filepath.Join(directory, "missing.ini")
-	for _, name := range []string{"caller", "operator", "peer", "control"} {
-		free.release(name)
-	}
+	free.release("caller", "operator", "peer", "control")
 
 	tests := []struct {
 		program   string
@@ -100,10 +98,8 @@
 	if err := os.WriteFile(settings, []byte(nodeText(free)), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	for _, port := range []string{"caller", "operator", "peer", "platform"} {
-		free.release(port)
-	}
-	node := startProcess(t, "node", directory, program(nodeProgram), "--config", settings)
+	free.release("platform")
+	node := startProcess(t, "node", directory, free.take("caller", "operator", "peer"), program(nodeProgram), "--config", settings)
 	eventually(t, "the log says why the node is not ready", func() error {
 		log := node.log()
 		for _, wanted := range []string{"the table service does not answer", "not ready", free.address("platform")} {
--- a/internal/processtest/ports_test.go
+++ b/internal/processtest/ports_test.go
@@ -58,10 +58,21 @@
 	return p.addresses[name]
 }
 
-// release frees the port for its process.
-func (p *ports) release(name string) {
-	if listener, held := p.listeners[name]; held {
+// take returns the listeners that keep the ports, for the caller to close.
+func (p *ports) take(names ...string) []net.Listener {
+	var taken []net.Listener
+	for _, name := range names {
+		if listener, held := p.listeners[name]; held {
+			taken = append(taken, listener)
+			delete(p.listeners, name)
+		}
+	}
+	return taken
+}
+
+// release frees the ports.
+func (p *ports) release(names ...string) {
+	for _, listener := range p.take(names...) {
 		listener.Close()
-		delete(p.listeners, name)
 	}
 }
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -30,10 +32,15 @@
 	ended chan struct{}
 }
 
+// starting is held while a process is started, and while ports are given up for
+// it. A process has copies of this one's listeners until it runs its program:
+// one that another test starts at that moment would keep the ports taken.
+var starting sync.Mutex
+
 // startProcess starts the program with its output in a log file of the
-// directory. The test's end kills and collects it, and shows the log's tail if
+// directory, after it gave up the ports. The test's end kills and collects it, and shows the log's tail if
 // the test failed.
-func startProcess(t *testing.T, name, directory, path string, arguments ...string) *process {
+func startProcess(t *testing.T, name, directory string, ports []net.Listener, path string, arguments ...string) *process {
 	t.Helper()
 	p := &process{
 		name:    name,
@@ -48,7 +55,7 @@
 	defer log.Close()
 	p.command.Dir = directory
 	p.command.Stdout, p.command.Stderr = log, log
-	if err := p.command.Start(); err != nil {
+	if err := startCommand(p.command, ports); err != nil {
 		t.Fatalf("start %s: %v", name, err)
 	}
 	go func() {
@@ -63,6 +70,15 @@
 	return p
 }
 
+func startCommand(command *exec.Cmd, ports []net.Listener) error {
+	starting.Lock()
+	defer starting.Unlock()
+	for _, port := range ports {
+		port.Close()
+	}
+	return command.Start()
+}
+
 // reportLog fails the test for data races, and shows the log of a failed test.
 func (p *process) reportLog(t *testing.T) {
 	log := p.log()
@@ -132,9 +148,10 @@
 	command := exec.CommandContext(t.Context(), path, arguments...)
 	command.Dir = directory
 	command.Stdout, command.Stderr = &stdout, &stderr
-	if err := command.Run(); err != nil && command.ProcessState == nil {
+	if err := startCommand(command, nil); err != nil {
 		t.Fatalf("run %s: %v", path, err)
 	}
+	_ = command.Wait() // The exit code is read from ProcessState.
 	return result{command.ProcessState.ExitCode(), stdout.String(), stderr.String()}
 }
 
--- a/internal/processtest/system_test.go
+++ b/internal/processtest/system_test.go
@@ -191,10 +191,7 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	for _, port := range portNames {
-		s.ports.release(port)
-	}
-	return startProcess(s.t, name, s.directory, program(programName), "--config", file, "--history-file", s.historyFile(name))
+	return startProcess(s.t, name, s.directory, s.ports.take(portNames...), program(programName), "--config", file, "--history-file", s.historyFile(name))
 }
 
 func (s *system) historyFile(name string) string {
@@ -232,6 +229,21 @@
 	s.wantStopped(s.nodes[name].process)
 }
 
+// stopNodes stops the nodes that run, all at once.
+func (s *system) stopNodes() {
+	s.t.Helper()
+	var stopped []*process
+	for _, node := range s.nodes {
+		if node.running() {
+			node.signal(syscall.SIGTERM)
+			stopped = append(stopped, node.process)
+		}
+	}
+	for _, node := range stopped {
+		s.wantStopped(node)
+	}
+}
+
 func (s *system) wantStopped(p *process) {
 	s.t.Helper()
 	if code, err := p.waitExit(); err != nil || code != 0 {
@@ -245,12 +257,9 @@
 	s.t.Helper()
 	files := []string{filepath.Join(s.directory, "users.jsonl"), s.historyFile(emulatorProgram)}
 	for i := range nodeCount {
-		node := s.nodes[nodeName(i)]
-		if node.running() {
-			s.stop(node.name)
-		}
-		files = append(files, s.historyFile(node.name))
+		files = append(files, s.historyFile(nodeName(i)))
 	}
+	s.stopNodes()
 	s.emulator.signal(syscall.SIGTERM)
 	s.wantStopped(s.emulator)
 	if err := s.users.Close(); err != nil {
