experiment, rollout: samples that would miss their bound are not begun

Cause: with two steps posted ahead under a bound of 1, thousands of samples were generated and then found too old at their hand-out.

Change: rollout.StartVersion says with which version a step's samples may begin so that they will meet its bound; the mechanism rerun uses it. Wasted tokens now also count whole samples that were generated again.

--- a/internal/experiment/step.go
+++ b/internal/experiment/step.go
@@ -31,6 +31,8 @@
 	// order holds their numbers in order of start.
 	order  []int
 	starts []int
+	// kept holds the tokens of the whole sample of each index.
+	kept   []int
 	cursor int64
 	// begun is when the samples were allowed to start.
 	begun      time.Duration
@@ -53,6 +55,7 @@
 	p := &step{sim: s, trainer: t, number: number, requests: map[int]*request{}, prompts: s.work.step(t.index, number)}
 	samples := t.config.Prompts * t.config.Samples
 	p.starts = make([]int, samples)
+	p.kept = make([]int, samples)
 	config := rollout.LedgerConfig{
 		Samples: samples, Bound: t.config.Bound, Epoch: 1, Concurrency: t.config.Concurrency, BatchLimit: batchLimit,
 		RetryBackoff: retryBackoff, MaxRetryBackoff: maxRetryBackoff,
@@ -75,6 +78,9 @@
 // begin starts the samples, after the delay that the pool's idle weight asks
 // for.
 func (p *step) begin() {
+	if p.started || p.startVersion() > p.sim.version {
+		return
+	}
 	if !p.sim.plan.With.Has(settings.MechanismHold) {
 		p.start()
 		return
@@ -87,6 +93,15 @@
 	p.sim.after(delay, p.start)
 }
 
+// startVersion returns the lowest version with which samples may begin now.
+func (p *step) startVersion() int64 {
+	if p.asked || !p.sim.plan.With.Has(settings.MechanismRerun) {
+		return 0
+	}
+	before := int64(p.number - max(1, p.trainer.current))
+	return rollout.StartVersion(p.sim.version, before, p.trainer.config.Bound)
+}
+
 func (p *step) start() {
 	if p.started {
 		return
@@ -127,7 +142,7 @@
 		prefix:     prompt.prefix,
 		length:     prompt.lengths[attempt.Index%perPrompt],
 		priority:   attempt.Priority,
-		minVersion: attempt.MinVersion,
+		minVersion: max(attempt.MinVersion, p.startVersion()),
 	}
 	if p.sim.plan.With.Has(settings.MechanismLongest) {
 		q.expected = p.trainer.lengths.Expected(q.prefix)
@@ -141,7 +156,7 @@
 		p.ledger.Segment(attempt.Number, version, p.sim.instant())
 		p.changed()
 	}
-	q.done = func() { p.finish(attempt.Number, q) }
+	q.done = func() { p.finish(attempt.Number, attempt.Index, q) }
 	p.requests[attempt.Number] = q
 	p.order = append(p.order, attempt.Number)
 	heap.Push(&p.pending, q)
@@ -171,25 +186,15 @@
 	p.feed()
 }
 
-// demand is what the step tells other owners.
-func (p *step) demand() rollout.StepDemand {
-	counts := p.ledger.Counts()
-	demand := rollout.StepDemand{
-		Trainer: p.trainer.config.Name, Step: int64(p.number), Awaited: p.asked, NeededAt: p.trainer.trainEnds,
-		Samples: counts.Waiting + counts.Running,
-	}
-	if p.asked {
-		demand.NeededAt = p.askedAt
-	}
-	return demand
-}
-
 // count notes a start of an index; all but the first are extra.
 func (p *step) count(index int) {
 	p.starts[index]++
 	if p.starts[index] > 1 {
 		p.sim.stats.ExtraAttempts++
 	}
+	// A whole sample that runs again was too old.
+	p.sim.stats.WastedTokens += int64(p.kept[index])
+	p.kept[index] = 0
 }
 
 func (p *step) priority(from api.Priority) api.Priority {
@@ -199,12 +204,15 @@
 	return from
 }
 
-func (p *step) finish(number int, q *request) {
+func (p *step) finish(number, index int, q *request) {
 	delete(p.requests, number)
 	p.takeBack(q)
 	p.trainer.lengths.Observe(q.prefix, q.length)
 	sample := api.Sample{Trainer: p.trainer.config.Name, Step: int64(p.number), RequestID: q.id, Tokens: q.resumed, Segments: q.segments}
 	verdict := p.ledger.Finish(number, api.OutcomeCompleted, sample, 0, p.sim.instant())
+	if verdict == rollout.VerdictKept {
+		p.kept[index] = q.resumed
+	}
 	if verdict == rollout.VerdictTooOld || verdict == rollout.VerdictLate {
 		p.sim.stats.WastedTokens += int64(q.resumed)
 	}
@@ -269,6 +277,7 @@
 func (p *step) ask() {
 	p.asked = true
 	p.askedAt = p.sim.now
+	p.relax()
 	for _, r := range p.sim.routers {
 		r.reorder()
 	}
@@ -276,6 +285,15 @@
 	p.handOut()
 }
 
+// relax takes back the forecast of the version that samples begin with.
+func (p *step) relax() {
+	for _, number := range p.order {
+		if q := p.requests[number]; q != nil {
+			q.minVersion = p.ledger.MinVersion()
+		}
+	}
+}
+
 // handOut answers the trainer's pull, and takes its acknowledgement.
 func (p *step) handOut() {
 	for !p.taken {
@@ -340,34 +358,3 @@
 	p.countVoids(before.Waiting)
 	p.changed()
 }
-
-// moveTail moves the last samples of an awaited step to emptier engines, each
-// as far as the node that runs it sees.
-func (p *step) moveTail() {
-	if !p.asked || p.taken || !rollout.DefaultTailConfig().InTail(len(p.requests), len(p.starts)) {
-		return
-	}
-	byID := map[string]*request{}
-	samples := map[*router][]rollout.RunningSample{}
-	var routers []*router
-	for _, number := range p.order {
-		q := p.requests[number]
-		switch {
-		case q == nil || q.moving:
-			continue
-		case q.current == nil:
-			// Something still waits: this is not the tail yet.
-			return
-		}
-		byID[q.id] = q
-		if samples[q.router] == nil {
-			routers = append(routers, q.router)
-		}
-		samples[q.router] = append(samples[q.router], q.runningSample(p.sim.now))
-	}
-	for _, r := range routers {
-		for _, move := range rollout.PlanMoves(rollout.DefaultTailConfig(), samples[r], r.engineLoads()) {
-			r.move(byID[move.ID], p.sim.engines[p.sim.engineIndex[move.To]])
-		}
-	}
-}
--- a/internal/experiment/trainer.go
+++ b/internal/experiment/trainer.go
@@ -64,6 +64,9 @@
 	t.post(number)
 	t.waiting = true
 	t.waitingSince = t.sim.now
+	for later := number + 1; later <= t.posted; later++ {
+		t.sim.after(t.sim.scenario.CallerLatency, t.steps[later].begin)
+	}
 	needed := t.steps[number]
 	t.sim.after(t.sim.scenario.CallerLatency, needed.ask)
 }
--- a/internal/rollout/tail.go
+++ b/internal/rollout/tail.go
@@ -122,6 +122,17 @@
 // PriorityAhead is for samples of a step that its trainer does not need yet.
 const PriorityAhead = api.PriorityTraining + 2
 
+// StartVersion returns the lowest version with which the samples of a step may
+// begin that its trainer does not need yet, so that they will meet its bound.
+// poolVersion is the newest version, stepsBefore the number of steps that the
+// trainer takes before this one, each of which is expected to end with a version
+// of its own. Where it is above poolVersion, nothing can begin yet: it would be
+// generated again. It is a forecast; once the trainer asks for the step, only
+// the ledger's own minimum counts.
+func StartVersion(poolVersion, stepsBefore, bound int64) int64 {
+	return max(0, poolVersion+stepsBefore-bound)
+}
+
 // StartDelay returns how long to hold back the samples of a step that was
 // posted before its trainer needs it. untilNeeded is the expected time until
 // the trainer asks for it, generation the expected time that its samples take.
--- a/internal/rollout/tail_test.go
+++ b/internal/rollout/tail_test.go
@@ -78,6 +78,14 @@
 	}
 }
 
+func TestStartVersion(t *testing.T) {
+	// The next step may begin with the newest version under a bound of 1; the
+	// one after it has to wait for another version.
+	if next, after := StartVersion(7, 1, 1), StartVersion(7, 2, 1); next != 7 || after != 8 {
+		t.Errorf("versions %d and %d", next, after)
+	}
+}
+
 func TestLengthEstimator(t *testing.T) {
 	lengths := NewLengthEstimator(1)
 	if expected := lengths.Expected(1); expected != 0 {
