--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -14,15 +14,23 @@
 	return []int{3, 30, 330}
 }
 
+// expect runs until the condition holds, tells after how long it does, and fails
+// the test where it does not within the limit.
+func (s *simulation) expect(t *testing.T, limit time.Duration, what string, condition func() bool) time.Duration {
+	t.Helper()
+	took, ok := s.until(limit, condition)
+	t.Logf("%d nodes: %s after %s", len(s.nodes), what, took)
+	if !ok {
+		t.Errorf("%d nodes: not %s", len(s.nodes), what)
+	}
+	return took
+}
+
 func TestJoin(t *testing.T) {
 	t.Parallel()
 	for _, size := range sizes() {
 		s := cluster(1, size, 1+size/100)
-		took, ok := s.until(30*time.Second, s.converged)
-		t.Logf("%d nodes started together know each other after %s", size, took)
-		if !ok {
-			t.Errorf("%d nodes have not found each other", size)
-		}
+		s.expect(t, 30*time.Second, "started together, know each other", s.converged)
 	}
 }
 
@@ -33,20 +41,12 @@
 		s.nodes["n1"].down = true
 		s.counting = true
 		began := s.now
-		first, ok := s.until(20*time.Second, func() bool { return s.seenBy("n1", StateDead) > 0 })
-		all, okAll := s.until(20*time.Second, func() bool { return s.seenBy("n1", StateDead) == size-1 })
-		t.Logf("%d nodes: a crash is known to the first after %s and to all %s later", size, first, all)
+		s.expect(t, 20*time.Second, "crash known to the first", func() bool { return s.seenBy("n1", StateDead) > 0 })
+		s.expect(t, 20*time.Second, "crash known to all", func() bool { return s.seenBy("n1", StateDead) == size-1 })
 		t.Logf("%d nodes: meanwhile %s", size, s.cost(s.now.Sub(began)))
 		s.counting = false
-		if !ok || !okAll {
-			t.Errorf("%d nodes: %d see the crash", size, s.seenBy("n1", StateDead))
-		}
 		s.restart("n1")
-		back, ok := s.until(20*time.Second, s.converged)
-		t.Logf("%d nodes: its next incarnation is known to all after %s", size, back)
-		if !ok {
-			t.Errorf("%d nodes: the restarted node is not known everywhere", size)
-		}
+		s.expect(t, 20*time.Second, "next incarnation known to all", s.converged)
 	}
 }
 
@@ -91,11 +91,7 @@
 			}
 		}
 		s.thaw("n1")
-		back, ok := s.until(30*time.Second, s.converged)
-		t.Logf("%d nodes: thawed, it is alive to all after %s", size, back)
-		if !ok {
-			t.Errorf("%d nodes: the thawed node is not alive everywhere", size)
-		}
+		s.expect(t, 30*time.Second, "the thawed node alive to all", s.converged)
 	}
 }
 
@@ -115,20 +111,13 @@
 		s.cuts[[2]string{"r0", "r1"}] = true
 		s.cuts[[2]string{"r0", "r2"}] = true
 		outside := size - size/3
-		took, ok := s.until(30*time.Second, func() bool {
+		took := s.expect(t, 30*time.Second, "cut known to all", func() bool {
 			return s.seenBy("n0", StateUnreachable) == outside && s.seenBy("n1", StateUnreachable) == size/3
 		})
-		t.Logf("%d nodes: the cut is known to all after %s, with %s", size, took, s.cost(took))
+		t.Logf("%d nodes: meanwhile %s", size, s.cost(took))
 		s.counting = false
-		if !ok {
-			t.Errorf("%d nodes: %d see the region unreachable", size, s.seenBy("n0", StateUnreachable))
-		}
 		clear(s.cuts)
-		healed, ok := s.until(60*time.Second, s.converged)
-		t.Logf("%d nodes: healed after %s", size, healed)
-		if !ok {
-			t.Errorf("%d nodes: not healed", size)
-		}
+		s.expect(t, 60*time.Second, "healed", s.converged)
 	}
 }
 
@@ -139,11 +128,9 @@
 	for i := 3; i < size; i += 3 {
 		s.nodes[fmt.Sprintf("n%d", i)].down = true
 	}
-	took, ok := s.until(60*time.Second, func() bool { return s.seenBy("n27", StateDead) == len(s.up()) })
-	t.Logf("the crash of 9 of a region's 10 nodes is known to all after %s", took)
-	if !ok {
-		t.Errorf("%d of %d see the crash, %d see a cut", s.seenBy("n27", StateDead), len(s.up()), s.seenBy("n27", StateUnreachable))
-	}
+	s.expect(t, 60*time.Second, "the crash of 9 of a region's 10 nodes known to all", func() bool {
+		return s.seenBy("n27", StateDead) == len(s.up())
+	})
 }
 
 // The cost of a node must hardly grow with the number of nodes.
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/memnet"
 	"github.com/sliplift/sliplift/internal/peer"
@@ -23,8 +22,7 @@
 
 func startNode(t *testing.T, network *memnet.Network, index int, incarnation int64) *testNode {
 	t.Helper()
-	lg := logrus.New()
-	lg.SetOutput(io.Discard)
+	lg, _ := logtest.NewNullLogger()
 	name := fmt.Sprintf("n%d", index)
 	listener, err := network.Listen(name + ":1")
 	if err != nil {
