query: mistakes of one line are tested a line each

Cause: each of the mistakes took a command, its excerpt and its mark in testdata. Change: the command mistakes takes texts of one line. It checks itself that the message shows the line with a mark under the column, and prints column, message and what is expected. Texts of several lines, and those in the manual, are still printed whole.

--- a/internal/query/execute_test.go
+++ b/internal/query/execute_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"slices"
 	"strings"
 	"testing"
@@ -12,7 +11,7 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/google/uuid"
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/configlog"
 )
@@ -131,8 +130,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		changes := &fakeChanges{log: configlog.NewLog(), acceptedAt: map[int64]time.Time{}}
 		changes.confirmAfter = map[string]time.Duration{"node-1": 0, "node-2": 300 * time.Millisecond, "node-3": time.Second}
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
+		logger, _ := logtest.NewNullLogger()
 		executor := NewExecutor(logger, Config{Node: "node-1", Settings: testSettings}, fakeCatalog{}, changes)
 		batches := byte(0)
 		datadriven.RunTest(t, "testdata/execute", func(t *testing.T, d *datadriven.TestData) string {
@@ -201,8 +199,7 @@
 func TestCallerGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		changes := &fakeChanges{log: configlog.NewLog(), acceptedAt: map[int64]time.Time{}}
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
+		logger, _ := logtest.NewNullLogger()
 		executor := NewExecutor(logger, Config{Node: "node-1"}, fakeCatalog{}, changes)
 		statements, err := executor.Parse("SET a = 1 WAIT 5 SECONDS; SET b = 2")
 		if err != nil {
--- a/internal/query/parse_test.go
+++ b/internal/query/parse_test.go
@@ -29,6 +29,8 @@
 		switch d.Cmd {
 		case "parse":
 			return parseAndPrint(d.Input)
+		case "mistakes":
+			return mistakes(t, d.Input)
 		case "expected":
 			return strings.Join(Expected(d.Input), " ") + "\n"
 		case "complete":
@@ -40,6 +42,26 @@
 	})
 }
 
+// mistakes prints where each line of the input has a mistake and what it is. That
+// the message shows the line with a mark under the place is checked here.
+func mistakes(t *testing.T, lines string) string {
+	var b strings.Builder
+	for line := range strings.SplitSeq(lines, "\n") {
+		message := strings.TrimSuffix(parseAndPrint(line), "\n")
+		first, rest, _ := strings.Cut(message, "\n")
+		var column int
+		if _, err := fmt.Sscanf(first, "line 1, column %d:", &column); err != nil {
+			t.Fatalf("%s\n%s\n%v", line, message, err)
+		}
+		expected, shown := strings.CutPrefix(rest, "  "+line+"\n"+strings.Repeat(" ", column+1)+"^")
+		if !shown {
+			t.Fatalf("%s: no line with a mark under column %d:\n%s", line, column, message)
+		}
+		fmt.Fprintf(&b, "%s%s\n", strings.TrimPrefix(first, "line 1, column "), strings.Replace(expected, "\n", "; ", 1))
+	}
+	return b.String()
+}
+
 func parseAndPrint(source string) string {
 	parsed, err := Parse(source, testSettings)
 	if err != nil {
