migrate: tests with fewer commands, more of the faults, and both kinds of orders

Cause: set, pool and cluster were commands of their own, and three runs under faults printed the same moves. Change: back ends are set up in the input of the command that looks at them, and migrate fresh begins a new cluster. undisturbed compares runs with the faults made, not-made and cut at each change with one without faults; before each fault came at one change. An order for a zone no longer takes away the order for the back end itself in the test's model, so that a back end with both is tested.

--- a/internal/migrate/plan_test.go
+++ b/internal/migrate/plan_test.go
@@ -20,9 +20,10 @@
 	snapshot Snapshot
 }
 
-// TestPlan plays the planner's stories. Commands are pool (a fleet from
-// nothing), set (change back ends of a name or a pattern with *), plan, next,
-// and do (takes up to count steps as carried out).
+// TestPlan plays the planner's stories. Commands are plan, next, and do (takes up
+// to count steps as carried out); with fresh the pool is empty before. Lines of
+// input come first: "site count setting ..." adds back ends, "name setting ..."
+// changes those of the name or of a pattern with *.
 func TestPlan(t *testing.T) {
 	datadriven.Walk(t, "testdata/plan", func(t *testing.T, path string) {
 		s := &story{}
@@ -39,19 +40,13 @@
 
 func (s *story) run(d *datadriven.TestData) (string, error) {
 	options := s.options(d)
-	switch d.Cmd {
-	case "pool":
+	if d.HasArg("fresh") {
 		s.snapshot = Snapshot{Pool: "chat", Revision: 12, Target: 13, AsOf: time.UnixMilli(0)}
-		for _, line := range strings.Split(d.Input, "\n") {
-			s.addBackends(strings.Fields(line))
-		}
-		return "", nil
-	case "set":
-		for _, line := range strings.Split(d.Input, "\n") {
-			fields := strings.Fields(line)
-			s.set(fields[0], fields[1:])
-		}
-		return "", nil
+	}
+	for line := range strings.Lines(d.Input) {
+		s.read(strings.Fields(line))
+	}
+	switch d.Cmd {
 	case "plan":
 		if d.HasArg("rate") {
 			var rate float64
@@ -115,9 +110,13 @@
 	return options
 }
 
-// addBackends reads "site count setting ...".
-func (s *story) addBackends(fields []string) {
-	count, _ := strconv.Atoi(fields[1])
+// read takes a line that adds or changes back ends.
+func (s *story) read(fields []string) {
+	count, err := strconv.Atoi(fields[1])
+	if err != nil {
+		s.set(fields[0], fields[1:])
+		return
+	}
 	for number := 1; number <= count; number++ {
 		name := fmt.Sprintf("%s-%d", fields[0], number)
 		s.snapshot.Backends = append(s.snapshot.Backends, Backend{
@@ -151,7 +150,7 @@
 		b.Drained = value == "true"
 		b.OwnOrder = b.Drained
 	case "order":
-		b.Drained, b.OwnOrder, b.WiderOrder = true, false, strings.ReplaceAll(value, "/", " ")
+		b.Drained, b.WiderOrder = true, strings.ReplaceAll(value, "/", " ")
 	case "silent":
 		b.Report = nil
 	default:
--- a/internal/migrate/run_test.go
+++ b/internal/migrate/run_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"regexp"
@@ -16,7 +15,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/configlog"
@@ -73,8 +72,7 @@
 }
 
 func (c *cluster) newServer() http.Handler {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger, _ := logtest.NewNullLogger()
 	tables := catalog.NewCatalog(logger, catalog.Config{Node: "node-1"}, catalog.Sources{
 		Config:  func() (*configlog.State, bool) { return c.log.State(), true },
 		Entries: func() []configlog.Entry { entries, _ := c.log.EntriesAfter(0); return entries },
@@ -209,24 +207,44 @@
 
 // TestRun plays moves under faults. The command migrate takes the fault and the
 // number of the change that it comes with, the engines or nodes that lag, and
-// the step before which the operator presses Ctrl-C.
+// the step before which the operator presses Ctrl-C; with fresh on a new cluster.
+// The command undisturbed prints a run without faults, and checks that runs with
+// each of the faults at any one change print the same.
 func TestRun(t *testing.T) {
 	datadriven.Walk(t, "testdata/run", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
 			var c *cluster
 			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-				if d.Cmd == "cluster" {
+				if d.Cmd == "undisturbed" {
+					return undisturbed(t, d)
+				}
+				if d.HasArg("fresh") {
 					c = newCluster(4)
-					return ""
 				}
+				c.script(t, d)
 				return c.migrate(t, d)
 			})
 		})
 	})
 }
 
+func undisturbed(t *testing.T, d *datadriven.TestData) string {
+	reference := newCluster(4)
+	want := reference.migrate(t, d)
+	faults, _ := d.Arg("faults")
+	for _, fault := range faults.Vals {
+		for at := 1; at <= reference.changes; at++ {
+			c := newCluster(4)
+			c.faults[at] = fault
+			if got := c.migrate(t, d); got != want || c.changes < reference.changes {
+				t.Errorf("%s at change %d of %d:\n%s", fault, at, reference.changes, got)
+			}
+		}
+	}
+	return want
+}
+
 func (c *cluster) migrate(t *testing.T, d *datadriven.TestData) string {
-	c.script(t, d)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	interrupt := -1
@@ -238,12 +256,8 @@
 			cancel()
 		}
 	}
-	client := operator.NewClient(&http.Client{Transport: c}, "node-1:7001")
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	runner := NewRunner(logger, Config{Author: "anna", Report: report}, client)
-	options := DefaultOptions()
-	options.Pool, options.From, options.To, options.WaveShare = "chat", "old", "new", 0.5
+	runner, options := c.newRunner(report)
+	options.WaveShare = 0.5
 	options.Undo = d.HasArg("undo")
 	plan, err := runner.Plan(ctx, options)
 	if err != nil {
@@ -256,14 +270,22 @@
 	return regexp.MustCompile(`'[0-9a-f-]{36}'`).ReplaceAllString(out.String(), "'id'")
 }
 
+// newRunner returns a runner through the port, and the options of the move.
+func (c *cluster) newRunner(report func(Event)) (*Runner, Options) {
+	logger, _ := logtest.NewNullLogger()
+	options := DefaultOptions()
+	options.Pool, options.From, options.To = "chat", "old", "new"
+	return NewRunner(logger, Config{Author: "anna", Report: report}, operator.NewClient(&http.Client{Transport: c}, "node-1:7001")), options
+}
+
 func (c *cluster) script(t *testing.T, d *datadriven.TestData) {
 	c.faults, c.changes, c.broken = map[int]string{}, 0, ""
 	for _, lagging := range []map[string]bool{c.behind, c.silent, c.unconfirmed} {
 		clear(lagging)
 	}
-	var fault string
-	at := 0
 	if d.HasArg("fault") {
+		var fault string
+		var at int
 		d.ScanArgs(t, "fault", &fault)
 		d.ScanArgs(t, "at", &at)
 		c.faults[at] = fault
@@ -283,16 +305,12 @@
 		c := newCluster(2)
 		c.behind["new-1"], c.behind["new-2"], c.unconfirmed["node-2"] = true, true, true
 		var waited []string
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
-		runner := NewRunner(logger, Config{Author: "anna", Report: func(event Event) {
+		runner, options := c.newRunner(func(event Event) {
 			if event.Step.Action == ActionWait {
 				waited = append(waited, event.Step.Reason)
 				c.lagsEnd = time.Now().Add(5 * time.Second)
 			}
-		}}, operator.NewClient(&http.Client{Transport: c}, "node-1:7001"))
-		options := DefaultOptions()
-		options.Pool, options.From, options.To = "chat", "old", "new"
+		})
 		plan, err := runner.Plan(t.Context(), options)
 		if err != nil || plan.FinishMS == nil || *plan.FinishMS != 1000 {
 			t.Fatalf("plan %+v, %v", plan, err)
