gateway: the end of a planned stop breaks no request on a kept connection

Cause: http.Server closes idle connections, and drops what it reads, once its shutdown has begun. A caller that sent on an idle connection, or opened a new one, at that moment got no answer, and a booking's fate was unknown to it.

Ruled out: a longer linger, which makes the meeting rarer and no less possible.

Change: before the shutdown the port is closed, idle connections get the unasked 408 of RFC 9110 with the refusal in it, and requests on their way have 100 ms to arrive and be refused. memnet: a connection that was queued before its listener closed is still accepted, and none is left in the queue. load: a caller that gave up waiting by its own deadline does not say that it was cut off.

--- a/internal/faulttest/random_test.go
+++ b/internal/faulttest/random_test.go
@@ -103,6 +103,7 @@
 		mend = append(mend, r.strike(node))
 	}
 	r.publish()
+	r.drain()
 	time.Sleep(roundLength)
 	for _, undo := range mend {
 		undo()
@@ -230,6 +231,29 @@
 	})
 }
 
+// drainLength is how long a drain lasts.
+const drainLength = 5 * time.Second
+
+// drain lets an operator drain a back end for a while in the background.
+func (r *randomRun) drain() {
+	backends := []string{"e1", "e3", "preview-1", "booking-2"}
+	backend := backends[r.random.Intn(len(backends))]
+	r.tell("drain %s", backend)
+	r.world.users.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), trainerTimeout)
+		defer cancel()
+		r.world.operators.Change(ctx, operatorName, "", "DRAIN ENGINE '"+backend+"'")
+		time.Sleep(drainLength)
+		r.world.operators.Change(ctx, operatorName, "", "RESUME ENGINE '"+backend+"'")
+	})
+}
+
+// logHistory writes the history into the test's log where that is asked for.
+func (r *randomRun) logHistory() {
+	told := &story{world: r.world}
+	told.logHistory(r.t)
+}
+
 func (r *randomRun) tell(format string, args ...any) {
 	r.told = append(r.told, fmt.Sprintf(format, args...))
 }
@@ -240,7 +264,7 @@
 	report := r.world.Judge()
 	required := []history.Promise{
 		history.PromiseTrueVersions, history.PromiseVersionBound, history.PromiseExactlyOnce, history.PromiseRightAnswer,
-		history.PromiseAtMostOnce, history.PromiseConfiguration,
+		history.PromiseAtMostOnce, history.PromiseDrained, history.PromiseConfiguration,
 	}
 	notes := r.world.Notes()
 	if report.OK(required...) && len(notes) == 0 {
@@ -250,5 +274,6 @@
 	if err := report.WriteTable(&table); err != nil {
 		r.t.Error(err)
 	}
+	r.logHistory()
 	r.t.Errorf("after %s\n%s\n%s", strings.Join(r.told, ", "), strings.Join(notes, "\n"), &table)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -294,6 +294,48 @@
 	})
 }
 
+// TestStopMeetsRequestsOnKeptConnections sends requests on idle connections at
+// the moments of the farewell and of the shutdown: each gets a refusal, or finds
+// nobody there; none is sent and left without an answer.
+func TestStopMeetsRequestsOnKeptConnections(t *testing.T) {
+	for _, after := range []time.Duration{DefaultStopLinger - closeGrace, DefaultStopLinger} {
+		synctest.Test(t, func(t *testing.T) {
+			network := memnet.NewNetwork()
+			listener, err := network.Listen("node:80")
+			if err != nil {
+				t.Fatal(err)
+			}
+			server := newServer(&readiness{}, io.Discard)
+			served := make(chan error, 1)
+			go func() { served <- server.Serve(listener) }()
+			const callers = 20
+			answers := make(chan string, callers)
+			for range callers {
+				transport := &http.Transport{DialContext: network.Dialer("caller")}
+				defer transport.CloseIdleConnections()
+				client := &http.Client{Transport: transport}
+				postPrompt(client, "x")
+				go func() {
+					time.Sleep(after)
+					answers <- postPrompt(client, "x")
+				}()
+			}
+			if err := server.Wait(t.Context()); err != nil {
+				t.Error(err)
+			}
+			for range callers {
+				answer := <-answers
+				if refused := answer == "408" || answer == "503"; !refused && !strings.Contains(answer, memnet.ErrRefused.Error()) {
+					t.Errorf("after %s: %s", after, answer)
+				}
+			}
+			if err := <-served; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 func postPrompt(client *http.Client, prompt string) string {
 	body := fmt.Sprintf(`{"pool":"app","deadline_ms":60000,"repeatable":true,"prompt":%q}`, prompt)
 	return statusOf(client.Post("http://node/v1/requests", "application/json", strings.NewReader(body)))
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -97,6 +97,7 @@
 	metrics  *metrics
 	stop     *stopState
 	live     *requestIDs
+	idle     *idleConnections
 	http     *http.Server
 }
 
@@ -109,12 +110,14 @@
 		metrics:  newMetrics(registry),
 		stop:     newStopState(),
 		live:     newRequestIDs(),
+		idle:     newIdleConnections(),
 	}
 	s.http = &http.Server{
 		Handler:           s.routes(registry),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnState:         s.idle.track,
 	}
 	return s
 }
@@ -124,8 +127,9 @@
 
 // Serve answers requests on listener until Wait or Close, and returns nil then.
 func (s *Server) Serve(listener net.Listener) error {
+	s.stop.setListener(listener)
 	err := s.http.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.stop.stopping() {
 		return nil
 	}
 	return err
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 )
@@ -15,6 +16,8 @@
 	mu       sync.Mutex
 	begun    bool
 	inFlight int
+	// listener is the caller port, nil before it is open.
+	listener net.Listener
 	// idle is closed once the stop has begun and nothing is in flight.
 	idle chan struct{}
 }
@@ -24,6 +27,22 @@
 	return &stopState{pulls: pulls, endPulls: endPulls, idle: make(chan struct{})}
 }
 
+func (s *stopState) setListener(listener net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = listener
+}
+
+// closePort refuses new connections; those that were accepted go on.
+func (s *stopState) closePort() {
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+}
+
 // enter counts a request in, unless the stop has begun.
 func (s *stopState) enter() bool {
 	s.mu.Lock()
@@ -87,11 +106,25 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	timer := time.NewTimer(s.cfg.StopLinger)
+	grace := min(closeGrace, s.cfg.StopLinger)
+	sleep(ctx, s.cfg.StopLinger-grace)
+	// http.Server drops what it reads once its shutdown has begun, so by then
+	// nobody may have a reason to send.
+	s.stop.closePort()
+	s.sayFarewell()
+	sleep(ctx, grace)
+	return s.http.Shutdown(ctx)
+}
+
+// closeGrace is the time from the closing of the port and the farewell to idle
+// connections to the shutdown. It must be longer than a request is on its way.
+const closeGrace = 100 * time.Millisecond
+
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return s.http.Shutdown(ctx)
 }
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -148,7 +148,8 @@
 		event.Segments = response.Segments
 		event.Backend = response.Backend
 	}
-	if errors.Is(err, httpjson.ErrNoAnswer) && connected.Load() && ctx.Err() == nil {
+	// A caller that gave up waiting was not cut off.
+	if errors.Is(err, httpjson.ErrNoAnswer) && connected.Load() && sendContext.Err() == nil {
 		event.Cut = 1
 	}
 	c.sink.Record(event)
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs/v2"
 )
@@ -75,11 +76,8 @@
 		return nil, ErrRefused.Errorf("%s", address)
 	}
 	client, server := n.newPair(from, to)
-	select {
-	case target.accept <- server:
+	if target.queue(ctx, server) {
 		return client, nil
-	case <-target.closed:
-	case <-ctx.Done():
 	}
 	client.Close()
 	return nil, ErrRefused.Errorf("%s", address)
@@ -185,9 +183,53 @@
 	accept  chan net.Conn
 	once    sync.Once
 	closed  chan struct{}
+	// queueing is held by who adds to accept without waiting, and by Close, so
+	// that nothing is added after Close that nobody will accept.
+	queueing sync.Mutex
+}
+
+// queue hands a connection to Accept and tells whether it did.
+func (l *listener) queue(ctx context.Context, conn net.Conn) bool {
+	for {
+		if queued, closed := l.tryQueue(conn); queued || closed {
+			return queued
+		}
+		select {
+		case <-l.closed:
+			return false
+		case <-ctx.Done():
+			return false
+		case <-time.After(acceptRetry):
+		}
+	}
+}
+
+// acceptRetry is the pause of a dial that met a full backlog.
+const acceptRetry = time.Millisecond
+
+func (l *listener) tryQueue(conn net.Conn) (queued, closed bool) {
+	l.queueing.Lock()
+	defer l.queueing.Unlock()
+	select {
+	case <-l.closed:
+		return false, true
+	default:
+	}
+	select {
+	case l.accept <- conn:
+		return true, false
+	default:
+		return false, false
+	}
 }
 
+// Accept returns what was queued before Close also after it.
 func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accept:
+		return conn, nil
+	default:
+	}
 	select {
 	case conn := <-l.accept:
 		return conn, nil
@@ -198,7 +240,9 @@
 
 func (l *listener) Close() error {
 	l.once.Do(func() {
+		l.queueing.Lock()
 		close(l.closed)
+		l.queueing.Unlock()
 		l.network.mu.Lock()
 		delete(l.network.listeners, l.address)
 		l.network.mu.Unlock()
