--- a/internal/cli/plan_test.go
+++ b/internal/cli/plan_test.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/configlog"
@@ -27,8 +26,7 @@
 	state.Pools["chat"] = configlog.Pool{Name: "chat", Kind: configlog.PoolEngines, Backends: []configlog.Backend{
 		{Name: "old-1", Site: "old"}, {Name: "new-1", Site: "new"}}}
 	state.Drains["engine/new-1"] = configlog.Drain{Scope: configlog.DrainEngine, Name: "new-1"}
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger, _ := logtest.NewNullLogger()
 	tables := catalog.NewCatalog(logger, catalog.Config{Node: "node-1"}, catalog.Sources{
 		Config:  func() (*configlog.State, bool) { return state, true },
 		Members: func() []catalog.Member { return nil },
--- a/internal/operator/catalog/catalog_test.go
+++ b/internal/operator/catalog/catalog_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -12,6 +11,7 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/configlog"
@@ -61,8 +61,7 @@
 func testCluster(t *testing.T) *Catalog {
 	network := fakeNetwork{}
 	state := testState(t)
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger, _ := logtest.NewNullLogger()
 	settings := query.SettingSpecs{{Key: "weights.swap_share", Kind: query.KindNumber, Default: "0.25"}}
 	newNode := func(name string, sources Sources) *Catalog {
 		sources.Config = func() (*configlog.State, bool) { return state.State(), true }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/configlog"
@@ -64,8 +64,7 @@
 }
 
 func newTestServer(t *testing.T) *httptest.Server {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger, _ := logtest.NewNullLogger()
 	server := NewServer(logger, ServerConfig{
 		Node: "node-1", Executor: fakeExecutor{},
 		Status: func() Status { return Status{Node: "node-1", Stopping: true, Revision: 5} },
--- a/internal/operator/shell/shell_test.go
+++ b/internal/operator/shell/shell_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/operator"
@@ -38,8 +38,7 @@
 }
 
 func newTestClient(t *testing.T) *operator.Client {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger, _ := logtest.NewNullLogger()
 	server := httptest.NewServer(operator.NewServer(logger, operator.ServerConfig{Node: "n", Executor: fakeExecutor{}}).Handler())
 	t.Cleanup(server.Close)
 	return operator.NewClient(server.Client(), server.Listener.Addr().String())
