control: a drained machine that is gone leaves its shard settled

Cause: found in reading. Back ends that are not heard get a draining order at each reading, and every order kept the shard from being settled, although serveShard says that silent back ends do not. So one drained machine that was gone, as every replaced one is for a while, had its whole shard read in every round, and every other shard's budget did not count it. Ruled out: not ordering silent back ends, since an order may arrive where the report did not. Change: only orders to back ends that are heard count. The fake back ends refuse an order to one that is gone.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -222,10 +222,13 @@
 	}
 }
 
-// sendRoles returns the number of orders that were due.
+// sendRoles returns the number of orders that were due to back ends that are
+// heard.
 func (c *Controller) sendRoles(ctx context.Context, state *configlog.State, shard Shard, epoch int64, reports []BackendReport) int {
 	var known []drain.Report
+	heard := map[string]bool{}
 	for _, report := range reports {
+		heard[report.Backend.Name] = report.Err == nil
 		known = append(known, drain.Report{
 			Backend:   report.Backend,
 			Role:      report.Report.Role,
@@ -234,8 +237,11 @@
 		})
 	}
 	var group sync.WaitGroup
-	due := drain.Orders(state, c.machines.Leaving(), known)
-	for _, order := range due {
+	due := 0
+	for _, order := range drain.Orders(state, c.machines.Leaving(), known) {
+		if heard[order.Backend.Name] {
+			due++
+		}
 		group.Go(func() {
 			request := api.Order{Shard: shard.Name, Epoch: epoch, Holder: c.cfg.Node, Kind: api.OrderSetRole, Role: order.Role}
 			err := c.order(ctx, order.Backend, request)
@@ -243,7 +249,7 @@
 		})
 	}
 	group.Wait()
-	return len(due)
+	return due
 }
 
 // sendVersions returns how far the shard is, the orders just sent included.
--- a/internal/control/controller_test.go
+++ b/internal/control/controller_test.go
@@ -28,8 +28,14 @@
 
 func (f *fakeBackends) Load(_ context.Context, address string) (api.LoadReport, error) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.reads++
+	f.mu.Unlock()
+	return f.report(address)
+}
+
+func (f *fakeBackends) report(address string) (api.LoadReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	report, ok := f.reports[address]
 	if !ok {
 		return report, fmt.Errorf("%s is gone", address)
@@ -41,6 +47,9 @@
 	if f.beforeOrder != nil {
 		f.beforeOrder()
 	}
+	if _, err := f.report(address); err != nil {
+		return api.OrderResponse{}, err
+	}
 	return f.take(address, order)
 }
 
@@ -165,6 +174,28 @@
 	})
 }
 
+// TestSilentDrainedBackendLeavesItsShardSettled: a drained machine that is gone
+// is ordered to drain at each reading, and does not make readings more frequent.
+func TestSilentDrainedBackendLeavesItsShardSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := poolOf(1, "e1", "gone")
+		state.Drains["engine/gone"] = configlog.Drain{Scope: configlog.DrainEngine, Name: "gone"}
+		backends := serving("e1")
+		ordered := 0
+		backends.beforeOrder = func() { ordered++ }
+		log, _ := test.NewNullLogger()
+		config := DefaultConfig("n1")
+		config.SettledReports = 0.4 // two back ends every 5 s
+		controller := NewController(config, log, &fakeLessor{epoch: 7}, fixedConfiguration{state}, backends, noMachines{})
+		ctx, cancel := context.WithTimeout(t.Context(), 59*time.Second)
+		defer cancel()
+		controller.Run(ctx)
+		if backends.reads != 2*12 || ordered != 12 {
+			t.Errorf("%d reports were read and %d orders sent, want 24 and 12", backends.reads, ordered)
+		}
+	})
+}
+
 func TestBackendsStayInTheirShardAsAPoolGrows(t *testing.T) {
 	var names []string
 	for i := range 1600 {
