--- a/internal/experiment/capacity/lines.go
+++ b/internal/experiment/capacity/lines.go
@@ -94,6 +94,8 @@
 		s.Claims.Micros, s.Claims.Messages, s.Claims.Bytes, s.Claims.MemoryBytes, s.Claims.RetentionSeconds)})
 	lines = append(lines, []string{"the configuration", fmt.Sprintf("%.0f B a back end (%.0f B of memory), snapshot %.0f B, entry %.0f B, with a back end %.0f B, claim list of %d %.0f B",
 		s.State.BackendBytes, s.State.BackendMemory, s.State.SnapshotBytes, s.State.ChangeBytes, s.State.AddBackendBytes, s.State.ClaimMembers, s.State.ClaimListBytes)})
+	lines = append(lines, []string{"readings of the table", fmt.Sprintf("%.0f B for %d leases, %.0f B for a log without news",
+		s.State.LeaseScanBytes, s.State.Leases, s.State.ReaderScanBytes)})
 	for _, change := range s.Changes {
 		lines = append(lines, []string{"applying a change", fmt.Sprintf("%.0f us with %d back ends", change.Micros, change.Backends)})
 	}
--- a/internal/experiment/capacity/report.go
+++ b/internal/experiment/capacity/report.go
@@ -131,6 +131,7 @@
 	}
 	settings := control.DefaultConfig("holder")
 	settings.Interval = time.Millisecond
+	settings.SettledReports = 0 // every round reads the shard
 	controller := control.NewController(settings, quietLogger(), everyLease{}, pool, newSamplers(cfg, addresses), rounds)
 	ctx, cancel := context.WithTimeout(ctx, cfg.SlopeTime)
 	defer cancel()
--- a/internal/experiment/capacity/state.go
+++ b/internal/experiment/capacity/state.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/backend"
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/emulator/table"
+	"github.com/sliplift/sliplift/internal/lease"
 )
 
 // StateSlope is the size of the configuration on the wire and in memory.
@@ -29,6 +32,12 @@
 	AddBackendBytes float64 `json:"add_backend_entry_bytes"`
 	ClaimListBytes  float64 `json:"claim_list_entry_bytes"`
 	ClaimMembers    int     `json:"claim_members"`
+	// LeaseScanBytes is what a candidate for a lease reads at a time, the rows of
+	// Leases leases; ReaderScanBytes is what a reader of the log does when nothing
+	// has changed.
+	Leases          int     `json:"leases"`
+	LeaseScanBytes  float64 `json:"lease_scan_bytes"`
+	ReaderScanBytes float64 `json:"reader_scan_bytes"`
 }
 
 // ChangeApply is what a node does with one change, the messages apart.
@@ -64,7 +73,7 @@
 }
 
 func measureState(ctx context.Context) (StateSlope, error) {
-	slope := StateSlope{Backends: targetSamplers, ClaimMembers: claimMemberCount}
+	slope := StateSlope{Backends: targetSamplers, ClaimMembers: claimMemberCount, Leases: targetShards + 1}
 	log, err := fullLog(ctx, targetSamplers)
 	if err != nil {
 		return slope, err
@@ -79,6 +88,8 @@
 		{empty, &slope.EmptyBytes},
 		{full, &slope.BackendBytes},
 		{log.Snapshot(), &slope.SnapshotBytes},
+		{leaseRows(targetShards + 1), &slope.LeaseScanBytes},
+		{rowsOf("config/log/0000000000100000", entryOf(probeOperation(1))), &slope.ReaderScanBytes},
 		{entryOf(probeOperation(1)), &slope.ChangeBytes},
 		{entryOf(addBackend), &slope.AddBackendBytes},
 		{entryOf(configlog.Operation{SetClaimMembers: &configlog.SetClaimMembers{Current: manyClaimMembers()}}), &slope.ClaimListBytes},
@@ -93,6 +104,28 @@
 	return slope, err
 }
 
+// leaseRows is the answer to a scan of the leases.
+func leaseRows(count int) api.ScanResponse {
+	response := api.ScanResponse{Revision: 10_000_000}
+	for i := range count {
+		record := lease.Record{
+			Shard: fmt.Sprintf("%s/%d", poolName, i), Holder: nodeName(i), Epoch: 12,
+			DurationMS: lease.DefaultDuration.Milliseconds(), Nonce: uuid.NewString(),
+		}
+		response.Rows = append(response.Rows, rowsOf("lease/"+record.Shard, record).Rows...)
+	}
+	return response
+}
+
+// rowsOf is the answer to a scan that finds one row.
+func rowsOf(key string, value any) api.ScanResponse {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic("capacity: a row must encode: " + err.Error())
+	}
+	return api.ScanResponse{Revision: 10_000_000, Rows: []api.Row{{Key: key, Value: encoded, Revision: 10_000_000}}}
+}
+
 func entryOf(operation configlog.Operation) configlog.Entry {
 	return configlog.Entry{Revision: 100_000, Change: configlog.NewChange("operator@example", operation)}
 }
