membership: the stories use steptest

Cause: had a loop of its own for several steps a command; package steptest, which came beside it, does the same for all. Change: steptest.Run. Measured: trials on scratch copies: one observer enough for a death, and a leave that is not announced, turn TestStories red as before.

--- a/internal/membership/story_test.go
+++ b/internal/membership/story_test.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/sliplift/sliplift/internal/steptest"
 )
 
-// TestStories runs the tables in testdata. Each command holds steps, one a line:
+// TestStories runs the tables in testdata. Commands:
 //
 //	start nodes=N regions=R    a joined cluster n0, n1, ...; ni is in region r(i mod R)
 //	run for=DURATION
@@ -21,23 +23,16 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var s *simulation
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			var output strings.Builder
-			for line := range strings.Lines(d.Input) {
-				step := *d
-				var err error
-				if step.Cmd, step.CmdArgs, err = datadriven.ParseLine(line); err != nil {
-					d.Fatalf(t, "%s: %v", line, err)
-				}
-				if step.Cmd == "start" {
+			return steptest.Run(t, d, func(t *testing.T, d *datadriven.TestData) string {
+				if d.Cmd == "start" {
 					var nodes, regions int
-					step.ScanArgs(t, "nodes", &nodes)
-					step.ScanArgs(t, "regions", &regions)
+					d.ScanArgs(t, "nodes", &nodes)
+					d.ScanArgs(t, "regions", &regions)
 					s = joined(1, nodes, regions)
-					continue
+					return ""
 				}
-				output.WriteString(s.command(t, &step))
-			}
-			return output.String()
+				return s.command(t, d)
+			})
 		})
 	})
 }
@@ -95,7 +90,7 @@
 func (s *simulation) describe(from string) string {
 	var b strings.Builder
 	snapshot := s.nodes[from].machine.Snapshot(s.now)
-	fmt.Fprintf(&b, "%s: %d alive\n", from, len(snapshot.Alive()))
+	fmt.Fprintf(&b, "%d alive\n", len(snapshot.Alive()))
 	for _, member := range snapshot.Members {
 		if member.State != StateAlive {
 			fmt.Fprintf(&b, "%s %s%s\n", member.Name, member.State, s.evidence(member))
