weights: a block of the story takes several steps

Cause: most blocks of the story were one step with nothing behind it. Ruled out: leaving steps out; every step and everything printed stands. Change: the story is played through steptest; an order and the counts stand in one line. The expected output was derived from the former one, not written anew by the test.

--- a/internal/weights/rollout_test.go
+++ b/internal/weights/rollout_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/sliplift/sliplift/internal/steptest"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -20,7 +22,7 @@
 		rollout := NewRollout(limits)
 		engines := map[string]*Engine{}
 		var names []string
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+		step := func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "engine":
 				engine := Engine{Reachable: !d.HasArg("unheard")}
@@ -47,14 +49,15 @@
 			}
 			t.Fatalf("unknown command %s", d.Cmd)
 			return ""
-		})
+		}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return steptest.Run(t, d, step) })
 	})
 }
 
 func render(orders []Order, progress Progress) string {
 	var out strings.Builder
 	for _, order := range orders {
-		fmt.Fprintf(&out, "order %s -> %d\n", order.Engine, order.Version)
+		fmt.Fprintf(&out, "order %s -> %d, ", order.Engine, order.Version)
 	}
 	fmt.Fprintf(&out, "loaded %d of %d, loading %d, waiting %d", progress.Loaded, progress.Total, progress.Loading, progress.Waiting)
 	if len(progress.SetAside) > 0 {
