history, peer, cluster, query, shell, node: fewer exports, and comments put right

Cause: judging events in memory was written out in sliplift and in the tests of cli; names without a user outside their package were exported; DefaultConfig of a cluster said two zones and has three; Settings left out *Experiment. Change: history.CheckEvents. decodeMessage, engineName, maxWait and lineReader are private. The comments of node and cluster say what callers may rely on.

--- a/cmd/sliplift/demo.go
+++ b/cmd/sliplift/demo.go
@@ -45,7 +45,7 @@
 	}
 	summary := summarize(result)
 	summary.Nodes, summary.Engines, summary.Steps = options.Nodes, options.Engines, options.Steps
-	summary.History = judge(sink.Events())
+	summary.History = history.CheckEvents("demo", sink.Events())
 	summary.Seconds = time.Since(started).Seconds()
 	return summary, nil
 }
@@ -72,14 +72,6 @@
 	return nodes
 }
 
-func judge(events []history.Event) history.Report {
-	checker := history.NewChecker()
-	for i, event := range events {
-		checker.Observe(event, history.Position{File: "demo", Line: i + 1})
-	}
-	return checker.Report()
-}
-
 // openSink returns a sink whose events can be judged, and which keeps them in
 // a file too where one is named.
 func openSink(path string) (*demoSink, func() error, error) {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -24,15 +24,6 @@
 
 func (d demoStub) RunDemo(context.Context, DemoOptions) (DemoSummary, error) { return d.summary, d.err }
 
-// report judges a history of the events.
-func report(events ...history.Event) history.Report {
-	checker := history.NewChecker()
-	for i, event := range events {
-		checker.Observe(event, history.Position{File: "demo", Line: i + 1})
-	}
-	return checker.Report()
-}
-
 func runTool(demo DemoRunner, args ...string) (code int, stdout, stderr string) {
 	var out, errOut bytes.Buffer
 	env := &Environment{
@@ -49,11 +40,12 @@
 	if err := os.WriteFile(bad, []byte("name = n1\nnmae = n1\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	kept := demoStub{summary: DemoSummary{History: report(history.Event{Kind: history.KindRequestAnswered, RequestID: "r1", Outcome: api.OutcomeRefused})}}
-	broken := demoStub{summary: DemoSummary{History: report(
-		history.Event{Kind: history.KindRequestAnswered, RequestID: "r1", Outcome: api.OutcomeRefused},
-		history.Event{Kind: history.KindStreamStarted, RequestID: "r1", Process: "e1"},
-	)}}
+	events := []history.Event{
+		{Kind: history.KindRequestAnswered, RequestID: "r1", Outcome: api.OutcomeRefused},
+		{Kind: history.KindStreamStarted, RequestID: "r1", Process: "e1"},
+	}
+	kept := demoStub{summary: DemoSummary{History: history.CheckEvents("demo", events[:1])}}
+	broken := demoStub{summary: DemoSummary{History: history.CheckEvents("demo", events)}}
 	histories := filepath.Join(t.TempDir(), "history.jsonl")
 	refusedAndRun := `{"kind":"request_answered","request_id":"r1","outcome":"refused"}` + "\n" + `{"kind":"stream_started","request_id":"r1","process":"e1"}` + "\n"
 	if err := os.WriteFile(histories, []byte(refusedAndRun), 0o600); err != nil {
--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -48,7 +48,7 @@
 }
 
 // DefaultConfig returns three nodes before six engines and two instances each
-// of two applications, in two zones, over loopback TCP.
+// of two applications, in three zones of two sites, over loopback TCP.
 func DefaultConfig(log logrus.FieldLogger, sink history.Sink) Config {
 	return Config{
 		Nodes:    3,
@@ -67,8 +67,8 @@
 // NodeName returns the name of the i-th node, from 1.
 func NodeName(i int) string { return fmt.Sprintf("n%d", i) }
 
-// EngineName returns the name of the i-th engine, from 1.
-func EngineName(i int) string { return fmt.Sprintf("e%d", i) }
+// engineName returns the name of the i-th engine, from 1.
+func engineName(i int) string { return fmt.Sprintf("e%d", i) }
 
 func (c Config) zone(i int) string { return c.Zones[i%len(c.Zones)] }
 func (c Config) site(i int) string { return c.Sites[i%len(c.Sites)] }
@@ -115,7 +115,7 @@
 	config.Machines.Address = serviceAddress("machines")
 	config.Scoring.Address = serviceAddress("scoring")
 	for i := 1; i <= c.Engines; i++ {
-		engineConfig := engine.DefaultConfig(EngineName(i))
+		engineConfig := engine.DefaultConfig(engineName(i))
 		engineConfig.Address = serviceAddress(engineConfig.Name)
 		engineConfig.Pool = TitlesPool
 		engineConfig.Model = Model
--- a/internal/cluster/doc.go
+++ b/internal/cluster/doc.go
@@ -4,5 +4,6 @@
 // where time is virtual and links can be cut.
 //
 // The nodes are the same code that slipliftd runs, with a port each for callers,
-// operators and peers.
+// operators and peers. The stand-ins outlive every node, and a node that is started
+// again is a new incarnation with empty memory, as in production.
 package cluster
--- a/internal/history/check.go
+++ b/internal/history/check.go
@@ -70,6 +70,16 @@
 	return report
 }
 
+// CheckEvents judges a history that is kept in memory. Evidence names the events
+// by the name and by their number, from 1.
+func CheckEvents(name string, events []Event) Report {
+	checker := NewChecker()
+	for i, event := range events {
+		checker.Observe(event, Position{File: name, Line: i + 1})
+	}
+	return checker.Report()
+}
+
 // CheckFiles judges the history that the files hold together.
 func CheckFiles(paths ...string) (Report, error) {
 	checker := NewChecker()
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -15,4 +15,8 @@
 // Stop is the planned stop: new work is refused with advice when to come back,
 // what is in flight ends, steps, claims and leases are handed over, and the
 // other nodes are told. Kill is what a crash looks like to the others.
+//
+// Callers may rely on this: no port answers before Start, the caller port takes new
+// work only while Ready returns nil, and no port answers once Stop or Kill has
+// returned.
 package node
--- a/internal/operator/shell/shell.go
+++ b/internal/operator/shell/shell.go
@@ -46,9 +46,9 @@
 	HistoryFile string
 }
 
-// LineReader reads one line without its end. It returns io.EOF at the end and
+// lineReader reads one line without its end. It returns io.EOF at the end and
 // readline.ErrInterrupt when the operator drops the line.
-type LineReader interface {
+type lineReader interface {
 	ReadLine(prompt string) (string, error)
 	Close() error
 }
@@ -66,7 +66,7 @@
 	return s.loop(ctx)
 }
 
-func newReader(ctx context.Context, config Config) (LineReader, error) {
+func newReader(ctx context.Context, config Config) (lineReader, error) {
 	if !config.Interactive {
 		return &plainReader{scanner: bufio.NewScanner(config.Input)}, nil
 	}
@@ -90,7 +90,7 @@
 // shell is one run of the loop.
 type shell struct {
 	config Config
-	reader LineReader
+	reader lineReader
 	// pending holds the lines of a statement that has not ended.
 	pending string
 }
@@ -177,7 +177,7 @@
 	scanner *bufio.Scanner
 }
 
-// ReadLine implements LineReader.
+// ReadLine implements lineReader.
 func (r *plainReader) ReadLine(string) (string, error) {
 	if r.scanner.Scan() {
 		return r.scanner.Text(), nil
@@ -188,7 +188,7 @@
 	return "", io.EOF
 }
 
-// Close implements LineReader.
+// Close implements lineReader.
 func (r *plainReader) Close() error { return nil }
 
 // terminalReader reads lines that the operator edits.
@@ -198,7 +198,7 @@
 	before    string
 }
 
-// ReadLine implements LineReader.
+// ReadLine implements lineReader.
 func (r *terminalReader) ReadLine(prompt string) (string, error) {
 	if prompt != continuationPrompt {
 		r.before = ""
@@ -220,5 +220,5 @@
 	_ = r.instance.SaveHistory(strings.ReplaceAll(text, "\n", " "))
 }
 
-// Close implements LineReader.
+// Close implements lineReader.
 func (r *terminalReader) Close() error { return r.instance.Close() }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -55,9 +55,9 @@
 	return h, h.check()
 }
 
-// DecodeMessage decodes one line. Unknown fields are ignored, so that a newer
+// decodeMessage decodes one line. Unknown fields are ignored, so that a newer
 // node may add some.
-func DecodeMessage(line []byte) (Message, error) {
+func decodeMessage(line []byte) (Message, error) {
 	var message Message
 	if err := json.Unmarshal(line, &message); err != nil {
 		return Message{}, ErrMalformed.Wrap(err)
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -45,7 +45,7 @@
 				if i == 0 || len(line) == 0 {
 					continue
 				}
-				message, err := DecodeMessage(bytes.TrimSuffix(line, []byte("\n")))
+				message, err := decodeMessage(bytes.TrimSuffix(line, []byte("\n")))
 				if err != nil || !message.Response || message.Kind == "left" && message.Error != "" {
 					t.Errorf("answer %q: %v", line, err)
 				}
--- a/internal/peer/receive.go
+++ b/internal/peer/receive.go
@@ -19,7 +19,7 @@
 			l.close(err)
 			return
 		}
-		message, err := DecodeMessage(line)
+		message, err := decodeMessage(line)
 		if err != nil {
 			l.countMalformed(err)
 			l.close(err)
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -271,7 +271,7 @@
 	f.Add([]byte(`{"kind":""}`))
 	f.Add([]byte(`[1`))
 	f.Fuzz(func(t *testing.T, line []byte) {
-		message, err := DecodeMessage(line)
+		message, err := decodeMessage(line)
 		if err != nil {
 			return
 		}
@@ -279,7 +279,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		again, err := DecodeMessage(encoded[:len(encoded)-1])
+		again, err := decodeMessage(encoded[:len(encoded)-1])
 		if err != nil {
 			t.Fatalf("%s: %v", encoded, err)
 		}
--- a/internal/query/build.go
+++ b/internal/query/build.go
@@ -16,8 +16,8 @@
 const (
 	// MaxTextBytes bounds a text.
 	MaxTextBytes = 256 << 10
-	// MaxWait bounds WAIT n SECONDS.
-	MaxWait = 600 * time.Second
+	// maxWait bounds WAIT n SECONDS.
+	maxWait = 600 * time.Second
 	// maxWhole is the largest whole number that every client of JSON keeps.
 	maxWhole = 1 << 53
 	// maxInFlight bounds MAX IN FLIGHT and LIMIT.
@@ -122,7 +122,7 @@
 		change.IfRevision = &revision
 	}
 	if g.Wait != nil {
-		seconds := b.whole("WAIT", g.Wait, 1, int64(MaxWait/time.Second))
+		seconds := b.whole("WAIT", g.Wait, 1, int64(maxWait/time.Second))
 		change.Wait = time.Duration(seconds) * time.Second
 	}
 	return change
--- a/internal/query/doc.go
+++ b/internal/query/doc.go
@@ -1,5 +1,5 @@
 // Package query is the operators' language: its grammar, its typed statements
-// and their execution over the seams Catalog and Changes.
+// and their execution over the interfaces Catalog and Changes.
 //
 // A text holds statements separated by semicolons. The whole text is parsed and
 // checked before any of it runs, so a text with a mistake does nothing. A
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -13,7 +13,7 @@
 	"github.com/zeebo/errs/v2"
 )
 
-// Settings is a schema that Load can fill: *Node or *Emulator.
+// Settings is a schema that Load can fill: *Node, *Emulator or *Experiment.
 type Settings interface {
 	// faults checks what spans several keys.
 	faults() Faults
