--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -28,8 +28,6 @@
 		synctest.Test(t, func(t *testing.T) {
 			network := memnet.NewNetwork()
 			a, b := newNode(t, network, "a", 1, Limits{LineBytes: 1 << 10}), newNode(t, network, "b", 1, Limits{})
-			defer a.Close()
-			defer b.Close()
 			a.Handle("left", func(ctx context.Context, _ string, _ json.RawMessage) (any, error) { return nil, ctx.Err() })
 			conn, err := network.Dialer("x")(t.Context(), "tcp", "a:1")
 			if err != nil {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -29,8 +29,9 @@
 	return lg
 }
 
-// newNode returns a started transport of host name, with the handlers "echo",
-// "panic" and "slow" (answers just after its caller gave up).
+// newNode returns a started transport of host name, which the end of the test
+// closes, with the handlers "echo", "panic" and "slow" (answers just after its
+// caller gave up).
 func newNode(t *testing.T, network *memnet.Network, name string, incarnation int64, limits Limits) *Transport {
 	t.Helper()
 	listener, err := network.Listen(name + ":1")
@@ -52,9 +53,17 @@
 		return nil, ctx.Err()
 	})
 	transport.Start()
+	t.Cleanup(func() { transport.Close() })
 	return transport
 }
 
+// newPair returns nodes a and b on a network of their own.
+func newPair(t *testing.T, limits Limits) (network *memnet.Network, a, b *Transport) {
+	t.Helper()
+	network = memnet.NewNetwork()
+	return network, newNode(t, network, "a", 1, limits), newNode(t, network, "b", 1, limits)
+}
+
 func callText(transport *Transport, address string, kind Kind, timeout time.Duration) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -65,11 +74,7 @@
 
 func TestCallOutcomes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := memnet.NewNetwork()
-		a := newNode(t, network, "a", 1, Limits{LineBytes: 1 << 10})
-		b := newNode(t, network, "b", 1, Limits{LineBytes: 1 << 10})
-		defer a.Close()
-		defer b.Close()
+		_, a, b := newPair(t, Limits{LineBytes: 1 << 10})
 
 		for _, c := range []struct {
 			from    *Transport
@@ -109,12 +114,7 @@
 
 func TestCutThenHeal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := memnet.NewNetwork()
-		a := newNode(t, network, "a", 1, Limits{})
-		b := newNode(t, network, "b", 1, Limits{})
-		defer a.Close()
-		defer b.Close()
-
+		network, a, _ := newPair(t, Limits{})
 		go func() {
 			time.Sleep(time.Second)
 			network.Cut("a", "b")
@@ -135,11 +135,7 @@
 
 func TestIdleConnectionsClose(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := memnet.NewNetwork()
-		a := newNode(t, network, "a", 1, Limits{})
-		b := newNode(t, network, "b", 1, Limits{})
-		defer a.Close()
-		defer b.Close()
+		_, a, b := newPair(t, Limits{})
 		if _, err := callText(a, "b:1", "echo", time.Second); err != nil {
 			t.Fatal(err)
 		}
@@ -161,7 +157,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.NewNetwork()
 		a := newNode(t, network, "a", 1, Limits{QueueLength: 4})
-		defer a.Close()
 		listener, err := network.Listen("stuck:1")
 		if err != nil {
 			t.Fatal(err)
@@ -184,7 +179,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.NewNetwork()
 		a := newNode(t, network, "a", 1, Limits{})
-		defer a.Close()
 		old := newNode(t, network, "b", 1, Limits{})
 		release := make(chan struct{})
 		var answered atomic.Int32
@@ -199,7 +193,6 @@
 		old.Close()
 
 		restarted := newNode(t, network, "b", 2, Limits{})
-		defer restarted.Close()
 		go func() {
 			time.Sleep(100 * time.Millisecond)
 			close(release)
@@ -211,11 +204,29 @@
 	})
 }
 
+// A new process is reached though the connection of the old one is still open.
+func TestRestartedPeerReplacesOpenConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, a, old := newPair(t, Limits{})
+		if _, err := callText(old, "a:1", "echo", time.Second); err != nil {
+			t.Fatal(err)
+		}
+		old.cfg.Listener.Close()
+		restarted := newNode(t, network, "b", 2, Limits{})
+		restarted.handlers["new"] = func(context.Context, string, json.RawMessage) (any, error) { return text{"new"}, nil }
+		if _, err := callText(restarted, "a:1", "echo", time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := callText(a, "b:1", "new", time.Second); got != "new" {
+			t.Errorf("got %q, %v", got, err)
+		}
+	})
+}
+
 func TestMalformedLineCloses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.NewNetwork()
 		a := newNode(t, network, "a", 1, Limits{LineBytes: 1 << 10})
-		defer a.Close()
 		const greeting = `{"protocol":"sliplift-peer","version":1,"node":"x","incarnation":1}` + "\n"
 		for _, lines := range []string{
 			"GET / HTTP/1.1\n",
