query: an answer to WAIT names those heard from for the report that it shows

Cause: when the wait ended in the middle of a question, the report of the question before was put back, but "as of" and "heard from" stayed those of the last: the answer showed confirmations by nodes that it did not name as heard. Ruled out: leaving out the last question; it may bring the missing confirmation. Change: keepBetter puts the whole previous answer back. In the tests of execution, what becomes of the next change and from when on nodes confirm are arguments of run; the answers are unchanged.

--- a/internal/query/execute.go
+++ b/internal/query/execute.go
@@ -263,7 +263,7 @@
 	ticker := time.NewTicker(e.config.PollInterval)
 	defer ticker.Stop()
 	for {
-		previous := answer.Force
+		previous := *answer
 		e.fillForce(ctx, answer)
 		if answer.Outcome != configlog.OutcomeAccepted || answer.Force.Everywhere() {
 			return
@@ -281,10 +281,10 @@
 	}
 }
 
-// keepBetter puts the previous report back where it knows more: a node that
-// confirmed a revision never takes it back.
-func keepBetter(answer *ChangeResult, previous *configlog.ForceReport) {
-	if previous != nil && len(previous.Confirmed) > len(answer.Force.Confirmed) {
-		answer.Force = previous
+// keepBetter puts the previous report back where it knows more, with who told it
+// and when: a node that confirmed a revision never takes it back.
+func keepBetter(answer *ChangeResult, previous ChangeResult) {
+	if previous.Force != nil && len(previous.Force.Confirmed) > len(answer.Force.Confirmed) {
+		*answer = previous
 	}
 }
--- a/internal/query/execute_test.go
+++ b/internal/query/execute_test.go
@@ -125,7 +125,8 @@
 	return report
 }
 
-// TestExecute tells the story of an operator's day.
+// TestExecute tells the story of an operator's day. The command run takes what
+// becomes of the next change, and from when on a node confirms changes.
 func TestExecute(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		changes := &fakeChanges{log: configlog.NewLog(), acceptedAt: map[int64]time.Time{}}
@@ -135,9 +136,6 @@
 		batches := byte(0)
 		datadriven.RunTest(t, "testdata/execute", func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
-			case "next-change":
-				d.ScanArgs(t, "is", &changes.next)
-				return ""
 			case "publish":
 				version := configlog.PublishVersion{}
 				d.ScanArgs(t, "pool", &version.Pool)
@@ -146,16 +144,17 @@
 					t.Fatal(err)
 				}
 				return ""
-			case "node":
-				var name, delay string
-				d.ScanArgs(t, "name", &name)
-				d.ScanArgs(t, "confirms-after", &delay)
-				changes.confirmAfter[name] = parseDelay(t, delay)
-				return ""
 			case "run":
 				output, width := string(OutputTable), 0
 				d.MaybeScanArgs(t, "output", &output)
 				d.MaybeScanArgs(t, "width", &width)
+				d.MaybeScanArgs(t, "next-change", &changes.next)
+				for name := range changes.confirmAfter {
+					var delay string
+					if d.MaybeScanArgs(t, name, &delay); delay != "" {
+						changes.confirmAfter[name] = parseDelay(t, delay)
+					}
+				}
 				batches++
 				return runBatch(t, executor, uuid.UUID{15: batches}, d.Input, Output(output), width)
 			}
@@ -214,6 +213,42 @@
 	})
 }
 
+// hangingChanges answers the first question after a revision and no later one.
+type hangingChanges struct {
+	*fakeChanges
+	asked int
+}
+
+func (h *hangingChanges) InForce(ctx context.Context, revision int64) configlog.ForceReport {
+	if h.asked++; h.asked == 1 {
+		return h.fakeChanges.InForce(ctx, revision)
+	}
+	<-ctx.Done()
+	return configlog.ForceReport{Revision: revision, AsOf: time.Now(), Missing: []configlog.MissingMember{{Name: "node-2", Reason: configlog.MissingUnreachable}}}
+}
+
+// TestWaitEndsDuringQuestion proves that an answer whose last question was cut
+// short names those who confirmed, and when, of the question before.
+func TestWaitEndsDuringQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		changes := &hangingChanges{fakeChanges: &fakeChanges{log: configlog.NewLog(), acceptedAt: map[int64]time.Time{}}}
+		changes.confirmAfter = map[string]time.Duration{"node-1": 0, "node-2": 0, "node-3": -1}
+		logger, _ := logtest.NewNullLogger()
+		executor := NewExecutor(logger, Config{Node: "node-1"}, fakeCatalog{}, changes)
+		statements, err := executor.Parse("SET a = 1 WAIT 2 SECONDS")
+		if err != nil {
+			t.Fatal(err)
+		}
+		asked := time.Now()
+		executor.Run(t.Context(), NewBatch(uuid.UUID{1}, "anna", ""), statements, func(result Result) {
+			answer := result.Change
+			if !slices.Equal(answer.Force.Confirmed, answer.HeardFrom) || len(answer.HeardFrom) != 2 || !answer.AsOf.Equal(asked) {
+				t.Errorf("%+v, heard from %v as of %s", answer.Force, answer.HeardFrom, answer.AsOf)
+			}
+		})
+	})
+}
+
 // TestTableJSONRoundTrip proves that a table that went over the wire says the
 // same, unknown values included.
 func TestTableJSONRoundTrip(t *testing.T) {
