claim: tests over memnet and the emulated table; one decoding of messages

Cause: six handlers decoded their message in the same way. The tests had a network and a table of their own beside memnet and the emulator's, and every step of the scenarios was printed again with its result. Ruled out: the emulated network without a pause after a healed cut: the transport waits for its back-off before it dials again, and a claim within that time is refused, rightly. setDown waits for twice the back-off. Change: handle[T] registers a handler; inMesh runs services over peer.Transport and memnet; the registrar is tested on the emulated table with a lost answer; the scenarios are played through steptest, several replicas a step.

--- a/internal/claim/message.go
+++ b/internal/claim/message.go
@@ -1,6 +1,9 @@
 package claim
 
 import (
+	"context"
+	"encoding/json"
+
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/peer"
 )
@@ -97,3 +100,14 @@
 
 // Acknowledgement answers a Release and a Complete.
 type Acknowledgement struct{}
+
+// handle registers what answers the messages of a kind, whose bodies are a T.
+func handle[T any](registry peer.Registry, kind peer.Kind, answer func(message T) any) {
+	registry.Handle(kind, func(_ context.Context, _ string, body json.RawMessage) (any, error) {
+		var message T
+		if err := json.Unmarshal(body, &message); err != nil {
+			return nil, err
+		}
+		return answer(message), nil
+	})
+}
--- a/internal/claim/replica_test.go
+++ b/internal/claim/replica_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/steptest"
 )
 
 // scenario is three replicas r1 to r3 and any number of rounds, moved by hand.
@@ -35,60 +36,61 @@
 	return s
 }
 
-// TestScenarios plays testdata/scenarios. A line is a verb and its operands;
-// see run for the verbs. Every line prints one result.
+// TestScenarios plays testdata/scenarios. Every block begins anew. A step is a
+// verb, whom it is about, and the replicas concerned, one after the other.
 func TestScenarios(t *testing.T) {
 	datadriven.RunTest(t, "testdata/scenarios", func(t *testing.T, d *datadriven.TestData) string {
-		s := newScenario()
-		var out strings.Builder
-		for line := range strings.Lines(d.Input) {
-			fields := strings.Fields(line)
-			fmt.Fprintf(&out, "%s: %s\n", strings.Join(fields, " "), s.run(t, fields))
-		}
-		return out.String()
+		return steptest.Run(t, d, newScenario().step)
 	})
 }
 
-func (s *scenario) run(t *testing.T, fields []string) string {
-	switch fields[0] {
+func (s *scenario) step(t *testing.T, d *datadriven.TestData) string {
+	subject, replicas := d.CmdArgs[0], d.CmdArgs[1:]
+	if len(replicas) == 0 {
+		return strings.TrimLeft(s.act(t, d.Cmd, subject, "")+"\n", "\n")
+	}
+	var printed []string
+	for _, replica := range replicas {
+		printed = append(printed, s.act(t, d.Cmd, subject, replica.Key))
+	}
+	return strings.TrimLeft(strings.Join(printed, "; ")+"\n", "; \n")
+}
+
+func (s *scenario) act(t *testing.T, verb string, subject datadriven.CmdArg, replica string) string {
+	name := subject.Key
+	switch verb {
 	case "wait":
-		duration, err := time.ParseDuration(fields[1])
+		duration, err := time.ParseDuration(name)
 		if err != nil {
 			t.Fatal(err)
 		}
 		s.now = s.now.Add(duration)
-		return "ok"
 	case "restart":
-		s.replicas[fields[1]] = NewReplica(s.config, s.now)
-		s.replicas[fields[1]].Registered(false)
-		return "ok"
+		s.replicas[name] = NewReplica(s.config, s.now)
+		s.replicas[name].Registered(false)
 	case "restart-unregistered":
-		s.replicas[fields[1]] = NewReplica(s.config, s.now)
-		return "ok"
+		s.replicas[name] = NewReplica(s.config, s.now)
 	case "revision":
-		s.replicas[fields[1]].SetRevision(2)
-		return "ok"
+		s.replicas[name].SetRevision(2)
 	case "open":
-		s.rounds[fields[1]] = NewRound(Token{Claimant: fields[1]}, [][]Member{scenarioMembers}, s.now.Add(time.Second))
-		return "ok"
+		s.rounds[name] = NewRound(Token{Claimant: name}, [][]Member{scenarioMembers}, s.now.Add(time.Second))
 	case "claim":
-		return s.claim(fields[1], fields[2], "key")
+		return s.claim(name, replica, "key")
 	case "claim-other-key":
-		return s.claim(fields[1], fields[2], "key of "+fields[1])
+		return s.claim(name, replica, "key of "+name)
 	case "lose":
-		s.rounds[fields[1]].Fail(fields[2])
-		return s.decision(fields[1])
+		s.rounds[name].Fail(replica)
+		return s.decision(name)
 	case "decide":
-		return s.decision(fields[1])
+		return s.decision(name)
 	case "release":
-		s.replicas[fields[2]].Release(Release{Key: "key", Token: Token{Claimant: fields[1]}}, s.now)
-		return "ok"
-	case "complete":
-		record := Record{Outcome: api.OutcomeCompleted, Answer: &api.LiveResponse{Text: fields[3]}}
-		s.replicas[fields[2]].Complete(Complete{Key: "key", Token: Token{Claimant: fields[1]}, Record: record}, s.now)
-		return "ok"
-	}
-	t.Fatalf("unknown verb %q", fields[0])
+		s.replicas[replica].Release(Release{Key: "key", Token: Token{Claimant: name}}, s.now)
+	case "complete": // claimant=answer
+		record := Record{Outcome: api.OutcomeCompleted, Answer: &api.LiveResponse{Text: subject.Vals[0]}}
+		s.replicas[replica].Complete(Complete{Key: "key", Token: Token{Claimant: name}, Record: record}, s.now)
+	default:
+		t.Fatalf("unknown verb %q", verb)
+	}
 	return ""
 }
 
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -247,28 +246,16 @@
 }
 
 func (s *Service) register(registry peer.Registry) {
-	registry.Handle(KindRequest, func(_ context.Context, _ string, body json.RawMessage) (any, error) {
-		var request Request
-		if err := json.Unmarshal(body, &request); err != nil {
-			return nil, err
-		}
-		return s.vote(request), nil
+	handle(registry, KindRequest, func(request Request) any {
+		return s.vote(request)
 	})
-	registry.Handle(KindRelease, func(_ context.Context, _ string, body json.RawMessage) (any, error) {
-		var release Release
-		if err := json.Unmarshal(body, &release); err != nil {
-			return nil, err
-		}
+	handle(registry, KindRelease, func(release Release) any {
 		s.withReplica(func(now time.Time) { s.replica.Release(release, now) })
-		return Acknowledgement{}, nil
+		return Acknowledgement{}
 	})
-	registry.Handle(KindComplete, func(_ context.Context, _ string, body json.RawMessage) (any, error) {
-		var complete Complete
-		if err := json.Unmarshal(body, &complete); err != nil {
-			return nil, err
-		}
+	handle(registry, KindComplete, func(complete Complete) any {
 		s.withReplica(func(now time.Time) { s.replica.Complete(complete, now) })
-		return Acknowledgement{}, nil
+		return Acknowledgement{}
 	})
 }
 
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -2,120 +2,79 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/emulator/fault"
+	emulated "github.com/sliplift/sliplift/internal/emulator/table"
+	"github.com/sliplift/sliplift/internal/memnet"
 	"github.com/sliplift/sliplift/internal/peer"
-	"github.com/sliplift/sliplift/internal/platform"
 )
 
-// mesh carries messages between the services of a test. An address is a name.
-type mesh struct {
-	mu       sync.Mutex
-	handlers map[string]map[peer.Kind]peer.Handler
-	down     map[string]bool
-}
-
-// endpoint is one node's place in a mesh.
-type endpoint struct {
-	mesh *mesh
-	name string
-}
-
-func (e endpoint) Handle(kind peer.Kind, handler peer.Handler) {
-	e.mesh.mu.Lock()
-	defer e.mesh.mu.Unlock()
-	if e.mesh.handlers[e.name] == nil {
-		e.mesh.handlers[e.name] = make(map[peer.Kind]peer.Handler)
-	}
-	e.mesh.handlers[e.name][kind] = handler
-}
-
-func (e endpoint) Send(string, peer.Kind, any) {}
-
-func (e endpoint) Call(ctx context.Context, address string, kind peer.Kind, body, response any) error {
-	handler, down := e.mesh.lookup(address, kind)
-	if down {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	time.Sleep(time.Millisecond)
-	request, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	answer, err := handler(ctx, e.name, request)
-	if err != nil {
-		return err
-	}
-	encoded, err := json.Marshal(answer)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(encoded, response)
-}
-
-func (m *mesh) lookup(address string, kind peer.Kind) (handler peer.Handler, down bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.handlers[address][kind], m.down[address]
-}
-
-// setDown cuts nodes off, or joins them again.
-func (m *mesh) setDown(down bool, names ...string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, name := range names {
-		m.down[name] = down
-	}
-}
-
 // firstRun is a Registrar with a fixed answer.
 type firstRun bool
 
 func (f firstRun) FirstRun(context.Context, string) (bool, error) { return bool(f), nil }
 
-func newMesh(t *testing.T) (*mesh, map[string]*Service) {
-	m := &mesh{handlers: make(map[string]map[peer.Kind]peer.Handler), down: make(map[string]bool)}
-	services := make(map[string]*Service)
-	for _, name := range []string{"a", "b", "c"} {
-		services[name] = m.start(t, name, true)
-	}
-	for _, service := range services {
-		service.Run(t.Context())
-	}
-	return m, services
-}
+// mesh is the network between the services of a test. Hosts and nodes have the
+// same names.
+type mesh struct{ *memnet.Network }
 
-func (m *mesh) start(t *testing.T, name string, first bool) *Service {
-	lg := logrus.New()
-	lg.SetOutput(io.Discard)
-	list := StaticView{{Name: "a", Address: "a", Zone: "1"}, {Name: "b", Address: "b", Zone: "2"}, {Name: "c", Address: "c", Zone: "3"}}
-	incarnation := time.Now().UnixMicro()
-	service := NewService(lg, Config{Self: name, Incarnation: incarnation}, endpoint{m, name}, endpoint{m, name}, list, firstRun(first))
-	return service
+var meshMembers = StaticView{{Name: "a", Address: "a:1", Zone: "1"}, {Name: "b", Address: "b:1", Zone: "2"}, {Name: "c", Address: "c:1", Zone: "3"}}
+
+// inMesh plays a story with one service on each node.
+func inMesh(t *testing.T, play func(t *testing.T, m mesh, services map[string]*Service)) {
+	synctest.Test(t, func(t *testing.T) {
+		m, services := mesh{memnet.NewNetwork()}, make(map[string]*Service)
+		for _, member := range meshMembers {
+			services[member.Name] = m.start(t, member.Name, true)
+		}
+		play(t, m, services)
+		for _, service := range services {
+			service.Close()
+		}
+	})
 }
 
-func (m *mesh) restart(t *testing.T, name string) *Service {
-	service := m.start(t, name, false)
+// start starts a node, after the end of its former process if there was one.
+func (m mesh) start(t *testing.T, name string, first bool) *Service {
+	m.Kill(name)
+	lg, _ := test.NewNullLogger()
+	listener, err := m.Listen(name + ":1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	incarnation := time.Now().UnixMicro()
+	transport := peer.NewTransport(lg, peer.Config{Node: name, Incarnation: incarnation, Listener: listener, Dial: m.Dialer(name)})
+	service := NewService(lg, Config{Self: name, Incarnation: incarnation}, transport, transport, meshMembers, firstRun(first))
+	transport.Start()
+	t.Cleanup(func() { transport.Close() })
 	service.Run(t.Context())
 	return service
 }
 
-func closeAll(services map[string]*Service) {
-	for _, service := range services {
-		service.Close()
+func (m mesh) restart(t *testing.T, name string) *Service { return m.start(t, name, false) }
+
+// setDown cuts nodes off from all others, or joins them again.
+func (m mesh) setDown(down bool, names ...string) {
+	change := m.Heal
+	if down {
+		change = m.Cut
+	}
+	for _, name := range names {
+		for _, member := range meshMembers {
+			change(name, member.Name)
+		}
+	}
+	if !down {
+		time.Sleep(2 * peer.DefaultLimits().BackoffMax) // the transports dial again
 	}
 }
 
@@ -138,9 +97,7 @@
 }
 
 func TestRetryElsewhereGetsTheSameAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		_, services := newMesh(t)
-		defer closeAll(services)
+	inMesh(t, func(t *testing.T, _ mesh, services map[string]*Service) {
 		wantClaim(t, services["a"], "key", "r1", Granted)
 		if got := wantClaim(t, services["b"], "key", "r2", AlreadyClaimed); got.Outcome != api.OutcomeUnknown || got.HolderRequestID != "r1" {
 			t.Fatalf("result %+v", got)
@@ -157,9 +114,7 @@
 }
 
 func TestRefusedRequestFreesTheKey(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		_, services := newMesh(t)
-		defer closeAll(services)
+	inMesh(t, func(t *testing.T, _ mesh, services map[string]*Service) {
 		wantClaim(t, services["a"], "key", "r1", Granted)
 		services["a"].Complete("key", "r1", api.OutcomeRefused, nil)
 		services["a"].Close()
@@ -170,9 +125,7 @@
 // TestLateRefusalDoesNotFreeALaterGrant: a caller that answers the error of a
 // claim with a refusal may be late, when the same request holds the key.
 func TestLateRefusalDoesNotFreeALaterGrant(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m, services := newMesh(t)
-		defer closeAll(services)
+	inMesh(t, func(t *testing.T, m mesh, services map[string]*Service) {
 		m.setDown(true, "b", "c")
 		wantRefused(t, services["a"], "key", "r1", api.CodeClaimUnavailable)
 		services["a"].Close()
@@ -186,9 +139,7 @@
 }
 
 func TestRestartedReplicaCostsOneVote(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m, services := newMesh(t)
-		defer closeAll(services)
+	inMesh(t, func(t *testing.T, m mesh, services map[string]*Service) {
 		wantClaim(t, services["a"], "key", "r1", Granted)
 		services["a"].Close()
 		services["a"] = m.restart(t, "a")
@@ -204,9 +155,7 @@
 // TestRollingRestart stops and starts every node in turn, well within the time
 // for which a replica without memory abstains.
 func TestRollingRestart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m, services := newMesh(t)
-		defer closeAll(services)
+	inMesh(t, func(t *testing.T, m mesh, services map[string]*Service) {
 		wantClaim(t, services["a"], "key", "r1", Granted)
 		services["a"].Complete("key", "r1", api.OutcomeCompleted, &api.LiveResponse{Text: "visit at ten"})
 		for i, name := range []string{"a", "b", "c"} {
@@ -256,9 +205,7 @@
 }
 
 func TestClaimIsAnsweredWhenItsContextEnds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m, services := newMesh(t)
-		defer closeAll(services)
+	inMesh(t, func(t *testing.T, m mesh, services map[string]*Service) {
 		m.setDown(true, "b", "c")
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		defer cancel()
@@ -271,9 +218,7 @@
 }
 
 func TestOldAndMalformedKeysAreRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		_, services := newMesh(t)
-		defer closeAll(services)
+	inMesh(t, func(t *testing.T, _ mesh, services map[string]*Service) {
 		timed := uuid.Must(uuid.NewV7()).String()
 		time.Sleep(time.Minute)
 		wantClaim(t, services["a"], timed, "r1", Granted)
@@ -283,28 +228,10 @@
 	})
 }
 
-// lossyTable holds one row. Its first commits take effect and lose the answer.
-type lossyTable struct {
-	row       *api.Row
-	lose      int32
-	committed atomic.Int32
-}
-
-func (l *lossyTable) Commit(_ context.Context, transaction api.Transaction) (api.TransactionResponse, error) {
-	if l.row != nil {
-		return api.TransactionResponse{}, &api.Error{Code: api.CodeConditionFailed}
-	}
-	l.row = &api.Row{Key: transaction.Puts[0].Key, Value: transaction.Puts[0].Value, Revision: 1}
-	if l.committed.Add(1) <= l.lose {
-		return api.TransactionResponse{}, platform.ErrUncertain.Errorf("answer lost")
-	}
-	return api.TransactionResponse{Revision: 1}, nil
-}
-
-func (l *lossyTable) Get(context.Context, string) (api.Row, error) { return *l.row, nil }
-
 func TestOnlyTheFirstIncarnationIsTheFirstRun(t *testing.T) {
-	table := &lossyTable{lose: 1}
+	faults := fault.NewSet(1)
+	_, _ = faults.Add(fault.Fault{Target: "table", Kind: fault.KindLostAnswer, Count: 1})
+	table := emulated.NewService(emulated.Config{Name: "table"}, faults)
 	first := NewTableRegistrar(table)
 	if _, err := first.FirstRun(t.Context(), "a"); err == nil {
 		t.Fatal("an uncertain commit was taken for an answer")
--- a/internal/claim/stop.go
+++ b/internal/claim/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -88,31 +87,19 @@
 }
 
 func (s *Service) registerStop(registry peer.Registry) {
-	registry.Handle(KindTicket, func(_ context.Context, _ string, body json.RawMessage) (any, error) {
-		var request TicketRequest
-		if err := json.Unmarshal(body, &request); err != nil {
-			return nil, err
-		}
+	handle(registry, KindTicket, func(request TicketRequest) any {
 		ticket := uuid.NewString()
 		s.withReplica(func(now time.Time) { s.heir.Ticket(request, ticket, now) })
-		return TicketResponse{Ticket: ticket}, nil
+		return TicketResponse{Ticket: ticket}
 	})
-	registry.Handle(KindHandOver, func(_ context.Context, _ string, body json.RawMessage) (any, error) {
-		var handOver HandOver
-		if err := json.Unmarshal(body, &handOver); err != nil {
-			return nil, err
-		}
+	handle(registry, KindHandOver, func(handOver HandOver) any {
 		var response HandOverResponse
 		s.withReplica(func(now time.Time) { response.Accepted = s.heir.Accept(handOver, now) })
-		return response, nil
+		return response
 	})
-	registry.Handle(KindRecover, func(_ context.Context, _ string, body json.RawMessage) (any, error) {
-		var request RecoverRequest
-		if err := json.Unmarshal(body, &request); err != nil {
-			return nil, err
-		}
+	handle(registry, KindRecover, func(request RecoverRequest) any {
 		var response RecoverResponse
 		s.withReplica(func(now time.Time) { response.Entries, response.Found = s.heir.Recover(request, now) })
-		return response, nil
+		return response
 	})
 }
