node: a planned stop answers the operators' statements that are under way

Cause: operator.Server.Shutdown ends waits and lets statements have their answer, but nothing called it; Node.Stop closed the operator port at once. An operator whose statement waited for a change to be in force lost the answer, and could not tell whether the change was made. Ruled out: closing it at the beginning of the stop; operators look at a node that is stopping. Change: Stop shuts the operator port down after claims are handed over, for at most 5 s, and before it takes leave of the other nodes.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -31,12 +31,13 @@
 	n.gateway.BeginStop()
 	n.handOver(ctx)
 	n.handOverClaims(ctx)
+	n.answerOperators(ctx)
 	n.leave(ctx)
 	n.endStop()
 }
 
-// farewellTimeout bounds each of the last messages to the other nodes. They are
-// sent also where the work in flight used up the time of the stop: without them
+// farewellTimeout bounds each of the last messages to the other nodes, and the
+// last answers to operators. They are sent also where the work in flight used up the time of the stop: without them
 // the others wait for a node that is gone, and its restart takes no part in
 // claims.
 const farewellTimeout = 5 * time.Second
@@ -49,6 +50,17 @@
 	}
 }
 
+// answerOperators ends waits for changes to be in force, and lets every statement
+// under way have its answer: a connection that breaks leaves open whether a change
+// was made.
+func (n *Node) answerOperators(ctx context.Context) {
+	farewell, cancel := context.WithTimeout(context.WithoutCancel(ctx), farewellTimeout)
+	defer cancel()
+	if err := n.operator.Shutdown(farewell); err != nil {
+		n.log.WithError(err).Warn("operators' statements are cut off")
+	}
+}
+
 func (n *Node) leave(ctx context.Context) {
 	farewell, cancel := context.WithTimeout(context.WithoutCancel(ctx), farewellTimeout)
 	defer cancel()
