membership: the reading of the machine list, which nobody switched on, goes

Cause: ServiceConfig.Machines, MachinesInterval and SelectSeeds were set nowhere; nodes find each other by the seeds of their settings, and machinewatch reads the platform's list. Change: the three fields, MachineLister, the loop and Service.AddSeeds are gone. Measured: no use in the tree (grep over all packages and tests); go build and go vet of the whole tree, go test -race of membership, node and cluster.

--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -10,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/peer"
 )
 
@@ -18,9 +17,6 @@
 	tickInterval = 100 * time.Millisecond
 	// snapshotAge bounds the age of the HeardAt and Digest values in a Snapshot.
 	snapshotAge = time.Second
-
-	defaultMachinesInterval = 15 * time.Second
-	machinesTimeout         = 10 * time.Second
 )
 
 // Transport is what a Service needs of package peer.
@@ -29,22 +25,11 @@
 	peer.Registry
 }
 
-// MachineLister is the platform's list of machines, which lags.
-type MachineLister interface {
-	Machines(ctx context.Context) (api.MachineList, error)
-}
-
 // ServiceConfig says whom a Service speaks for and where it looks for others.
 type ServiceConfig struct {
 	Self     Identity
 	Protocol Config
 	Seeds    []Seed
-	// Machines, if set, is read every MachinesInterval (15 s if zero), and
-	// SelectSeeds picks the nodes out of the list, which names other machines
-	// besides and gives no peer addresses.
-	Machines         MachineLister
-	MachinesInterval time.Duration
-	SelectSeeds      func(api.MachineList) []Seed
 	// OnDigest, if set, is called with the digest of each message that came from
 	// a known member. Calls are concurrent; they must not block.
 	OnDigest func(from Member, digest int64)
@@ -72,9 +57,6 @@
 	if cfg.Protocol == (Config{}) {
 		cfg.Protocol = DefaultConfig()
 	}
-	if cfg.MachinesInterval == 0 {
-		cfg.MachinesInterval = defaultMachinesInterval
-	}
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(cfg.Self.Name), uint64(cfg.Self.Incarnation)))
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
@@ -115,9 +97,6 @@
 // Start begins to probe and returns.
 func (s *Service) Start() {
 	s.running.Go(s.tick)
-	if s.cfg.Machines != nil && s.cfg.SelectSeeds != nil {
-		s.running.Go(s.readMachines)
-	}
 }
 
 // Close ends the service without announcing anything; see Leave.
@@ -156,13 +135,6 @@
 	s.machine.SetDigest(digest)
 }
 
-// AddSeeds adds nodes to be looked for.
-func (s *Service) AddSeeds(seeds ...Seed) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.machine.AddSeeds(seeds...)
-}
-
 // Leave announces the planned stop, and returns when the news is on its way to
 // enough members or ctx ends. The service goes on answering until Close.
 func (s *Service) Leave(ctx context.Context) error {
@@ -251,23 +223,3 @@
 		}).Info("membership changed")
 	}
 }
-
-func (s *Service) readMachines() {
-	ticker := time.NewTicker(s.cfg.MachinesInterval)
-	defer ticker.Stop()
-	for {
-		ctx, cancel := context.WithTimeout(s.ctx, machinesTimeout)
-		list, err := s.cfg.Machines.Machines(ctx)
-		cancel()
-		if err != nil {
-			s.lg.WithError(err).Debug("list of machines not read")
-		} else {
-			s.AddSeeds(s.cfg.SelectSeeds(list)...)
-		}
-		select {
-		case <-ticker.C:
-		case <-s.ctx.Done():
-			return
-		}
-	}
-}
