dispatch: a request that holds its key goes on without its caller

Cause: load's history test had a hand-made node in place of the gateway, which kept a request running when its caller's connection broke. The gateway does not: it passes the request's own context on.

Ruled out: detaching in the gateway. A repeatable request should end with its caller, and one that does not hold its key yet may; only dispatch knows the moment. Detaching without a deadline: nothing would end it.

Change: from the grant of its key on a request ends at its deadline or with Dispatcher.Close (outlivingCaller). Until then it counts against the limits in flight. load's test keeps the real gateways.

--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/limits"
@@ -34,11 +35,29 @@
 	}
 	// The claim took its time; the view has aged.
 	e.view = nil
+	ctx, cancel := d.outlivingCaller(ctx, e.request.Deadline)
+	defer cancel()
 	result := e.run(ctx)
 	d.completeClaim(e, result.Outcome, result.liveResponse())
 	return result
 }
 
+// outlivingCaller returns a context for a request that holds its key. It ends at
+// the deadline and with the Dispatcher, but not when the caller's connection
+// breaks: the key is spent by then, so the answer must come to be recorded for
+// the caller's next request with that key.
+func (d *Dispatcher) outlivingCaller(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	stop := context.AfterFunc(d.tasks.ctx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 func claimUnavailable(reason string) *api.Error {
 	advice := limits.MaxAdvice.Milliseconds() / 10
 	return api.Refusal(http.StatusServiceUnavailable, api.CodeClaimUnavailable, advice, "claim: %s", reason)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -20,11 +21,14 @@
 	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/memnet"
 	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/steptest"
 )
 
 // TestDispatch tells stories of requests and faults. Each "backends" command
-// starts a new world; see fakeBackend for its script. "do" runs a request and
-// shows its result, the virtual time it took, and what reached the back ends.
+// starts a new world with the back ends in its first lines, see fakeBackend for
+// their scripts; the lines from the first "do" or "claims" on are steps. "do" runs
+// a request and shows its result, the virtual time it took, and what reached the
+// back ends.
 func TestDispatch(t *testing.T) {
 	datadriven.Walk(t, "testdata/dispatch", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
@@ -61,9 +65,21 @@
 }
 
 func (w *world) run(t *testing.T, d *datadriven.TestData) string {
+	if d.Cmd != "backends" {
+		return steptest.Run(t, d, w.step)
+	}
+	steps := ""
+	if first := firstStep.FindStringIndex(d.Input); first != nil {
+		d.Input, steps = d.Input[:first[0]], d.Input[first[0]:]
+	}
+	w.open(t, d)
+	return steptest.Lines(t, d.Pos, steps, w.step)
+}
+
+var firstStep = regexp.MustCompile(`(?m)^(do|claims)\b`)
+
+func (w *world) step(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
-	case "backends":
-		w.open(t, d)
 	case "claims":
 		w.claimer.mode = d.CmdArgs[0].Key
 	case "do":
@@ -162,7 +178,11 @@
 	}
 	time.Sleep(10 * time.Millisecond)
 	synctest.Wait()
-	return describe(&result, took) + strings.Join(append(w.log.take(), ""), "\n")
+	out := describe(&result, took)
+	if calls := w.log.take(); len(calls) > 0 {
+		out += "  " + strings.Join(calls, "; ") + "\n"
+	}
+	return out
 }
 
 func durationOf(t *testing.T, d *datadriven.TestData, name string) time.Duration {
@@ -245,3 +265,21 @@
 		}
 	})
 }
+
+// TestCloseCutsWhatOutlivesItsCaller ends a request that holds its key, and whose
+// caller went away, with the Dispatcher and not hours later.
+func TestCloseCutsWhatOutlivesItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{}
+		defer w.close()
+		w.open(t, &datadriven.TestData{Cmd: "backends", CmdArgs: []datadriven.CmdArg{{Key: "applications"}}, Input: "a wait=2h\n"})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		time.AfterFunc(time.Minute, w.dispatcher.Close)
+		started := time.Now()
+		result := w.dispatcher.Do(ctx, Request{RequestID: "r", Pool: "p", IdempotencyKey: "k", Deadline: started.Add(time.Hour)})
+		if took := time.Since(started); took != time.Minute || result.Outcome != api.OutcomeUnknown {
+			t.Errorf("%s after %s", result.Outcome, took)
+		}
+	})
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -112,8 +112,8 @@
 	}, nil
 }
 
-// Close ends the calls in the background and waits for them. Requests must
-// have ended before.
+// Close ends the calls in the background, waits for them, and cuts the requests
+// that go on without their callers. All other requests must have ended before.
 func (d *Dispatcher) Close() { d.tasks.close() }
 
 // Do runs a request and returns its final outcome, at the latest when its
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -9,7 +9,9 @@
 // A request that is not repeatable is claimed by its idempotency key before
 // anything is sent, and is sent at most once: another back end is tried only
 // after a definite "nothing was sent" or the back end's own refusal. Anything
-// else ends it with outcome unknown at once.
+// else ends it with outcome unknown at once. Once it holds its key it goes on
+// until its deadline, also without its caller, so that the next request with the
+// key gets its answer.
 //
 // Callers may rely on the outcome:
 //
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -66,6 +66,7 @@
 //	corrupt    a whole answer with a wrong checksum
 //	refuse     429, not run
 //	invalid    400, not run
+//	conflict   409, the attempt may be known there
 //	error      500, fate unknown
 //	down       nobody listens
 //	cut-off    connecting to it never ends
@@ -168,6 +169,8 @@
 		httpjson.WriteError(w, api.Refusal(http.StatusServiceUnavailable, api.CodeNoBackend, 700, "down"))
 	case "invalid":
 		httpjson.WriteError(w, api.Invalid("prompt: too long"))
+	case "conflict":
+		httpjson.WriteError(w, api.Refusal(http.StatusConflict, api.CodeInvalid, 0, "known"))
 	case "error":
 		w.WriteHeader(http.StatusInternalServerError)
 	default:
--- a/internal/load/history_test.go
+++ b/internal/load/history_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -12,7 +10,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/backend"
@@ -23,8 +23,8 @@
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/emulator/weight"
 	"github.com/sliplift/sliplift/internal/engine"
+	"github.com/sliplift/sliplift/internal/gateway"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/httpjson"
 	"github.com/sliplift/sliplift/internal/load"
 	"github.com/sliplift/sliplift/internal/memnet"
 )
@@ -66,7 +66,7 @@
 }
 
 // world is two engines and two booking desks behind a Dispatcher that callers
-// reach under two addresses.
+// reach through two gateways.
 type world struct {
 	t          *testing.T
 	network    *memnet.Network
@@ -105,8 +105,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	lg := logrus.New()
-	lg.SetOutput(io.Discard)
+	lg, _ := logtest.NewNullLogger()
 	w := &world{t: t, network: memnet.NewNetwork(), faults: fault.NewSet(1), sink: &history.MemorySink{}}
 	t.Cleanup(w.faults.Close)
 	store := weight.NewService(weight.Config{Name: "weights"}, w.faults)
@@ -169,57 +168,13 @@
 		if err != nil {
 			w.t.Fatal(err)
 		}
-		w.serve(listener)
+		services := gateway.Services{Live: dispatcher, Pools: set}
+		server := gateway.NewServer(lg, gateway.Config{}, services, prometheus.NewRegistry())
+		go server.Serve(listener)
+		w.t.Cleanup(func() { server.Close() })
 	}
 }
 
-func (w *world) serve(listener net.Listener) {
-	server := &http.Server{Handler: http.HandlerFunc(w.serveLive)}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = server.Serve(listener)
-	}()
-	w.t.Cleanup(func() {
-		_ = server.Close()
-		<-ended
-	})
-}
-
-// serveLive stands for a node: it only passes requests to the Dispatcher. A
-// request goes on when its caller's connection breaks.
-func (w *world) serveLive(response http.ResponseWriter, r *http.Request) {
-	var live api.LiveRequest
-	if malformed := httpjson.Read(response, r, httpjson.DefaultBodyLimit, &live); malformed != nil {
-		httpjson.WriteError(response, malformed)
-		return
-	}
-	result := w.dispatcher.Do(context.WithoutCancel(r.Context()), dispatch.Request{
-		RequestID:      live.RequestID,
-		Caller:         live.Caller,
-		Pool:           live.Pool,
-		Priority:       live.Priority,
-		Deadline:       time.Now().Add(api.Milliseconds(live.DeadlineMS)),
-		Repeatable:     live.Repeatable,
-		IdempotencyKey: live.IdempotencyKey,
-		Prompt:         live.Prompt,
-		MaxTokens:      live.MaxTokens,
-	})
-	if result.Err != nil {
-		httpjson.WriteError(response, result.Err)
-		return
-	}
-	httpjson.Write(response, http.StatusOK, api.LiveResponse{
-		RequestID: result.RequestID,
-		Outcome:   result.Outcome,
-		Text:      result.Text,
-		Tokens:    result.Tokens,
-		Segments:  result.Segments,
-		Backend:   result.Backend,
-		Attempts:  result.Attempts,
-	})
-}
-
 const samplePrefix = "sample/"
 
 func sampleID(index int) string { return fmt.Sprint(samplePrefix, index) }
--- a/internal/steptest/steptest.go
+++ b/internal/steptest/steptest.go
@@ -23,31 +23,47 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-// Run runs the steps of a block in order and returns what they print. The
-// TestData that step gets has no input.
-func Run(t *testing.T, d *datadriven.TestData, step func(*testing.T, *datadriven.TestData) string) string {
+// Step runs one command and returns what it prints. Its TestData has no input.
+type Step func(*testing.T, *datadriven.TestData) string
+
+// Run runs the command of a block and the lines of its input, in order, and
+// returns what they print.
+func Run(t *testing.T, d *datadriven.TestData, step Step) string {
 	if d.Input == "" {
 		return step(t, d)
 	}
 	first := *d
 	first.Input = ""
-	var printed strings.Builder
-	number := 1
-	printStep(&printed, number, step(t, &first))
-	for line := range strings.Lines(d.Input) {
-		next := datadriven.TestData{Pos: d.Pos}
-		var err error
-		if next.Cmd, next.CmdArgs, err = datadriven.ParseLine(line); err != nil {
-			t.Fatalf("%s: %v", d.Pos, err)
+	return run(t, append([]*datadriven.TestData{&first}, parse(t, d.Pos, d.Input)...), step)
+}
+
+// Lines is like Run for the steps in lines only. pos names their block in
+// failures.
+func Lines(t *testing.T, pos, lines string, step Step) string {
+	return run(t, parse(t, pos, lines), step)
+}
+
+func parse(t *testing.T, pos, lines string) []*datadriven.TestData {
+	var commands []*datadriven.TestData
+	for line := range strings.Lines(lines) {
+		name, arguments, err := datadriven.ParseLine(line)
+		if err != nil {
+			t.Fatalf("%s: %v", pos, err)
 		}
-		number++
-		printStep(&printed, number, step(t, &next))
+		commands = append(commands, &datadriven.TestData{Pos: pos, Cmd: name, CmdArgs: arguments})
 	}
-	return printed.String()
+	return commands
 }
 
-func printStep(printed *strings.Builder, number int, text string) {
-	if text != "" {
-		fmt.Fprintf(printed, "%d: %s", number, text)
+func run(t *testing.T, commands []*datadriven.TestData, step Step) string {
+	if len(commands) == 1 {
+		return step(t, commands[0])
 	}
+	var printed strings.Builder
+	for i, command := range commands {
+		if text := step(t, command); text != "" {
+			fmt.Fprintf(&printed, "%d: %s", i+1, text)
+		}
+	}
+	return printed.String()
 }
