limits, emulator: what nobody uses goes

Cause: limits.Remaining and batch.Machine.CachedBlocks had no caller in the tree (searched by name in all Go files), and BlockName none outside its package.

Change: both go, and TestRemaining with the function that it tested; BlockName is not exported any more. What is left of limits/deadline.go is about advice and is named so.

Measured: go vet of the whole tree's users (experiment, gateway) and the tests of limits, emulator/batch and emulator/engine pass.

--- a/internal/emulator/batch/machine.go
+++ b/internal/emulator/batch/machine.go
@@ -221,9 +221,4 @@
 // Totals returns sums since the machine's start.
 func (m *Machine) Totals() Totals { return m.totals }
 
-// CachedBlocks returns how many leading blocks of a prompt are cached.
-func (m *Machine) CachedBlocks(prompt string) int {
-	return m.cache.hits(PrefixBlocks(prompt, m.config.BlockTokens))
-}
-
 func (m *Machine) emit(event Event) { m.events = append(m.events, event) }
--- a/internal/emulator/engine/cachelog.go
+++ b/internal/emulator/engine/cachelog.go
@@ -43,7 +43,7 @@
 		publishedAt: now.Add(l.lag),
 		event: api.CacheEvent{
 			Sequence: l.last,
-			Block:    BlockName(event.Block),
+			Block:    blockName(event.Block),
 			Evicted:  event.Kind == batch.EventEvicted,
 		},
 	})
@@ -60,9 +60,9 @@
 	return float64(digest.Sum64()) < l.loss*math.MaxUint64
 }
 
-// BlockName returns the name in cache events of a block of
+// blockName returns the name in cache events of a block of
 // batch.PrefixBlocks.
-func BlockName(block uint64) string { return fmt.Sprintf("%016x", block) }
+func blockName(block uint64) string { return fmt.Sprintf("%016x", block) }
 
 // cacheEvents returns the published events behind sequence number after.
 func (c *core) cacheEvents(now time.Time, after int64) api.CacheEvents {
--- a/internal/limits/deadline.go
+++ b/internal/limits/advice.go
@@ -11,15 +11,6 @@
 	MaxAdvice = 10 * time.Second
 )
 
-// Remaining returns the time left until deadline; a zero deadline leaves limit.
-// The result is never negative.
-func Remaining(now, deadline time.Time, limit time.Duration) time.Duration {
-	if deadline.IsZero() {
-		return limit
-	}
-	return min(limit, max(0, deadline.Sub(now)))
-}
-
 // PoolLoad sums up the back ends of a pool for RetryAfter.
 type PoolLoad struct {
 	// Running, Waiting and Capacity count requests.
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -110,21 +110,3 @@
 		t.Errorf("got %s, want %s", got.String(), want)
 	}
 }
-
-func TestRemaining(t *testing.T) {
-	now := time.Unix(100, 0)
-	cases := []struct {
-		deadline time.Time
-		want     time.Duration
-	}{
-		{time.Time{}, time.Minute},
-		{now.Add(time.Second), time.Second},
-		{now.Add(time.Hour), time.Minute},
-		{now.Add(-time.Second), 0},
-	}
-	for _, c := range cases {
-		if got := Remaining(now, c.deadline, time.Minute); got != c.want {
-			t.Errorf("%s: %s, want %s", c.deadline, got, c.want)
-		}
-	}
-}
