lease: stories of several steps a block, on the emulated table

Cause: the stories spent three lines on a step, and the tests had a table of their own beside the emulator's. Ruled out: leaving steps out. Only the clock's own time after a wait, which the test itself sets, is no longer printed. Change: steptest; several nodes a step; the shards in one line; the emulated table with its faults, behind a counter of operations.

--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
+
+	"github.com/sliplift/sliplift/internal/steptest"
 )
 
 // machineWorld is one shard's row and the machines of several nodes, in virtual
@@ -29,31 +32,39 @@
 		world := &machineWorld{
 			now: time.Unix(0, 0), machines: map[string]*Machine{}, ranks: map[string]int{}, writes: map[string][]Write{},
 		}
-		datadriven.RunTest(t, path, world.run)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return steptest.Run(t, d, world.run) })
 	})
 }
 
+// run takes a step of each node that is named; names have one letter. Nodes that
+// start are ranked in the order of their names in the step.
 func (w *machineWorld) run(t *testing.T, d *datadriven.TestData) string {
-	var node, successor string
-	if len(d.CmdArgs) > 0 && len(d.CmdArgs[0].Vals) == 0 {
-		node = d.CmdArgs[0].Key
+	if d.Cmd == "wait" {
+		duration, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		w.now = w.now.Add(duration)
+		return ""
+	}
+	var printed []string
+	for rank, argument := range d.CmdArgs {
+		if len(argument.Key) == 1 {
+			printed = append(printed, w.act(t, d, argument.Key, rank))
+		}
 	}
+	return strings.TrimLeft(strings.Join(printed, ", ")+"\n", ", \n")
+}
+
+func (w *machineWorld) act(t *testing.T, d *datadriven.TestData, node string, rank int) string {
+	var successor string
 	d.MaybeScanArgs(t, "to", &successor)
 	machine := w.machines[node]
 	switch d.Cmd {
 	case "start":
-		rank := 0
-		d.MaybeScanArgs(t, "rank", &rank)
 		w.machines[node] = NewMachine("shard", node, NewTiming(6*time.Second), Faults{})
 		w.ranks[node] = rank
 		return ""
-	case "wait":
-		duration, err := time.ParseDuration(node)
-		if err != nil {
-			d.Fatalf(t, "%v", err)
-		}
-		w.now = w.now.Add(duration)
-		return fmt.Sprintf("t=%v", w.now.Sub(time.Unix(0, 0)))
 	case "read":
 		machine.Observe(w.now, w.row)
 		return w.describe(node)
--- a/internal/lease/service_test.go
+++ b/internal/lease/service_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +16,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/emulator/fault"
+	emulated "github.com/sliplift/sliplift/internal/emulator/table"
+	"github.com/sliplift/sliplift/internal/steptest"
 )
 
 // TestService runs several nodes on one table in virtual time, with leases of
@@ -25,14 +28,14 @@
 		synctest.Test(t, func(t *testing.T) {
 			cluster := newCluster(t.Context())
 			defer cluster.close()
-			datadriven.RunTest(t, path, cluster.run)
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return steptest.Run(t, d, cluster.run) })
 		})
 	})
 }
 
 type cluster struct {
 	ctx     context.Context
-	table   *fakeTable
+	table   *countedTable
 	shards  []Shard
 	members *fakeMembers
 	nodes   map[string]*node
@@ -48,7 +51,7 @@
 
 func newCluster(ctx context.Context) *cluster {
 	return &cluster{
-		ctx: ctx, table: &fakeTable{rows: map[string]api.Row{}}, members: &fakeMembers{},
+		ctx: ctx, table: newCountedTable(), members: &fakeMembers{},
 		nodes: map[string]*node{}, heard: map[string]int64{},
 	}
 }
@@ -100,20 +103,27 @@
 		err := c.nodes[name].service.HandOver(ctx)
 		took := time.Since(begin)
 		c.kill(name)
-		return fmt.Sprintf("within a second: %t, error: %v", took < time.Second, err)
+		return fmt.Sprintf("within a second: %t, error: %v\n", took < time.Second, err)
 	case "table":
-		c.table.set(d.HasArg("down"))
-		d.MaybeScanArgs(t, "lose-answers", &c.table.loseAnswers)
+		switch count := 0; {
+		case d.HasArg("down"):
+			c.table.strike(fault.KindDown, 0)
+		case d.HasArg("lose-answers"):
+			d.ScanArgs(t, "lose-answers", &count)
+			c.table.strike(fault.KindLostAnswer, count)
+		default:
+			c.table.strike("", 0)
+		}
 	case "wait":
 		duration, err := time.ParseDuration(d.CmdArgs[0].Key)
 		if err != nil {
 			d.Fatalf(t, "%v", err)
 		}
-		before := c.table.operations()
+		before := c.table.operations.Load()
 		c.watch(t, duration)
-		rate := float64(c.table.operations()-before) / duration.Seconds()
+		rate := float64(c.table.operations.Load()-before) / duration.Seconds()
 		if d.HasArg("rate") {
-			return fmt.Sprintf("%.1f operations/s\n", rate) + c.show()
+			return fmt.Sprintf("%.1f operations/s; ", rate) + c.show()
 		}
 		return c.show()
 	}
@@ -127,9 +137,9 @@
 	if err != nil {
 		d.Fatalf(t, "%v", err)
 	}
-	before := c.table.operations()
+	before := c.table.operations.Load()
 	time.Sleep(duration)
-	rate := float64(c.table.operations()-before) / duration.Seconds()
+	rate := float64(c.table.operations.Load()-before) / duration.Seconds()
 	held := 0
 	for _, shard := range c.shards {
 		if len(c.holders(shard.Name)) == 1 {
@@ -139,7 +149,7 @@
 	var limit float64
 	d.ScanArgs(t, "at-most", &limit)
 	t.Logf("%.1f operations/s", rate)
-	return fmt.Sprintf("%d of %d shards held, at most %v operations/s: %t", held, len(c.shards), limit, rate <= limit)
+	return fmt.Sprintf("%d of %d shards held, at most %v operations/s: %t\n", held, len(c.shards), limit, rate <= limit)
 }
 
 func (c *cluster) startAll(started []Member) {
@@ -192,11 +202,11 @@
 }
 
 func (c *cluster) show() string {
-	var text strings.Builder
+	var shown []string
 	for _, shard := range c.shards {
-		fmt.Fprintf(&text, "%s: %s\n", shard.Name, strings.Join(c.holders(shard.Name), ", "))
+		shown = append(shown, shard.Name+": "+strings.Join(c.holders(shard.Name), ", "))
 	}
-	return text.String()
+	return strings.Join(shown, "; ") + "\n"
 }
 
 type fakeMembers struct {
@@ -216,87 +226,56 @@
 	f.alive = alive
 }
 
-var errNoAnswer = errors.New("no answer")
-
-// fakeTable is the table service in memory.
-type fakeTable struct {
-	mu            sync.Mutex
-	rows          map[string]api.Row
-	revision      int64
-	count         int
-	down          bool
-	loseAnswers   int
+// countedTable is the emulated table. It counts the operations, and tells its
+// revision only if asked to: the epochs of the stories then count holders and do
+// not depend on how many writes came between.
+type countedTable struct {
+	*emulated.Service
+	faults        *fault.Set
+	operations    atomic.Int64
 	tellsRevision bool
 }
 
-func (f *fakeTable) set(down bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.down = down
+func newCountedTable() *countedTable {
+	faults := fault.NewSet(1)
+	return &countedTable{Service: emulated.NewService(emulated.Config{Name: "table"}, faults), faults: faults}
 }
 
-func (f *fakeTable) operations() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.count
-}
-
-func (f *fakeTable) Commit(_ context.Context, t api.Transaction) (api.TransactionResponse, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.count++
-	if f.down {
-		return api.TransactionResponse{}, errNoAnswer
+// strike replaces the table's faults by one that strikes count times, or by none.
+func (c *countedTable) strike(kind fault.Kind, count int) {
+	for _, standing := range c.faults.List() {
+		c.faults.Remove(standing.ID)
 	}
-	for _, condition := range t.Conditions {
-		if f.rows[condition.Key].Revision != condition.Revision {
-			return api.TransactionResponse{}, api.Refusal(409, api.CodeConditionFailed, 0, "row %s", condition.Key)
-		}
+	if kind != "" {
+		_, _ = c.faults.Add(fault.Fault{Target: "table", Kind: kind, Count: count})
 	}
-	f.revision++
-	for _, put := range t.Puts {
-		f.rows[put.Key] = api.Row{Key: put.Key, Value: put.Value, Revision: f.revision}
-	}
-	if f.loseAnswers > 0 {
-		f.loseAnswers--
-		return api.TransactionResponse{}, errNoAnswer
-	}
-	return api.TransactionResponse{Revision: f.revision}, nil
 }
 
-// scanRevision is the table's revision, or zero for the stories, whose epochs
-// then count holders and do not depend on how many writes came between.
-func (f *fakeTable) scanRevision() int64 {
-	if f.tellsRevision {
-		return f.revision
-	}
-	return 0
+func (c *countedTable) Commit(ctx context.Context, t api.Transaction) (api.TransactionResponse, error) {
+	c.operations.Add(1)
+	return c.Service.Commit(ctx, t)
 }
 
-func (f *fakeTable) Scan(_ context.Context, prefix, after string, limit int) (api.ScanResponse, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.count++
-	if f.down {
-		return api.ScanResponse{}, errNoAnswer
+func (c *countedTable) Scan(ctx context.Context, prefix, after string, limit int) (api.ScanResponse, error) {
+	c.operations.Add(1)
+	response, err := c.Service.Scan(ctx, prefix, after, limit)
+	if !c.tellsRevision {
+		response.Revision = 0
 	}
-	var rows []api.Row
-	for key, row := range f.rows {
-		if strings.HasPrefix(key, prefix) && key > after {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b api.Row) int { return strings.Compare(a.Key, b.Key) })
-	return api.ScanResponse{Rows: rows[:min(limit, len(rows))], Revision: f.scanRevision(), More: len(rows) > limit}, nil
+	return response, err
 }
 
 // TestLaterLeaseHasTheHigherEpoch covers a back end that moves from a shard
 // with many holders to one that is new.
 func TestLaterLeaseHasTheHigherEpoch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := &fakeTable{rows: map[string]api.Row{}, revision: 41, tellsRevision: true}
+		table := newCountedTable()
+		table.tellsRevision = true
+		for range 41 {
+			_, _ = table.Commit(t.Context(), api.Transaction{Puts: []api.Put{{Key: "other"}}})
+		}
 		machine := NewMachine("titles/0", "a", NewTiming(DefaultDuration), Faults{})
-		service := NewService(logrus.New(), Config{Node: "a", Table: table, Members: fixedMembers{{Name: "a"}}})
+		service := NewService(logrus.New(), Config{Node: "a", Table: table, Members: &fakeMembers{alive: []Member{{Name: "a"}}}})
 		service.SetShards([]Shard{{Name: "titles/0"}})
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
@@ -313,8 +292,3 @@
 		running.Wait()
 	})
 }
-
-// fixedMembers are always alive.
-type fixedMembers []Member
-
-func (m fixedMembers) Alive() []Member { return m }
