memnet: a cut that comes between the look and the connection holds

Cause: dial looked at the cuts under one lock and registered the connection under another, so that a Cut or Kill in between left it open across the link. A dial that the listener refused closed its own end only; the other one stayed on the network's list. The package comment promised cuts in one direction and frozen hosts, which there never were.

Change: look and register are one critical section, both ends are closed, a link is one entry for both directions, and the comment says what there is.

Ruled out: a test of the race itself; it would need a hook between two lines.

--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -1,7 +1,8 @@
 // Package memnet is an in-memory network of named hosts for tests that run a
 // whole cluster inside a testing/synctest bubble, where real sockets cannot be
-// used. Connections are synchronous pipes. Links between hosts can be cut in
-// one or both directions, and hosts can be frozen.
+// used. Connections are synchronous pipes. Links between hosts can be cut and
+// healed, and hosts can be killed. After Cut returns, no connection over the
+// link is open or comes about before Heal.
 package memnet
 
 import (
@@ -30,7 +31,10 @@
 	cuts        map[link]struct{}
 }
 
-type link struct{ from, to string }
+// link is the way between two hosts, in both directions.
+type link struct{ a, b string }
+
+func linkBetween(a, b string) link { return link{min(a, b), max(a, b)} }
 
 // NewNetwork returns an empty network.
 func NewNetwork() *Network {
@@ -66,7 +70,11 @@
 	to := hostOf(address)
 	n.mu.Lock()
 	target, listening := n.listeners[address]
-	cut := n.isCut(from, to) || n.isCut(to, from)
+	_, cut := n.cuts[linkBetween(from, to)]
+	var client, server *connection
+	if listening && !cut {
+		client, server = n.newPair(from, to)
+	}
 	n.mu.Unlock()
 	if cut {
 		<-ctx.Done()
@@ -75,22 +83,22 @@
 	if !listening {
 		return nil, ErrRefused.Errorf("%s", address)
 	}
-	client, server := n.newPair(from, to)
 	if target.queue(ctx, server) {
 		return client, nil
 	}
 	client.Close()
+	server.Close()
 	return nil, ErrRefused.Errorf("%s", address)
 }
 
+// newPair is called with mu held, so that a Cut or Kill either prevents the
+// connection or finds it.
 func (n *Network) newPair(from, to string) (client, server *connection) {
 	clientPipe, serverPipe := net.Pipe()
 	client = &connection{Conn: clientPipe, network: n, from: from, to: to}
 	server = &connection{Conn: serverPipe, network: n, from: to, to: from}
-	n.mu.Lock()
 	n.connections[client] = struct{}{}
 	n.connections[server] = struct{}{}
-	n.mu.Unlock()
 	return client, server
 }
 
@@ -98,9 +106,9 @@
 // hang until their context ends.
 func (n *Network) Cut(a, b string) {
 	n.mu.Lock()
-	n.cuts[link{a, b}] = struct{}{}
-	n.cuts[link{b, a}] = struct{}{}
-	broken := n.connectionsBetween(a, b)
+	cut := linkBetween(a, b)
+	n.cuts[cut] = struct{}{}
+	broken := n.connectionsOver(cut)
 	n.mu.Unlock()
 	for _, c := range broken {
 		c.Close()
@@ -111,8 +119,7 @@
 func (n *Network) Heal(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.cuts, link{a, b})
-	delete(n.cuts, link{b, a})
+	delete(n.cuts, linkBetween(a, b))
 }
 
 // Kill closes every listener and connection of a host, as the death of its
@@ -140,21 +147,16 @@
 	}
 }
 
-func (n *Network) connectionsBetween(a, b string) []*connection {
+func (n *Network) connectionsOver(l link) []*connection {
 	var found []*connection
 	for c := range n.connections {
-		if (c.from == a && c.to == b) || (c.from == b && c.to == a) {
+		if linkBetween(c.from, c.to) == l {
 			found = append(found, c)
 		}
 	}
 	return found
 }
 
-func (n *Network) isCut(from, to string) bool {
-	_, cut := n.cuts[link{from, to}]
-	return cut
-}
-
 func hostOf(address string) string {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
