httpjson, platform, engine: one client code; a body over the limit is an error

Cause: three packages sent a request, read its answer and decoded the error each in its own way: httpjson.Do, platform.Client and engine.Client. All three cut a body at their limit and took the rest for the whole. For JSON the decoder then failed; platform.GetObject handed a cut object on as read.

Ruled out: one limit for all. An object may have 1 GiB, a back end's answer 16 MiB.

Change: httpjson.Fetch, DoLimited and ReadError serve all three; a body over the limit is ErrNoAnswer. platform only classifies (definite or uncertain), engine only says how far a request came. engine's control calls take any 2xx for a success now, as the other two did, and tag what is not definite httpjson.ErrNoAnswer; nobody asked for ErrTransport or ErrAnswer there. engine's fakes in client_test are shared, and the assembler's stories print one line.

--- a/internal/engine/assembler.go
+++ b/internal/engine/assembler.go
@@ -33,9 +33,10 @@
 	early map[int64]*api.StreamFrame
 }
 
-// add takes a frame, which the caller may use again afterwards, and passes it, and those that waited for it, to onFrame,
-// which may be nil. Frames of other attempts and duplicates are dropped without
-// an error. An error means that the stream cannot be continued.
+// add takes a frame, which the caller may use again afterwards, and passes it
+// and those that waited for it to onFrame, which may be nil. Frames of other
+// attempts and duplicates are dropped without an error. An error means that the
+// stream cannot be continued.
 func (a *assembler) add(frame *api.StreamFrame, onFrame func(api.StreamFrame) error) error {
 	if !a.trusting {
 		if a.foreign(frame) || frame.Sequence < a.next || a.last != nil {
--- a/internal/engine/assembler_test.go
+++ b/internal/engine/assembler_test.go
@@ -24,14 +24,14 @@
 		})
 		result := frames.result(err)
 		var out strings.Builder
-		fmt.Fprintf(&out, "%s %q tokens=%d frames=%s\n", result.State, result.Text, result.Tokens, strings.Join(seen, ","))
+		fmt.Fprintf(&out, "%s %q tokens=%d frames=%s", result.State, result.Text, result.Tokens, strings.Join(seen, ","))
 		for _, segment := range result.Segments {
-			fmt.Fprintf(&out, "segment version=%d tokens=%d\n", segment.Version, segment.Tokens)
+			fmt.Fprintf(&out, " v%d*%d", segment.Version, segment.Tokens)
 		}
 		if result.Err != nil {
-			fmt.Fprintf(&out, "%v\n", result.Err)
+			fmt.Fprintf(&out, "; %v", result.Err)
 		}
-		return out.String()
+		return out.String() + "\n"
 	})
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/httpjson"
 )
 
 const (
@@ -33,7 +34,6 @@
 // concurrent use.
 type Client struct {
 	http   *http.Client
-	sling  *sling.Sling
 	faults Faults
 }
 
@@ -42,16 +42,7 @@
 func NewClient(httpClient *http.Client) *Client {
 	own := *httpClient
 	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	base := sling.New().Client(&own).ResponseDecoder(limitedDecoder{})
-	return &Client{http: &own, sling: base}
-}
-
-// limitedDecoder decodes JSON answers of at most answerLimit bytes.
-type limitedDecoder struct{}
-
-// Decode implements sling.ResponseDecoder.
-func (limitedDecoder) Decode(response *http.Response, value any) error {
-	return json.NewDecoder(io.LimitReader(response.Body, answerLimit)).Decode(value)
+	return &Client{http: &own}
 }
 
 // Generate runs request on the engine at address. onFrame, which may be nil,
@@ -77,7 +68,7 @@
 	}
 	defer response.Body.Close()
 	var answer api.InvokeResponse
-	if err := (limitedDecoder{}).Decode(response, &answer); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, answerLimit)).Decode(&answer); err != nil {
 		return InvokeResult{State: StatePartial, Err: ErrCut.Errorf("answer: %w", err)}
 	}
 	drain(response.Body)
@@ -101,7 +92,7 @@
 		// From here on bytes may be written, also after the context has ended.
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	}
-	request, err := c.sling.New().Post("http://" + address + path).BodyJSON(body).Request()
+	request, err := sling.New().Post("http://" + address + path).BodyJSON(body).Request()
 	if err != nil {
 		return nil, StateNotSent, ErrTransport.Wrap(err)
 	}
@@ -116,22 +107,14 @@
 		return response, StatePartial, nil
 	}
 	defer response.Body.Close()
-	answer, err := readError(response)
-	if err != nil {
-		return nil, StatePartial, err
+	err = httpjson.ReadError(response)
+	var answer *api.Error
+	if !errors.As(err, &answer) {
+		return nil, StatePartial, ErrAnswer.Wrap(err)
 	}
 	return nil, failureState(answer), answer
 }
 
-func readError(response *http.Response) (*api.Error, error) {
-	answer := &api.Error{}
-	if err := (limitedDecoder{}).Decode(response, answer); err != nil || answer.Code == "" {
-		return nil, ErrAnswer.Errorf("status %d", response.StatusCode)
-	}
-	answer.Status = response.StatusCode
-	return answer, nil
-}
-
 var scanBuffers = sync.Pool{New: func() any {
 	buffer := make([]byte, scanBufferSize)
 	return &buffer
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -46,6 +46,17 @@
 // Only the states not_sent and refused say that it did not run.
 func TestFate(t *testing.T) {
 	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	answer := func(err *api.Error) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { httpjson.WriteError(w, err) }
+	}
+	silence := func(_ http.ResponseWriter, r *http.Request) {
+		readBody(r)
+		<-r.Context().Done()
+	}
+	bare503 := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	unknown := &api.Error{Code: api.CodeBackendFailed, Outcome: api.OutcomeUnknown, Status: http.StatusServiceUnavailable}
+	// The same attempt may be known there already.
+	conflict := api.Refusal(http.StatusConflict, api.CodeInvalid, 0, "duplicate")
 	cases := []struct {
 		name    string
 		handler http.HandlerFunc
@@ -54,53 +65,13 @@
 	}{
 		{name: "nobody listens", state: StateNotSent},
 		{name: "no route", cut: true, handler: abort, state: StateNotSent},
-		{
-			name: "engine full",
-			handler: func(w http.ResponseWriter, _ *http.Request) {
-				httpjson.WriteError(w, api.Refusal(http.StatusTooManyRequests, api.CodeOverloaded, 10, "full"))
-			},
-			state: StateRefused,
-		},
-		{
-			name: "503 with another outcome",
-			handler: func(w http.ResponseWriter, _ *http.Request) {
-				httpjson.WriteError(w, &api.Error{Code: api.CodeBackendFailed, Outcome: api.OutcomeUnknown, Status: http.StatusServiceUnavailable})
-			},
-			state: StatePartial,
-		},
-		{
-			// The same attempt may be known there already.
-			name: "conflict that says refused",
-			handler: func(w http.ResponseWriter, _ *http.Request) {
-				httpjson.WriteError(w, api.Refusal(http.StatusConflict, api.CodeInvalid, 0, "duplicate"))
-			},
-			state: StatePartial,
-		},
-		{
-			name:    "503 without a reason",
-			handler: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
-			state:   StatePartial,
-		},
-		{
-			name:    "connection closed before an answer",
-			handler: abort,
-			state:   StatePartial,
-		},
-		{
-			name: "no answer in time",
-			handler: func(_ http.ResponseWriter, r *http.Request) {
-				readBody(r)
-				<-r.Context().Done()
-			},
-			state: StatePartial,
-		},
-		{
-			name: "redirect",
-			handler: func(w http.ResponseWriter, r *http.Request) {
-				http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
-			},
-			state: StatePartial,
-		},
+		{name: "engine full", handler: answer(api.Refusal(http.StatusTooManyRequests, api.CodeOverloaded, 10, "full")), state: StateRefused},
+		{name: "503 with another outcome", handler: answer(unknown), state: StatePartial},
+		{name: "conflict that says refused", handler: answer(conflict), state: StatePartial},
+		{name: "503 without a reason", handler: bare503, state: StatePartial},
+		{name: "connection closed before an answer", handler: abort, state: StatePartial},
+		{name: "no answer in time", handler: silence, state: StatePartial},
+		{name: "redirect", handler: http.RedirectHandler("/other", http.StatusTemporaryRedirect).ServeHTTP, state: StatePartial},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -2,17 +2,17 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/dghubble/sling"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/httpjson"
 )
 
 // Load returns the back end's load report.
 func (c *Client) Load(ctx context.Context, address string) (api.LoadReport, error) {
 	var report api.LoadReport
-	err := c.call(ctx, c.sling.New().Get("http://"+address+"/v1/load"), &report)
+	err := c.call(ctx, sling.New().Get("http://"+address+"/v1/load"), &report)
 	return *c.faults.seen(&report), err
 }
 
@@ -22,7 +22,7 @@
 		After int64 `url:"after"`
 	}{after}
 	var events api.CacheEvents
-	err := c.call(ctx, c.sling.New().Get("http://"+address+"/v1/cache-events").QueryStruct(query), &events)
+	err := c.call(ctx, sling.New().Get("http://"+address+"/v1/cache-events").QueryStruct(query), &events)
 	return events, err
 }
 
@@ -49,28 +49,12 @@
 }
 
 func (c *Client) post(ctx context.Context, address, path string, body, answer any) error {
-	return c.call(ctx, c.sling.New().Post("http://"+address+path).BodyJSON(body), answer)
+	return c.call(ctx, sling.New().Post("http://"+address+path).BodyJSON(body), answer)
 }
 
 // call sends one control request. An error for which errors.As finds an
-// *api.Error is the definite answer of the back end; any other leaves the
-// effect open.
+// *api.Error is the definite answer of the back end; any other is tagged
+// httpjson.ErrNoAnswer and leaves the effect open.
 func (c *Client) call(ctx context.Context, request *sling.Sling, answer any) error {
-	httpRequest, err := request.Request()
-	if err != nil {
-		return ErrTransport.Wrap(err)
-	}
-	var failure api.Error
-	response, err := request.Do(httpRequest.WithContext(ctx), answer, &failure)
-	if err != nil {
-		return ErrTransport.Wrap(err)
-	}
-	if response.StatusCode == http.StatusOK {
-		return nil
-	}
-	if failure.Code == "" {
-		return ErrAnswer.Errorf("status %d", response.StatusCode)
-	}
-	failure.Status = response.StatusCode
-	return &failure
+	return httpjson.DoLimited(ctx, c.http, request, answerLimit, answer)
 }
--- /dev/null
+++ b/internal/httpjson/client_test.go
@@ -0,0 +1,49 @@
+package httpjson
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/dghubble/sling"
+
+	"github.com/sliplift/sliplift/internal/api"
+)
+
+type answerFunc func() *http.Response
+
+func (f answerFunc) RoundTrip(*http.Request) (*http.Response, error) { return f(), nil }
+
+// TestFetch tells a whole answer from one that does not fit, and the server's
+// own word from a status without one.
+func TestFetch(t *testing.T) {
+	const limit = 4
+	cases := []struct {
+		status int
+		body   string
+		// code is that of the server's word, tagged says that there was none.
+		code   api.Code
+		tagged bool
+	}{
+		{status: 200, body: "1234"},
+		{status: 200, body: "12345", tagged: true},
+		{status: 409, body: `{"code":"condition_failed"}`, code: api.CodeConditionFailed},
+		{status: 503, body: `{"reason":"none of ours"}`, tagged: true},
+		{status: 307, tagged: true},
+	}
+	for _, c := range cases {
+		client := &http.Client{Transport: answerFunc(func() *http.Response {
+			return &http.Response{StatusCode: c.status, Body: io.NopCloser(strings.NewReader(c.body))}
+		})}
+		content, err := Fetch(t.Context(), client, sling.New().Get("http://s"), limit)
+		var word *api.Error
+		if errors.As(err, &word) && (word.Code != c.code || word.Status != c.status) || word == nil && c.code != "" {
+			t.Errorf("%d %s: the server's word is %v", c.status, c.body, err)
+		}
+		if errors.Is(err, ErrNoAnswer) != c.tagged || err == nil && string(content) != c.body {
+			t.Errorf("%d %s: content %q, error %v", c.status, c.body, content, err)
+		}
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -3,14 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
 	"net/url"
 
 	"github.com/dghubble/sling"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/httpjson"
 )
 
 // Addresses names the platform's services as host:port.
@@ -35,11 +35,8 @@
 	return &Client{httpClient: httpClient, addresses: addresses}
 }
 
-// errorBodyLimit bounds what is read of an error's body, in bytes.
-const errorBodyLimit = 64 << 10
-
-// objectLimit bounds an object that is read back, in bytes.
-const objectLimit = 1 << 30
+// answerLimit bounds an answer, and so an object that is read back, in bytes.
+const answerLimit = 1 << 30
 
 // Commit implements Table.
 func (c *Client) Commit(ctx context.Context, transaction api.Transaction) (api.TransactionResponse, error) {
@@ -73,19 +70,19 @@
 // PutObject implements Objects.
 func (c *Client) PutObject(ctx context.Context, key string, content []byte) error {
 	request := c.base(c.addresses.Objects).Put(objectPath(key)).Body(bytes.NewReader(content))
-	_, err := c.raw(ctx, request)
-	return err
+	return c.do(ctx, request, nil)
 }
 
 // GetObject implements Objects.
 func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
-	return c.raw(ctx, c.base(c.addresses.Objects).Get(objectPath(key)))
+	request := c.base(c.addresses.Objects).Get(objectPath(key))
+	content, err := httpjson.Fetch(ctx, c.httpClient, request, answerLimit)
+	return content, classify(err)
 }
 
 // DeleteObject implements Objects.
 func (c *Client) DeleteObject(ctx context.Context, key string) error {
-	_, err := c.raw(ctx, c.base(c.addresses.Objects).Delete(objectPath(key)))
-	return err
+	return c.do(ctx, c.base(c.addresses.Objects).Delete(objectPath(key)), nil)
 }
 
 // Machines implements Machines.
@@ -108,8 +105,7 @@
 // PutWeights implements Weights.
 func (c *Client) PutWeights(ctx context.Context, version api.WeightVersion) error {
 	path := weightPath(version.Model, version.Version)
-	_, err := c.raw(ctx, c.base(c.addresses.Weights).Put(path).BodyJSON(version))
-	return err
+	return c.do(ctx, c.base(c.addresses.Weights).Put(path).BodyJSON(version), nil)
 }
 
 // GetWeights implements Weights.
@@ -124,54 +120,21 @@
 
 func objectPath(key string) string { return "/v1/objects/" + url.PathEscape(key) }
 
-// do sends the request and decodes a successful answer into value.
+// do sends the request and decodes a successful answer into value, which may be
+// nil.
 func (c *Client) do(ctx context.Context, request *sling.Sling, value any) error {
-	content, err := c.raw(ctx, request)
-	if err != nil {
-		return err
-	}
-	if err := json.Unmarshal(content, value); err != nil {
-		return ErrUncertain.Wrap(err)
-	}
-	return nil
-}
-
-// raw sends the request and returns the whole body of a successful answer.
-func (c *Client) raw(ctx context.Context, request *sling.Sling) ([]byte, error) {
-	httpRequest, err := request.Request()
-	if err != nil {
-		return nil, ErrUncertain.Wrap(err)
-	}
-	response, err := c.httpClient.Do(httpRequest.WithContext(ctx))
-	if err != nil {
-		return nil, ErrUncertain.Wrap(err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return nil, readError(response)
-	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, objectLimit))
-	if err != nil {
-		return nil, ErrUncertain.Wrap(err)
-	}
-	return content, nil
+	return classify(httpjson.DoLimited(ctx, c.httpClient, request, answerLimit, value))
 }
 
-// readError returns the service's definite word, or an uncertain error where
-// the body holds none: a 5xx status of a service that is failing says nothing
-// about the effect.
-func readError(response *http.Response) error {
-	content, err := io.ReadAll(io.LimitReader(response.Body, errorBodyLimit))
-	if err != nil {
+// classify returns the service's definite word as it is and tags any other error
+// ErrUncertain, also a word that says itself that the effect is not known.
+func classify(err error) error {
+	var definite *api.Error
+	switch {
+	case err == nil:
+		return nil
+	case !errors.As(err, &definite), definite.Outcome == api.OutcomeUnknown:
 		return ErrUncertain.Wrap(err)
 	}
-	var definite api.Error
-	if err := json.Unmarshal(content, &definite); err != nil || definite.Code == "" {
-		return ErrUncertain.Errorf("status %d: %.200s", response.StatusCode, content)
-	}
-	definite.Status = response.StatusCode
-	if definite.Outcome == api.OutcomeUnknown {
-		return ErrUncertain.Wrap(&definite)
-	}
-	return &definite
+	return definite
 }
