emulator: faults of calls in one place, and tests through the engine's client

Cause: engines and applications had the same three functions that let faults strike a call, four services the same lines for a lost answer, and three test files their own HTTP calls for orders, loads, cancels and exports, which engine.Client has.

Ruled out: engine.Client for the streams of the engine's tests. It would drop the duplicates and mend the order that those tests look at.

The tests of engine, application and the whole emulator call through engine.Client; application's also see now what the client makes of each fault (state, status and code).

--- a/internal/emulator/application/application.go
+++ b/internal/emulator/application/application.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -83,6 +82,7 @@
 type Application struct {
 	config  Config
 	needs   Dependencies
+	calls   server.BackendCalls
 	leaving atomic.Bool
 	slots   chan struct{}
 	server  *server.Server
@@ -101,7 +101,12 @@
 	if config.Capacity <= 0 || config.LoadLag <= 0 {
 		return nil, ErrConfig.Errorf("%s: capacity %d and load lag %v must be positive", config.Name, config.Capacity, config.LoadLag)
 	}
-	a := &Application{config: config, needs: needs, slots: make(chan struct{}, config.Capacity)}
+	a := &Application{
+		config: config,
+		needs:  needs,
+		calls:  server.BackendCalls{Name: config.Name, Faults: needs.Faults},
+		slots:  make(chan struct{}, config.Capacity),
+	}
 	a.forget()
 	running, err := server.Start(lg, server.Config{
 		Name:      config.Name,
@@ -148,37 +153,9 @@
 	return mux
 }
 
-func (a *Application) read(w http.ResponseWriter, r *http.Request, body any) bool {
-	if malformed := httpjson.Read(w, r, httpjson.DefaultBodyLimit, body); malformed != nil {
-		httpjson.WriteError(w, malformed)
-		return false
-	}
-	return a.begin(w, r)
-}
-
-func (a *Application) begin(w http.ResponseWriter, r *http.Request) bool {
-	err := a.needs.Faults.Before(r.Context(), a.config.Name)
-	if err == nil {
-		return true
-	}
-	if errors.Is(err, fault.ErrDown) {
-		err = api.Refusal(http.StatusServiceUnavailable, api.CodeNoBackend, 0, "%s: down", a.config.Name)
-	}
-	server.WriteFailure(w, err)
-	return false
-}
-
-// answer sends the answer to a call that changed something, or loses it.
-func (a *Application) answer(w http.ResponseWriter, value any) {
-	if _, lost := a.needs.Faults.Take(a.config.Name, fault.KindLostAnswer); lost {
-		panic(http.ErrAbortHandler)
-	}
-	httpjson.Write(w, http.StatusOK, value)
-}
-
 func (a *Application) serveInvoke(w http.ResponseWriter, r *http.Request) {
 	var request api.InvokeRequest
-	if !a.read(w, r, &request) {
+	if !a.calls.Read(w, r, &request) {
 		return
 	}
 	if refused := a.enter(); refused != nil {
@@ -197,7 +174,7 @@
 	if !done {
 		panic(http.ErrAbortHandler)
 	}
-	a.answer(w, response)
+	a.calls.Answer(w, response, nil)
 }
 
 // enter takes a place in the queue.
@@ -279,7 +256,7 @@
 
 func (a *Application) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order api.Order
-	if !a.read(w, r, &order) {
+	if !a.calls.Read(w, r, &order) {
 		return
 	}
 	response, refused := a.order(order)
@@ -287,7 +264,7 @@
 		httpjson.WriteError(w, refused)
 		return
 	}
-	a.answer(w, response)
+	a.calls.Answer(w, response, nil)
 }
 
 // order takes an order unless a holder with a higher epoch was heard.
@@ -311,7 +288,7 @@
 }
 
 func (a *Application) serveLoad(w http.ResponseWriter, r *http.Request) {
-	if a.begin(w, r) {
+	if a.calls.Begin(w, r) {
 		httpjson.Write(w, http.StatusOK, a.laggedReport(time.Now()))
 	}
 }
--- a/internal/emulator/application/application_test.go
+++ b/internal/emulator/application/application_test.go
@@ -1,25 +1,26 @@
 package application_test
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/application"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
+	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/memnet"
 )
 
+const address = "booking-1:1"
+
 // effects is a history.Sink that counts invocations.
 type effects struct{ count atomic.Int32 }
 
@@ -29,15 +30,25 @@
 	}
 }
 
-// result is the status of a call, zero where the connection broke.
+// result is how far a request came, as its client knows it, and what a refusal
+// said.
 type result struct {
+	state  engine.State
 	status int
 	code   api.Code
 }
 
+func resultOf(state engine.State, err error) result {
+	var failure *api.Error
+	if errors.As(err, &failure) {
+		return result{state, failure.Status, failure.Code}
+	}
+	return result{state: state}
+}
+
 type fixture struct {
 	t      *testing.T
-	client *http.Client
+	client *engine.Client
 	faults *fault.Set
 	truth  *effects
 }
@@ -48,11 +59,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.NewNetwork()
 		transport := &http.Transport{DialContext: network.Dialer("client"), DisableKeepAlives: true}
-		f := &fixture{t: t, client: &http.Client{Transport: transport}, faults: fault.NewSet(1), truth: &effects{}}
-		lg := logrus.New()
-		lg.SetOutput(io.Discard)
+		f := &fixture{t: t, client: engine.NewClient(&http.Client{Transport: transport}), faults: fault.NewSet(1), truth: &effects{}}
+		lg, _ := logtest.NewNullLogger()
 		config := application.DefaultConfig("booking-1")
-		config.Address = "booking-1:1"
+		config.Address = address
 		config.Capacity = 1
 		config.QueueLimit = 1
 		config.ServiceTime = 100 * time.Millisecond
@@ -66,35 +76,14 @@
 	})
 }
 
-func (f *fixture) post(ctx context.Context, path string, body any) result {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://booking-1:1"+path, bytes.NewReader(encoded))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	response, err := f.client.Do(request)
-	if err != nil {
-		return result{}
-	}
-	defer response.Body.Close()
-	var failure api.Error
-	if response.StatusCode != http.StatusOK {
-		if err := json.NewDecoder(response.Body).Decode(&failure); err != nil {
-			f.t.Fatal(err)
-		}
-	}
-	return result{status: response.StatusCode, code: failure.Code}
-}
-
 func (f *fixture) invoke(ctx context.Context) result {
-	return f.post(ctx, "/v1/invoke", api.InvokeRequest{RequestID: "r", Attempt: 1, Body: "a visit"})
+	answer := f.client.Invoke(ctx, address, api.InvokeRequest{RequestID: "r", Attempt: 1, Body: "a visit"})
+	return resultOf(answer.State, answer.Err)
 }
 
 // TestInvokeUnderFaults compares what the client sees with what took effect.
 func TestInvokeUnderFaults(t *testing.T) {
+	cut := result{state: engine.StatePartial}
 	cases := []struct {
 		name string
 		// fault strikes at atMS after the request was sent.
@@ -103,12 +92,12 @@
 		want    result
 		effects int32
 	}{
-		{name: "none", want: result{status: http.StatusOK}, effects: 1},
-		{name: "down", fault: fault.Fault{Kind: fault.KindDown}, want: result{http.StatusServiceUnavailable, api.CodeNoBackend}},
-		{name: "answer lost", fault: fault.Fault{Kind: fault.KindLostAnswer}, effects: 1},
-		{name: "crash before the effect", fault: fault.Fault{Kind: fault.KindCrash}, atMS: 30},
-		{name: "crash after the effect", fault: fault.Fault{Kind: fault.KindCrash}, atMS: 70, effects: 1},
-		{name: "frozen", fault: fault.Fault{Kind: fault.KindFreeze, DurationMS: 1000}, want: result{status: http.StatusOK}, effects: 1},
+		{name: "none", want: result{state: engine.StateComplete}, effects: 1},
+		{name: "down", fault: fault.Fault{Kind: fault.KindDown}, want: result{engine.StateRefused, http.StatusServiceUnavailable, api.CodeNoBackend}},
+		{name: "answer lost", fault: fault.Fault{Kind: fault.KindLostAnswer}, want: cut, effects: 1},
+		{name: "crash before the effect", fault: fault.Fault{Kind: fault.KindCrash}, atMS: 30, want: cut},
+		{name: "crash after the effect", fault: fault.Fault{Kind: fault.KindCrash}, atMS: 70, want: cut, effects: 1},
+		{name: "frozen", fault: fault.Fault{Kind: fault.KindFreeze, DurationMS: 1000}, want: result{state: engine.StateComplete}, effects: 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -158,9 +147,12 @@
 
 func TestDrainingRefusesAndIsFenced(t *testing.T) {
 	run(t, func(t *testing.T, f *fixture) {
-		f.post(t.Context(), "/v1/orders", api.Order{Epoch: 2, Kind: api.OrderSetRole, Role: api.RoleDraining})
-		if got := f.post(t.Context(), "/v1/orders", api.Order{Epoch: 1, Kind: api.OrderSetRole, Role: api.RoleServing}); got.code != api.CodeFenced {
-			t.Errorf("stale order: %+v", got)
+		if _, err := f.client.Order(t.Context(), address, api.Order{Epoch: 2, Kind: api.OrderSetRole, Role: api.RoleDraining}); err != nil {
+			t.Error(err)
+		}
+		_, err := f.client.Order(t.Context(), address, api.Order{Epoch: 1, Kind: api.OrderSetRole, Role: api.RoleServing})
+		if got := resultOf("", err); got.code != api.CodeFenced {
+			t.Errorf("stale order: %v", err)
 		}
 		if got := f.invoke(t.Context()); got.code != api.CodeNoBackend {
 			t.Errorf("draining instance answered %+v", got)
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator"
@@ -21,14 +21,14 @@
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/emulator/scoring"
 	"github.com/sliplift/sliplift/internal/emulator/weight"
+	client "github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/memnet"
 	"github.com/sliplift/sliplift/internal/platform"
 )
 
 func logger() logrus.FieldLogger {
-	lg := logrus.New()
-	lg.SetOutput(io.Discard)
+	lg, _ := logtest.NewNullLogger()
 	return lg
 }
 
@@ -49,8 +49,8 @@
 		t.Fatal(err)
 	}
 	defer running.Close()
-	client := platform.NewClient(http.DefaultClient, running.ServiceAddresses(c))
-	checkServices(t.Context(), t, client)
+	services := platform.NewClient(http.DefaultClient, running.ServiceAddresses(c))
+	checkServices(t.Context(), t, services)
 }
 
 func checkServices(ctx context.Context, t *testing.T, client *platform.Client) {
@@ -103,8 +103,8 @@
 		}
 		defer running.Close()
 		transport := &http.Transport{DialContext: network.Dialer("client"), DisableKeepAlives: true}
-		client := &http.Client{Transport: transport}
-		checkServices(t.Context(), t, platform.NewClient(client, running.ServiceAddresses(c)))
+		httpClient := &http.Client{Transport: transport}
+		checkServices(t.Context(), t, platform.NewClient(httpClient, running.ServiceAddresses(c)))
 
 		steps := []struct {
 			method, path string
@@ -123,7 +123,7 @@
 			{http.MethodPost, "/v1/backends/nobody/leaving", emulator.LeavingRequest{Leaving: true}, http.StatusNotFound},
 		}
 		for _, step := range steps {
-			if status := send(t, client, step.method, "http://control:1"+step.path, step.body); status != step.status {
+			if status := send(t, httpClient, step.method, "http://control:1"+step.path, step.body); status != step.status {
 				t.Errorf("%s %s: status %d", step.method, step.path, status)
 			}
 		}
@@ -134,9 +134,9 @@
 		if got := machineState(t, running); got != api.MachineLeaving {
 			t.Errorf("after the lag: %s", got)
 		}
-		for _, address := range []string{"engine-1:1", "preview-1:1"} {
-			if report := load(t, client, address); !report.Leaving {
-				t.Errorf("%s: %+v", address, report)
+		for _, name := range []string{"engine-1", "preview-1"} {
+			if report := load(t, httpClient, name); !report.Leaving {
+				t.Errorf("%s: %+v", name, report)
 			}
 		}
 	})
@@ -160,17 +160,13 @@
 	return response.StatusCode
 }
 
-func load(t *testing.T, client *http.Client, address string) api.LoadReport {
+// load asks a back end on port 1 of the host of its name.
+func load(t *testing.T, httpClient *http.Client, name string) api.LoadReport {
 	t.Helper()
-	response, err := client.Get("http://" + address + "/v1/load")
+	report, err := client.NewClient(httpClient).Load(t.Context(), name+":1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer response.Body.Close()
-	var report api.LoadReport
-	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
-		t.Fatal(err)
-	}
 	return report
 }
 
@@ -208,7 +204,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.NewNetwork()
 		transport := &http.Transport{DialContext: network.Dialer("client"), DisableKeepAlives: true}
-		client := &http.Client{Transport: transport}
+		httpClient := &http.Client{Transport: transport}
 		store := emulator.Config{Weights: &weight.Config{Name: "weights", Address: "weights:1", ConcurrentPulls: 1, BytesPerSecond: 1}}
 		engines := emulator.Config{WeightStoreAddress: "weights:1"}
 		for _, name := range []string{"engine-1", "engine-2"} {
@@ -217,24 +213,26 @@
 			engines.Engines = append(engines.Engines, puller)
 		}
 		for _, c := range []emulator.Config{store, engines} {
-			running, err := emulator.Start(c, network.Listen, client, history.Discard{}, logger())
+			running, err := emulator.Start(c, network.Listen, httpClient, history.Discard{}, logger())
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer running.Close()
 		}
-		platformClient := platform.NewClient(client, platform.Addresses{Weights: "weights:1"})
+		platformClient := platform.NewClient(httpClient, platform.Addresses{Weights: "weights:1"})
 		if err := platformClient.PutWeights(t.Context(), api.WeightVersion{Model: "language", Version: 2, Bytes: 1}); err != nil {
 			t.Fatal(err)
 		}
 		order := api.Order{Epoch: 1, Kind: api.OrderLoadVersion, Version: 2}
 		for _, name := range []string{"engine-1", "engine-2"} {
-			send(t, client, http.MethodPost, "http://"+name+":1/v1/orders", order)
+			if _, err := client.NewClient(httpClient).Order(t.Context(), name+":1", order); err != nil {
+				t.Error(err)
+			}
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(10 * time.Second)
 		for _, name := range []string{"engine-1", "engine-2"} {
-			if report := load(t, client, name+":1"); report.Version != 2 {
+			if report := load(t, httpClient, name); report.Version != 2 {
 				t.Errorf("%+v", report)
 			}
 		}
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -45,6 +45,7 @@
 type Engine struct {
 	config  Config
 	needs   Dependencies
+	calls   server.BackendCalls
 	lg      logrus.FieldLogger
 	core    atomic.Pointer[core]
 	leaving atomic.Bool
@@ -56,7 +57,12 @@
 	if err := config.check(); err != nil {
 		return nil, err
 	}
-	e := &Engine{config: config, needs: needs, lg: lg.WithField("engine", config.Name)}
+	e := &Engine{
+		config: config,
+		needs:  needs,
+		calls:  server.BackendCalls{Name: config.Name, Faults: needs.Faults},
+		lg:     lg.WithField("engine", config.Name),
+	}
 	e.restart()
 	running, err := server.Start(lg, server.Config{
 		Name:      config.Name,
--- a/internal/emulator/engine/engine_test.go
+++ b/internal/emulator/engine/engine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -39,9 +38,9 @@
 
 		first := f.start(t.Context(), "left", request("r1"))
 		time.Sleep(300 * time.Millisecond)
-		var state api.KVState
-		if status, code := f.call("left", "/v1/kv/export", api.CancelRequest{RequestID: "r1", Attempt: 1}, &state); status != http.StatusOK {
-			t.Fatal(status, code)
+		state, err := f.control.Export(t.Context(), address("left"), api.CancelRequest{RequestID: "r1", Attempt: 1})
+		if err != nil {
+			t.Fatal(err)
 		}
 		exported := <-first
 		f.checkWhole("left", exported)
@@ -59,7 +58,8 @@
 		if total := resumed.last().TotalTokens; total+state.Tokens != whole.last().TotalTokens {
 			t.Errorf("%d tokens after %d", total, state.Tokens)
 		}
-		if status, code := f.call("left", "/v1/kv/export", api.CancelRequest{RequestID: "r1", Attempt: 1}, &state); status != http.StatusNotFound {
+		_, err = f.control.Export(t.Context(), address("left"), api.CancelRequest{RequestID: "r1", Attempt: 1})
+		if status, code := f.word(err); status != http.StatusNotFound {
 			t.Errorf("second export: %d %s", status, code)
 		}
 	})
@@ -69,12 +69,11 @@
 	run(t, func(t *testing.T, f *fixture) {
 		answers := f.start(t.Context(), "left", request("r1"))
 		time.Sleep(200 * time.Millisecond)
-		var cancelled api.CancelResponse
-		f.call("left", "/v1/cancel", api.CancelRequest{RequestID: "r1", Attempt: 1}, &cancelled)
+		cancelled, err := f.control.Cancel(t.Context(), address("left"), api.CancelRequest{RequestID: "r1", Attempt: 1})
 		a := <-answers
 		f.checkWhole("left", a)
-		if !cancelled.Cancelled || a.last().FinishReason != api.FinishCancelled {
-			t.Errorf("cancelled %v, reason %s", cancelled.Cancelled, a.last().FinishReason)
+		if err != nil || !cancelled.Cancelled || a.last().FinishReason != api.FinishCancelled {
+			t.Errorf("cancelled %v, reason %s, error %v", cancelled.Cancelled, a.last().FinishReason, err)
 		}
 
 		ctx, cancel := context.WithCancel(t.Context())
@@ -238,15 +237,10 @@
 			f.generate(t.Context(), "left", r)
 		}
 		read := func() api.CacheEvents {
-			response, err := f.client.Get("http://left:1/v1/cache-events?after=10")
+			events, err := f.control.CacheEvents(t.Context(), address("left"), 10)
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer response.Body.Close()
-			var events api.CacheEvents
-			if err := json.NewDecoder(response.Body).Decode(&events); err != nil {
-				t.Fatal(err)
-			}
 			return events
 		}
 		early := len(read().Events)
--- a/internal/emulator/engine/fixture_test.go
+++ b/internal/emulator/engine/fixture_test.go
@@ -1,7 +1,6 @@
 package engine_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,13 +12,16 @@
 	"testing/synctest"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/sirupsen/logrus"
+	"github.com/dghubble/sling"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/engine"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/emulator/weight"
+	client "github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
+	"github.com/sliplift/sliplift/internal/httpjson"
 	"github.com/sliplift/sliplift/internal/memnet"
 )
 
@@ -57,6 +59,7 @@
 	t       *testing.T
 	network *memnet.Network
 	client  *http.Client
+	control *client.Client
 	faults  *fault.Set
 	weights *weight.Service
 	truth   *recorder
@@ -69,11 +72,11 @@
 		f.weights = weight.NewService(weight.Config{Name: "weights", ConcurrentPulls: 1, BytesPerSecond: 10}, f.faults)
 		transport := &http.Transport{DialContext: f.network.Dialer("client")}
 		f.client = &http.Client{Transport: transport}
-		lg := logrus.New()
-		lg.SetOutput(io.Discard)
+		f.control = client.NewClient(f.client)
+		lg, _ := logtest.NewNullLogger()
 		for _, name := range []string{"left", "right"} {
 			config := engine.DefaultConfig(name)
-			config.Address = name + ":1"
+			config.Address = address(name)
 			config.CacheEventLoss = 0.3
 			config.Batch.QueueLimit = 1
 			config.Batch.Capacity = 2
@@ -92,54 +95,33 @@
 	})
 }
 
-func (f *fixture) post(ctx context.Context, engineName, path string, body any) (*http.Response, error) {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+engineName+":1"+path, bytes.NewReader(encoded))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return f.client.Do(request)
-}
+func address(engineName string) string { return engineName + ":1" }
 
-// call posts body, decodes the answer into value and returns the status and,
-// of an error, the code.
-func (f *fixture) call(engineName, path string, body, value any) (int, api.Code) {
+// word returns the status and the code of what an engine said to a control call.
+func (f *fixture) word(err error) (int, api.Code) {
 	f.t.Helper()
-	response, err := f.post(context.Background(), engineName, path, body)
-	if err != nil {
-		f.t.Fatal(err)
+	if err == nil {
+		return http.StatusOK, ""
 	}
-	defer response.Body.Close()
-	var failure api.Error
-	if response.StatusCode != http.StatusOK {
-		value = &failure
-	}
-	if err := json.NewDecoder(response.Body).Decode(value); err != nil {
+	var failure *api.Error
+	if !errors.As(err, &failure) {
 		f.t.Fatal(err)
 	}
-	return response.StatusCode, failure.Code
+	return failure.Status, failure.Code
 }
 
 func (f *fixture) order(engineName string, order api.Order) (int, api.Code) {
 	f.t.Helper()
-	var response api.OrderResponse
-	return f.call(engineName, "/v1/orders", order, &response)
+	_, err := f.control.Order(f.t.Context(), address(engineName), order)
+	return f.word(err)
 }
 
 func (f *fixture) load(engineName string) api.LoadReport {
 	f.t.Helper()
-	response, err := f.client.Get("http://" + engineName + ":1/v1/load")
+	report, err := f.control.Load(f.t.Context(), address(engineName))
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	defer response.Body.Close()
-	var report api.LoadReport
-	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
-		f.t.Fatal(err)
-	}
 	return report
 }
 
@@ -178,17 +160,24 @@
 	return segments
 }
 
-func (f *fixture) generate(ctx context.Context, engineName string, request api.GenerateRequest) answer {
-	response, err := f.post(ctx, engineName, "/v1/generate", request)
+// generate reads the stream by itself and not as a Client, which would mend or
+// drop what is checked here.
+func (f *fixture) generate(ctx context.Context, engineName string, body api.GenerateRequest) answer {
+	post, err := sling.New().Post("http://" + address(engineName) + "/v1/generate").BodyJSON(body).Request()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	response, err := f.client.Do(post.WithContext(ctx))
 	if err != nil {
 		return answer{err: err}
 	}
 	defer response.Body.Close()
 	result := answer{status: response.StatusCode}
 	if response.StatusCode != http.StatusOK {
-		var failure api.Error
-		result.err = json.NewDecoder(response.Body).Decode(&failure)
-		result.code = failure.Code
+		var failure *api.Error
+		if result.err = httpjson.ReadError(response); errors.As(result.err, &failure) {
+			result.code, result.err = failure.Code, nil
+		}
 		return result
 	}
 	decoder := json.NewDecoder(response.Body)
--- a/internal/emulator/engine/handlers.go
+++ b/internal/emulator/engine/handlers.go
@@ -2,55 +2,18 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/batch"
-	"github.com/sliplift/sliplift/internal/emulator/fault"
-	"github.com/sliplift/sliplift/internal/emulator/server"
 	"github.com/sliplift/sliplift/internal/httpjson"
 )
 
-// read decodes the body and then lets the faults of calls strike; false says
-// that the call is answered.
-func (e *Engine) read(w http.ResponseWriter, r *http.Request, body any) bool {
-	if malformed := httpjson.Read(w, r, httpjson.DefaultBodyLimit, body); malformed != nil {
-		httpjson.WriteError(w, malformed)
-		return false
-	}
-	return e.begin(w, r)
-}
-
-func (e *Engine) begin(w http.ResponseWriter, r *http.Request) bool {
-	err := e.needs.Faults.Before(r.Context(), e.config.Name)
-	if err == nil {
-		return true
-	}
-	if errors.Is(err, fault.ErrDown) {
-		err = api.Refusal(http.StatusServiceUnavailable, api.CodeNoBackend, 0, "%s: down", e.config.Name)
-	}
-	server.WriteFailure(w, err)
-	return false
-}
-
-// answer sends the answer to a call that changed something, or loses it.
-func (e *Engine) answer(w http.ResponseWriter, value any, failure *api.Error) {
-	if _, lost := e.needs.Faults.Take(e.config.Name, fault.KindLostAnswer); lost {
-		panic(http.ErrAbortHandler)
-	}
-	if failure != nil {
-		httpjson.WriteError(w, failure)
-		return
-	}
-	httpjson.Write(w, http.StatusOK, value)
-}
-
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
 	var request api.GenerateRequest
-	if !e.read(w, r, &request) {
+	if !e.calls.Read(w, r, &request) {
 		return
 	}
 	if invalid := checkGenerate(request); invalid != nil {
@@ -108,25 +71,25 @@
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	var request api.CancelRequest
-	if !e.read(w, r, &request) {
+	if !e.calls.Read(w, r, &request) {
 		return
 	}
 	_, cancelled := e.core.Load().stop(keyOf(request), api.FinishCancelled)
-	e.answer(w, api.CancelResponse{Cancelled: cancelled}, nil)
+	e.calls.Answer(w, api.CancelResponse{Cancelled: cancelled}, nil)
 }
 
 func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
 	var request api.CancelRequest
-	if !e.read(w, r, &request) {
+	if !e.calls.Read(w, r, &request) {
 		return
 	}
 	state, running := e.core.Load().export(keyOf(request))
 	if !running {
-		e.answer(w, nil, api.Refusal(http.StatusNotFound, api.CodeNotFound, 0,
+		e.calls.Answer(w, nil, api.Refusal(http.StatusNotFound, api.CodeNotFound, 0,
 			"%s: no stream %s attempt %d", e.config.Name, request.RequestID, request.Attempt))
 		return
 	}
-	e.answer(w, state, nil)
+	e.calls.Answer(w, state, nil)
 }
 
 func keyOf(request api.CancelRequest) batch.Key {
@@ -135,15 +98,15 @@
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order api.Order
-	if !e.read(w, r, &order) {
+	if !e.calls.Read(w, r, &order) {
 		return
 	}
 	response, refused := e.core.Load().order(order)
-	e.answer(w, response, refused)
+	e.calls.Answer(w, response, refused)
 }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
-	if e.begin(w, r) {
+	if e.calls.Begin(w, r) {
 		httpjson.Write(w, http.StatusOK, e.core.Load().laggedReport())
 	}
 }
@@ -158,7 +121,7 @@
 		}
 		after = number
 	}
-	if e.begin(w, r) {
+	if e.calls.Begin(w, r) {
 		httpjson.Write(w, http.StatusOK, e.core.Load().cacheEvents(time.Now(), after))
 	}
 }
--- a/internal/emulator/fault/set.go
+++ b/internal/emulator/fault/set.go
@@ -133,6 +133,15 @@
 	return nil
 }
 
+// LoseAnswer is called by a stand-in after a call has taken effect. It returns
+// ErrBroken if KindLostAnswer strikes, and nil if the answer is to be sent.
+func (s *Set) LoseAnswer(target string) error {
+	if _, lost := s.Take(target, KindLostAnswer); lost {
+		return ErrBroken.Errorf("%s: answer lost", target)
+	}
+	return nil
+}
+
 // WaitWhile returns once no fault of that kind is on, or with the error of ctx.
 func (s *Set) WaitWhile(ctx context.Context, target string, kind Kind) error {
 	for {
--- a/internal/emulator/object/object.go
+++ b/internal/emulator/object/object.go
@@ -117,10 +117,7 @@
 
 // end lets the answer to a call that changed something be lost.
 func (s *Service) end() error {
-	if _, lost := s.faults.Take(s.config.Name, fault.KindLostAnswer); lost {
-		return fault.ErrBroken.Errorf("%s: answer lost", s.config.Name)
-	}
-	return nil
+	return s.faults.LoseAnswer(s.config.Name)
 }
 
 // Handler returns the HTTP interface of the store: PUT, GET and DELETE on
--- a/internal/emulator/scoring/scoring.go
+++ b/internal/emulator/scoring/scoring.go
@@ -72,8 +72,8 @@
 	if err := fault.Sleep(ctx, s.config.ScoreTime); err != nil {
 		return api.ScoreResponse{}, err
 	}
-	if _, lost := s.faults.Take(s.config.Name, fault.KindLostAnswer); lost {
-		return api.ScoreResponse{}, fault.ErrBroken.Errorf("%s: answer lost", s.config.Name)
+	if err := s.faults.LoseAnswer(s.config.Name); err != nil {
+		return api.ScoreResponse{}, err
 	}
 	return api.ScoreResponse{Score: TextScore(request.Prompt, request.Text)}, nil
 }
--- a/internal/emulator/table/table.go
+++ b/internal/emulator/table/table.go
@@ -94,8 +94,8 @@
 	if err != nil {
 		return api.TransactionResponse{}, err
 	}
-	if _, lost := s.faults.Take(s.name, fault.KindLostAnswer); lost {
-		return api.TransactionResponse{}, fault.ErrBroken.Errorf("%s: answer lost", s.name)
+	if err := s.faults.LoseAnswer(s.name); err != nil {
+		return api.TransactionResponse{}, err
 	}
 	return response, nil
 }
--- a/internal/emulator/weight/weight.go
+++ b/internal/emulator/weight/weight.go
@@ -75,10 +75,7 @@
 	s.mu.Lock()
 	s.versions[key{model: version.Model, version: version.Version}] = version
 	s.mu.Unlock()
-	if _, lost := s.faults.Take(s.config.Name, fault.KindLostAnswer); lost {
-		return fault.ErrBroken.Errorf("%s: answer lost", s.config.Name)
-	}
-	return nil
+	return s.faults.LoseAnswer(s.config.Name)
 }
 
 func (s *Service) pull(ctx context.Context, wanted key) (api.WeightVersion, error) {
