backend: one way to a Set in its tests, and a stale configuration shows

Cause: three tests built a Set of fake back ends by hand. TestPollsOnlySubset applied a lower revision and would not have seen it obeyed: with that check switched off it stayed green, because polls before the change counted.

Change: newSet and watched build the Set; the counts of polls are taken after the stale revision.

--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -14,7 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/configlog"
@@ -52,20 +50,20 @@
 	delete(f.reports, address)
 }
 
-// polled returns the number of addresses polled since the last call.
-func (f *fakeLoads) polled() int {
+// taken returns the number of polls by address since the last call.
+func (f *fakeLoads) taken() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	count := len(f.polls)
-	clear(f.polls)
-	return count
+	polls := f.polls
+	f.polls = map[string]int{}
+	return polls
 }
 
-// counts returns the number of polls by address.
-func (f *fakeLoads) counts() map[string]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return maps.Clone(f.polls)
+// newSet returns a Set over fake load reports.
+func newSet(cfg Config) (*Set, *fakeLoads) {
+	lg, _ := logtest.NewNullLogger()
+	loads := &fakeLoads{reports: map[string]api.LoadReport{}, polls: map[string]int{}}
+	return NewSet(lg, cfg, loads), loads
 }
 
 // TestSet tells stories about one Set with back ends a, b and c of a pool p.
@@ -89,10 +87,8 @@
 }
 
 func newStory(t *testing.T) *story {
-	lg := logrus.New()
-	lg.SetOutput(io.Discard)
-	loads := &fakeLoads{reports: map[string]api.LoadReport{}, polls: map[string]int{}}
-	s := &story{loads: loads, set: NewSet(lg, DefaultConfig("n", "z1", "r1"), loads), tickets: map[string][]Ticket{}}
+	set, loads := newSet(DefaultConfig("n", "z1", "r1"))
+	s := &story{loads: loads, set: set, tickets: map[string][]Ticket{}}
 	for _, name := range []string{"a", "b", "c"} {
 		loads.set(name, api.LoadReport{Capacity: 8, Version: 1, Role: api.RoleServing})
 	}
@@ -237,34 +233,41 @@
 	}
 }
 
+// watched returns a Set of so many reporting back ends, of which it watches a
+// subset of that size.
+func watched(backends, subset int) (*Set, *fakeLoads) {
+	cfg := DefaultConfig("n", "z", "r")
+	cfg.SubsetSize = subset
+	set, loads := newSet(cfg)
+	pool := configlog.Pool{Name: "p"}
+	for i := range backends {
+		name := fmt.Sprintf("e%d", i)
+		loads.set(name, api.LoadReport{})
+		pool.Backends = append(pool.Backends, configlog.Backend{Name: name, Address: name})
+	}
+	set.Apply(&configlog.State{Revision: 2, Pools: map[string]configlog.Pool{"p": pool}})
+	return set, loads
+}
+
 // TestPollsOnlySubset checks that what is not in the subset is not polled, and
 // that polls end with the removal of a pool.
 func TestPollsOnlySubset(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		lg := logrus.New()
-		lg.SetOutput(io.Discard)
-		loads := &fakeLoads{reports: map[string]api.LoadReport{}, polls: map[string]int{}}
-		cfg := DefaultConfig("n", "z", "r")
-		cfg.SubsetSize = 4
-		set := NewSet(lg, cfg, loads)
+		const subset = 4
+		set, loads := watched(40, subset)
 		defer set.Close()
-		pool := configlog.Pool{Name: "p"}
-		for i := range 40 {
-			name := fmt.Sprintf("e%d", i)
-			loads.set(name, api.LoadReport{})
-			pool.Backends = append(pool.Backends, configlog.Backend{Name: name, Address: name})
-		}
-		set.Apply(&configlog.State{Revision: 2, Pools: map[string]configlog.Pool{"p": pool}})
+		synctest.Wait()
 		set.Apply(&configlog.State{Revision: 1})
+		loads.taken()
 		time.Sleep(time.Minute)
-		if polled := loads.polled(); polled != cfg.SubsetSize {
+		if polled := len(loads.taken()); polled != subset {
 			t.Errorf("%d back ends were polled", polled)
 		}
 		set.Apply(&configlog.State{Revision: 3})
 		synctest.Wait()
-		loads.polled()
+		loads.taken()
 		time.Sleep(time.Minute)
-		if polled := loads.polled(); polled != 0 {
+		if polled := len(loads.taken()); polled != 0 {
 			t.Errorf("%d back ends were polled after their removal", polled)
 		}
 	})
@@ -274,20 +277,8 @@
 // one that answers requests not at all.
 func TestPollRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		lg := logrus.New()
-		lg.SetOutput(io.Discard)
-		loads := &fakeLoads{reports: map[string]api.LoadReport{}, polls: map[string]int{}}
-		cfg := DefaultConfig("n", "z", "r")
-		cfg.SubsetSize = 0
-		set := NewSet(lg, cfg, loads)
+		set, loads := watched(48, 0)
 		defer set.Close()
-		pool := configlog.Pool{Name: "p"}
-		for i := range 48 {
-			name := fmt.Sprintf("e%d", i)
-			loads.set(name, api.LoadReport{})
-			pool.Backends = append(pool.Backends, configlog.Backend{Name: name, Address: name})
-		}
-		set.Apply(&configlog.State{Revision: 1, Pools: map[string]configlog.Pool{"p": pool}})
 		const seconds = 60
 		for range 10 * seconds {
 			time.Sleep(100 * time.Millisecond)
@@ -296,14 +287,15 @@
 			}
 		}
 		total := 0
-		for _, polls := range loads.counts() {
-			total += polls
+		polls := loads.taken()
+		for _, count := range polls {
+			total += count
 		}
-		if want := cfg.PollRate * seconds; float64(total) > 1.1*want || float64(total) < 0.9*want {
+		if want := set.cfg.PollRate * seconds; float64(total) > 1.1*want || float64(total) < 0.9*want {
 			t.Errorf("%d polls in %d s, want about %.0f", total, seconds, want)
 		}
-		if polls := loads.counts()["e0"]; polls != 1 {
-			t.Errorf("the back end that answers requests was polled %d times, want once", polls)
+		if polls["e0"] != 1 {
+			t.Errorf("the back end that answers requests was polled %d times, want once", polls["e0"])
 		}
 	})
 }
