query: TestCallerGone turns red if a change is cancelled with its caller

Cause: the fake accepted a change at once whatever its context, so the promise that a change which was begun is settled was named and not tested. Change: the fake's change takes 2 s and is lost if its context ends; the caller of the test goes away after 1 s.

--- a/internal/query/execute_test.go
+++ b/internal/query/execute_test.go
@@ -62,9 +62,15 @@
 	// confirmAfter is the time from a revision to a node's confirmation.
 	confirmAfter map[string]time.Duration
 	acceptedAt   map[int64]time.Time
+	// submitTime is how long a change takes; it is lost if its context ends.
+	submitTime time.Duration
 }
 
-func (f *fakeChanges) Submit(_ context.Context, change configlog.Change) configlog.Result {
+func (f *fakeChanges) Submit(ctx context.Context, change configlog.Change) configlog.Result {
+	time.Sleep(f.submitTime)
+	if ctx.Err() != nil {
+		return configlog.Result{Outcome: configlog.OutcomeUnknown}
+	}
 	next := f.next
 	f.next = ""
 	switch next {
@@ -197,7 +203,7 @@
 // change that was begun is settled.
 func TestCallerGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		changes := &fakeChanges{log: configlog.NewLog(), acceptedAt: map[int64]time.Time{}}
+		changes := &fakeChanges{log: configlog.NewLog(), acceptedAt: map[int64]time.Time{}, submitTime: 2 * time.Second}
 		logger, _ := logtest.NewNullLogger()
 		executor := NewExecutor(logger, Config{Node: "node-1"}, fakeCatalog{}, changes)
 		statements, err := executor.Parse("SET a = 1 WAIT 5 SECONDS; SET b = 2")
