rollout: two mechanisms of the ledger get a test; stories of several steps

Cause: trials with one mechanism off each found two that no test missed: the refusal of a pull whose cursor is out of range, and the cancelling of an attempt at its first segment if that is too old. The stories spent three lines on a step, and the tests had a table of their own beside the emulator's. rowKey, objectKey, newBitmap and signature were exported and used by no other package. Ruled out: the emulated object store, whose objects the tests could not count. Change: steps for the two in testdata/ledger; steptest; the emulated table; inCluster; the four names begin in lower case. The other expected results were derived from the former files, not written anew by the test.

--- a/internal/rollout/acquire.go
+++ b/internal/rollout/acquire.go
@@ -23,7 +23,7 @@
 func (s *Service) lookup(ctx context.Context, key stepKey) (storedRecord, error) {
 	call, cancel := context.WithTimeout(ctx, s.config.CallTimeout)
 	defer cancel()
-	return s.store.read(call, RowKey(key.trainer, key.step))
+	return s.store.read(call, rowKey(key.trainer, key.step))
 }
 
 // located is where a step is: on this node, or done.
@@ -83,13 +83,13 @@
 	next.LeaseMS = s.config.Lease.Milliseconds()
 	next.LastObject = 0
 	var spec api.StepRequest
-	if err := s.store.getObject(ctx, ObjectKey(key.trainer, key.step, record.Spec), &spec); err != nil {
+	if err := s.store.getObject(ctx, objectKey(key.trainer, key.step, record.Spec), &spec); err != nil {
 		return nil, storeError(err)
 	}
 	objects := make(map[string][]api.Sample, len(record.Manifests))
 	for _, manifest := range record.Manifests {
 		var samples []api.Sample
-		if err := s.store.getObject(ctx, ObjectKey(key.trainer, key.step, manifest.Object), &samples); err != nil {
+		if err := s.store.getObject(ctx, objectKey(key.trainer, key.step, manifest.Object), &samples); err != nil {
 			return nil, storeError(err)
 		}
 		objects[manifest.Object] = samples
@@ -100,7 +100,7 @@
 		return nil, api.Refusal(http.StatusInternalServerError, api.CodeInvalid, 0, "step %d of trainer %s can't be restored: %v", key.step, key.trainer, err)
 	}
 	sentAt := time.Now()
-	written, err := s.store.write(ctx, RowKey(key.trainer, key.step), next, record.revision)
+	written, err := s.store.write(ctx, rowKey(key.trainer, key.step), next, record.revision)
 	if errors.Is(err, errFenced) {
 		return nil, api.Refusal(http.StatusServiceUnavailable, api.CodeNotOwner, retrySoonMS, "another node took step %d of trainer %s over", key.step, key.trainer)
 	}
--- a/internal/rollout/commit.go
+++ b/internal/rollout/commit.go
@@ -113,7 +113,7 @@
 // writeRow writes the row and renews the lease by it.
 func (o *ownedStep) writeRow(record StepRecord) error {
 	sentAt := time.Now()
-	written, err := o.store.write(o.ctx, RowKey(o.key.trainer, o.key.step), record, o.record.revision)
+	written, err := o.store.write(o.ctx, rowKey(o.key.trainer, o.key.step), record, o.record.revision)
 	if err != nil {
 		return err
 	}
--- a/internal/rollout/counts.go
+++ b/internal/rollout/counts.go
@@ -1,15 +1,15 @@
 package rollout
 
-// Signature changes whenever something that others may wait for changed.
-type Signature struct {
+// signature changes whenever something that others may wait for changed.
+type signature struct {
 	waiting, running, finished, voidsWanted int
 	cursor, version                         int64
 	stopped                                 bool
 }
 
-// Signature returns the ledger's present signature.
-func (l *Ledger) Signature() Signature {
-	return Signature{
+// signature returns the ledger's present signature.
+func (l *Ledger) signature() signature {
+	return signature{
 		waiting:     l.waiting,
 		running:     len(l.running),
 		finished:    l.finished,
--- a/internal/rollout/delivery.go
+++ b/internal/rollout/delivery.go
@@ -161,7 +161,7 @@
 		return progress
 	}
 	if l.unacknowledged < l.config.Samples {
-		progress.Acknowledged = NewBitmap(l.config.Samples)
+		progress.Acknowledged = newBitmap(l.config.Samples)
 	}
 	for index := range l.samples {
 		if l.samples[index].state == sampleAcknowledged {
--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/emulator/fault"
+	emulated "github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/platform"
 )
 
@@ -25,13 +27,12 @@
 	afterCommit  moment = "after the commit"
 )
 
-// fakePlatform is the table and the object store in memory.
+// fakePlatform is the emulated table, and an object store in memory.
 type fakePlatform struct {
-	mu       sync.Mutex
-	rows     map[string]api.Row
-	objects  map[string][]byte
-	revision int64
-	down     bool
+	table   *emulated.Service
+	mu      sync.Mutex
+	objects map[string][]byte
+	down    bool
 	// limited is how many calls are still answered with rate_limited.
 	limited int
 	// epochs are those of the rows written, in order.
@@ -40,7 +41,7 @@
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{rows: make(map[string]api.Row), objects: make(map[string][]byte)}
+	return &fakePlatform{table: emulated.NewService(emulated.Config{Name: "table"}, fault.NewSet(1)), objects: make(map[string][]byte)}
 }
 
 func (p *fakePlatform) setDown(down bool) {
@@ -66,20 +67,14 @@
 	if err := p.failure(); err != nil {
 		return api.TransactionResponse{}, err
 	}
-	for _, condition := range transaction.Conditions {
-		if p.rows[condition.Key].Revision != condition.Revision {
-			return api.TransactionResponse{}, api.Refusal(http.StatusConflict, api.CodeConditionFailed, 0, "revision %d", p.rows[condition.Key].Revision)
-		}
-	}
-	p.revision++
+	response, err := p.table.Commit(context.Background(), transaction)
 	for _, put := range transaction.Puts {
-		p.rows[put.Key] = api.Row{Key: put.Key, Value: put.Value, Revision: p.revision}
 		var record StepRecord
-		if json.Unmarshal(put.Value, &record) == nil {
+		if err == nil && json.Unmarshal(put.Value, &record) == nil {
 			p.epochs = append(p.epochs, record.Epoch)
 		}
 	}
-	return api.TransactionResponse{Revision: p.revision}, nil
+	return response, err
 }
 
 func (p *fakePlatform) get(key string) (api.Row, error) {
@@ -88,11 +83,7 @@
 	if err := p.failure(); err != nil {
 		return api.Row{}, err
 	}
-	row, ok := p.rows[key]
-	if !ok {
-		return row, api.Refusal(http.StatusNotFound, api.CodeNotFound, 0, "no row")
-	}
-	return row, nil
+	return p.table.Get(context.Background(), key)
 }
 
 func (p *fakePlatform) object(change func() error) error {
@@ -104,11 +95,14 @@
 	return change()
 }
 
-// record returns the row of the tests' step.
+// row returns the row of the tests' step, and record what it holds.
+func (p *fakePlatform) row() []byte {
+	row, _ := p.table.Get(context.Background(), rowKey(testTrainer, testStep))
+	return row.Value
+}
+
 func (p *fakePlatform) record() (record StepRecord) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = json.Unmarshal(p.rows[RowKey(testTrainer, testStep)].Value, &record)
+	_ = json.Unmarshal(p.row(), &record)
 	return record
 }
 
--- a/internal/rollout/ledger_test.go
+++ b/internal/rollout/ledger_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/steptest"
 )
 
 // ledgerStory runs the commands of a story table over one step whose owner may
@@ -27,11 +28,19 @@
 	datadriven.Walk(t, "testdata/ledger", func(t *testing.T, path string) {
 		story := &ledgerStory{now: time.Unix(0, 0), objects: make(map[string][]api.Sample)}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			return story.run(t, d)
+			return steptest.Run(t, d, func(t *testing.T, d *datadriven.TestData) string { return oneLine(story.run(t, d)) })
 		})
 	})
 }
 
+// oneLine joins the lines that a step prints.
+func oneLine(text string) string {
+	if text == "" {
+		return ""
+	}
+	return strings.ReplaceAll(strings.TrimSpace(text), "\n", "; ") + "\n"
+}
+
 func (s *ledgerStory) run(t *testing.T, d *datadriven.TestData) string {
 	number := func(name string) int64 {
 		var value int64
--- a/internal/rollout/owned.go
+++ b/internal/rollout/owned.go
@@ -91,14 +91,14 @@
 	if o.ended {
 		return
 	}
-	before := o.ledger.Signature()
+	before := o.ledger.signature()
 	change(o.ledger)
 	for _, number := range o.ledger.Cancels() {
 		if cancel, ok := o.attempts[number]; ok {
 			cancel()
 		}
 	}
-	if o.ledger.Signature() != before {
+	if o.ledger.signature() != before {
 		o.signal()
 	}
 }
@@ -238,7 +238,7 @@
 }
 
 func (o *ownedStep) objectKey(name string) string {
-	return ObjectKey(o.key.trainer, o.key.step, name)
+	return objectKey(o.key.trainer, o.key.step, name)
 }
 
 func (o *ownedStep) status() StepStatus {
--- a/internal/rollout/post.go
+++ b/internal/rollout/post.go
@@ -147,12 +147,12 @@
 
 // create writes the specification, then the row, and begins to run the step.
 func (s *Service) create(ctx context.Context, p posting) (api.StepResponse, *api.Error) {
-	specKey := ObjectKey(p.key.trainer, p.key.step, p.record.Spec)
+	specKey := objectKey(p.key.trainer, p.key.step, p.record.Spec)
 	if err := s.store.putObject(ctx, specKey, p.content); err != nil {
 		return api.StepResponse{}, openError(p.key)
 	}
 	sentAt := time.Now()
-	written, err := s.store.write(ctx, RowKey(p.key.trainer, p.key.step), p.record, 0)
+	written, err := s.store.write(ctx, rowKey(p.key.trainer, p.key.step), p.record, 0)
 	if errors.Is(err, errFenced) {
 		return s.answerRace(ctx, p)
 	}
@@ -183,7 +183,7 @@
 		if err != nil || !record.Done {
 			return
 		}
-		row := RowKey(key.trainer, key.step)
+		row := rowKey(key.trainer, key.step)
 		call, cancel := context.WithTimeout(s.ctx, s.config.CallTimeout)
 		defer cancel()
 		_, _ = s.config.Table.Commit(call, api.Transaction{
@@ -196,12 +196,12 @@
 
 // answerRace answers a Post that lost against another one.
 func (s *Service) answerRace(ctx context.Context, p posting) (api.StepResponse, *api.Error) {
-	existing, err := s.store.read(ctx, RowKey(p.key.trainer, p.key.step))
+	existing, err := s.store.read(ctx, rowKey(p.key.trainer, p.key.step))
 	if err != nil {
 		return api.StepResponse{}, openError(p.key)
 	}
 	if existing.Spec != p.record.Spec {
-		s.store.deleteObjects(ctx, []string{ObjectKey(p.key.trainer, p.key.step, p.record.Spec)})
+		s.store.deleteObjects(ctx, []string{objectKey(p.key.trainer, p.key.step, p.record.Spec)})
 	}
 	return p.answer(existing.StepRecord)
 }
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -12,14 +12,14 @@
 // recordPrefix starts the keys of all rows and objects of steps.
 const recordPrefix = "steps/"
 
-// RowKey returns the key of a step's row in the table service.
-func RowKey(trainer string, step int64) string {
+// rowKey returns the key of a step's row in the table service.
+func rowKey(trainer string, step int64) string {
 	return recordPrefix + trainer + "/" + strconv.FormatInt(step, 10)
 }
 
-// ObjectKey returns the key of an object of a step in the object store.
-func ObjectKey(trainer string, step int64, name string) string {
-	return RowKey(trainer, step) + "/" + name
+// objectKey returns the key of an object of a step in the object store.
+func objectKey(trainer string, step int64, name string) string {
+	return rowKey(trainer, step) + "/" + name
 }
 
 // StepRecord is the durable state of a step: the JSON value of its row. It
@@ -92,8 +92,8 @@
 // base64 string in JSON: 1,366 characters for 8,192 samples.
 type Bitmap []byte
 
-// NewBitmap returns an empty set for the indexes in [0, size).
-func NewBitmap(size int) Bitmap { return make(Bitmap, (size+7)/8) }
+// newBitmap returns an empty set for the indexes in [0, size).
+func newBitmap(size int) Bitmap { return make(Bitmap, (size+7)/8) }
 
 // Set adds an index.
 func (b Bitmap) Set(index int) { b[index/8] |= 1 << (index % 8) }
--- a/internal/rollout/service_test.go
+++ b/internal/rollout/service_test.go
@@ -56,6 +56,11 @@
 	return c
 }
 
+// inCluster plays a story in virtual time.
+func inCluster(t *testing.T, play func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) { play(t, newCluster(t, Faults{})) })
+}
+
 func testSpec() api.StepRequest {
 	return api.StepRequest{Pool: "llm", Prompts: []string{"a", "b", "c"}, SamplesPerPrompt: testSamples / 3, MaxTokens: 10, VersionBound: 1}
 }
@@ -135,8 +140,7 @@
 }
 
 func TestStepIsServedAndCleanedUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, Faults{})
+	inCluster(t, func(t *testing.T, c *cluster) {
 		c.platform.limited = 3
 		c.runner.refuse = 2
 		c.post()
@@ -172,8 +176,7 @@
 func TestOwnerDies(t *testing.T) {
 	for _, when := range []moment{beforeObject, afterObject, beforeCommit, afterCommit} {
 		t.Run(string(when), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t, Faults{})
+			inCluster(t, func(t *testing.T, c *cluster) {
 				killAt(c, when, 2)
 				c.post()
 				c.train(2 * time.Minute)
@@ -186,8 +189,7 @@
 		})
 	}
 	t.Run("after hand-out before acknowledgement", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(t, Faults{})
+		inCluster(t, func(t *testing.T, c *cluster) {
 			c.post()
 			for c.cursor == 0 {
 				if err := c.pull(0); err != nil {
@@ -216,8 +218,7 @@
 // TestPostWhileTheStoreIsDown posts while the store can't be written, first
 // unreachable and then only slow to answer.
 func TestPostWhileTheStoreIsDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, Faults{})
+	inCluster(t, func(t *testing.T, c *cluster) {
 		c.platform.setDown(true)
 		if _, err := c.nodes[0].Post(t.Context(), testTrainer, testStep, testSpec()); err == nil || err.Outcome != api.OutcomeRefused {
 			t.Errorf("post with the store down: %v", err)
@@ -243,8 +244,7 @@
 }
 
 func TestCommitAnswersAreLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, Faults{})
+	inCluster(t, func(t *testing.T, c *cluster) {
 		var calls atomic.Int64
 		c.connections[0].strike = func(m moment) error {
 			if (m == afterCommit || m == afterObject) && calls.Add(1)%2 == 1 {
@@ -264,8 +264,7 @@
 // TestStoreDown takes the store away for longer than a lease: samples go on,
 // nothing new is handed out, and all is there once the store is back.
 func TestStoreDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, Faults{})
+	inCluster(t, func(t *testing.T, c *cluster) {
 		c.post()
 		c.platform.setDown(true)
 		c.train(5 * DefaultLease)
@@ -391,8 +390,7 @@
 
 // TestCostOfALargeStep logs what a step of 8,192 samples asks of the platform.
 func TestCostOfALargeStep(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, Faults{})
+	inCluster(t, func(t *testing.T, c *cluster) {
 		node := NewService(logrus.New(), Config{Node: "n3", Table: c.connections[0], Objects: c.connections[0], Runner: c.runner})
 		defer node.Close()
 		spec := api.StepRequest{Pool: "llm", Prompts: make([]string, 512), SamplesPerPrompt: 16, VersionBound: 1}
@@ -410,7 +408,7 @@
 			if _, err := node.Ack(t.Context(), testTrainer, testStep, query.Cursor); err != nil {
 				t.Fatal(err)
 			}
-			largest = max(largest, len(c.platform.rows[RowKey(testTrainer, testStep)].Value))
+			largest = max(largest, len(c.platform.row()))
 			if answer.Done {
 				break
 			}
@@ -423,8 +421,7 @@
 }
 
 func TestHandOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, Faults{})
+	inCluster(t, func(t *testing.T, c *cluster) {
 		c.post()
 		c.train(time.Second)
 		before := time.Now()
