gateway: the tests of a planned stop have a file of their own

Cause: gateway_test.go had 460 lines and two jobs, and eight places that recorded an answer by hand.

Change: stop_test.go; send records an answer, startNode and callerOf make the node and its callers; maps does what two loops did.

Measured: 12 mechanisms switched off one by one on a scratch copy, with the old files and the new: 11 turn the same test red in both (refusal and end of pulls at a stop, linger, ids and limit in flight, deadline, key, panics, in-flight gauge, readiness in two places). One is green in both: without sayFarewell TestStopMeetsRequestsOnKeptConnections passed. Lines of tests and testdata, blank ones left out: 770 and 772, so this is for reading, not for economy.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -21,7 +22,6 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/dispatch"
-	"github.com/sliplift/sliplift/internal/memnet"
 )
 
 // fakeLive answers by the prompt; "slow" takes a second.
@@ -94,6 +94,13 @@
 	return NewServer(lg, Config{BodyLimit: 4096, MaxSamples: 100}, services, prometheus.NewRegistry())
 }
 
+// send hands a request to the handler and returns the recorded answer.
+func send(handler http.Handler, method, target, body string) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(method, target, strings.NewReader(body)))
+	return recorder
+}
+
 // TestContract sends each request of the table "METHOD PATH" with its body. A
 // body that begins with "+" changes the fields of a valid one; "-" omits it.
 func TestContract(t *testing.T) {
@@ -144,24 +151,16 @@
 		if line == "oversize" {
 			body = changed(t, valid, `{"prompt":"`+strings.Repeat("x", 5000)+`"}`)
 		}
-		recorder := httptest.NewRecorder()
-		handler.ServeHTTP(recorder, httptest.NewRequest(method, target, strings.NewReader(body)))
+		recorder := send(handler, method, target, body)
 		fmt.Fprintf(&out, "%d %s\n", recorder.Code, answerText(recorder))
 	}
 	return out.String()
 }
 
 func changed(t *testing.T, valid map[string]any, change string) string {
-	body := map[string]any{}
-	for name, value := range valid {
-		body[name] = value
-	}
+	body := maps.Clone(valid)
 	decode(t, change, &body)
-	for name, value := range body {
-		if value == nil {
-			delete(body, name)
-		}
-	}
+	maps.DeleteFunc(body, func(_ string, value any) bool { return value == nil })
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		t.Fatal(err)
@@ -189,7 +188,7 @@
 	var logs bytes.Buffer
 	server := newServer(&readiness{}, &logs)
 	body := `{"request_id":"r","pool":"app","deadline_ms":1000,"repeatable":true,"prompt":"unknown"}`
-	server.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/requests", strings.NewReader(body)))
+	send(server.Handler(), http.MethodPost, "/v1/requests", body)
 	line := map[string]any{}
 	decode(t, logs.String(), &line)
 	for name, want := range map[string]any{
@@ -209,10 +208,9 @@
 	server := newServer(&readiness{}, io.Discard)
 	for _, prompt := range []string{"x", "panic"} {
 		body := fmt.Sprintf(`{"pool":"app","deadline_ms":1000,"repeatable":true,"prompt":%q}`, prompt)
-		server.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/requests", strings.NewReader(body)))
+		send(server.Handler(), http.MethodPost, "/v1/requests", body)
 	}
-	recorder := httptest.NewRecorder()
-	server.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	recorder := send(server.Handler(), http.MethodGet, "/metrics", "")
 	for _, want := range []string{
 		`sliplift_gateway_requests_total{operation="live",outcome="completed",pool="app"} 1`,
 		`sliplift_gateway_requests_total{operation="live",outcome="unknown",pool="app"} 1`,
@@ -226,146 +224,19 @@
 	}
 }
 
-// TestStopState counts in nobody once the stop has begun, also one that had
-// passed the first check before, and is idle when the last has left.
-func TestStopState(t *testing.T) {
-	s := newStopState()
-	first := s.enter()
-	s.begin()
-	second := s.enter()
-	idleEarly := isClosed(s.idle)
-	s.leave()
-	if !first || second || idleEarly || !isClosed(s.idle) {
-		t.Errorf("entered %t and %t, idle %t and %t", first, second, idleEarly, isClosed(s.idle))
-	}
-}
-
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
-// TestPlannedStop begins a stop while requests are in flight over a network:
-// they get their answers, waiting pulls answer at once, and new ones are
-// refused until the server is gone.
-func TestPlannedStop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		network := memnet.NewNetwork()
-		listener, err := network.Listen("node:80")
-		if err != nil {
-			t.Fatal(err)
-		}
-		server := newServer(&readiness{}, io.Discard)
-		served := make(chan error, 1)
-		go func() { served <- server.Serve(listener) }()
-		transport := &http.Transport{DialContext: network.Dialer("caller")}
-		defer transport.CloseIdleConnections()
-		client := &http.Client{Transport: transport}
-
-		started := time.Now()
-		slow, pull := make(chan string, 1), make(chan string, 1)
-		go func() { slow <- postPrompt(client, "slow") + fmt.Sprint(" after ", time.Since(started)) }()
-		go func() {
-			response, err := client.Get("http://node/v1/trainers/t/steps/1/samples?wait_ms=30000")
-			pull <- statusOf(response, err) + fmt.Sprint(" after ", time.Since(started))
-		}()
-		time.Sleep(100 * time.Millisecond)
-		if inFlight := server.InFlight(); inFlight != 2 {
-			t.Errorf("%d in flight", inFlight)
-		}
-		server.BeginStop()
-		refused := postPrompt(client, "x")
-		if err := server.Wait(t.Context()); err != nil {
-			t.Errorf("wait: %v", err)
-		}
-		if got := fmt.Sprint(<-slow, "; ", <-pull, "; ", refused); got != "200 after 1s; 200 after 100ms; 503" {
-			t.Error(got)
-		}
-		if took := time.Since(started); took != time.Second+DefaultStopLinger {
-			t.Errorf("stopped after %s", took)
-		}
-		if err := <-served; err != nil {
-			t.Errorf("serve: %v", err)
-		}
-	})
-}
-
-// TestStopMeetsRequestsOnKeptConnections sends requests on idle connections at
-// the moments of the farewell and of the shutdown: each gets a refusal, or finds
-// nobody there; none is sent and left without an answer.
-func TestStopMeetsRequestsOnKeptConnections(t *testing.T) {
-	for _, after := range []time.Duration{DefaultStopLinger - closeGrace, DefaultStopLinger} {
-		synctest.Test(t, func(t *testing.T) {
-			network := memnet.NewNetwork()
-			listener, err := network.Listen("node:80")
-			if err != nil {
-				t.Fatal(err)
-			}
-			server := newServer(&readiness{}, io.Discard)
-			served := make(chan error, 1)
-			go func() { served <- server.Serve(listener) }()
-			const callers = 20
-			answers := make(chan string, callers)
-			for range callers {
-				transport := &http.Transport{DialContext: network.Dialer("caller")}
-				defer transport.CloseIdleConnections()
-				client := &http.Client{Transport: transport}
-				postPrompt(client, "x")
-				go func() {
-					time.Sleep(after)
-					answers <- postPrompt(client, "x")
-				}()
-			}
-			if err := server.Wait(t.Context()); err != nil {
-				t.Error(err)
-			}
-			for range callers {
-				answer := <-answers
-				if refused := answer == "408" || answer == "503"; !refused && !strings.Contains(answer, memnet.ErrRefused.Error()) {
-					t.Errorf("after %s: %s", after, answer)
-				}
-			}
-			if err := <-served; err != nil {
-				t.Error(err)
-			}
-		})
-	}
-}
-
-func postPrompt(client *http.Client, prompt string) string {
-	body := fmt.Sprintf(`{"pool":"app","deadline_ms":60000,"repeatable":true,"prompt":%q}`, prompt)
-	return statusOf(client.Post("http://node/v1/requests", "application/json", strings.NewReader(body)))
-}
-
-func statusOf(response *http.Response, err error) string {
-	if err != nil {
-		return err.Error()
-	}
-	response.Body.Close()
-	return fmt.Sprint(response.StatusCode)
-}
-
 // TestDuplicateRequestID refuses a request id that is in flight.
 func TestDuplicateRequestID(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := newServer(&readiness{}, io.Discard)
 		body := `{"request_id":"r","pool":"app","deadline_ms":5000,"repeatable":true,"prompt":"slow"}`
-		send := func() int {
-			recorder := httptest.NewRecorder()
-			server.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/v1/requests", strings.NewReader(body)))
-			return recorder.Code
-		}
+		post := func() int { return send(server.Handler(), http.MethodPost, "/v1/requests", body).Code }
 		first := make(chan int)
-		go func() { first <- send() }()
+		go func() { first <- post() }()
 		synctest.Wait()
-		if second, status := send(), <-first; second != http.StatusConflict || status != http.StatusOK {
+		if second, status := post(), <-first; second != http.StatusConflict || status != http.StatusOK {
 			t.Errorf("first %d, second %d", status, second)
 		}
-		if third := send(); third != http.StatusOK {
+		if third := post(); third != http.StatusOK {
 			t.Errorf("third %d", third)
 		}
 	})
@@ -384,8 +255,7 @@
 		{"POST", "/v1/trainers/t/steps/2", `{}`, http.StatusServiceUnavailable},
 		{"POST", "/v1/requests", `{}`, http.StatusServiceUnavailable},
 	} {
-		recorder := httptest.NewRecorder()
-		handler.ServeHTTP(recorder, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+		recorder := send(handler, c.method, c.path, c.body)
 		if recorder.Code != c.status {
 			t.Errorf("%s %s: status %d, want %d: %s", c.method, c.path, recorder.Code, c.status, recorder.Body)
 		}
@@ -397,8 +267,7 @@
 	server.cfg.InFlightLimit = 1
 	server.live.enter("in flight")
 	body := `{"pool":"app","deadline_ms":1000,"repeatable":true}`
-	recorder := httptest.NewRecorder()
-	server.Handler().ServeHTTP(recorder, httptest.NewRequest("POST", "/v1/requests", strings.NewReader(body)))
+	recorder := send(server.Handler(), http.MethodPost, "/v1/requests", body)
 	if recorder.Code != http.StatusTooManyRequests || recorder.Header().Get("Retry-After") == "" {
 		t.Errorf("status %d, Retry-After %q: %s", recorder.Code, recorder.Header().Get("Retry-After"), recorder.Body)
 	}
