machinewatch: the unused address goes

Change: removed with all three uses at once. Measured: the whole tree vets; machinewatch and cluster tests pass.

--- a/internal/experiment/capacity/node.go
+++ b/internal/experiment/capacity/node.go
@@ -91,7 +91,7 @@
 	n.claims = claim.NewService(lg, claim.Config{Self: identity.Name, Incarnation: identity.Incarnation},
 		n.transport, n.transport, claimView{n.config}, claim.NewTableRegistrar(world.table))
 	n.machines = machinewatch.NewWatcher(lg, machinewatch.Config{
-		Node: identity.Name, Address: identity.PeerAddress, Machines: world.machines,
+		Node: identity.Name, Machines: world.machines,
 		Peers: n.transport, Registry: n.transport, Members: configMembers{n.membership},
 	}, func(leaving []string) { n.backends.SetLeaving(leaving) })
 	n.roster = roster.NewService(lg, roster.Config{
--- a/internal/machinewatch/watcher.go
+++ b/internal/machinewatch/watcher.go
@@ -42,9 +42,8 @@
 
 // Config holds what a Watcher needs. Zero durations and counts mean the defaults.
 type Config struct {
-	// Node and Address are this node's name and peer address.
+	// Node is this node's name.
 	Node     string
-	Address  string
 	Machines Lister
 	Peers    peer.Caller
 	// Registry takes the handlers of this watcher.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -107,7 +107,6 @@
 	})
 	n.machines = machinewatch.NewWatcher(n.log, machinewatch.Config{
 		Node:     cfg.Name,
-		Address:  cfg.PeerAdvertised(),
 		Machines: n.platform,
 		Interval: cfg.MachinesPollInterval,
 		Peers:    n.transport,
