emulator/application: a freeze at work is seen, and each case by its time

Cause: with the freeze at work switched off every test stayed green. The only case of a freeze struck before the request, where another line waits.

Change: a case that freezes while the instance works, and the exact virtual time after which the client has its answer in every case.

Measured: switched off on a scratch copy, TestInvokeUnderFaults/frozen_at_work is red. The package passes 15 times with -race.

--- a/internal/emulator/application/application_test.go
+++ b/internal/emulator/application/application_test.go
@@ -90,14 +90,16 @@
 		fault   fault.Fault
 		atMS    int64
 		want    result
+		tookMS  int64
 		effects int32
 	}{
-		{name: "none", want: result{state: engine.StateComplete}, effects: 1},
+		{name: "none", tookMS: 100, want: result{state: engine.StateComplete}, effects: 1},
 		{name: "down", fault: fault.Fault{Kind: fault.KindDown}, want: result{engine.StateRefused, http.StatusServiceUnavailable, api.CodeNoBackend}},
-		{name: "answer lost", fault: fault.Fault{Kind: fault.KindLostAnswer}, want: cut, effects: 1},
-		{name: "crash before the effect", fault: fault.Fault{Kind: fault.KindCrash}, atMS: 30, want: cut},
-		{name: "crash after the effect", fault: fault.Fault{Kind: fault.KindCrash}, atMS: 70, want: cut, effects: 1},
-		{name: "frozen", fault: fault.Fault{Kind: fault.KindFreeze, DurationMS: 1000}, want: result{state: engine.StateComplete}, effects: 1},
+		{name: "answer lost", tookMS: 100, fault: fault.Fault{Kind: fault.KindLostAnswer}, want: cut, effects: 1},
+		{name: "crash before the effect", tookMS: 30, fault: fault.Fault{Kind: fault.KindCrash}, atMS: 30, want: cut},
+		{name: "crash after the effect", tookMS: 70, fault: fault.Fault{Kind: fault.KindCrash}, atMS: 70, want: cut, effects: 1},
+		{name: "frozen", tookMS: 1100, fault: fault.Fault{Kind: fault.KindFreeze, DurationMS: 1000}, want: result{state: engine.StateComplete}, effects: 1},
+		{name: "frozen at work", tookMS: 1080, fault: fault.Fault{Kind: fault.KindFreeze, DurationMS: 1000}, want: result{state: engine.StateComplete}, atMS: 30, effects: 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -111,8 +113,9 @@
 						time.AfterFunc(api.Milliseconds(c.atMS), strike)
 					}
 				}
-				if got := f.invoke(t.Context()); got != c.want {
-					t.Errorf("client saw %+v", got)
+				began := time.Now()
+				if got, took := f.invoke(t.Context()), time.Since(began); got != c.want || took != api.Milliseconds(c.tookMS) {
+					t.Errorf("client saw %+v after %s", got, took)
 				}
 				if got := f.truth.count.Load(); got != c.effects {
 					t.Errorf("%d effects", got)
