rollout: moves begin at a fiftieth of a step and want a gain of four streams

Cause: at the target's size, five owners that see the same lagging reports moved the last tenth of their steps to the same engines, round after round.

--- a/internal/rollout/tail.go
+++ b/internal/rollout/tail.go
@@ -29,7 +29,7 @@
 // DefaultTailConfig returns the limits that docs/design/routing.md was measured
 // with.
 func DefaultTailConfig() TailConfig {
-	return TailConfig{TailShare: 0.1, MinimumGain: 3, Settle: 2 * time.Second, MaxMoves: 64}
+	return TailConfig{TailShare: 0.02, MinimumGain: 4, Settle: 2 * time.Second, MaxMoves: 64}
 }
 
 // RunningSample is a sample that may be moved.
