rollout, node: the samples expected to be longest start first

Cause: a trainer waits for the last sample of its step; one that is long and begins late makes the whole step late. Change: the service learns lengths by pool and group of prompts (the prefix that affinity uses) and gives the ledger an order of start. What is learnt is lost with the node. In the daemon: unit test of the order; the rollout tests pass with the race detector.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -159,6 +159,7 @@
 		Objects: n.platform,
 		Runner:  n.sampleRunner(),
 		Scorer:  n.platform,
+		GroupOf: routing.PrefixHash,
 		Lease:   cfg.LeaseDuration,
 		Faults:  n.cfg.Faults.Rollout,
 	})
--- a/internal/rollout/acquire.go
+++ b/internal/rollout/acquire.go
@@ -94,7 +94,7 @@
 		}
 		objects[manifest.Object] = samples
 	}
-	ledger, err := RestoreLedger(s.config.ledgerConfig(spec, next.Epoch), record.Progress, objects)
+	ledger, err := RestoreLedger(s.ledgerConfig(spec, next.Epoch), record.Progress, objects)
 	if err != nil {
 		s.lg.WithError(err).Error("a step can't be restored")
 		return nil, api.Refusal(http.StatusInternalServerError, api.CodeInvalid, 0, "step %d of trainer %s can't be restored: %v", key.step, key.trainer, err)
--- a/internal/rollout/ledger.go
+++ b/internal/rollout/ledger.go
@@ -35,7 +35,10 @@
 	// SecondAfter starts a second attempt of an index whose only attempt has
 	// run for so long while nothing else waits; zero means never.
 	SecondAfter time.Duration
-	Faults      Faults
+	// Order lists all indexes in the order in which they start; nil starts them
+	// by number.
+	Order  []int
+	Faults Faults
 }
 
 type sampleState int
--- a/internal/rollout/owned.go
+++ b/internal/rollout/owned.go
@@ -27,6 +27,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  *sync.WaitGroup
+	// lengths is the service's book, which the step's samples add to.
+	lengths *lengthBook
 
 	// record is used by the commit loop alone once the step is adopted.
 	record storedRecord
@@ -58,6 +60,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		tasks:    &s.tasks,
+		lengths:  s.lengths,
 		record:   record,
 		posted:   record.StepRecord,
 		ledger:   ledger,
@@ -200,6 +203,7 @@
 		pause = api.Milliseconds(result.Err.RetryAfterMS)
 	}
 	if outcome == api.OutcomeCompleted {
+		o.lengths.observe(o.spec.Pool, prompt, result.Tokens)
 		score, err := o.score(ctx, request, result.Text)
 		if err != nil {
 			outcome = api.OutcomeFailed
--- a/internal/rollout/post.go
+++ b/internal/rollout/post.go
@@ -160,7 +160,7 @@
 		return api.StepResponse{}, openError(p.key)
 	}
 	s.forgetOldStep(stepKey{p.key.trainer, p.key.step - keptDoneSteps})
-	ledger := NewLedger(s.config.ledgerConfig(p.spec, p.record.Epoch))
+	ledger := NewLedger(s.ledgerConfig(p.spec, p.record.Epoch))
 	owned := s.newOwnedStep(p.key, p.spec, ledger, written, sentAt)
 	if !s.adopt(owned) {
 		owned.end()
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -46,6 +46,9 @@
 	TailShare float64
 	// SecondAfter is passed on to LedgerConfig; zero means no second attempts.
 	SecondAfter time.Duration
+	// GroupOf tells which prompts tend to have samples of like length; nil makes
+	// samples start in the order of their indexes.
+	GroupOf func(prompt string) uint64
 	// ScoreAttempts bounds the calls of the scoring service for one sample.
 	ScoreAttempts int
 	Faults        Faults
@@ -102,6 +105,13 @@
 	}
 }
 
+// ledgerConfig returns the configuration of a step's ledger on this node.
+func (s *Service) ledgerConfig(spec api.StepRequest, epoch int64) LedgerConfig {
+	config := s.config.ledgerConfig(spec, epoch)
+	config.Order = s.lengths.order(spec)
+	return config
+}
+
 type stepKey struct {
 	trainer string
 	step    int64
@@ -126,6 +136,7 @@
 	steps    map[stepKey]*ownedStep
 	posting  map[stepKey]bool
 	versions map[trainerPool]int64
+	lengths  *lengthBook
 	watch    leaseWatch
 }
 
@@ -143,6 +154,7 @@
 		posting:  make(map[stepKey]bool),
 		versions: make(map[trainerPool]int64),
 		watch:    make(leaseWatch),
+		lengths:  newLengthBook(config.GroupOf),
 	}
 }
 
--- a/internal/rollout/start.go
+++ b/internal/rollout/start.go
@@ -12,10 +12,11 @@
 	if l.stopped {
 		return nil
 	}
-	for index := range l.samples {
+	for place := range l.samples {
 		if l.waiting == 0 || !l.mayStart() {
 			break
 		}
+		index := l.indexAt(place)
 		entry := &l.samples[index]
 		if entry.state != sampleWaiting || entry.notBefore.After(now) {
 			continue
@@ -28,6 +29,14 @@
 	return attempts
 }
 
+// indexAt returns the index that starts at that place of the order.
+func (l *Ledger) indexAt(place int) int {
+	if l.config.Order == nil {
+		return place
+	}
+	return l.config.Order[place]
+}
+
 // nextSecond starts second attempts of indexes that have run for long.
 func (l *Ledger) nextSecond(now time.Time) []Attempt {
 	if l.config.SecondAfter <= 0 {
--- a/internal/rollout/tail_test.go
+++ b/internal/rollout/tail_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/sliplift/sliplift/internal/api"
 )
 
 // TestTailStories asks the planners. Commands: engine and sample make the
@@ -98,3 +100,23 @@
 		t.Errorf("expected %.0f of a known group and %.0f of one beyond the limit", one, other)
 	}
 }
+
+// TestLongestSamplesStartFirst has the lengths of one step order the next one.
+func TestLongestSamplesStartFirst(t *testing.T) {
+	book := newLengthBook(func(prompt string) uint64 { return uint64(prompt[0]) })
+	spec := api.StepRequest{Pool: "titles", Prompts: []string{"short", "long", "middle"}, SamplesPerPrompt: 2}
+	if order := book.order(spec); order != nil {
+		t.Errorf("nothing was learnt, and the order is %v", order)
+	}
+	for prompt, tokens := range map[string]int{"short": 10, "long": 900, "middle": 50} {
+		book.observe("titles", prompt, tokens)
+	}
+	ledger := NewLedger(LedgerConfig{Samples: 6, Epoch: 1, Concurrency: 3, BatchLimit: 6, Order: book.order(spec)})
+	var started []int
+	for _, attempt := range ledger.Next(time.Unix(0, 0)) {
+		started = append(started, attempt.Index)
+	}
+	if want := []int{2, 3, 4}; !slices.Equal(started, want) {
+		t.Errorf("started %v, want %v", started, want)
+	}
+}
