pause: one function waits for a while, in place of eight copies

Cause: the same wait that a context may end stood in eight packages. Change: pause.For; load keeps a line around it that returns the context's cause. Behaviour is the same. Measured: the tests of the eight packages pass; the whole tree vets.

--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -9,6 +9,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/pause"
 )
 
 // jitterShare is the share of the poll interval by which a wait varies, so
@@ -26,11 +27,11 @@
 			return
 		}
 		s.polled(t, report, err)
-		if !sleep(ctx, jitter(random, s.pollInterval())) {
+		if !pause.For(ctx, jitter(random, s.pollInterval())) {
 			return
 		}
 		for wait := s.stillFresh(t); wait > 0; wait = s.stillFresh(t) {
-			if !sleep(ctx, wait) {
+			if !pause.For(ctx, wait) {
 				return
 			}
 		}
@@ -111,15 +112,3 @@
 	share := 1 + jitterShare*(2*random.Float64()-1)
 	return time.Duration(share * float64(interval))
 }
-
-// sleep waits and tells whether ctx is still live.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/peer"
 )
 
@@ -121,7 +122,7 @@
 		if registered && attempt >= recoverAttempts {
 			return
 		}
-		if !sleep(ctx, registerRetryPause) {
+		if !pause.For(ctx, registerRetryPause) {
 			return
 		}
 	}
@@ -271,15 +272,3 @@
 	}
 	return s.replica.Claim(request, now)
 }
-
-// sleep waits, and returns false if ctx ended first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/demo/operator.go
+++ b/internal/demo/operator.go
@@ -14,6 +14,7 @@
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/operator"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/query"
 )
 
@@ -84,8 +85,8 @@
 			return errs.Errorf("%s: %s", statement, describe(result))
 		}
 		o.lg.WithError(err).Debugf("%s: %s", statement, describe(result))
-		if err := sleep(ctx, notReadyRetry); err != nil {
-			return errs.Errorf("%s: %w", statement, err)
+		if !pause.For(ctx, notReadyRetry) {
+			return errs.Errorf("%s: %w", statement, context.Cause(ctx))
 		}
 	}
 }
@@ -128,14 +129,3 @@
 	}
 	o.sink.Record(history.Event{Kind: history.KindConfigAccepted, Process: process, Revision: revision, LimitMS: o.limit.Milliseconds()})
 }
-
-func sleep(ctx context.Context, delay time.Duration) error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/experiment/capacity/change.go
+++ b/internal/experiment/capacity/change.go
@@ -9,6 +9,7 @@
 
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/history"
+	"github.com/sliplift/sliplift/internal/pause"
 )
 
 // submitted is a change that was accepted.
@@ -21,7 +22,7 @@
 // until ctx ends.
 func (c *cluster) submitAtRate(ctx context.Context) []submitted {
 	var accepted []submitted
-	for wait := c.cfg.ChangeInterval / 4; pause(ctx, wait); wait = c.cfg.ChangeInterval {
+	for wait := c.cfg.ChangeInterval / 4; pause.For(ctx, wait); wait = c.cfg.ChangeInterval {
 		c.changes++
 		if change, ok := c.submit(context.WithoutCancel(ctx), c.changes); ok {
 			accepted = append(accepted, change)
--- a/internal/experiment/capacity/claims.go
+++ b/internal/experiment/capacity/claims.go
@@ -13,6 +13,7 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/claim"
 	"github.com/sliplift/sliplift/internal/emulator/table"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/peer"
 )
 
@@ -120,7 +121,7 @@
 	cost, err := medianWork(slopeRuns, func() (workCost, error) {
 		return runWork(ctx, claimWorkers, cfg.SlopeTime/slopeRuns, book)
 	})
-	pause(ctx, time.Second) // until the last completions have arrived
+	pause.For(ctx, time.Second) // until the last completions have arrived
 	after, memoryAfter := b.traffic(), memoryInUse()
 	bookings := float64(max(1, cost.count))
 	slope := ClaimSlope{
--- a/internal/experiment/capacity/cluster.go
+++ b/internal/experiment/capacity/cluster.go
@@ -14,6 +14,7 @@
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/membership"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/peer"
 )
 
@@ -120,7 +121,7 @@
 		if result.Outcome != configlog.OutcomeAccepted {
 			return errs.Combine(ErrSetup.Errorf("%s: %s", operation, result.Message), c.close())
 		}
-		pause(ctx, c.cfg.Settle/quietChanges/2)
+		pause.For(ctx, c.cfg.Settle/quietChanges/2)
 	}
 	return nil
 }
@@ -134,7 +135,7 @@
 	)
 	for i, identity := range identities {
 		if i > 0 && i%atOnce == 0 {
-			pause(ctx, startWait)
+			pause.For(ctx, startWait)
 		}
 		node := newHollowNode(c.world, identity, listeners[i])
 		node.start()
@@ -226,25 +227,13 @@
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.PhaseTimeout)
 	defer cancel()
 	for !done() {
-		if !pause(ctx, pollPause) {
+		if !pause.For(ctx, pollPause) {
 			return false
 		}
 	}
 	return true
 }
 
-// pause waits, and tells whether ctx is still live.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // close ends all nodes.
 func (c *cluster) close() error {
 	failures := make([]error, len(c.nodes))
--- a/internal/experiment/capacity/gateway.go
+++ b/internal/experiment/capacity/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/sliplift/sliplift/internal/dispatch"
 	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/gateway"
+	"github.com/sliplift/sliplift/internal/pause"
 )
 
 // GatewaySlope is the cost of live requests through a gateway, whose callers
@@ -82,7 +83,7 @@
 	go func() { b.served <- b.server.Serve(listener) }()
 	b.live = bareRequest(http.MethodPost, "/v1/requests", fmt.Sprintf(`{"pool":%q,"deadline_ms":20000,"repeatable":true,"prompt":"Draft a listing title.","max_tokens":4096}`, poolName))
 	b.generate = bareRequest(http.MethodPost, "/v1/generate", `{"request_id":"0192d3a0-0000-7000-8000-000000000000","attempt":1,"node":"node","pool":"language","priority":0,"prompt":"Draft a listing title.","max_tokens":4096}`)
-	pause(ctx, time.Second) // until the engine's first report is in
+	pause.For(ctx, time.Second) // until the engine's first report is in
 	return b, nil
 }
 
--- a/internal/experiment/capacity/measure.go
+++ b/internal/experiment/capacity/measure.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/peer"
 )
 
@@ -84,7 +85,7 @@
 	last := first
 	var intervals []intervalRates
 	for range c.cfg.Intervals {
-		if !pause(ctx, c.cfg.Measure/time.Duration(c.cfg.Intervals)) {
+		if !pause.For(ctx, c.cfg.Measure/time.Duration(c.cfg.Intervals)) {
 			break
 		}
 		next := c.snapshot()
--- a/internal/experiment/capacity/run.go
+++ b/internal/experiment/capacity/run.go
@@ -6,6 +6,8 @@
 	"runtime"
 
 	"github.com/zeebo/errs/v2"
+
+	"github.com/sliplift/sliplift/internal/pause"
 )
 
 // Run measures each cluster size and then the slopes of the data roles. A size
@@ -48,7 +50,7 @@
 	size.Shards = c.shards
 	size.FormsMS = milliseconds(c.formed)
 	phase("settling")
-	pause(ctx, cfg.Settle)
+	pause.For(ctx, cfg.Settle)
 	phase("measuring")
 	c.measureRates(ctx, &size)
 	size.MemoryBytes = (memoryInUse() - memoryBefore) / float64(nodes)
--- a/internal/experiment/capacity/steps.go
+++ b/internal/experiment/capacity/steps.go
@@ -9,6 +9,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/table"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/platform"
 	"github.com/sliplift/sliplift/internal/rollout"
 )
@@ -115,7 +116,7 @@
 		return StepSlope{}, failure
 	}
 	for service.Steps()[0].Committed < samples {
-		if !pause(ctx, pollPause) {
+		if !pause.For(ctx, pollPause) {
 			return StepSlope{}, ctx.Err()
 		}
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/sliplift/sliplift/internal/pause"
 )
 
 // stopState counts the requests in flight and holds whether new ones are taken.
@@ -107,24 +109,15 @@
 		return ctx.Err()
 	}
 	grace := min(closeGrace, s.cfg.StopLinger)
-	sleep(ctx, s.cfg.StopLinger-grace)
+	pause.For(ctx, s.cfg.StopLinger-grace)
 	// http.Server drops what it reads once its shutdown has begun, so by then
 	// nobody may have a reason to send.
 	s.stop.closePort()
 	s.sayFarewell()
-	sleep(ctx, grace)
+	pause.For(ctx, grace)
 	return s.http.Shutdown(ctx)
 }
 
 // closeGrace is the time from the closing of the port and the farewell to idle
 // connections to the shutdown. It must be longer than a request is on its way.
 const closeGrace = 100 * time.Millisecond
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/load/nodes.go
+++ b/internal/load/nodes.go
@@ -14,6 +14,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/platform"
 )
 
@@ -112,14 +113,10 @@
 	return api.Milliseconds(answer.RetryAfterMS), true
 }
 
-// wait sleeps unless the context ends first.
+// wait returns why ctx ended if it does before the delay has passed.
 func wait(ctx context.Context, delay time.Duration) error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !pause.For(ctx, delay) {
 		return context.Cause(ctx)
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
--- a/internal/migrate/change.go
+++ b/internal/migrate/change.go
@@ -12,6 +12,7 @@
 
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/operator"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/query"
 )
 
@@ -61,7 +62,7 @@
 			answer = c.sendAgain(ctx, request, change.Wait)
 		}
 		if answer == nil || answer.Outcome == configlog.OutcomeUnknown {
-			pause(ctx, c.poll)
+			pause.For(ctx, c.poll)
 		}
 	}
 	return revisionOf(*answer, request.Statements)
--- a/internal/migrate/read.go
+++ b/internal/migrate/read.go
@@ -11,6 +11,7 @@
 
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/operator"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/query"
 )
 
@@ -203,7 +204,7 @@
 // that are gone by the second look are not counted.
 func (r reader) rate(ctx context.Context, pool string, interval time.Duration) *float64 {
 	before, from, err := r.finished(ctx, pool)
-	if err != nil || !pause(ctx, interval) {
+	if err != nil || !pause.For(ctx, interval) {
 		return nil
 	}
 	after, to, err := r.finished(ctx, pool)
@@ -221,18 +222,6 @@
 	return &rate
 }
 
-// pause waits, and returns false if ctx ended first.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // row reads the cells of a row by the names of their columns. A column that the
 // node does not have reads as unknown.
 type row struct {
--- a/internal/migrate/run.go
+++ b/internal/migrate/run.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/query"
 )
 
@@ -212,7 +213,7 @@
 		m.waitingFor = step.Reason
 		m.config.Report(Event{Step: step, Revision: m.outcome.Revision, Progress: m.outcome.Progress, Load: m.outcome.Load})
 	}
-	pause(ctx, m.config.Poll)
+	pause.For(ctx, m.config.Poll)
 }
 
 // look reads the pool, and makes sure that nobody else decided on anything since
--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -14,6 +14,7 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	emulated "github.com/sliplift/sliplift/internal/emulator/table"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/platform"
 )
 
@@ -213,7 +214,7 @@
 		return RunResult{Outcome: api.OutcomeRefused, Err: api.Refusal(http.StatusServiceUnavailable, api.CodeNoBackend, 200, "none")}
 	}
 	request.OnSegment(version)
-	if !sleep(ctx, time.Duration(length)*300*time.Millisecond) {
+	if !pause.For(ctx, time.Duration(length)*300*time.Millisecond) {
 		return RunResult{Outcome: api.OutcomeFailed, Err: api.Refusal(http.StatusServiceUnavailable, api.CodeBackendFailed, 0, "cancelled")}
 	}
 	return RunResult{Outcome: api.OutcomeCompleted, Text: request.Prompt, Tokens: 1, Segments: []api.Segment{{Version: version, Tokens: 1, Engine: "e1"}}}
--- a/internal/rollout/owned.go
+++ b/internal/rollout/owned.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/pause"
 )
 
 // ownedStep is a step that this node owns: its ledger, its lease, and the two
@@ -198,9 +199,9 @@
 		Segments:  result.Segments,
 	}
 	outcome := result.Outcome
-	var pause time.Duration
+	var delay time.Duration
 	if result.Err != nil {
-		pause = api.Milliseconds(result.Err.RetryAfterMS)
+		delay = api.Milliseconds(result.Err.RetryAfterMS)
 	}
 	if outcome == api.OutcomeCompleted {
 		o.lengths.observe(o.spec.Pool, prompt, result.Tokens)
@@ -214,7 +215,7 @@
 	defer o.mu.Unlock()
 	delete(o.attempts, attempt.Number)
 	o.updateLocked(func(ledger *Ledger) {
-		verdict := ledger.Finish(attempt.Number, outcome, sample, pause, time.Now())
+		verdict := ledger.Finish(attempt.Number, outcome, sample, delay, time.Now())
 		if verdict == VerdictFailed {
 			o.lg.WithField("request_id", request.RequestID).WithField("error", result.Err).Info("sample failed, will run again")
 		}
@@ -234,7 +235,7 @@
 		if err == nil {
 			return response.Score, nil
 		}
-		if attempt >= o.config.ScoreAttempts || !sleep(ctx, max(backoff, retryAfter(err))) {
+		if attempt >= o.config.ScoreAttempts || !pause.For(ctx, max(backoff, retryAfter(err))) {
 			return 0, err
 		}
 		backoff = min(2*backoff, maxRetryBackoff)
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/platform"
 )
 
@@ -141,9 +142,9 @@
 		if err == nil || definite(err) {
 			return err
 		}
-		pause := max(backoff, retryAfter(err))
+		delay := max(backoff, retryAfter(err))
 		backoff = min(2*backoff, maxRetryBackoff)
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, delay) {
 			return fmt.Errorf("%w (last: %w)", ctx.Err(), err)
 		}
 	}
@@ -167,15 +168,3 @@
 	}
 	return api.Milliseconds(answer.RetryAfterMS)
 }
-
-// sleep pauses and returns false if the context ended first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
