--- a/internal/faulttest/network.go
+++ b/internal/faulttest/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -128,6 +129,13 @@
 	}
 }
 
+// Frozen lists the frozen hosts.
+func (n *Network) Frozen() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Sorted(maps.Keys(n.frozen))
+}
+
 // Thaw lets a frozen host go on.
 func (n *Network) Thaw(host string) {
 	n.mu.Lock()
