configspread: the model of how a change spreads is a tool, not a test file

Cause: the model that weighed two ways to tell that a change is in force stood in a test file of configlog, where nobody could run it for other sizes. Change: it is a package of the experiments with a subcommand, sliplift experiment spread; its figures are held by the same expected output as before, unchanged.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -18,6 +18,7 @@
 	Run      experimentRunCommand      `command:"run" description:"play a scenario in virtual time and write results"`
 	Report   experimentReportCommand   `command:"report" description:"make a page of tables and plots from results"`
 	Capacity experimentCapacityCommand `command:"capacity" description:"measure what a node costs with hollow nodes, for docs/CAPACITY.md"`
+	Spread   experimentSpreadCommand   `command:"spread" description:"model how a configuration change spreads, for docs/design/configuration.md"`
 }
 
 type experimentRunCommand struct {
@@ -66,6 +67,9 @@
 }
 
 func (c *experimentCommand) run(ctx context.Context, env *Environment) error {
+	if c.Spread.active {
+		return c.Spread.run(env)
+	}
 	if c.Capacity.active {
 		return c.Capacity.run(ctx, env)
 	}
