--- a/cmd/slipliftd/main.go
+++ b/cmd/slipliftd/main.go
@@ -24,7 +24,7 @@
 		Settings:  cfg,
 		Telemetry: &cfg.Telemetry,
 		Run: func(ctx context.Context, lg *logrus.Logger, sink history.Sink) error {
-	defer raiseHeapFloor()()
+			defer raiseHeapFloor()()
 			return run(ctx, cfg, lg, sink)
 		},
 	}))
