--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -28,7 +29,7 @@
 		if ctx.Err() != nil {
 			return e.giveUp(ctx)
 		}
-		return e.refuse(claimUnavailable(err.Error()))
+		return e.refuse(claimRefusal(err))
 	}
 	if !claim.Granted {
 		return e.alreadyClaimed(claim)
@@ -58,6 +59,18 @@
 	}
 }
 
+// claimRefusal says why no claim was granted, in the claimer's own words and
+// with its advice where it gave a typed error.
+func claimRefusal(err error) *api.Error {
+	var answer *api.Error
+	if !errors.As(err, &answer) || answer.Status == 0 {
+		return claimUnavailable(err.Error())
+	}
+	refusal := *answer
+	refusal.Outcome = api.OutcomeRefused
+	return &refusal
+}
+
 func claimUnavailable(reason string) *api.Error {
 	advice := limits.MaxAdvice.Milliseconds() / 10
 	return api.Refusal(http.StatusServiceUnavailable, api.CodeClaimUnavailable, advice, "claim: %s", reason)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -37,9 +37,9 @@
 }
 
 // farewellTimeout bounds each of the last messages to the other nodes, and the
-// last answers to operators. They are sent also where the work in flight used up the time of the stop: without them
-// the others wait for a node that is gone, and its restart takes no part in
-// claims.
+// last answers to operators. They are sent also where the work in flight used up
+// the time of the stop: without them the others wait for a node that is gone,
+// and its restart takes no part in claims.
 const farewellTimeout = 5 * time.Second
 
 func (n *Node) handOverClaims(ctx context.Context) {
