--- a/internal/processtest/slowlink_test.go
+++ b/internal/processtest/slowlink_test.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httputil"
-	"net/url"
 	"sync"
 	"testing"
 	"time"
@@ -22,7 +20,6 @@
 	t       *testing.T
 	address string
 	backend string
-	forward http.Handler
 
 	mu   sync.Mutex
 	held *heldOrder
@@ -37,9 +34,7 @@
 }
 
 func newSlowLink(t *testing.T, backend string) *slowLink {
-	forward := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: backend})
-	forward.FlushInterval = -1 // Frames of a stream pass at once.
-	link := &slowLink{t: t, backend: backend, forward: forward}
+	link := &slowLink{t: t, backend: backend}
 	server := httptest.NewServer(link)
 	t.Cleanup(server.Close)
 	link.address = server.Listener.Addr().String()
@@ -57,7 +52,7 @@
 // ServeHTTP implements http.Handler.
 func (l *slowLink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/v1/orders" {
-		l.forward.ServeHTTP(w, r)
+		l.forward(w, r, r.Body)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -68,8 +63,49 @@
 		<-r.Context().Done() // The sender hears nothing until it gives up.
 		return
 	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	l.forward.ServeHTTP(w, r)
+	l.forward(w, r, bytes.NewReader(body))
+}
+
+// forward sends the request on and copies the answer, whose frames pass at once.
+// Either side's end ends the other.
+func (l *slowLink) forward(w http.ResponseWriter, r *http.Request, body io.Reader) {
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+l.backend+r.URL.RequestURI(), body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	request.Header = r.Header.Clone()
+	request.ContentLength = r.ContentLength
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer response.Body.Close()
+	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	w.Header().Set("Retry-After", response.Header.Get("Retry-After"))
+	w.WriteHeader(response.StatusCode)
+	if err := copyAtOnce(w, response.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func copyAtOnce(w http.ResponseWriter, body io.Reader) error {
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, 4096)
+	for {
+		n, err := body.Read(buffer)
+		if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+			return writeErr
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if flushErr := controller.Flush(); flushErr != nil {
+			return flushErr
+		}
+	}
 }
 
 // keep tells whether the order is the one to be held.
