rollout: the test's judge reads the fake platform under its lock

The race was in the test, not in the service. Ruled out: stopping the service before judging, which would hide late writes. Change: the fakes hand out copies under their locks; the checks are the same.

--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -51,6 +52,13 @@
 	p.down = down
 }
 
+// writtenEpochs returns the epochs of the row's writes so far.
+func (p *fakePlatform) writtenEpochs() []int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.epochs)
+}
+
 func (p *fakePlatform) failure() error {
 	if p.down {
 		return fmt.Errorf("down: %w", platform.ErrUncertain)
@@ -200,6 +208,13 @@
 	refuse   int
 }
 
+// started returns the ids of the requests so far.
+func (r *fakeRunner) started() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.requests)
+}
+
 func (r *fakeRunner) Run(ctx context.Context, request RunRequest) RunResult {
 	r.mu.Lock()
 	r.requests = append(r.requests, request.RequestID)
--- a/internal/rollout/service_test.go
+++ b/internal/rollout/service_test.go
@@ -118,10 +118,10 @@
 			c.breaches = append(c.breaches, fmt.Sprintf("index %d was delivered %d times", index, c.taken[index]))
 		}
 	}
-	if !slices.IsSorted(c.platform.epochs) {
-		c.breaches = append(c.breaches, fmt.Sprintf("the row's epoch went back: %v", c.platform.epochs))
+	if epochs := c.platform.writtenEpochs(); !slices.IsSorted(epochs) {
+		c.breaches = append(c.breaches, fmt.Sprintf("the row's epoch went back: %v", epochs))
 	}
-	requests := slices.Clone(c.runner.requests)
+	requests := c.runner.started()
 	slices.Sort(requests)
 	if len(slices.Compact(slices.Clone(requests))) != len(requests) {
 		c.breaches = append(c.breaches, "a request id was used twice")
@@ -274,12 +274,12 @@
 		if status := c.nodes[0].Steps(); len(status) != 1 || status[0].Finished != testSamples || status[0].LeaseValid {
 			t.Errorf("status %+v", status)
 		}
-		started := len(c.runner.requests)
+		started := len(c.runner.started())
 		c.platform.setDown(false)
 		c.train(time.Minute)
 		c.mustHold()
-		if len(c.runner.requests) != started {
-			t.Errorf("%d samples were generated again", len(c.runner.requests)-started)
+		if len(c.runner.started()) != started {
+			t.Errorf("%d samples were generated again", len(c.runner.started())-started)
 		}
 	})
 }
@@ -416,7 +416,7 @@
 		if taken != spec.SampleCount() {
 			t.Errorf("%d of %d samples", taken, spec.SampleCount())
 		}
-		t.Logf("%s: %d object writes, %d row writes, largest row %d bytes", time.Since(begin), c.platform.objectWrites, len(c.platform.epochs), largest)
+		t.Logf("%s: %d object writes, %d row writes, largest row %d bytes", time.Since(begin), c.platform.objectWrites, len(c.platform.writtenEpochs()), largest)
 	})
 }
 
@@ -430,8 +430,8 @@
 			t.Errorf("took %s", took)
 		}
 		record := c.platform.record()
-		if record.Owner != "" || record.Committed != int64(len(c.runner.requests)) {
-			t.Errorf("owner %q, %d of %d samples committed", record.Owner, record.Committed, len(c.runner.requests))
+		if record.Owner != "" || record.Committed != int64(len(c.runner.started())) {
+			t.Errorf("owner %q, %d of %d samples committed", record.Owner, record.Committed, len(c.runner.started()))
 		}
 		c.nodes[0].Close()
 		if err := c.pull(1); err != nil {
