rollout: one reading of the platform's definite answers

Cause: rollout had its own copy of platform.HasCode, without the look at ErrUncertain, so an uncertain error that wraps a typed answer would have counted as the service's definite word. platform.HasCode was used by tests alone. Ruled out: one function for retryAfter too, which has no twin. Change: rollout calls platform.HasCode; its copy is gone. For the answers that the clients give today the behaviour is the same.

--- a/internal/rollout/acquire.go
+++ b/internal/rollout/acquire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/platform"
 )
 
 // acquireTimeout bounds a takeover.
@@ -39,7 +40,7 @@
 		return located{owned: owned}, nil
 	}
 	record, err := s.lookup(ctx, key)
-	if hasCode(err, api.CodeNotFound) {
+	if platform.HasCode(err, api.CodeNotFound) {
 		return located{}, api.Refusal(http.StatusNotFound, api.CodeUnknownStep, 0, "trainer %s has no step %d", key.trainer, key.step)
 	}
 	if err != nil {
--- a/internal/rollout/post.go
+++ b/internal/rollout/post.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/platform"
 )
 
 // postTimeout bounds a Post, createTimeout the writes that it began.
@@ -45,7 +46,7 @@
 	if err == nil {
 		return posting.answer(existing.StepRecord)
 	}
-	if !hasCode(err, api.CodeNotFound) {
+	if !platform.HasCode(err, api.CodeNotFound) {
 		return api.StepResponse{}, storeError(err)
 	}
 	return s.begin(ctx, posting)
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -65,12 +65,12 @@
 	if err == nil {
 		return storedRecord{StepRecord: record, revision: response.Revision}, nil
 	}
-	if !hasCode(err, api.CodeConditionFailed) {
+	if !platform.HasCode(err, api.CodeConditionFailed) {
 		return storedRecord{}, err
 	}
 	current, err := s.read(ctx, key)
 	switch {
-	case hasCode(err, api.CodeNotFound):
+	case platform.HasCode(err, api.CodeNotFound):
 		return storedRecord{}, errFenced
 	case err != nil:
 		return storedRecord{}, err
@@ -153,12 +153,7 @@
 // definite tells whether an error is a definite answer that repeating does not
 // change.
 func definite(err error) bool {
-	return hasCode(err, api.CodeConditionFailed) || hasCode(err, api.CodeNotFound)
-}
-
-func hasCode(err error, code api.Code) bool {
-	var answer *api.Error
-	return errors.As(err, &answer) && answer.Code == code
+	return platform.HasCode(err, api.CodeConditionFailed) || platform.HasCode(err, api.CodeNotFound)
 }
 
 func retryAfter(err error) time.Duration {
