--- /dev/null
+++ b/cmd/sliplift-gateway/main.go
@@ -0,0 +1,208 @@
+// Command sliplift-gateway is a node of sliplift that keeps all lasting state in
+// the platform's row store; see its --help.
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/reload"
+	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/settings"
+	"github.com/sliplift/sliplift/internal/storenode"
+	"github.com/sliplift/sliplift/internal/telemetry"
+	"github.com/sliplift/sliplift/internal/upstream"
+	"github.com/sliplift/sliplift/platform"
+)
+
+// Exit codes.
+const (
+	exitOrder  = 0
+	exitFailed = 1
+)
+
+func main() {
+	cfg := &settings.Gateway{}
+	code, proceed := settings.Start(settings.GatewayProgram, telemetry.Version(), os.Args[1:], cfg, os.Stdout, os.Stderr)
+	if !proceed {
+		os.Exit(code)
+	}
+	logger, err := telemetry.NewLogger(cfg.LogLevel, telemetry.Format(cfg.LogFormat), os.Stdout)
+	if err != nil {
+		panic("settings let through: " + err.Error())
+	}
+	log := eventlog.New(logger, os.Stdout)
+	code = run(cfg, log)
+	log.Close()
+	os.Exit(code)
+}
+
+// run serves until a signal ends it, and then stops in order.
+func run(cfg *settings.Gateway, log *eventlog.Log) int {
+	log.Info(eventlog.Started, eventlog.Fields{
+		eventlog.Node: cfg.Name, "zone": cfg.Zone, "caller_address": cfg.CallerAddress, "program_version": telemetry.Version(),
+	})
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	go reloads(ctx, log)
+	go log.ReportDropped(ctx.Done())
+	servers := &servers{failed: make(chan error, 1)}
+	defer servers.close()
+	for _, address := range []string{cfg.CallerAddress, cfg.ReadyAddress, cfg.DirectoryAddress} {
+		if err := servers.listen(address); err != nil {
+			log.Warn(eventlog.Stopped, eventlog.Fields{eventlog.Cause: err.Error()})
+			return exitFailed
+		}
+	}
+	node, err := storenode.New(ctx, nodeConfig(cfg, log))
+	if err != nil {
+		return exitOrder
+	}
+	working, endWork := context.WithCancel(context.Background())
+	defer endWork()
+	go node.Run(working)
+	servers.serve(platform.NewFront(node), platform.NewReadiness(node), platform.NewDirectory(node))
+	select {
+	case <-ctx.Done():
+	case err := <-servers.failed:
+		log.Warn(eventlog.Stopped, eventlog.Fields{eventlog.Cause: err.Error()})
+		return exitFailed
+	}
+	stop(cfg, log, node, servers)
+	return exitOrder
+}
+
+// reloads notes changes of the settings file: all settings are read at the
+// start alone, so that a change takes effect with the next one.
+func reloads(ctx context.Context, log *eventlog.Log) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			log.Info(eventlog.SettingsChanged, eventlog.Fields{"outcome": "in force from the next start on"})
+		}
+	}
+}
+
+// Limits of calls to the store.
+const (
+	storeCallLimit  = 1500 * time.Millisecond
+	storeWatchSlack = 700 * time.Millisecond
+	storeDialLimit  = 500 * time.Millisecond
+	storeIdleLimit  = 30 * time.Second
+	storeIdleMost   = 16
+	transactionRows = 100
+	transactionMost = 1 << 20
+)
+
+func nodeConfig(cfg *settings.Gateway, log *eventlog.Log) storenode.Config {
+	dialer := &net.Dialer{Timeout: storeDialLimit, KeepAlive: -1}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: storeIdleMost, IdleConnTimeout: storeIdleLimit, DisableCompression: true,
+	}}
+	store := platform.NewStore(client, cfg.StoreAddress, platform.StoreLimits{Call: storeCallLimit, WatchSlack: storeWatchSlack})
+	return storenode.Config{
+		Store: rowstore.NewGuard(store),
+		Limits: rowstore.Limits{
+			RowBytes: cfg.StoreRowBytes, TransactionBytes: transactionMost, TransactionRows: transactionRows,
+			WritesPerSecond: cfg.StoreWrites, ReadsPerSecond: cfg.StoreReads,
+		},
+		Translator:    platform.Translator{},
+		NewCommander:  func(client *upstream.Client) reload.Commander { return platform.NewCommander(client) },
+		Codec:         platform.Codec{},
+		Log:           log,
+		Self:          presence.Node{Name: cfg.Name, Address: cfg.CallerAddress, Zone: cfg.Zone, Region: cfg.Region},
+		OperatorTable: platform.TableOperator,
+		InstanceTable: platform.TableInstances,
+		VersionField:  platform.VersionField,
+		SettleTime:    cfg.LeaseSettle,
+		KeepJobs:      cfg.KeepJobs,
+		FreshMost:     cfg.ConfigApply,
+		AddressTTL:    cfg.AddressTTL,
+	}
+}
+
+// servers are the node's listeners and what answers on them.
+type servers struct {
+	listeners []net.Listener
+	running   []*http.Server
+	failed    chan error
+}
+
+func (s *servers) listen(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.listeners = append(s.listeners, listener)
+	return nil
+}
+
+// Limits of the servers. The idle limit is above what callers are granted.
+const (
+	headerLimit = 10 * time.Second
+	idleLimit   = 75 * time.Second
+	headerBytes = 64 << 10
+)
+
+func (s *servers) serve(handlers ...http.Handler) {
+	discard := logrus.New()
+	discard.SetLevel(logrus.PanicLevel)
+	for i, handler := range handlers {
+		server := &http.Server{
+			Handler: handler, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: headerBytes,
+		}
+		s.running = append(s.running, server)
+		listener := s.listeners[i]
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				s.failed <- err
+			}
+		}()
+	}
+}
+
+func (s *servers) close() {
+	for _, listener := range s.listeners {
+		_ = listener.Close()
+	}
+}
+
+const (
+	// callerHolds is how many TTLs callers keep an address.
+	callerHolds = 3
+	// stopMargin is kept free at the end of the grace.
+	stopMargin = time.Second
+	// handOverMost bounds the handing over of jobs.
+	handOverMost = 2 * time.Second
+)
+
+// stop hands work over, lets callers hear of it, and ends what is in flight.
+func stop(cfg *settings.Gateway, log *eventlog.Log, node *storenode.Node, servers *servers) {
+	started := time.Now()
+	log.Info(eventlog.Stopping, eventlog.Fields{eventlog.Node: cfg.Name, "grace_ms": cfg.StopGrace.Milliseconds()})
+	handing, cancelHanding := context.WithTimeout(context.Background(), handOverMost)
+	node.Stop(handing)
+	cancelHanding()
+	time.Sleep(time.Until(started.Add(callerHolds*cfg.AddressTTL + cfg.AddressTTL/2)))
+	ending, cancelEnding := context.WithDeadline(context.Background(), started.Add(cfg.StopGrace-stopMargin))
+	defer cancelEnding()
+	for _, server := range servers.running {
+		_ = server.Shutdown(ending)
+	}
+	log.Info(eventlog.Stopped, eventlog.Fields{eventlog.Node: cfg.Name, eventlog.TookMillis: time.Since(started).Milliseconds()})
+}
--- /dev/null
+++ b/internal/batch/commit.go
@@ -0,0 +1,145 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+const (
+	// groupCommit is how long results are gathered before they are committed.
+	groupCommit = 30 * time.Millisecond
+	// commitRetryPause is the pause after a commit that failed.
+	commitRetryPause = 60 * time.Millisecond
+)
+
+// commitLoop commits finished items until the job is closed.
+func (r *runner) commitLoop(job *ownedJob) {
+	for {
+		select {
+		case <-job.ctx.Done():
+			return
+		case <-job.wake:
+		}
+		pause(job.ctx, groupCommit)
+		if !r.commitFinished(job.ctx, job) {
+			return
+		}
+	}
+}
+
+// flush commits what is finished; it is called once no run is left.
+func (r *runner) flush(ctx context.Context, id string) {
+	r.mu.Lock()
+	job := r.jobs[id]
+	r.mu.Unlock()
+	if job != nil && job.ready {
+		r.commitFinished(ctx, job)
+	}
+}
+
+// commitFinished commits all finished items; false means that the job is no
+// longer this node's.
+func (r *runner) commitFinished(ctx context.Context, job *ownedJob) bool {
+	job.committing.Lock()
+	defer job.committing.Unlock()
+	for ctx.Err() == nil {
+		batch, head, transaction := r.nextCommit(job)
+		if len(batch) == 0 {
+			return true
+		}
+		if !r.commit(ctx, job, batch, head, transaction) {
+			return false
+		}
+	}
+	return false
+}
+
+// nextCommit returns the results that go into the next commit, and the commit.
+func (r *runner) nextCommit(job *ownedJob) ([]Result, Head, rowstore.Transaction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	head := job.head
+	var transaction rowstore.Transaction
+	var batch []Result
+	size := 0
+	for _, result := range job.finished {
+		value := encode(result)
+		if len(batch) > 0 && (size+len(value) > transactionMost || len(batch)+2 > r.manager.config.Limits.TransactionRows) {
+			break
+		}
+		size += len(value)
+		batch = append(batch, result)
+		transaction.Puts = append(transaction.Puts, rowstore.Row{RowID: resultID(job.id, head.Count), Value: value})
+		head.Count++
+	}
+	head.Failures = failures(job)
+	transaction.Conditions = []rowstore.Condition{{RowID: headID(job.id), Revision: job.revision}}
+	transaction.Puts = append(transaction.Puts, rowstore.Row{RowID: headID(job.id), Value: encode(head)})
+	return batch, head, transaction
+}
+
+func failures(job *ownedJob) map[int]int {
+	counts := make(map[int]int)
+	for i := range job.items {
+		if job.items[i].failures > 0 && job.items[i].phase != phaseFinished {
+			counts[i] = job.items[i].failures
+		}
+	}
+	return counts
+}
+
+// commit writes one commit until its outcome is certain.
+func (r *runner) commit(ctx context.Context, job *ownedJob, batch []Result, head Head, transaction rowstore.Transaction) bool {
+	for {
+		revision, err := r.manager.config.Store.Commit(ctx, transaction)
+		if err == nil {
+			r.committedAs(job, batch, head, revision)
+			return true
+		}
+		var conflict *rowstore.ConflictError
+		if errors.As(err, &conflict) {
+			return r.settleConflict(job, batch, head, conflict)
+		}
+		r.manager.config.Log.Warn(eventlog.CommitUncertain, eventlog.Fields{
+			eventlog.Job: job.id, eventlog.Epoch: head.Epoch, eventlog.Count: len(batch), eventlog.Cause: err.Error(),
+		})
+		if !pause(ctx, commitRetryPause) {
+			return false
+		}
+	}
+}
+
+// settleConflict tells from the head as it is whether an earlier attempt of
+// this very commit took effect.
+func (r *runner) settleConflict(job *ownedJob, batch []Result, head Head, conflict *rowstore.ConflictError) bool {
+	r.manager.adoptRows(conflict.Rows)
+	state, found := r.manager.snapshot(job.id)
+	if found && state.head.Epoch == head.Epoch && state.head.Count == head.Count {
+		r.committedAs(job, batch, head, state.headRevision)
+		return true
+	}
+	r.manager.config.Log.Warn(eventlog.JobLost, eventlog.Fields{
+		eventlog.Job: job.id, eventlog.Epoch: head.Epoch, "store_epoch": state.head.Epoch, eventlog.Owner: state.head.Owner,
+	})
+	r.close(job.id)
+	return false
+}
+
+func (r *runner) committedAs(job *ownedJob, batch []Result, head Head, revision int64) {
+	r.mu.Lock()
+	job.head, job.revision = head, revision
+	job.committed = append(job.committed, batch...)
+	job.finished = job.finished[len(batch):]
+	left := len(job.items) - head.Count
+	r.mu.Unlock()
+	r.manager.adopt(job.id, head, revision)
+	if left == 0 {
+		r.manager.config.Log.Info(eventlog.JobComplete, eventlog.Fields{
+			eventlog.Job: job.id, eventlog.Count: head.Count, eventlog.TookMillis: head.age(time.Now()).Milliseconds(),
+		})
+	}
+}
--- /dev/null
+++ b/internal/batch/doc.go
@@ -0,0 +1,179 @@
+// Package batch keeps batch jobs: many items submitted together, run later, and
+// listed as results at fixed positions that every node can read.
+//
+// State. A job's rows lie in one partition of the row store, so that one
+// transaction can touch several of them:
+//
+//	jobs/ID/head          owner, epoch, number of results; written by the owner
+//	jobs/ID/end           exists once the job was ended
+//	specs/ID/NONCE/I      the specification, in parts
+//	results/ID/POSITION   one result
+//	partials/ID/ITEM      text of an unfinished item, at a planned hand-over
+//
+// Invariants.
+//
+//   - The head is created on the condition that neither head nor end exist, so a
+//     job that is submitted again is taken once.
+//   - Everything the owner writes is conditional on the head's revision and
+//     changes the head. A commit whose outcome is unknown is sent again under the
+//     same condition: either it succeeds, and the first can never take effect, or
+//     the conflict shows the head that the first one wrote.
+//   - A result is served only once it is committed, and its row never changes.
+//   - A job whose owner is gone is taken over by writing the head with the next
+//     epoch on the condition of its revision: of several nodes one succeeds, and
+//     the old owner's later commits fail.
+//
+// Owner. The node that accepts a job assigns it to the node that is first for
+// the job's model by rendezvous hashing, so that one node knows all work of a
+// model: it keeps connections, balances, and continues texts of items that come
+// again in a later job.
+package batch
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+// Tables of the row store.
+const (
+	TableJobs     = "jobs"
+	TableSpecs    = "specs"
+	TableResults  = "results"
+	TablePartials = "partials"
+)
+
+// Item is one request of a job.
+type Item struct {
+	ID     string            `json:"id"`
+	Path   string            `json:"path"`
+	Header map[string]string `json:"header"`
+	Body   []byte            `json:"body"`
+	Group  string            `json:"group,omitempty"`
+	// Tokens is the prompt plus the most that may come out; LengthHint is a guess
+	// at what will come out, 0 if there is none.
+	Tokens     int `json:"tokens"`
+	LengthHint int `json:"length_hint,omitempty"`
+}
+
+// Spec is a job as it was submitted.
+type Spec struct {
+	ID         string `json:"id"`
+	Route      string `json:"route"`
+	Host       string `json:"host"`
+	Model      string `json:"model,omitempty"`
+	Step       int64  `json:"step,omitempty"`
+	MinVersion int64  `json:"min_version,omitempty"`
+	Desired    int    `json:"desired,omitempty"`
+	Items      []Item `json:"items"`
+}
+
+// Head is the row that owns a job.
+type Head struct {
+	Owner       string `json:"owner"`
+	Incarnation int64  `json:"incarnation"`
+	Epoch       int64  `json:"epoch"`
+	Model       string `json:"model,omitempty"`
+	Total       int    `json:"total"`
+	Count       int    `json:"count"`
+	Nonce       string `json:"nonce"`
+	Parts       int    `json:"parts"`
+	// SubmittedMillis is the accepting node's time of day, Unix milliseconds.
+	SubmittedMillis int64 `json:"submitted_ms"`
+	// Failures counts failed runs by item index.
+	Failures map[int]int `json:"failures,omitempty"`
+}
+
+// State is how an item ended.
+type State string
+
+// The states of a result.
+const (
+	Completed State = "completed"
+	Dead      State = "dead"
+)
+
+// Result is a listed item.
+type Result struct {
+	ID       string  `json:"id"`
+	State    State   `json:"state"`
+	Text     string  `json:"text"`
+	Versions []int64 `json:"versions,omitempty"`
+}
+
+// Partial is the text of an unfinished item.
+type Partial struct {
+	Events   [][]byte `json:"events"`
+	Versions []int64  `json:"versions"`
+}
+
+// Status tells how a call of the package ended.
+type Status int
+
+// The outcomes of calls.
+const (
+	// OK means done.
+	OK Status = iota
+	// NotFound means that there certainly is no such job or item.
+	NotFound
+	// Unavailable means that the node cannot tell just now; nothing was done.
+	Unavailable
+	// Uncertain means that it may have been done or be done later.
+	Uncertain
+)
+
+// String returns the status for logs.
+func (s Status) String() string {
+	return [...]string{"ok", "not_found", "unavailable", "uncertain"}[s]
+}
+
+func rowID(table, job, suffix string) rowstore.RowID {
+	return rowstore.RowID{Table: table, Partition: rowstore.Shard(job), Key: job + "/" + suffix}
+}
+
+func headID(job string) rowstore.RowID { return rowID(TableJobs, job, "head") }
+func endID(job string) rowstore.RowID  { return rowID(TableJobs, job, "end") }
+
+func resultID(job string, position int) rowstore.RowID {
+	return rowID(TableResults, job, fmt.Sprintf("%08d", position))
+}
+
+func specID(job, nonce string, part int) rowstore.RowID {
+	return rowID(TableSpecs, job, fmt.Sprintf("%s/%06d", nonce, part))
+}
+
+func partialID(job string, item int) rowstore.RowID {
+	return rowID(TablePartials, job, fmt.Sprintf("%08d", item))
+}
+
+// splitKey returns the job and the rest of a row's key.
+func splitKey(key string) (job, rest string) {
+	job, rest, _ = strings.Cut(key, "/")
+	return job, rest
+}
+
+func encode(value any) []byte {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic("batch: a row cannot be encoded: " + err.Error())
+	}
+	return encoded
+}
+
+// splitParts cuts content into parts of at most size bytes, at least one.
+func splitParts(content []byte, size int) [][]byte {
+	var parts [][]byte
+	for len(content) > size {
+		parts = append(parts, content[:size])
+		content = content[size:]
+	}
+	return append(parts, content)
+}
+
+// age returns how long ago a job was submitted, never less than 0.
+func (h Head) age(now time.Time) time.Duration {
+	return max(0, now.Sub(time.UnixMilli(h.SubmittedMillis)))
+}
--- /dev/null
+++ b/internal/batch/manager.go
@@ -0,0 +1,625 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/upstream"
+)
+
+// Config configures a Manager.
+type Config struct {
+	Store    rowstore.Store
+	Limits   rowstore.Limits
+	Presence *presence.Registry
+	Fleet    *fleet.Fleet
+	Client   *upstream.Client
+	Log      *eventlog.Log
+	Zone     string
+	// Routes returns the configuration in force, nil while there is none.
+	Routes func() *routetable.Table
+	// VersionField names the stream field that tells the weight version.
+	VersionField string
+	// Wait is how long a watch stays open.
+	Wait time.Duration
+	// Keep is how long a job stays readable after it was submitted.
+	Keep time.Duration
+	// Observe is told of decisions for metrics; it may be nil.
+	Observe func(event string)
+}
+
+// jobState is what a node knows of a job.
+type jobState struct {
+	id           string
+	head         Head
+	headRevision int64
+	known        bool
+	ended        bool
+	// changed is closed and replaced whenever head or end changes.
+	changed chan struct{}
+	// seen is when the node first knew of the job, by its steady clock.
+	seen time.Time
+	// orphaned is when the owner was first found to be gone.
+	orphaned time.Time
+	taking   bool
+}
+
+// Manager answers callers about jobs and runs those that the node owns. It is
+// safe for concurrent use.
+type Manager struct {
+	config Config
+	self   presence.Node
+	view   *rowstore.View
+	specs  *specCache
+	runner *runner
+
+	mu       sync.Mutex
+	jobs     map[string]*jobState
+	stopping bool
+	base     context.Context
+}
+
+// NewManager returns a manager; Run has to be called.
+func NewManager(config Config) *Manager {
+	manager := &Manager{
+		config: config,
+		self:   config.Presence.Self(),
+		jobs:   make(map[string]*jobState),
+		specs:  newSpecCache(),
+	}
+	manager.runner = newRunner(manager)
+	manager.view = rowstore.NewView(config.Log.Logger(), config.Store, rowstore.ViewConfig{
+		Name:       "jobs",
+		Table:      TableJobs,
+		Partitions: rowstore.AllShards(),
+		Wait:       config.Wait,
+		Apply:      manager.apply,
+	})
+	return manager
+}
+
+// View returns the view of the jobs' heads.
+func (m *Manager) View() *rowstore.View { return m.view }
+
+// Kick makes the manager look again at what can be run.
+func (m *Manager) Kick() { m.runner.kick() }
+
+// reconcileEvery is how often ownership is checked without a change.
+const reconcileEvery = 100 * time.Millisecond
+
+// Run keeps the view, takes over orphaned jobs and runs owned ones until ctx
+// ends.
+func (m *Manager) Run(ctx context.Context) {
+	m.mu.Lock()
+	m.base = ctx
+	m.mu.Unlock()
+	var group sync.WaitGroup
+	group.Go(func() { m.view.Run(ctx) })
+	group.Go(func() { m.runner.run(ctx) })
+	group.Go(func() { m.reconcileLoop(ctx) })
+	group.Wait()
+}
+
+func (m *Manager) reconcileLoop(ctx context.Context) {
+	ticker := time.NewTicker(reconcileEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.reconcile(ctx)
+			m.cleanUp(ctx)
+		}
+	}
+}
+
+// apply takes changed rows of the jobs table.
+func (m *Manager) apply(rows []rowstore.Row, complete bool) {
+	m.mu.Lock()
+	present := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		job, kind := splitKey(row.Key)
+		present[job] = true
+		m.applyRow(job, kind, row)
+	}
+	if complete {
+		for id, state := range m.jobs {
+			// A job this node has just written may be newer than the read.
+			if !present[id] && time.Since(state.seen) > m.config.Keep {
+				delete(m.jobs, id)
+			}
+		}
+	}
+	ctx := m.base
+	m.mu.Unlock()
+	if ctx != nil {
+		m.reconcile(ctx)
+	}
+}
+
+func (m *Manager) applyRow(job, kind string, row rowstore.Row) {
+	state := m.state(job)
+	if row.Deleted {
+		if kind == "head" && row.Revision >= state.headRevision {
+			delete(m.jobs, job)
+		}
+		return
+	}
+	switch kind {
+	case "end":
+		if !state.ended {
+			state.ended = true
+			state.announce()
+		}
+	case "head":
+		var head Head
+		if json.Unmarshal(row.Value, &head) == nil {
+			state.setHead(head, row.Revision)
+		}
+	}
+}
+
+// state returns the state of a job, made if need be. The lock is held.
+func (m *Manager) state(job string) *jobState {
+	state := m.jobs[job]
+	if state == nil {
+		state = &jobState{id: job, changed: make(chan struct{}), seen: time.Now()}
+		m.jobs[job] = state
+	}
+	return state
+}
+
+func (s *jobState) setHead(head Head, revision int64) {
+	if revision <= s.headRevision {
+		return
+	}
+	if !s.known || s.head.Epoch != head.Epoch {
+		s.orphaned = time.Time{}
+	}
+	s.head, s.headRevision, s.known = head, revision, true
+	s.announce()
+}
+
+func (s *jobState) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// adopt takes a head that this node wrote or read itself.
+func (m *Manager) adopt(job string, head Head, revision int64) {
+	m.mu.Lock()
+	m.state(job).setHead(head, revision)
+	m.mu.Unlock()
+}
+
+// snapshot returns what is known of a job.
+func (m *Manager) snapshot(job string) (jobState, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state := m.jobs[job]
+	if state == nil {
+		return jobState{}, false
+	}
+	return *state, true
+}
+
+const (
+	// submitRetryPause is the pause between attempts to write a new job.
+	submitRetryPause = 60 * time.Millisecond
+	// specPartMost bounds a part of a specification, in bytes.
+	specPartMost = 48 << 10
+	// transactionMost bounds the values of one transaction, in bytes: two thirds
+	// of the store's limit, since they are encoded.
+	transactionMost = 600 << 10
+)
+
+// Submit stores a job. OK means that it is kept from now on; Unavailable, that
+// it is not and never will be by this call; Uncertain, neither. It ends with ctx
+// at the latest.
+func (m *Manager) Submit(ctx context.Context, spec *Spec) Status {
+	if state, found := m.snapshot(spec.ID); found && (state.known || state.ended) {
+		return OK
+	}
+	content := encode(spec)
+	head := m.newHead(spec)
+	parts := splitParts(content, min(specPartMost, m.config.Limits.RowBytes))
+	head.Parts = len(parts)
+	last, status := m.writeEarlyParts(ctx, spec.ID, head.Nonce, parts)
+	if status != OK {
+		return status
+	}
+	transaction := rowstore.Transaction{
+		Conditions: []rowstore.Condition{{RowID: headID(spec.ID)}, {RowID: endID(spec.ID)}},
+		Puts:       append(last, rowstore.Row{RowID: headID(spec.ID), Value: encode(head)}),
+	}
+	status = m.create(ctx, spec.ID, head, transaction)
+	if status == OK {
+		m.specs.put(spec.ID, spec)
+		m.reconcileSoon()
+	}
+	return status
+}
+
+func (m *Manager) newHead(spec *Spec) Head {
+	head := Head{
+		Epoch: 1, Model: spec.Model, Total: len(spec.Items),
+		Nonce: uuid.NewString()[:8], SubmittedMillis: time.Now().UnixMilli(),
+	}
+	owner := m.placement(spec.Model, time.Now())
+	head.Owner, head.Incarnation = owner.Name, owner.Incarnation
+	return head
+}
+
+// placement returns the node that should own jobs of a model.
+func (m *Manager) placement(model string, now time.Time) presence.Node {
+	live := m.config.Presence.Live(now)
+	if len(live) == 0 {
+		return m.self
+	}
+	return presence.Rank(live, model)[0]
+}
+
+// writeEarlyParts writes the parts that do not fit the transaction of the head,
+// and returns the rows that do.
+func (m *Manager) writeEarlyParts(ctx context.Context, job, nonce string, parts [][]byte) ([]rowstore.Row, Status) {
+	var batch []rowstore.Row
+	size := 0
+	for i, part := range parts {
+		if size+len(part) > transactionMost {
+			if status := m.putRetrying(ctx, rowstore.Transaction{Puts: batch}); status != OK {
+				// Parts alone do nothing: no head names them.
+				return nil, Unavailable
+			}
+			batch, size = nil, 0
+		}
+		batch = append(batch, rowstore.Row{RowID: specID(job, nonce, i), Value: part})
+		size += len(part)
+	}
+	return batch, OK
+}
+
+// putRetrying commits an unconditional, repeatable transaction.
+func (m *Manager) putRetrying(ctx context.Context, transaction rowstore.Transaction) Status {
+	uncertain := false
+	for {
+		_, err := m.config.Store.Commit(ctx, transaction)
+		if err == nil {
+			return OK
+		}
+		uncertain = uncertain || errors.Is(err, rowstore.ErrUnknown)
+		if !pause(ctx, submitRetryPause) {
+			if uncertain {
+				return Uncertain
+			}
+			return Unavailable
+		}
+	}
+}
+
+// create writes the head until the outcome is certain or ctx ends.
+func (m *Manager) create(ctx context.Context, job string, head Head, transaction rowstore.Transaction) Status {
+	uncertain := false
+	for {
+		revision, err := m.config.Store.Commit(ctx, transaction)
+		if err == nil {
+			m.adopt(job, head, revision)
+			m.config.Log.Info(eventlog.JobAccepted, eventlog.Fields{
+				eventlog.Job: job, eventlog.Owner: head.Owner, eventlog.Model: head.Model, eventlog.Count: head.Total,
+			})
+			return OK
+		}
+		var conflict *rowstore.ConflictError
+		if errors.As(err, &conflict) {
+			// It is there: by this call, by another node, or it has ended.
+			m.adoptRows(conflict.Rows)
+			return OK
+		}
+		if errors.Is(err, rowstore.ErrUnknown) {
+			uncertain = true
+			m.config.Log.Warn(eventlog.CommitUncertain, eventlog.Fields{eventlog.Job: job, "row": "head", eventlog.Cause: err.Error()})
+		}
+		if errors.Is(err, rowstore.ErrInvalid) || !pause(ctx, submitRetryPause) {
+			if uncertain {
+				return Uncertain
+			}
+			return Unavailable
+		}
+	}
+}
+
+func (m *Manager) adoptRows(rows []rowstore.Row) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, row := range rows {
+		if row.Revision == 0 {
+			continue
+		}
+		job, kind := splitKey(row.Key)
+		m.applyRow(job, kind, row)
+	}
+}
+
+// pause waits; false means that ctx ended first.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// End ends a job; repeated calls are OK too. A job that is not there is ended
+// in advance, so that a submission which is still on its way does not run.
+func (m *Manager) End(ctx context.Context, job string) Status {
+	if state, found := m.snapshot(job); found && state.ended {
+		return OK
+	}
+	status := m.putRetrying(ctx, rowstore.Transaction{Puts: []rowstore.Row{{RowID: endID(job), Value: []byte("{}")}}})
+	if status != OK {
+		return status
+	}
+	m.mu.Lock()
+	state := m.state(job)
+	if !state.ended {
+		state.ended = true
+		state.announce()
+	}
+	m.mu.Unlock()
+	m.config.Log.Info(eventlog.JobEnded, eventlog.Fields{eventlog.Job: job})
+	m.reconcileSoon()
+	return OK
+}
+
+// reconcileSoon looks at ownership without holding the caller up.
+func (m *Manager) reconcileSoon() {
+	m.mu.Lock()
+	ctx := m.base
+	m.mu.Unlock()
+	if ctx != nil {
+		m.reconcile(ctx)
+	}
+}
+
+// lookUp returns a job's state, from the store if the view does not have it.
+func (m *Manager) lookUp(ctx context.Context, job string) (jobState, Status) {
+	if state, found := m.snapshot(job); found && state.known {
+		return state, OK
+	}
+	prefix := job + "/"
+	snapshot, err := m.config.Store.List(ctx, TableJobs, rowstore.Shard(job), prefix, rowstore.KeyEnd(prefix), 2)
+	if err != nil {
+		return jobState{}, Unavailable
+	}
+	if len(snapshot.Rows) == 0 {
+		return jobState{}, NotFound
+	}
+	m.adoptRows(snapshot.Rows)
+	state, found := m.snapshot(job)
+	if !found || !state.known {
+		return jobState{}, NotFound
+	}
+	return state, OK
+}
+
+// Page is a part of a job's results.
+type Page struct {
+	Total   int
+	Next    int
+	Results []Result
+}
+
+const (
+	// pageBytes bounds the texts of a page; pageRows its results.
+	pageBytes = 900 << 10
+	pageRows  = 200
+)
+
+// Results returns the results from a position on. While there are none it waits
+// for one, for wait at most.
+func (m *Manager) Results(ctx context.Context, job string, after int, wait time.Duration) (Page, Status) {
+	state, status := m.lookUp(ctx, job)
+	if status != OK {
+		return Page{}, status
+	}
+	deadline := time.Now().Add(wait)
+	for state.head.Count <= after && state.head.Count < state.head.Total {
+		left := time.Until(deadline)
+		if left <= 0 || !waitChange(ctx, state.changed, left) {
+			return Page{Total: state.head.Total, Next: after}, OK
+		}
+		var found bool
+		if state, found = m.snapshot(job); !found {
+			return Page{}, Unavailable
+		}
+	}
+	if state.head.Count <= after {
+		return Page{Total: state.head.Total, Next: after}, OK
+	}
+	results, status := m.readResults(ctx, job, after)
+	return Page{Total: state.head.Total, Next: after + len(results), Results: results}, status
+}
+
+func waitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// readResults reads results that are known to be committed.
+func (m *Manager) readResults(ctx context.Context, job string, after int) ([]Result, Status) {
+	if results := m.runner.committed(job, after, pageRows); len(results) > 0 {
+		return trimPage(results), OK
+	}
+	from := resultID(job, after)
+	snapshot, err := m.config.Store.List(ctx, TableResults, from.Partition, from.Key, rowstore.KeyEnd(job+"/"), pageRows)
+	if err != nil {
+		m.config.Log.Warn(eventlog.JobReadFail, eventlog.Fields{eventlog.Job: job, "after": after, eventlog.Cause: err.Error()})
+		return nil, Unavailable
+	}
+	results, err := decodeResults(snapshot.Rows, after)
+	if err != nil || len(results) == 0 {
+		// The head said that there are some: the read is behind.
+		return nil, Unavailable
+	}
+	return trimPage(results), OK
+}
+
+// decodeResults returns the results at consecutive positions from first on.
+func decodeResults(rows []rowstore.Row, first int) ([]Result, error) {
+	var results []Result
+	for _, row := range rows {
+		_, rest := splitKey(row.Key)
+		position, err := strconv.Atoi(rest)
+		if err != nil || position != first+len(results) {
+			return results, errors.New("batch: positions are not consecutive")
+		}
+		var result Result
+		if err := json.Unmarshal(row.Value, &result); err != nil {
+			return results, err
+		}
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+func trimPage(results []Result) []Result {
+	size := 0
+	for i, result := range results {
+		size += len(result.Text)
+		if size > pageBytes && i > 0 {
+			return results[:i]
+		}
+	}
+	return results
+}
+
+// Body returns the body of an item.
+func (m *Manager) Body(ctx context.Context, job, item string) ([]byte, Status) {
+	state, status := m.lookUp(ctx, job)
+	if status != OK {
+		return nil, status
+	}
+	spec, err := m.loadSpec(ctx, job, state.head)
+	if err != nil {
+		return nil, Unavailable
+	}
+	for i := range spec.Items {
+		if spec.Items[i].ID == item {
+			return spec.Items[i].Body, OK
+		}
+	}
+	return nil, NotFound
+}
+
+// loadSpec returns a job's specification, from memory or the store.
+func (m *Manager) loadSpec(ctx context.Context, job string, head Head) (*Spec, error) {
+	if spec := m.specs.get(job); spec != nil {
+		return spec, nil
+	}
+	prefix := job + "/" + head.Nonce + "/"
+	rows, _, err := rowstore.ListAll(ctx, m.config.Store, TableSpecs, rowstore.Shard(job), prefix, rowstore.KeyEnd(prefix))
+	if err != nil {
+		return nil, err
+	}
+	if len(rows) != head.Parts {
+		return nil, rowstore.ErrStale
+	}
+	var content []byte
+	for _, row := range rows {
+		content = append(content, row.Value...)
+	}
+	spec := &Spec{}
+	if err := json.Unmarshal(content, spec); err != nil {
+		return nil, err
+	}
+	m.specs.put(job, spec)
+	return spec, nil
+}
+
+// specCache keeps the specifications that were used last.
+type specCache struct {
+	mu    sync.Mutex
+	order []string
+	specs map[string]*Spec
+}
+
+// specsKept is the number of specifications kept in memory.
+const specsKept = 6
+
+func newSpecCache() *specCache { return &specCache{specs: make(map[string]*Spec)} }
+
+func (c *specCache) get(job string) *Spec {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.specs[job]
+}
+
+func (c *specCache) put(job string, spec *Spec) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.specs[job] == nil {
+		c.order = append(c.order, job)
+	}
+	c.specs[job] = spec
+	for len(c.order) > specsKept {
+		delete(c.specs, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
+// Submission is a job with what its caller waits for.
+type Submission struct {
+	Spec *Spec
+	// Left is how long the caller waits; Target, within which time it wants the
+	// answer.
+	Left, Target time.Duration
+}
+
+const (
+	// holdShare is how much of the caller's time a submission is held while the
+	// store does not take it.
+	holdShare = 0.4
+	// comeBackTargets is when a refused caller should come back, in targets.
+	comeBackTargets = 0.5
+)
+
+// Accept submits a job on behalf of a caller, and tells a refused one when to
+// come back.
+func (m *Manager) Accept(ctx context.Context, submission Submission) (Status, time.Duration) {
+	started := time.Now()
+	bounded, cancel := context.WithTimeout(ctx, time.Duration(holdShare*float64(submission.Left)))
+	defer cancel()
+	status := m.Submit(bounded, submission.Spec)
+	if status == OK {
+		return OK, 0
+	}
+	event := eventlog.JobRefused
+	if status == Uncertain {
+		event = eventlog.JobUncertain
+	}
+	m.config.Log.Warn(event, eventlog.Fields{
+		eventlog.Job: submission.Spec.ID, eventlog.TookMillis: time.Since(started).Milliseconds(), "store": m.view.Status().Healthy,
+	})
+	return status, time.Duration(comeBackTargets * float64(submission.Target))
+}
--- /dev/null
+++ b/internal/batch/owner.go
@@ -0,0 +1,286 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+// takeOverStagger separates the nodes that could take a job over: the first in
+// rank acts at once, each further one a stagger later.
+const takeOverStagger = 400 * time.Millisecond
+
+// action is what a node has to do about a job.
+type action int
+
+const (
+	actNothing action = iota
+	actOpen
+	actClose
+	actTakeOver
+)
+
+// situation is what decides about a job.
+type situation struct {
+	known, finished, mine, running, stopping, taking bool
+	owner                                            presence.Liveness
+	orphanedFor                                      time.Duration
+	rank                                             int
+}
+
+// decide returns what to do about a job. It is pure.
+func decide(s situation) action {
+	switch {
+	case s.running && (!s.mine || s.finished):
+		return actClose
+	case !s.known || s.finished || s.stopping:
+		return actNothing
+	case s.mine && !s.running:
+		return actOpen
+	case s.mine || s.taking || s.owner != presence.Gone || s.rank < 0:
+		return actNothing
+	case s.orphanedFor >= time.Duration(s.rank)*takeOverStagger:
+		return actTakeOver
+	}
+	return actNothing
+}
+
+// reconcile brings what runs here in line with what the heads say.
+func (m *Manager) reconcile(ctx context.Context) {
+	now := time.Now()
+	type task struct {
+		id  string
+		act action
+	}
+	var tasks []task
+	m.mu.Lock()
+	var live []presence.Node
+	for id, state := range m.jobs {
+		current := situation{
+			known: state.known, taking: state.taking, stopping: m.stopping,
+			finished: state.ended || state.known && state.head.Count >= state.head.Total,
+			mine:     state.known && state.head.Owner == m.self.Name && state.head.Incarnation == m.self.Incarnation,
+			running:  m.runner.has(id),
+		}
+		if current.known && !current.finished && !current.mine {
+			if live == nil {
+				live = m.config.Presence.Live(now)
+			}
+			m.judgeOwner(state, &current, live, now)
+		}
+		act := decide(current)
+		if act == actTakeOver {
+			state.taking = true
+		}
+		if act != actNothing {
+			tasks = append(tasks, task{id, act})
+		}
+	}
+	m.mu.Unlock()
+	for _, task := range tasks {
+		m.act(ctx, task.id, task.act)
+	}
+}
+
+func (m *Manager) judgeOwner(state *jobState, current *situation, live []presence.Node, now time.Time) {
+	current.owner = m.config.Presence.Liveness(state.head.Owner, state.head.Incarnation, now)
+	if current.owner != presence.Gone {
+		state.orphaned = time.Time{}
+		return
+	}
+	if state.orphaned.IsZero() {
+		state.orphaned = now
+	}
+	current.orphanedFor = now.Sub(state.orphaned)
+	current.rank = rankOf(live, state.head.Model, m.self.Name)
+}
+
+// rankOf returns a node's place in the order for a key, -1 if it is not there.
+func rankOf(nodes []presence.Node, key, name string) int {
+	for i, node := range presence.Rank(nodes, key) {
+		if node.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (m *Manager) act(ctx context.Context, id string, act action) {
+	switch act {
+	case actOpen:
+		m.runner.open(ctx, id)
+	case actClose:
+		m.runner.close(id)
+	case actTakeOver:
+		go m.takeOver(ctx, id)
+	}
+}
+
+// takeOver makes this node the owner of an orphaned job.
+func (m *Manager) takeOver(ctx context.Context, id string) {
+	state, found := m.snapshot(id)
+	if !found {
+		return
+	}
+	head := state.head
+	head.Owner, head.Incarnation = m.self.Name, m.self.Incarnation
+	head.Epoch++
+	status := m.replaceHead(ctx, id, state.headRevision, head)
+	m.mu.Lock()
+	m.state(id).taking = false
+	m.mu.Unlock()
+	if status != OK {
+		return
+	}
+	m.config.Log.Warn(eventlog.JobTaken, eventlog.Fields{
+		eventlog.Job: id, eventlog.Owner: state.head.Owner, eventlog.Epoch: head.Epoch,
+		"orphaned_ms": time.Since(state.orphaned).Milliseconds(), "listed": head.Count, "total": head.Total,
+	})
+	m.reconcile(ctx)
+}
+
+// headAttempts bounds the writes of one change of a head.
+const headAttempts = 5
+
+// replaceHead writes a head on the condition of a revision. After an unknown
+// outcome it writes again: either that succeeds, or the conflict shows what
+// became of the first.
+func (m *Manager) replaceHead(ctx context.Context, id string, revision int64, head Head) Status {
+	transaction := rowstore.Transaction{
+		Conditions: []rowstore.Condition{{RowID: headID(id), Revision: revision}},
+		Puts:       []rowstore.Row{{RowID: headID(id), Value: encode(head)}},
+	}
+	status := Unavailable
+	for range headAttempts {
+		written, err := m.config.Store.Commit(ctx, transaction)
+		if err == nil {
+			m.adopt(id, head, written)
+			return OK
+		}
+		var conflict *rowstore.ConflictError
+		if errors.As(err, &conflict) {
+			m.adoptRows(conflict.Rows)
+			now, _ := m.snapshot(id)
+			if now.head.Owner == head.Owner && now.head.Incarnation == head.Incarnation && now.head.Epoch == head.Epoch {
+				return OK
+			}
+			return NotFound
+		}
+		if errors.Is(err, rowstore.ErrUnknown) {
+			status = Uncertain
+		}
+		if !pause(ctx, submitRetryPause) {
+			break
+		}
+	}
+	return status
+}
+
+// Stop hands all owned jobs to other nodes: runs are ended, what they have made
+// so far is stored, and the head names the next owner. It returns when all is
+// written or ctx ends. No job is opened or taken over afterwards.
+func (m *Manager) Stop(ctx context.Context) {
+	m.mu.Lock()
+	m.stopping = true
+	m.mu.Unlock()
+	for _, id := range m.runner.owned() {
+		m.handOver(ctx, id)
+	}
+}
+
+func (m *Manager) handOver(ctx context.Context, id string) {
+	unfinished := m.runner.suspend(id)
+	m.runner.flush(ctx, id)
+	m.runner.close(id)
+	state, found := m.snapshot(id)
+	if !found || state.ended || state.head.Count >= state.head.Total {
+		return
+	}
+	next := m.placement(state.head.Model, time.Now())
+	if next.Name == m.self.Name {
+		return
+	}
+	m.storePartials(ctx, id, unfinished)
+	head := state.head
+	head.Owner, head.Incarnation = next.Name, next.Incarnation
+	head.Epoch++
+	status := m.replaceHead(ctx, id, state.headRevision, head)
+	m.config.Log.Info(eventlog.JobHanded, eventlog.Fields{
+		eventlog.Job: id, eventlog.Owner: next.Name, eventlog.Epoch: head.Epoch,
+		"outcome": status.String(), "partials": len(unfinished),
+	})
+}
+
+// storePartials keeps the texts of unfinished items; losing them costs time
+// only, so it is tried once.
+func (m *Manager) storePartials(ctx context.Context, id string, unfinished map[int]Partial) {
+	var puts []rowstore.Row
+	size := 0
+	for index, partial := range unfinished {
+		value := encode(partial)
+		if len(value) > m.config.Limits.RowBytes || size+len(value) > transactionMost || len(puts) >= m.config.Limits.TransactionRows {
+			continue
+		}
+		puts = append(puts, rowstore.Row{RowID: partialID(id, index), Value: value})
+		size += len(value)
+	}
+	if len(puts) > 0 {
+		_, _ = m.config.Store.Commit(ctx, rowstore.Transaction{Puts: puts})
+	}
+}
+
+const (
+	// cleanMargin is added to the time a job is kept.
+	cleanMargin = 10 * time.Second
+	// cleanRows is the number of rows removed in one transaction.
+	cleanRows = 90
+)
+
+// cleanUp removes the rows of one job that nobody may ask for any more. The node
+// that is first in rank for the job does it.
+func (m *Manager) cleanUp(ctx context.Context) {
+	now := time.Now()
+	m.mu.Lock()
+	old := ""
+	for id, state := range m.jobs {
+		if now.Sub(state.seen) > m.config.Keep+cleanMargin && state.known && state.head.age(now) > m.config.Keep+cleanMargin {
+			old = id
+			break
+		}
+	}
+	m.mu.Unlock()
+	if old == "" || rankOf(m.config.Presence.Live(now), old, m.self.Name) != 0 {
+		return
+	}
+	for _, table := range []string{TableResults, TableSpecs, TablePartials, TableJobs} {
+		if !m.removeRows(ctx, table, old) {
+			return
+		}
+	}
+	m.mu.Lock()
+	delete(m.jobs, old)
+	m.mu.Unlock()
+}
+
+func (m *Manager) removeRows(ctx context.Context, table, job string) bool {
+	rows, _, err := rowstore.ListAll(ctx, m.config.Store, table, rowstore.Shard(job), job+"/", rowstore.KeyEnd(job+"/"))
+	if err != nil {
+		return false
+	}
+	for len(rows) > 0 {
+		count := min(cleanRows, len(rows))
+		var transaction rowstore.Transaction
+		for _, row := range rows[:count] {
+			transaction.Deletes = append(transaction.Deletes, row.RowID)
+		}
+		if _, err := m.config.Store.Commit(ctx, transaction); err != nil {
+			return false
+		}
+		rows = rows[count:]
+	}
+	return true
+}
--- /dev/null
+++ b/internal/batch/place.go
@@ -0,0 +1,125 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/sliplift/sliplift/internal/fleet"
+)
+
+// need is what an item wants of a back end.
+type need struct {
+	model      string
+	minVersion int64
+	// version, if above 0, is the only version that will do.
+	version int64
+	zone    string
+	// avoid is a back end to be used only if there is no other.
+	avoid string
+}
+
+const (
+	// usualPace stands for a pace that nothing is known of.
+	usualPace = 40 * time.Millisecond
+	// loadSlowdown is how much slower a full back end is taken to be.
+	loadSlowdown = 0.15
+	// zoneSlowdown is what another zone costs, as a share of the pace.
+	zoneSlowdown = 0.02
+	// avoidSlowdown is what a back end that an item was moved away from costs.
+	avoidSlowdown = 1.0
+)
+
+// pickBackend returns the index of the back end that is expected to run the
+// item fastest and has room, or -1. It is pure.
+func pickBackend(pool []fleet.Backend, want need, now time.Time) int {
+	best := -1
+	var bestCost float64
+	typical := typicalPace(pool, now)
+	for i := range pool {
+		if !suits(pool[i], want, now) {
+			continue
+		}
+		cost := runCost(pool[i], want, typical, now)
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+func suits(backend fleet.Backend, want need, now time.Time) bool {
+	if backend.Draining || backend.Suspended(now) || backend.Load() >= 1 {
+		return false
+	}
+	version, holds := backend.Models[want.model]
+	if want.model == "" {
+		return true
+	}
+	if !holds || version < want.minVersion || backend.LoadingModel == want.model {
+		return false
+	}
+	return want.version == 0 || version == want.version
+}
+
+func runCost(backend fleet.Backend, want need, typical time.Duration, now time.Time) float64 {
+	cost := float64(pace(backend, typical, now)) * (1 + loadSlowdown*backend.Load())
+	if backend.Zone != want.zone {
+		cost *= 1 + zoneSlowdown
+	}
+	if backend.ID == want.avoid {
+		cost *= 1 + avoidSlowdown
+	}
+	return cost
+}
+
+func pace(backend fleet.Backend, typical time.Duration, now time.Time) time.Duration {
+	if backend.Pace == 0 || now.Sub(backend.PaceAt) > paceMemory {
+		return typical
+	}
+	return backend.Pace
+}
+
+// paceMemory is how long a measured pace counts when choosing a back end.
+const paceMemory = 8 * time.Second
+
+// typicalPace returns the least pace that is known: a back end that nothing is
+// known of gets a chance.
+func typicalPace(pool []fleet.Backend, now time.Time) time.Duration {
+	least := time.Duration(0)
+	for _, backend := range pool {
+		if backend.Pace > 0 && now.Sub(backend.PaceAt) <= paceMemory && (least == 0 || backend.Pace < least) {
+			least = backend.Pace
+		}
+	}
+	if least == 0 {
+		return usualPace
+	}
+	return least
+}
+
+// moveTarget returns the index of a back end that is so much faster than the
+// one that runs an item that moving it is worth while, or -1. It is pure.
+func moveTarget(pool []fleet.Backend, current string, want need, now time.Time) int {
+	var from *fleet.Backend
+	for i := range pool {
+		if pool[i].ID == current {
+			from = &pool[i]
+		}
+	}
+	if from == nil || from.Pace == 0 || now.Sub(from.PaceAt) > paceFresh {
+		return -1
+	}
+	best := -1
+	for i := range pool {
+		candidate := pool[i]
+		if candidate.ID == current || !suits(candidate, want, now) || candidate.Pace == 0 || now.Sub(candidate.PaceAt) > paceMemory {
+			continue
+		}
+		if best < 0 || candidate.Pace < pool[best].Pace {
+			best = i
+		}
+	}
+	if best < 0 || float64(from.Pace) < moveRatio*float64(pool[best].Pace) {
+		return -1
+	}
+	return best
+}
--- /dev/null
+++ b/internal/batch/run.go
@@ -0,0 +1,295 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/eventstream"
+	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/upstream"
+)
+
+// Causes for which this node itself ends a run.
+var (
+	errStopping = errors.New("node is stopping")
+	errExpired  = errors.New("item waited too long")
+	errMoved    = errors.New("moved to a faster back end")
+	errSilent   = errors.New("no event for too long")
+)
+
+// Ends of a run that its back end brought about.
+var (
+	errGap        = errors.New("event is not the next one")
+	errOldVersion = errors.New("weights older than the job allows")
+	errMixed      = errors.New("weights of another version than the text so far")
+	errNoStream   = errors.New("answer is no event stream")
+	errEmpty      = errors.New("stream without events")
+	errUndoable   = errors.New("back end says it can never be done")
+	errFailed     = errors.New("back end failed")
+)
+
+// run is one run of an item at one back end.
+type run struct {
+	runner  *runner
+	job     *ownedJob
+	index   int
+	route   *routetable.Route
+	backend fleet.Backend
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	endSlot func()
+}
+
+// launch starts a run. The lock is held.
+func (r *runner) launch(job *ownedJob, index int, route *routetable.Route, backend fleet.Backend) {
+	ctx, cancel := context.WithCancelCause(job.ctx)
+	item := &job.items[index]
+	item.phase, item.backend, item.cancel, item.started = phaseRunning, backend.ID, cancel, time.Now()
+	started := &run{
+		runner: r, job: job, index: index, route: route, backend: backend, ctx: ctx, cancel: cancel,
+		endSlot: r.manager.config.Fleet.Begin(backend.ID),
+	}
+	after := len(item.text.events)
+	go started.serve(after)
+}
+
+func (r *run) item() *Item { return &r.job.spec.Items[r.index] }
+
+// serve runs the item until its end or a failure, and settles what became of it.
+func (r *run) serve(after int) {
+	err := r.stream(after)
+	cause := context.Cause(r.ctx)
+	r.cancel(nil)
+	r.endSlot()
+	if err != nil && cause != nil {
+		err = cause
+	}
+	r.runner.settle(r, err)
+	r.runner.kick()
+}
+
+func (r *run) call(after int) *upstream.Call {
+	item := r.item()
+	header := make(http.Header, len(item.Header))
+	for name, value := range item.Header {
+		header.Set(name, value)
+	}
+	call := &upstream.Call{
+		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: r.job.spec.Host,
+		Header: header, Body: item.Body, Address: r.backend.Address, Instance: r.backend.ID,
+	}
+	if r.route.MaxQueue > 0 {
+		call.Deadline = time.Now().Add(max(r.route.MaxQueue-r.job.head.age(time.Now()), time.Second))
+	}
+	if after > 0 {
+		call.Resume, call.ResumeAfter = true, int64(after)
+	}
+	return call
+}
+
+func (r *run) stream(after int) error {
+	m := r.runner.manager
+	answer, err := m.config.Client.Do(r.ctx, r.call(after))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.Meta.HasLoad {
+		m.config.Fleet.ObserveLoad(r.backend.ID, answer.Meta.Running, answer.Meta.Waiting, time.Now())
+	}
+	switch {
+	case answer.Status == http.StatusUnprocessableEntity:
+		return errUndoable
+	case answer.Status >= http.StatusInternalServerError:
+		return errFailed
+	case answer.Status != http.StatusOK:
+		return errNoStream
+	}
+	return r.read(answer, after)
+}
+
+// read takes events until the stream's end.
+func (r *run) read(answer *upstream.Answer, after int) error {
+	reader := eventstream.NewReader(answer.Body, r.runner.manager.config.VersionField)
+	version := answer.Meta.Version
+	watch := newWatchdog(r.silenceLimit(), func() { r.cancel(errSilent) })
+	defer watch.stop()
+	previous := time.Time{}
+	for count := after; ; count++ {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			if count == 0 {
+				return errEmpty
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		watch.reset()
+		if event.Version > 0 {
+			version = event.Version
+		}
+		if event.HasID && event.ID != int64(count)+1 {
+			return errGap
+		}
+		now := time.Now()
+		if !previous.IsZero() {
+			r.runner.manager.config.Fleet.ObservePace(r.backend.ID, now.Sub(previous), now)
+		}
+		previous = now
+		if err := r.runner.take(r, event, version); err != nil {
+			return err
+		}
+	}
+}
+
+const (
+	// silencePaces is how many usual paces may pass without an event.
+	silencePaces = 12
+	silenceLeast = 700 * time.Millisecond
+	silenceMost  = 4 * time.Second
+)
+
+func (r *run) silenceLimit() time.Duration {
+	usual := max(r.backend.Pace, usualPace)
+	return min(max(silencePaces*usual, silenceLeast), silenceMost)
+}
+
+// watchdog calls back after a silence. If it is called late, the process did
+// not run for a while and the silence proves nothing: it waits once more.
+type watchdog struct {
+	limit time.Duration
+	due   atomic.Int64
+	timer *time.Timer
+}
+
+// lateMost is how late a timer may be in a process that runs.
+const lateMost = 150 * time.Millisecond
+
+func newWatchdog(limit time.Duration, expired func()) *watchdog {
+	watch := &watchdog{limit: limit}
+	watch.due.Store(time.Now().Add(limit).UnixNano())
+	watch.timer = time.AfterFunc(limit, func() {
+		late := time.Since(time.Unix(0, watch.due.Load()))
+		if late > lateMost {
+			watch.reset()
+			return
+		}
+		expired()
+	})
+	return watch
+}
+
+func (w *watchdog) reset() {
+	w.due.Store(time.Now().Add(w.limit).UnixNano())
+	w.timer.Reset(w.limit)
+}
+
+func (w *watchdog) stop() { w.timer.Stop() }
+
+// take adds an event to the item's text.
+func (r *runner) take(run *run, event eventstream.Event, version int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	item := &run.job.items[run.index]
+	if run.ctx.Err() != nil || item.phase != phaseRunning {
+		return context.Canceled
+	}
+	if version < run.job.spec.MinVersion {
+		return errOldVersion
+	}
+	if only := item.text.only(run.route.SingleVersion); only != 0 && version != only {
+		item.text = text{}
+		return errMixed
+	}
+	item.text.events = append(item.text.events, event.Data)
+	item.text.versions = append(item.text.versions, version)
+	return nil
+}
+
+// settle decides what becomes of an item after a run.
+func (r *runner) settle(run *run, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	item := &run.job.items[run.index]
+	if item.phase != phaseRunning {
+		return
+	}
+	item.phase, item.cancel = phaseWaiting, nil
+	if err == nil {
+		item.text.complete = true
+		r.logItem(run, eventlog.ItemDone, nil)
+		r.finish(run.job, run.index, Completed)
+		return
+	}
+	r.blame(run, err)
+	switch {
+	case errors.Is(err, errUndoable):
+		r.logItem(run, eventlog.ItemDead, err)
+		r.finish(run.job, run.index, Dead)
+		return
+	case errors.Is(err, errFailed):
+		item.failures++
+		if item.failures >= max(run.route.MaxAttempts, 1) {
+			r.logItem(run, eventlog.ItemDead, err)
+			r.finish(run.job, run.index, Dead)
+			return
+		}
+	case errors.Is(err, errEmpty):
+		item.text = text{}
+	}
+	if run.job.ctx.Err() == nil {
+		r.logItem(run, eventlog.ItemBroken, err)
+	}
+}
+
+// pauses for a back end that a run ended badly at.
+const (
+	refusedPause = 300 * time.Millisecond
+	stalePause   = 500 * time.Millisecond
+)
+
+// blame records what a run's end says of its back end.
+func (r *runner) blame(run *run, err error) {
+	backends, now := r.manager.config.Fleet, time.Now()
+	switch {
+	case run.job.ctx.Err() != nil, errors.Is(err, errMoved), errors.Is(err, errStopping), errors.Is(err, errExpired),
+		errors.Is(err, errUndoable), errors.Is(err, errFailed):
+	case errors.Is(err, errOldVersion), errors.Is(err, errMixed):
+		backends.Suspend(run.backend.ID, "weights", now.Add(stalePause))
+	case upstream.FateOf(err) == upstream.NotRun && isUpstream(err):
+		backends.Suspend(run.backend.ID, "refused", now.Add(refusedPause))
+	default:
+		backends.ObserveFailure(run.backend.ID, err.Error(), now)
+	}
+}
+
+func isUpstream(err error) bool {
+	var failure *upstream.Error
+	return errors.As(err, &failure)
+}
+
+func (r *runner) logItem(run *run, event string, err error) {
+	item := &run.job.items[run.index]
+	fields := eventlog.Fields{
+		eventlog.Job: run.job.id, eventlog.Item: run.item().ID, eventlog.Backend: run.backend.ID,
+		"events": len(item.text.events), eventlog.TookMillis: time.Since(item.started).Milliseconds(),
+		eventlog.Version: run.backend.Models[run.job.spec.Model], "min_version": run.job.spec.MinVersion,
+		"in_flight": run.backend.InFlight, "others": run.backend.OthersRunning, "hint": strconv.Itoa(run.item().LengthHint),
+	}
+	if err == nil {
+		r.manager.config.Log.Info(event, fields)
+		return
+	}
+	fields[eventlog.Cause] = err.Error()
+	fields["failures"] = item.failures
+	r.manager.config.Log.Warn(event, fields)
+}
--- /dev/null
+++ b/internal/batch/runner.go
@@ -0,0 +1,482 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+type phase int
+
+const (
+	phaseWaiting phase = iota
+	phaseRunning
+	phaseFinished
+)
+
+// itemState is how far an item of an owned job is.
+type itemState struct {
+	phase    phase
+	text     text
+	failures int
+	// backend runs it, while phaseRunning.
+	backend string
+	cancel  context.CancelCauseFunc
+	started time.Time
+	moved   time.Time
+	avoid   string
+}
+
+// ownedJob is a job that this node runs. The runner's lock guards it.
+type ownedJob struct {
+	id     string
+	spec   *Spec
+	items  []itemState
+	order  []int
+	ctx    context.Context
+	cancel context.CancelFunc
+	// ready is set once what the store holds of the job has been read.
+	ready     bool
+	suspended bool
+	opened    time.Time
+
+	head      Head
+	revision  int64
+	committed []Result
+	// finished holds results that are not committed yet.
+	finished []Result
+	wake     chan struct{}
+	// committing is held during a commit, so that one is under way at a time.
+	committing sync.Mutex
+	// left counts items that are not finished.
+	left int
+}
+
+// runner runs the items of the jobs that this node owns.
+type runner struct {
+	manager *Manager
+
+	mu    sync.Mutex
+	jobs  map[string]*ownedJob
+	kept  keptTexts
+	wakes chan struct{}
+}
+
+func newRunner(manager *Manager) *runner {
+	return &runner{manager: manager, jobs: make(map[string]*ownedJob), kept: newKeptTexts(), wakes: make(chan struct{}, 1)}
+}
+
+func (r *runner) kick() {
+	select {
+	case r.wakes <- struct{}{}:
+	default:
+	}
+}
+
+// scheduleEvery is how often the schedule is made anew without an event.
+const scheduleEvery = 100 * time.Millisecond
+
+func (r *runner) run(ctx context.Context) {
+	ticker := time.NewTicker(scheduleEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.expire()
+			r.moveSlow()
+		case <-r.wakes:
+		}
+		r.schedule()
+	}
+}
+
+func (r *runner) has(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.jobs[id] != nil
+}
+
+func (r *runner) owned() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := make([]string, 0, len(r.jobs))
+	for id := range r.jobs {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// open begins to run a job.
+func (r *runner) open(ctx context.Context, id string) {
+	state, found := r.manager.snapshot(id)
+	if !found {
+		return
+	}
+	jobCtx, cancel := context.WithCancel(ctx)
+	job := &ownedJob{
+		id: id, ctx: jobCtx, cancel: cancel, head: state.head, revision: state.headRevision,
+		wake: make(chan struct{}, 1), opened: time.Now(),
+	}
+	r.mu.Lock()
+	if r.jobs[id] != nil {
+		r.mu.Unlock()
+		cancel()
+		return
+	}
+	r.jobs[id] = job
+	r.mu.Unlock()
+	go r.load(job)
+}
+
+// loadRetryPause is the pause between attempts to read a job.
+const loadRetryPause = 100 * time.Millisecond
+
+// load reads what the store holds of the job and starts it.
+func (r *runner) load(job *ownedJob) {
+	for job.ctx.Err() == nil {
+		spec, committed, partials, err := r.read(job)
+		if err == nil {
+			r.start(job, spec, committed, partials)
+			r.commitLoop(job)
+			return
+		}
+		r.manager.config.Log.Warn(eventlog.JobReadFail, eventlog.Fields{eventlog.Job: job.id, eventlog.Cause: err.Error()})
+		pause(job.ctx, loadRetryPause)
+	}
+}
+
+func (r *runner) read(job *ownedJob) (*Spec, []Result, map[int]Partial, error) {
+	m := r.manager
+	spec, err := m.loadSpec(job.ctx, job.id, job.head)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	if job.head.Epoch == 1 && job.head.Count == 0 {
+		return spec, nil, nil, nil
+	}
+	prefix := job.id + "/"
+	rows, _, err := rowstore.ListAll(job.ctx, m.config.Store, TableResults, rowstore.Shard(job.id), prefix, rowstore.KeyEnd(prefix))
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	committed, err := decodeResults(rows, 0)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	if len(committed) < job.head.Count {
+		return nil, nil, nil, rowstore.ErrStale
+	}
+	rows, _, err = rowstore.ListAll(job.ctx, m.config.Store, TablePartials, rowstore.Shard(job.id), prefix, rowstore.KeyEnd(prefix))
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	return spec, committed, decodePartials(rows), nil
+}
+
+func decodePartials(rows []rowstore.Row) map[int]Partial {
+	partials := make(map[int]Partial)
+	for _, row := range rows {
+		_, rest := splitKey(row.Key)
+		index, err := strconv.Atoi(rest)
+		var partial Partial
+		if err == nil && json.Unmarshal(row.Value, &partial) == nil {
+			partials[index] = partial
+		}
+	}
+	return partials
+}
+
+// start makes the items ready to run.
+func (r *runner) start(job *ownedJob, spec *Spec, committed []Result, partials map[int]Partial) {
+	listed := make(map[string]bool, len(committed))
+	for _, result := range committed {
+		listed[result.ID] = true
+	}
+	singleVersion := r.singleVersion(spec)
+	r.mu.Lock()
+	job.spec, job.committed = spec, committed
+	job.items = make([]itemState, len(spec.Items))
+	reused := 0
+	for i := range spec.Items {
+		item := &job.items[i]
+		item.failures = job.head.Failures[i]
+		if listed[spec.Items[i].ID] {
+			item.phase = phaseFinished
+			continue
+		}
+		job.left++
+		if partial, found := partials[i]; found {
+			item.text = text{events: partial.Events, versions: partial.Versions}
+		}
+		if kept, found := r.kept.take(spec.Items[i].ID); found && kept.longer(item.text) {
+			item.text = kept
+		}
+		if !item.text.fits(spec.MinVersion, singleVersion) {
+			item.text = text{}
+		}
+		if len(item.text.events) > 0 {
+			reused++
+		}
+		if item.text.complete {
+			r.finish(job, i, Completed)
+		}
+	}
+	job.order = startOrder(spec.Items)
+	job.ready = true
+	r.mu.Unlock()
+	r.manager.config.Log.Info(eventlog.JobOpened, eventlog.Fields{
+		eventlog.Job: job.id, eventlog.Epoch: job.head.Epoch, "listed": len(committed), "total": len(spec.Items),
+		"texts_reused": reused, eventlog.Model: spec.Model, "min_version": spec.MinVersion,
+	})
+	r.kick()
+}
+
+func (r *runner) singleVersion(spec *Spec) bool {
+	route := r.route(spec)
+	return route != nil && route.SingleVersion
+}
+
+// route returns the route of a job in the configuration in force.
+func (r *runner) route(spec *Spec) *routetable.Route {
+	table := r.manager.config.Routes()
+	if table == nil {
+		return nil
+	}
+	if route := table.ByName(spec.Route); route != nil {
+		return route
+	}
+	if len(spec.Items) == 0 {
+		return nil
+	}
+	return table.Match(spec.Host, spec.Items[0].Path)
+}
+
+// startOrder returns the order in which items are started: the longest expected
+// first, so that none of them starts late; equals as they were submitted.
+func startOrder(items []Item) []int {
+	order := make([]int, len(items))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(a, b int) bool { return items[order[a]].LengthHint > items[order[b]].LengthHint })
+	return order
+}
+
+// finish records that an item ended. The lock is held.
+func (r *runner) finish(job *ownedJob, index int, state State) {
+	item := &job.items[index]
+	if item.phase == phaseFinished {
+		return
+	}
+	item.phase = phaseFinished
+	job.left--
+	result := Result{ID: job.spec.Items[index].ID, State: state}
+	if state == Completed {
+		result.Text, result.Versions = item.text.join()
+		r.kept.put(result.ID, item.text)
+	}
+	item.text = text{}
+	job.finished = append(job.finished, result)
+	select {
+	case job.wake <- struct{}{}:
+	default:
+	}
+}
+
+// close stops a job's runs; texts made so far are kept for a later job.
+func (r *runner) close(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	job := r.jobs[id]
+	if job == nil {
+		return
+	}
+	delete(r.jobs, id)
+	for i := range job.items {
+		item := &job.items[i]
+		if item.phase != phaseFinished && len(item.text.events) > 0 {
+			r.kept.put(job.spec.Items[i].ID, item.text)
+		}
+	}
+	job.cancel()
+}
+
+// suspend ends a job's runs for good and returns the texts of what is not
+// finished.
+func (r *runner) suspend(id string) map[int]Partial {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	job := r.jobs[id]
+	if job == nil {
+		return nil
+	}
+	job.suspended = true
+	unfinished := make(map[int]Partial)
+	for i := range job.items {
+		item := &job.items[i]
+		if item.phase == phaseRunning {
+			item.cancel(errStopping)
+		}
+		if item.phase != phaseFinished && len(item.text.events) > 0 {
+			unfinished[i] = Partial{Events: item.text.events, Versions: item.text.versions}
+		}
+	}
+	return unfinished
+}
+
+// committed returns results from memory if this node owns the job.
+func (r *runner) committed(id string, after, limit int) []Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	job := r.jobs[id]
+	if job == nil || after >= len(job.committed) {
+		return nil
+	}
+	end := min(len(job.committed), after+limit)
+	return job.committed[after:end:end]
+}
+
+// expireMargin is added to the time after which items may be given up, since
+// the times of day of two nodes differ.
+const expireMargin = 4 * time.Second
+
+// expire gives up items that have waited for too long.
+func (r *runner) expire() {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, job := range r.jobs {
+		if !job.ready || job.left == 0 {
+			continue
+		}
+		route := r.route(job.spec)
+		if route == nil || route.MaxQueue == 0 || job.head.age(now) < route.MaxQueue+expireMargin || now.Sub(job.opened) < expireMargin {
+			continue
+		}
+		for i := range job.items {
+			if job.items[i].phase == phaseFinished {
+				continue
+			}
+			if job.items[i].cancel != nil {
+				job.items[i].cancel(errExpired)
+			}
+			r.manager.config.Log.Warn(eventlog.ItemDead, eventlog.Fields{eventlog.Job: job.id, eventlog.Item: job.spec.Items[i].ID, eventlog.Cause: "waited too long"})
+			r.finish(job, i, Dead)
+		}
+	}
+}
+
+// schedule starts what can be started, jobs in the order they were submitted.
+func (r *runner) schedule() {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var jobs []*ownedJob
+	for _, job := range r.jobs {
+		if job.ready && !job.suspended && job.left > 0 {
+			jobs = append(jobs, job)
+		}
+	}
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].head.SubmittedMillis < jobs[b].head.SubmittedMillis })
+	pools := make(map[string][]fleet.Backend)
+	for _, job := range jobs {
+		r.scheduleJob(job, pools, now)
+	}
+}
+
+func (r *runner) scheduleJob(job *ownedJob, pools map[string][]fleet.Backend, now time.Time) {
+	route := r.route(job.spec)
+	if route == nil {
+		return
+	}
+	for _, index := range job.order {
+		item := &job.items[index]
+		if item.phase != phaseWaiting {
+			continue
+		}
+		service := route.Pick(uint64(index), 0)
+		pool, loaded := pools[service]
+		if !loaded {
+			pool = r.manager.config.Fleet.Service(service, now)
+			pools[service] = pool
+		}
+		place := pickBackend(pool, need{
+			model: job.spec.Model, minVersion: job.spec.MinVersion, zone: r.manager.config.Zone,
+			avoid: item.avoid, version: item.text.only(route.SingleVersion),
+		}, now)
+		if place < 0 {
+			continue
+		}
+		pool[place].InFlight++
+		r.launch(job, index, route, pool[place])
+	}
+}
+
+// Conditions under which a run is moved to a faster back end.
+const (
+	// moveRatio is how many times slower than the best its back end must be.
+	moveRatio = 1.6
+	// moveAfter is the least time since its start or the last move.
+	moveAfter = 600 * time.Millisecond
+	// paceFresh is how old a measured pace may be.
+	paceFresh = time.Second
+)
+
+// moveSlow ends runs on back ends that are much slower than one with room;
+// they go on there after their last event.
+func (r *runner) moveSlow() {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pools := make(map[string][]fleet.Backend)
+	for _, job := range r.jobs {
+		if !job.ready || job.suspended || job.left == 0 {
+			continue
+		}
+		route := r.route(job.spec)
+		if route == nil {
+			continue
+		}
+		for _, index := range job.order {
+			r.moveItem(job, index, route, pools, now)
+		}
+	}
+}
+
+func (r *runner) moveItem(job *ownedJob, index int, route *routetable.Route, pools map[string][]fleet.Backend, now time.Time) {
+	item := &job.items[index]
+	if item.phase != phaseRunning || now.Sub(item.started) < moveAfter || now.Sub(item.moved) < moveAfter {
+		return
+	}
+	service := route.Pick(uint64(index), 0)
+	pool, loaded := pools[service]
+	if !loaded {
+		pool = r.manager.config.Fleet.Service(service, now)
+		pools[service] = pool
+	}
+	target := moveTarget(pool, item.backend, need{
+		model: job.spec.Model, minVersion: job.spec.MinVersion, zone: r.manager.config.Zone,
+		version: item.text.only(route.SingleVersion),
+	}, now)
+	if target < 0 {
+		return
+	}
+	pool[target].InFlight++
+	item.moved = now
+	item.avoid = item.backend
+	r.manager.config.Log.Info(eventlog.ItemMoved, eventlog.Fields{
+		eventlog.Job: job.id, eventlog.Item: job.spec.Items[index].ID, eventlog.Backend: item.backend,
+		"to": pool[target].ID, "events": len(item.text.events), "to_pace_ms": pool[target].Pace.Milliseconds(),
+	})
+	item.cancel(errMoved)
+}
--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,225 @@
+// Package eventlog writes the structured lines by which a failure is explained:
+// one for each decision that touches a request or changes what the process
+// believes. It is the one vocabulary of event names and field names.
+//
+// Lines are bounded: above a stated rate they are dropped and counted, and the
+// count is said. Writing never blocks a request: lines go through a buffer, and
+// what does not fit is dropped and counted as well.
+package eventlog
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+)
+
+// Names of events.
+const (
+	Started         = "started"
+	Stopping        = "stopping"
+	Stopped         = "stopped"
+	SettingsChanged = "settings_changed"
+
+	ConfigApplied   = "config_applied"
+	VersionNamed    = "version_named"
+	BackendChanged  = "backend_changed"
+	BackendGone     = "backend_gone"
+	BackendFailed   = "backend_failed"
+	NodeSeen        = "node_seen"
+	NodeLapsed      = "node_lapsed"
+	LeaseTaken      = "lease_taken"
+	LeaseLost       = "lease_lost"
+	OrderSent       = "order_sent"
+	OrderSettled    = "order_settled"
+	CommitUncertain = "commit_uncertain"
+
+	RequestAnswered = "request_answered"
+	RequestRefused  = "request_refused"
+	RequestFailed   = "request_failed"
+	RequestLeft     = "request_left"
+	AttemptFailed   = "attempt_failed"
+	StreamResumed   = "stream_resumed"
+
+	JobAccepted  = "job_accepted"
+	JobRefused   = "job_refused"
+	JobUncertain = "job_uncertain"
+	JobOpened    = "job_opened"
+	JobTaken     = "job_taken_over"
+	JobLost      = "job_ownership_lost"
+	JobHanded    = "job_handed_over"
+	JobEnded     = "job_ended"
+	JobComplete  = "job_complete"
+	JobReadFail  = "job_read_failed"
+	ItemStarted  = "item_started"
+	ItemDone     = "item_completed"
+	ItemDead     = "item_dead"
+	ItemBroken   = "item_run_broken"
+	ItemMoved    = "item_moved"
+	ItemReused   = "item_text_reused"
+
+	LinesDropped = "lines_dropped"
+)
+
+// Names of fields.
+const (
+	Event       = "event"
+	Request     = "request"
+	Job         = "job"
+	Item        = "item"
+	Route       = "route"
+	Service     = "service"
+	Backend     = "backend"
+	Cause       = "cause"
+	Fate        = "fate"
+	Status      = "status"
+	Attempts    = "attempts"
+	Config      = "config_version"
+	ConfigAge   = "config_age_ms"
+	RegistryAge = "registry_age_ms"
+	Epoch       = "epoch"
+	Owner       = "owner"
+	Model       = "model"
+	Version     = "version"
+	TookMillis  = "took_ms"
+	LeftMillis  = "left_ms"
+	Count       = "count"
+	Token       = "fencing_token"
+	Node        = "node"
+)
+
+// Fields are the fields of a line.
+type Fields = logrus.Fields
+
+// Limits of the log of one process.
+const (
+	// LinesPerSecond and LinesBurst bound the lines of decisions.
+	LinesPerSecond = 300
+	LinesBurst     = 600
+	// bufferedLines is how many lines wait for the output.
+	bufferedLines = 512
+	// dropReport is how often dropped lines are said.
+	dropReport = 5 * time.Second
+)
+
+// Log writes lines.
+type Log struct {
+	logger  *logrus.Logger
+	limiter *rate.Limiter
+	output  *asyncWriter
+	dropped atomic.Int64
+	total   atomic.Int64
+}
+
+// New returns a log that writes to output; a nil logger formatter is JSON.
+// Close flushes it.
+func New(logger *logrus.Logger, output io.Writer) *Log {
+	log := &Log{logger: logger, limiter: rate.NewLimiter(LinesPerSecond, LinesBurst)}
+	log.output = newAsyncWriter(output)
+	logger.SetOutput(log.output)
+	return log
+}
+
+// Logger returns the logger underneath, for messages that are not decisions.
+func (l *Log) Logger() *logrus.Logger { return l.logger }
+
+// Info writes a line of a decision that is part of ordinary work.
+func (l *Log) Info(event string, fields Fields) { l.write(logrus.InfoLevel, event, fields) }
+
+// Warn writes a line of a decision that an operator may look for.
+func (l *Log) Warn(event string, fields Fields) { l.write(logrus.WarnLevel, event, fields) }
+
+func (l *Log) write(level logrus.Level, event string, fields Fields) {
+	if l == nil || !l.logger.IsLevelEnabled(level) {
+		return
+	}
+	if !l.limiter.Allow() {
+		l.dropped.Add(1)
+		l.total.Add(1)
+		return
+	}
+	l.logger.WithFields(fields).WithField(Event, event).Log(level, event)
+}
+
+// Dropped returns the number of lines that were not written since the start.
+func (l *Log) Dropped() int64 { return l.total.Load() + l.output.lost.Load() }
+
+// ReportDropped says, now and then, how many lines were dropped; it returns
+// when stop is closed.
+func (l *Log) ReportDropped(stop <-chan struct{}) {
+	ticker := time.NewTicker(dropReport)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		if count := l.dropped.Swap(0) + l.output.recent.Swap(0); count > 0 {
+			l.logger.WithFields(Fields{Event: LinesDropped, Count: count}).Warn(LinesDropped)
+		}
+	}
+}
+
+// Close writes what is buffered, for a second at most.
+func (l *Log) Close() { l.output.close() }
+
+// asyncWriter hands lines to the output from one goroutine.
+type asyncWriter struct {
+	lines  chan []byte
+	done   chan struct{}
+	lost   atomic.Int64
+	recent atomic.Int64
+	once   sync.Once
+	closed atomic.Bool
+}
+
+func newAsyncWriter(output io.Writer) *asyncWriter {
+	writer := &asyncWriter{lines: make(chan []byte, bufferedLines), done: make(chan struct{})}
+	go func() {
+		defer close(writer.done)
+		for line := range writer.lines {
+			if line == nil {
+				return
+			}
+			_, _ = output.Write(line)
+		}
+	}()
+	return writer
+}
+
+// Write implements io.Writer; it never blocks.
+func (w *asyncWriter) Write(line []byte) (int, error) {
+	if w.closed.Load() {
+		return len(line), nil
+	}
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.lost.Add(1)
+		w.recent.Add(1)
+	}
+	return len(line), nil
+}
+
+const closeLimit = time.Second
+
+func (w *asyncWriter) close() {
+	w.once.Do(func() {
+		w.closed.Store(true)
+		timer := time.NewTimer(closeLimit)
+		defer timer.Stop()
+		select {
+		case w.lines <- nil:
+		case <-timer.C:
+			return
+		}
+		select {
+		case <-w.done:
+		case <-timer.C:
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,294 @@
+// Package fleet is what a node believes of the back ends: which instances there
+// are (from the platform's registry), how loaded and how fast each is (from the
+// answers this node got), and which are to be left alone for a while.
+//
+// The registry decides who may get work: an instance that is draining or gone
+// gets nothing new. Everything else only orders the choice. Snapshots are
+// values; Rank and the Choose functions of the callers are pure.
+package fleet
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Instance is one incarnation of a back end as the registry tells it.
+type Instance struct {
+	ID       string
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	// Models maps a model to the version of its weights.
+	Models map[string]int64
+	// Cold is how much longer it stays slow, from Seen on.
+	Cold time.Duration
+	// Revision is the store's revision of the entry.
+	Revision int64
+}
+
+// Condition is what the node learnt of an instance by itself.
+type Condition struct {
+	// InFlight counts this node's requests at the instance.
+	InFlight int
+	// OthersRunning estimates the requests of other nodes, as of LoadAt.
+	OthersRunning int
+	Waiting       int
+	LoadAt        time.Time
+	// Latency is a moving average of whole answers; Pace of the time between two
+	// events of a stream. 0 means unknown.
+	Latency time.Duration
+	Pace    time.Duration
+	PaceAt  time.Time
+	// Failures counts failures in a row; until SuspendedUntil it gets no work
+	// unless there is no other.
+	Failures       int
+	SuspendedUntil time.Time
+	SuspendReason  string
+	// LoadingModel is the model whose weights are being changed, empty if none.
+	LoadingModel string
+	LoadingUntil time.Time
+}
+
+// Backend is an instance with its condition, as of one moment.
+type Backend struct {
+	Instance
+	Condition
+}
+
+// Suspended tells whether the back end is to be left alone.
+func (b Backend) Suspended(now time.Time) bool { return now.Before(b.SuspendedUntil) }
+
+// Load returns the share of the back end's slots that is in use, as far as
+// this node knows.
+func (b Backend) Load() float64 {
+	slots := max(b.Slots, 1)
+	return float64(b.InFlight+b.OthersRunning) / float64(slots)
+}
+
+const (
+	// smoothing is the weight of a new measurement in a moving average.
+	smoothing = 0.3
+	// loadTTL is how long a reported load counts.
+	loadTTL = 2 * time.Second
+	// suspendFirst and suspendMost bound the pause after failures in a row.
+	suspendFirst = 250 * time.Millisecond
+	suspendMost  = 4 * time.Second
+)
+
+type entry struct {
+	instance  Instance
+	condition Condition
+	loaded    map[string]int64
+}
+
+// Fleet holds the back ends. It is safe for concurrent use.
+type Fleet struct {
+	mu        sync.Mutex
+	instances map[string]*entry
+	onChange  func()
+}
+
+// New returns an empty fleet. onChange, which may be nil, is called without
+// locks held after each change of the registry.
+func New(onChange func()) *Fleet {
+	return &Fleet{instances: make(map[string]*entry), onChange: onChange}
+}
+
+// Replace makes the registry hold exactly the instances given, but for those
+// it holds at a newer revision.
+func (f *Fleet) Replace(instances []Instance) {
+	f.mu.Lock()
+	keep := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		keep[instance.ID] = true
+		f.put(instance)
+	}
+	for id := range f.instances {
+		if !keep[id] {
+			delete(f.instances, id)
+		}
+	}
+	f.mu.Unlock()
+	f.changed()
+}
+
+// Update applies changed instances and removals.
+func (f *Fleet) Update(instances []Instance, removed []string) {
+	f.mu.Lock()
+	for _, instance := range instances {
+		f.put(instance)
+	}
+	for _, id := range removed {
+		delete(f.instances, id)
+	}
+	f.mu.Unlock()
+	f.changed()
+}
+
+func (f *Fleet) changed() {
+	if f.onChange != nil {
+		f.onChange()
+	}
+}
+
+func (f *Fleet) put(instance Instance) {
+	held := f.instances[instance.ID]
+	if held == nil {
+		f.instances[instance.ID] = &entry{instance: instance}
+		return
+	}
+	if instance.Revision >= held.instance.Revision {
+		held.instance = instance
+	}
+}
+
+// MarkVersion records that an instance holds a version of a model, where that
+// is known before the registry says so.
+func (f *Fleet) MarkVersion(id, model string, version int64) {
+	f.mu.Lock()
+	held := f.instances[id]
+	if held != nil {
+		if held.loaded == nil {
+			held.loaded = make(map[string]int64)
+		}
+		held.loaded[model] = max(held.loaded[model], version)
+	}
+	f.mu.Unlock()
+	f.changed()
+}
+
+// MarkLoading records that the weights of a model are being changed at an
+// instance, until a time at the latest; an empty model ends it.
+func (f *Fleet) MarkLoading(id, model string, until time.Time) {
+	f.with(id, func(c *Condition) { c.LoadingModel, c.LoadingUntil = model, until })
+	f.changed()
+}
+
+// Service returns the back ends of a service, ordered by id.
+func (f *Fleet) Service(service string, now time.Time) []Backend {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var backends []Backend
+	for _, held := range f.instances {
+		if held.instance.Service == service {
+			backends = append(backends, held.backend(now))
+		}
+	}
+	sort.Slice(backends, func(i, j int) bool { return backends[i].ID < backends[j].ID })
+	return backends
+}
+
+// All returns all back ends, ordered by id.
+func (f *Fleet) All(now time.Time) []Backend {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	backends := make([]Backend, 0, len(f.instances))
+	for _, held := range f.instances {
+		backends = append(backends, held.backend(now))
+	}
+	sort.Slice(backends, func(i, j int) bool { return backends[i].ID < backends[j].ID })
+	return backends
+}
+
+// Get returns the back end of that id.
+func (f *Fleet) Get(id string, now time.Time) (Backend, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := f.instances[id]
+	if held == nil {
+		return Backend{}, false
+	}
+	return held.backend(now), true
+}
+
+func (e *entry) backend(now time.Time) Backend {
+	backend := Backend{Instance: e.instance, Condition: e.condition}
+	if now.Sub(e.condition.LoadAt) > loadTTL {
+		backend.OthersRunning, backend.Waiting = 0, 0
+	}
+	if now.After(e.condition.LoadingUntil) {
+		backend.LoadingModel = ""
+	}
+	if len(e.loaded) == 0 {
+		return backend
+	}
+	backend.Models = make(map[string]int64, len(e.instance.Models))
+	for model, version := range e.instance.Models {
+		backend.Models[model] = max(version, e.loaded[model])
+	}
+	return backend
+}
+
+func (f *Fleet) with(id string, change func(*Condition)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.instances[id]; held != nil {
+		change(&held.condition)
+	}
+}
+
+// Begin counts a request at the instance; the function returned ends it.
+func (f *Fleet) Begin(id string) func() {
+	f.with(id, func(c *Condition) { c.InFlight++ })
+	var once sync.Once
+	return func() {
+		once.Do(func() { f.with(id, func(c *Condition) { c.InFlight-- }) })
+	}
+}
+
+// ObserveLoad records the load that an answer reported.
+func (f *Fleet) ObserveLoad(id string, running, waiting int, now time.Time) {
+	f.with(id, func(c *Condition) {
+		c.OthersRunning = max(0, running-c.InFlight)
+		c.Waiting = waiting
+		c.LoadAt = now
+	})
+}
+
+// ObserveLatency records the time of a whole answer.
+func (f *Fleet) ObserveLatency(id string, latency time.Duration) {
+	f.with(id, func(c *Condition) {
+		c.Latency = average(c.Latency, latency)
+		c.Failures = 0
+	})
+}
+
+// ObservePace records the time between two events of a stream.
+func (f *Fleet) ObservePace(id string, gap time.Duration, now time.Time) {
+	f.with(id, func(c *Condition) {
+		c.Pace = average(c.Pace, gap)
+		c.PaceAt = now
+		c.Failures = 0
+	})
+}
+
+func average(old, measured time.Duration) time.Duration {
+	if old == 0 {
+		return measured
+	}
+	return old + time.Duration(smoothing*float64(measured-old))
+}
+
+// ObserveFailure records a failure and leaves the instance alone for a time
+// that doubles with each failure in a row.
+func (f *Fleet) ObserveFailure(id, reason string, now time.Time) {
+	f.with(id, func(c *Condition) {
+		c.Failures++
+		pause := min(suspendFirst<<min(c.Failures-1, 8), suspendMost)
+		c.SuspendedUntil = now.Add(pause)
+		c.SuspendReason = reason
+	})
+}
+
+// Suspend leaves the instance alone for a while without counting a failure.
+func (f *Fleet) Suspend(id, reason string, until time.Time) {
+	f.with(id, func(c *Condition) {
+		if until.After(c.SuspendedUntil) {
+			c.SuspendedUntil = until
+			c.SuspendReason = reason
+		}
+	})
+}
--- /dev/null
+++ b/internal/forward/choose.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/fleet"
+)
+
+// Want says what a request needs of a back end.
+type Want struct {
+	Zone  string
+	Model string
+	// Tried counts the attempts of this request at each back end.
+	Tried map[string]int
+}
+
+const (
+	// zoneCost is the time that a back end in another zone costs.
+	zoneCost = 2 * time.Millisecond
+	// usualLatency stands for a latency that nothing is known of.
+	usualLatency = 20 * time.Millisecond
+)
+
+// Choose returns the back end that is expected to answer first: not draining,
+// holding the model, tried least by this request, not suspended unless all are.
+func Choose(backends []fleet.Backend, want Want, now time.Time) (fleet.Backend, bool) {
+	var best fleet.Backend
+	found := false
+	for _, candidate := range backends {
+		if candidate.Draining || !holdsModel(candidate, want.Model) {
+			continue
+		}
+		if !found || better(candidate, best, want, now) {
+			best, found = candidate, true
+		}
+	}
+	return best, found
+}
+
+func holdsModel(backend fleet.Backend, model string) bool {
+	if model == "" || len(backend.Models) == 0 {
+		return true
+	}
+	_, holds := backend.Models[model]
+	return holds
+}
+
+func better(a, b fleet.Backend, want Want, now time.Time) bool {
+	if want.Tried[a.ID] != want.Tried[b.ID] {
+		return want.Tried[a.ID] < want.Tried[b.ID]
+	}
+	if a.Suspended(now) != b.Suspended(now) {
+		return !a.Suspended(now)
+	}
+	if a.Suspended(now) {
+		return a.SuspendedUntil.Before(b.SuspendedUntil)
+	}
+	return expected(a, want.Zone) < expected(b, want.Zone)
+}
+
+// expected estimates the time of an answer: the usual latency, stretched by the
+// load in work and more by what waits for a slot.
+func expected(backend fleet.Backend, zone string) time.Duration {
+	latency := backend.Latency
+	if latency == 0 {
+		latency = usualLatency
+	}
+	waiting := float64(backend.Waiting) / float64(max(backend.Slots, 1))
+	estimate := time.Duration(float64(latency) * (1 + backend.Load() + 2*waiting))
+	if backend.Load() >= 1 {
+		estimate *= 2
+	}
+	if backend.Zone != zone {
+		estimate += zoneCost
+	}
+	return estimate
+}
+
+// hopByHop are the fields that concern one connection only.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true,
+}
+
+// HopByHop tells whether a field of a header concerns one connection only: it
+// is one of the fixed set, or named by the header's Connection field.
+func HopByHop(name string, header http.Header) bool {
+	if hopByHop[name] {
+		return true
+	}
+	for _, value := range header["Connection"] {
+		for _, token := range strings.Split(value, ",") {
+			if textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(token)) == name {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/presence/presence.go
@@ -0,0 +1,375 @@
+// Package presence tells which nodes there are: each keeps a row in the store
+// and writes it again every beat; all read the rows through a view.
+//
+// A node is lapsed when its row has not changed for Lapse by the reader's own
+// clock while the reader's view was confirmed all that time: while the store
+// does not answer, nobody is declared lapsed, and when it answers again every
+// node gets a whole Lapse. Incarnations of one node name are ordered; a process
+// whose name has a newer incarnation is gone at once.
+package presence
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+// Table is the table of the rows, partitioned by rowstore.Shard of the name.
+const Table = "nodes"
+
+// State is what a node says of itself.
+type State string
+
+// The states of a node.
+const (
+	Ready    State = "ready"
+	Stopping State = "stopping"
+)
+
+// Node is a node's row.
+type Node struct {
+	Name        string `json:"name"`
+	Incarnation int64  `json:"incarnation"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Region      string `json:"region"`
+	State       State  `json:"state"`
+	Beat        int64  `json:"beat"`
+}
+
+const (
+	// beatLeast is the time between two writes of a small system; beatPerNode is
+	// added for each node, so that all nodes together stay under a fixed rate.
+	beatLeast   = 600 * time.Millisecond
+	beatPerNode = 5 * time.Millisecond
+	// lapseBeats is how many beats may be missed.
+	lapseBeats = 3
+	// forgetBeats is after how many beats a lapsed row is removed.
+	forgetBeats = 60
+)
+
+type seen struct {
+	node     Node
+	revision int64
+	at       time.Time
+	lapsed   bool
+}
+
+// Registry keeps this node's row and the view of all. It is safe for
+// concurrent use.
+type Registry struct {
+	store rowstore.Store
+	view  *rowstore.View
+	log   *eventlog.Log
+
+	mu    sync.Mutex
+	self  Node
+	nodes map[string]*seen
+	kick  chan struct{}
+}
+
+// New returns a registry for the node itself.
+func New(log *eventlog.Log, store rowstore.Store, self Node, wait time.Duration) *Registry {
+	registry := &Registry{store: store, log: log, self: self, nodes: make(map[string]*seen), kick: make(chan struct{}, 1)}
+	registry.view = rowstore.NewView(log.Logger(), store, rowstore.ViewConfig{
+		Name:       "nodes",
+		Table:      Table,
+		Partitions: rowstore.AllShards(),
+		Wait:       wait,
+		Pace:       beatLeast / 4,
+		Apply:      registry.apply,
+	})
+	return registry
+}
+
+// View returns the view of the rows.
+func (r *Registry) View() *rowstore.View { return r.view }
+
+func (r *Registry) apply(rows []rowstore.Row, complete bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	present := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		present[row.Key] = true
+		r.applyRow(row, now)
+	}
+	if !complete {
+		return
+	}
+	for name := range r.nodes {
+		if !present[name] {
+			delete(r.nodes, name)
+		}
+	}
+}
+
+func (r *Registry) applyRow(row rowstore.Row, now time.Time) {
+	held := r.nodes[row.Key]
+	if row.Deleted {
+		if held != nil && row.Revision >= held.revision {
+			delete(r.nodes, row.Key)
+		}
+		return
+	}
+	var node Node
+	if json.Unmarshal(row.Value, &node) != nil {
+		return
+	}
+	if held == nil {
+		r.nodes[row.Key] = &seen{node: node, revision: row.Revision, at: now}
+		r.log.Info(eventlog.NodeSeen, eventlog.Fields{eventlog.Node: node.Name, "incarnation": node.Incarnation, "state": node.State})
+		return
+	}
+	if row.Revision <= held.revision {
+		return
+	}
+	held.node, held.revision, held.at, held.lapsed = node, row.Revision, now, false
+}
+
+// Beat returns the time between two writes of the row in a system of a size.
+func Beat(nodes int) time.Duration { return beatLeast + time.Duration(nodes)*beatPerNode }
+
+// Lapse returns the silence after which a node counts as lapsed.
+func Lapse(nodes int) time.Duration { return lapseBeats * Beat(nodes) }
+
+// Run keeps the row written until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.write(ctx)
+		r.forget(ctx)
+		timer := time.NewTimer(Beat(r.size()))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-r.kick:
+		}
+		timer.Stop()
+	}
+}
+
+func (r *Registry) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.nodes)
+}
+
+func (r *Registry) write(ctx context.Context) {
+	r.mu.Lock()
+	r.self.Beat++
+	value, err := json.Marshal(r.self)
+	name := r.self.Name
+	r.mu.Unlock()
+	if err != nil {
+		panic("presence: a node's row cannot be encoded: " + err.Error())
+	}
+	id := rowstore.RowID{Table: Table, Partition: rowstore.Shard(name), Key: name}
+	// A lost beat is made good by the next one.
+	_, _ = r.store.Commit(ctx, rowstore.Transaction{Puts: []rowstore.Row{{RowID: id, Value: value}}})
+}
+
+// forget removes one row that has lapsed long ago.
+func (r *Registry) forget(ctx context.Context) {
+	now := time.Now()
+	r.mu.Lock()
+	var gone *seen
+	for _, held := range r.nodes {
+		if held.node.Name != r.self.Name && r.quiet(held, now) > forgetBeats*Beat(len(r.nodes)) {
+			gone = held
+			break
+		}
+	}
+	var transaction rowstore.Transaction
+	if gone != nil {
+		id := rowstore.RowID{Table: Table, Partition: rowstore.Shard(gone.node.Name), Key: gone.node.Name}
+		transaction.Conditions = []rowstore.Condition{{RowID: id, Revision: gone.revision}}
+		transaction.Deletes = []rowstore.RowID{id}
+	}
+	r.mu.Unlock()
+	if gone != nil {
+		_, _ = r.store.Commit(ctx, transaction)
+	}
+}
+
+// SetState changes what the node says of itself, at once.
+func (r *Registry) SetState(state State) {
+	r.mu.Lock()
+	r.self.State = state
+	r.mu.Unlock()
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// quiet returns how long a node has been silent as far as the view can tell.
+func (r *Registry) quiet(held *seen, now time.Time) time.Duration {
+	status := r.view.Status()
+	if !status.Healthy {
+		return 0
+	}
+	since := held.at
+	if status.HealthySince.After(since) {
+		since = status.HealthySince
+	}
+	return min(now.Sub(since), status.Confirmed.Sub(since)+beatLeast)
+}
+
+// Liveness is what a node believes of another's process.
+type Liveness int
+
+// The beliefs about a process.
+const (
+	Unknown Liveness = iota
+	Alive
+	Gone
+)
+
+// Liveness tells whether an incarnation of a node is alive. A row that is
+// missing from a view that was read whole counts as gone once the view has been
+// healthy for a Lapse.
+func (r *Registry) Liveness(name string, incarnation int64, now time.Time) Liveness {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if name == r.self.Name {
+		if incarnation == r.self.Incarnation {
+			return Alive
+		}
+		return Gone
+	}
+	status := r.view.Status()
+	if !status.Healthy {
+		return Unknown
+	}
+	held := r.nodes[name]
+	switch {
+	case held == nil:
+		if now.Sub(status.HealthySince) > Lapse(len(r.nodes)) {
+			return Gone
+		}
+		return Unknown
+	case held.node.Incarnation > incarnation:
+		return Gone
+	case held.node.Incarnation < incarnation:
+		return Unknown
+	case r.quiet(held, now) > Lapse(len(r.nodes)):
+		r.noteLapse(held, now)
+		return Gone
+	}
+	return Alive
+}
+
+func (r *Registry) noteLapse(held *seen, now time.Time) {
+	if held.lapsed {
+		return
+	}
+	held.lapsed = true
+	r.log.Warn(eventlog.NodeLapsed, eventlog.Fields{
+		eventlog.Node: held.node.Name, "incarnation": held.node.Incarnation,
+		"silent_ms": now.Sub(held.at).Milliseconds(),
+	})
+}
+
+// Live returns the nodes that are ready and not lapsed, ordered by name. The
+// node itself is among them unless it is stopping.
+func (r *Registry) Live(now time.Time) []Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lapse := Lapse(len(r.nodes))
+	nodes := make([]Node, 0, len(r.nodes)+1)
+	for name, held := range r.nodes {
+		if name != r.self.Name && held.node.State == Ready && r.quiet(held, now) <= lapse {
+			nodes = append(nodes, held.node)
+		}
+	}
+	if r.self.State == Ready {
+		nodes = append(nodes, r.self)
+	}
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i].Name < nodes[j].Name })
+	return nodes
+}
+
+// Self returns the node's own row.
+func (r *Registry) Self() Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self
+}
+
+// Rank orders nodes for a key by rendezvous hashing, best first. Nodes agree on
+// the order wherever they know the same nodes, and the loss of one moves only
+// the keys that it was best for.
+func Rank(nodes []Node, key string) []Node {
+	ranked := append([]Node(nil), nodes...)
+	weight := func(name string) uint64 {
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(key + "\x00" + name))
+		return mix(hash.Sum64())
+	}
+	sort.Slice(ranked, func(i, j int) bool { return weight(ranked[i].Name) > weight(ranked[j].Name) })
+	return ranked
+}
+
+// mix spreads the bits of a hash; names often differ in one character only.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// minimumAddresses is the number of a zone's nodes from which on a caller of
+// that zone is sent to its own zone alone.
+const minimumAddresses = 2
+
+// addressesMost bounds the addresses that a caller is told.
+const addressesMost = 64
+
+// Addresses returns where a caller of a zone and region should connect: its own
+// zone's nodes if there are enough, else its region's, else all. It is never
+// empty while any node, this one included, is ready.
+func (r *Registry) Addresses(zone, region string, now time.Time) []string {
+	live := r.Live(now)
+	near := addresses(live, func(n Node) bool { return n.Zone == zone })
+	if len(near) >= minimumAddresses {
+		return near
+	}
+	around := addresses(live, func(n Node) bool { return n.Region == region })
+	if len(around) >= minimumAddresses {
+		return around
+	}
+	return addresses(live, func(Node) bool { return true })
+}
+
+func addresses(nodes []Node, wanted func(Node) bool) []string {
+	var found []string
+	for _, node := range nodes {
+		if wanted(node) && len(found) < addressesMost {
+			found = append(found, node.Address)
+		}
+	}
+	return found
+}
+
+// LastIncarnation returns the newest incarnation that the store knows of a
+// node, 0 if there is none.
+func LastIncarnation(ctx context.Context, store rowstore.Store, name string) (int64, error) {
+	snapshot, err := store.List(ctx, Table, rowstore.Shard(name), name, name+"\x00", 1)
+	if err != nil {
+		return 0, err
+	}
+	for _, row := range snapshot.Rows {
+		var node Node
+		if row.Key == name && json.Unmarshal(row.Value, &node) == nil {
+			return node.Incarnation, nil
+		}
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/internal/reload/carryout.go
@@ -0,0 +1,197 @@
+package reload
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+const (
+	// callLimit bounds one call to a back end.
+	callLimit = time.Second
+	// firstLook is when a load that was taken is first asked about; lookEvery is
+	// the time between further looks.
+	firstLook = 800 * time.Millisecond
+	lookEvery = 200 * time.Millisecond
+	// loadMost is how long a load may take before the back end is left to the next
+	// plan.
+	loadMost = 15 * time.Second
+)
+
+// carryOut brings one back end to a version, or fails and leaves it to the next
+// plan.
+func (c *Controller) carryOut(ctx context.Context, next step, token int64) {
+	started := time.Now()
+	id := next.backend.ID
+	taken, err := c.ordersTaken(ctx, next)
+	if err == nil {
+		c.announce(ctx, id, next.model, 0)
+		err = c.send(ctx, next, token, taken)
+		if err == nil {
+			err = c.awaitLoad(ctx, next, taken)
+		}
+	}
+	version := int64(0)
+	if err == nil {
+		version = next.version
+	}
+	c.settled(next, err, started)
+	c.announce(ctx, id, "", version, next.model)
+	if err != nil {
+		pause(ctx, lookEvery)
+	}
+	c.mu.Lock()
+	if c.token == token {
+		delete(c.busy, id)
+	}
+	c.mu.Unlock()
+	c.Kick()
+}
+
+func (c *Controller) settled(next step, err error, started time.Time) {
+	fields := eventlog.Fields{
+		eventlog.Backend: next.backend.ID, eventlog.Model: next.model, eventlog.Version: next.version,
+		eventlog.TookMillis: time.Since(started).Milliseconds(), "outcome": "loaded",
+	}
+	if err == nil {
+		c.config.Log.Info(eventlog.OrderSettled, fields)
+		return
+	}
+	fields["outcome"], fields[eventlog.Cause] = "failed", err.Error()
+	c.config.Log.Warn(eventlog.OrderSettled, fields)
+}
+
+// ordersTaken returns how many orders the back end has taken, from what this
+// holder knows or from the back end's report.
+func (c *Controller) ordersTaken(ctx context.Context, next step) (int64, error) {
+	c.mu.Lock()
+	taken, known := c.taken[next.backend.ID]
+	c.mu.Unlock()
+	if known {
+		return taken, nil
+	}
+	report, err := c.report(ctx, next)
+	if err != nil {
+		return 0, err
+	}
+	if report.Busy {
+		return 0, ErrMismatch
+	}
+	c.setTaken(next.backend.ID, report.Taken)
+	return report.Taken, nil
+}
+
+func (c *Controller) setTaken(id string, taken int64) {
+	c.mu.Lock()
+	c.taken[id] = taken
+	c.mu.Unlock()
+}
+
+func (c *Controller) forgetTaken(id string) {
+	c.mu.Lock()
+	delete(c.taken, id)
+	c.mu.Unlock()
+}
+
+func (c *Controller) report(ctx context.Context, next step) (Report, error) {
+	bounded, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	return c.config.Commander.Report(bounded, next.backend.ID, next.backend.Address)
+}
+
+// send gives the order if the lease still allows it.
+func (c *Controller) send(ctx context.Context, next step, token, taken int64) error {
+	now := time.Now()
+	c.mu.Lock()
+	allowed := c.mayOrder(now) && c.token == token
+	until := c.validUntil
+	c.mu.Unlock()
+	if !allowed {
+		return errors.New("lease no longer allows orders")
+	}
+	limit := now.Add(callLimit)
+	if until.Before(limit) {
+		limit = until
+	}
+	bounded, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	c.config.Log.Info(eventlog.OrderSent, eventlog.Fields{
+		eventlog.Backend: next.backend.ID, eventlog.Model: next.model, eventlog.Version: next.version,
+		"holds": next.backend.Models[next.model], eventlog.Token: token, "taken": taken,
+	})
+	if c.config.Observe != nil {
+		c.config.Observe("order")
+	}
+	done, err := c.config.Commander.Order(bounded, Order{
+		Instance: next.backend.ID, Address: next.backend.Address, Model: next.model, Version: next.version,
+		Taken: taken, Holder: c.self.Name, Token: token, Mode: c.config.Mode,
+	})
+	if err != nil && (errors.Is(err, ErrFenced) || errors.Is(err, ErrMismatch) || errors.Is(err, ErrGone) || errors.Is(err, ErrRejected)) {
+		c.forgetTaken(next.backend.ID)
+		return err
+	}
+	if err != nil {
+		// It may have been taken, or may be later: the reports will tell.
+		c.forgetTaken(next.backend.ID)
+		return nil
+	}
+	if !done {
+		c.setTaken(next.backend.ID, taken+1)
+	}
+	return nil
+}
+
+// unansweredMost is how long an order without an answer is waited for: it may
+// be carried out late. After that it is given again, under the same condition.
+const unansweredMost = 2500 * time.Millisecond
+
+// awaitLoad waits until the back end reports the version.
+func (c *Controller) awaitLoad(ctx context.Context, next step, taken int64) error {
+	started := time.Now()
+	pause(ctx, firstLook)
+	for ctx.Err() == nil && time.Since(started) < loadMost {
+		report, err := c.report(ctx, next)
+		if errors.Is(err, ErrGone) {
+			return err
+		}
+		if err == nil && report.Versions[next.model] >= next.version {
+			c.setTaken(next.backend.ID, report.Taken)
+			return nil
+		}
+		if err == nil && !report.Busy && report.Taken == taken && time.Since(started) > unansweredMost {
+			return errors.New("order was not taken")
+		}
+		pause(ctx, lookEvery)
+	}
+	c.forgetTaken(next.backend.ID)
+	return errors.New("load takes too long")
+}
+
+// announce tells all nodes what is loading, or which version has been loaded.
+func (c *Controller) announce(ctx context.Context, id, loading string, version int64, model ...string) {
+	c.mu.Lock()
+	load := Load{Versions: make(map[string]int64), Loading: loading}
+	for name, held := range c.loads[id].Versions {
+		load.Versions[name] = held
+	}
+	if version > 0 {
+		load.Versions[model[0]] = version
+	}
+	c.loads[id] = load
+	c.mu.Unlock()
+	c.noteLoad(id, load)
+	// A lost announcement costs time only: the registry tells the versions later.
+	_, _ = c.config.Store.Commit(ctx, rowstore.Transaction{Puts: []rowstore.Row{{RowID: loadID(id), Value: encode(load)}}})
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/reload/doc.go
@@ -0,0 +1,139 @@
+// Package reload moves the back ends of model services to named versions of
+// the weights. One node at a time gives orders: the holder of the lease.
+//
+// Lease. One row names the holder and its term, which is the fencing token of
+// all its orders: it is written before the first order and rises with each
+// acquisition. The holder renews the row by conditional writes and gives no
+// order later than Validity after it sent the last renewal that succeeded, by
+// its steady clock. A node that sees no change of the row for Validity, through
+// a view that follows the store, takes the lease, and waits until the old holder
+// has been quiet for the settling time of the back ends before it orders.
+//
+// Orders. Each names the incarnation that must take it and the number of orders
+// that the back end must have taken before, so that one which is carried out
+// late does nothing. An order without an answer is settled by the back end's own
+// report before anything else is sent to it.
+//
+// Policy. Steps accept the newest version and the one before. So each version is
+// loaded on one half of the back ends, the halves taking turns: while one half
+// loads, the other serves.
+package reload
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+// Tables of the row store.
+const (
+	// TableLease holds the lease.
+	TableLease = "lease"
+	// TableLoads tells, by back end, what the holder loads and has loaded.
+	TableLoads = "loads"
+)
+
+const leaseKey = "orders"
+
+// lease is the lease's row.
+type lease struct {
+	Holder      string `json:"holder"`
+	Incarnation int64  `json:"incarnation"`
+	Term        int64  `json:"term"`
+	Renewal     int64  `json:"renewal"`
+}
+
+// Load is what the holder has done with a back end; the key of its row is the
+// incarnation's id.
+type Load struct {
+	// Versions maps a model to the version that was loaded.
+	Versions map[string]int64 `json:"versions,omitempty"`
+	// Loading is the model whose weights are being changed, empty if none.
+	Loading string `json:"loading,omitempty"`
+}
+
+// Order is an order to a back end.
+type Order struct {
+	Instance string
+	Address  string
+	Model    string
+	Version  int64
+	// Taken is the number of orders that the back end must have taken before.
+	Taken  int64
+	Holder string
+	Token  int64
+	// Mode says what becomes of runs under way.
+	Mode Mode
+}
+
+// Mode says what becomes of runs under way when weights change.
+type Mode string
+
+// The modes.
+const (
+	// ModeWait lets runs end first.
+	ModeWait Mode = "wait"
+	// ModeTruncate breaks runs off.
+	ModeTruncate Mode = "truncate"
+	// ModeRetain lets runs go on under the new weights.
+	ModeRetain Mode = "retain"
+)
+
+// Report is what a back end tells of itself.
+type Report struct {
+	Versions map[string]int64
+	// Busy tells that an order is under way; Taken counts the orders taken.
+	Busy  bool
+	Taken int64
+}
+
+// Errors of a Commander.
+var (
+	// ErrFenced says that a holder with a higher token has ordered.
+	ErrFenced = errors.New("reload: token is too low")
+	// ErrMismatch says that another order is under way or has been taken.
+	ErrMismatch = errors.New("reload: another order came before")
+	// ErrGone says that another incarnation has the address.
+	ErrGone = errors.New("reload: another incarnation has the address")
+	// ErrRejected says that the back end will never take the order.
+	ErrRejected = errors.New("reload: order rejected")
+)
+
+// Commander speaks to back ends. Calls are bounded by their context.
+type Commander interface {
+	// Order gives an order. done tells that it holds already; else it is under way.
+	// An error that is none of the package's means that nothing is known.
+	Order(ctx context.Context, order Order) (done bool, err error)
+	// Report asks a back end for its state.
+	Report(ctx context.Context, instance, address string) (Report, error)
+}
+
+func leaseID() rowstore.RowID { return rowstore.RowID{Table: TableLease, Key: leaseKey} }
+
+func loadID(instance string) rowstore.RowID { return rowstore.RowID{Table: TableLoads, Key: instance} }
+
+func encode(value any) []byte {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic("reload: a row cannot be encoded: " + err.Error())
+	}
+	return encoded
+}
+
+// Timing holds the bounds that the lease is built on.
+type Timing struct {
+	// Settle is how long back ends take to tell two holders apart.
+	Settle time.Duration
+}
+
+// Validity is how long a holder may order after a renewal.
+func (t Timing) Validity() time.Duration { return t.Settle / 2 }
+
+// renewEvery is how often the holder renews.
+func (t Timing) renewEvery() time.Duration { return t.Validity() / 3 }
+
+// margin covers the delays of clocks and messages.
+func (t Timing) margin() time.Duration { return t.Settle / 10 }
--- /dev/null
+++ b/internal/reload/reload.go
@@ -0,0 +1,362 @@
+package reload
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+// Config configures a Controller.
+type Config struct {
+	Store     rowstore.Store
+	Presence  *presence.Registry
+	Fleet     *fleet.Fleet
+	Commander Commander
+	Log       *eventlog.Log
+	Timing    Timing
+	// Wait is how long a watch stays open.
+	Wait time.Duration
+	// Mode says what becomes of runs under way.
+	Mode Mode
+	// Observe is told of decisions for metrics; it may be nil.
+	Observe func(event string)
+}
+
+// Controller takes part in the lease and gives orders while it holds it. It is
+// safe for concurrent use.
+type Controller struct {
+	config    Config
+	self      presence.Node
+	leaseView *rowstore.View
+	loadsView *rowstore.View
+
+	mu       sync.Mutex
+	named    map[string]int64
+	row      lease
+	revision int64
+	changed  time.Time
+	stopping bool
+
+	// Of the holder.
+	held       bool
+	token      int64
+	validUntil time.Time
+	orderFrom  time.Time
+	renewed    time.Time
+	busy       map[string]bool
+	taken      map[string]int64
+	wakes      chan struct{}
+	loads      map[string]Load
+}
+
+// NewController returns a controller; Run has to be called.
+func NewController(config Config) *Controller {
+	controller := &Controller{
+		config: config,
+		self:   config.Presence.Self(),
+		named:  make(map[string]int64),
+		busy:   make(map[string]bool),
+		taken:  make(map[string]int64),
+		loads:  make(map[string]Load),
+		wakes:  make(chan struct{}, 1),
+	}
+	controller.leaseView = rowstore.NewView(config.Log.Logger(), config.Store, rowstore.ViewConfig{
+		Name: "lease", Table: TableLease, Partitions: []string{""}, Wait: config.Wait, Apply: controller.applyLease,
+	})
+	controller.loadsView = rowstore.NewView(config.Log.Logger(), config.Store, rowstore.ViewConfig{
+		Name: "loads", Table: TableLoads, Partitions: []string{""}, Wait: config.Wait, Apply: controller.applyLoads,
+	})
+	return controller
+}
+
+// SetNamed records the newest named version of a model; it never goes back.
+func (c *Controller) SetNamed(model string, version int64) {
+	c.mu.Lock()
+	newer := version > c.named[model]
+	if newer {
+		c.named[model] = version
+	}
+	c.mu.Unlock()
+	if newer {
+		c.config.Log.Info(eventlog.VersionNamed, eventlog.Fields{eventlog.Model: model, eventlog.Version: version})
+		c.Kick()
+	}
+}
+
+// Kick makes the controller look again at what has to be ordered.
+func (c *Controller) Kick() {
+	select {
+	case c.wakes <- struct{}{}:
+	default:
+	}
+}
+
+// tick is how often lease and plan are looked at without an event.
+const tick = 100 * time.Millisecond
+
+// Run takes part until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { c.leaseView.Run(ctx) })
+	group.Go(func() { c.loadsView.Run(ctx) })
+	group.Go(func() { c.leaseLoop(ctx) })
+	group.Go(func() { c.orderLoop(ctx) })
+	group.Wait()
+}
+
+func (c *Controller) leaseLoop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.leaseStep(ctx)
+		}
+	}
+}
+
+func (c *Controller) orderLoop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-c.wakes:
+		}
+		c.giveOrders(ctx)
+	}
+}
+
+func (c *Controller) applyLease(rows []rowstore.Row, _ bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, row := range rows {
+		if row.Key == leaseKey && !row.Deleted && row.Revision > c.revision {
+			c.noteRow(row)
+		}
+	}
+}
+
+// noteRow takes a newer lease row. The lock is held.
+func (c *Controller) noteRow(row rowstore.Row) {
+	var seen lease
+	if json.Unmarshal(row.Value, &seen) != nil {
+		return
+	}
+	c.row, c.revision, c.changed = seen, row.Revision, time.Now()
+	if c.held && (seen.Holder != c.self.Name || seen.Term != c.token) {
+		c.lose("another holder")
+	}
+}
+
+// lose ends this node's hold. The lock is held.
+func (c *Controller) lose(cause string) {
+	c.held = false
+	c.config.Log.Warn(eventlog.LeaseLost, eventlog.Fields{eventlog.Token: c.token, eventlog.Cause: cause, eventlog.Owner: c.row.Holder})
+}
+
+func (c *Controller) applyLoads(rows []rowstore.Row, _ bool) {
+	for _, row := range rows {
+		var load Load
+		if row.Deleted || json.Unmarshal(row.Value, &load) != nil {
+			continue
+		}
+		c.mu.Lock()
+		c.loads[row.Key] = load
+		c.mu.Unlock()
+		c.noteLoad(row.Key, load)
+	}
+}
+
+// loadingMost is how long an announced load keeps others away at most.
+const loadingMost = 5 * time.Second
+
+func (c *Controller) noteLoad(instance string, load Load) {
+	for model, version := range load.Versions {
+		c.config.Fleet.MarkVersion(instance, model, version)
+	}
+	c.config.Fleet.MarkLoading(instance, load.Loading, time.Now().Add(loadingMost))
+}
+
+// Stop gives the lease up: no order is given any more, and the row is left to
+// lapse, since the next holder has to wait in any case.
+func (c *Controller) Stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	if c.held {
+		c.lose("stopping")
+	}
+}
+
+// Holder returns the lease's holder as this node knows it, for metrics.
+func (c *Controller) Holder() (name string, held bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.row.Holder, c.held
+}
+
+func (c *Controller) leaseStep(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	held, due := c.held, now.Sub(c.renewed) >= c.config.Timing.renewEvery()
+	stopping := c.stopping
+	c.mu.Unlock()
+	switch {
+	case stopping:
+	case held && due:
+		c.renew(ctx, now)
+	case !held && c.mayTake(now):
+		c.acquire(ctx, now)
+	}
+}
+
+func (c *Controller) renew(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	next := c.row
+	next.Renewal++
+	revision, token := c.revision, c.token
+	c.mu.Unlock()
+	written, err := c.write(ctx, next, revision)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.held || c.token != token {
+		return
+	}
+	if err == nil {
+		c.adopt(next, written, now)
+		return
+	}
+	var conflict *rowstore.ConflictError
+	if !errors.As(err, &conflict) {
+		return
+	}
+	for _, row := range conflict.Rows {
+		if row.Revision > c.revision {
+			c.noteRow(row)
+		}
+	}
+	if c.held && c.row.Renewal == next.Renewal {
+		// An attempt whose answer was lost has done it; when is not known, so it
+		// extends nothing.
+		c.renewed = time.Time{}
+	}
+}
+
+// adopt takes a row that this node has written. The lock is held.
+func (c *Controller) adopt(row lease, revision int64, sent time.Time) {
+	c.row, c.revision, c.changed = row, revision, time.Now()
+	c.renewed = sent
+	c.validUntil = sent.Add(c.config.Timing.Validity())
+}
+
+func (c *Controller) write(ctx context.Context, row lease, revision int64) (int64, error) {
+	bounded, cancel := context.WithTimeout(ctx, c.config.Timing.Validity())
+	defer cancel()
+	return c.config.Store.Commit(bounded, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{RowID: leaseID(), Revision: revision}},
+		Puts:       []rowstore.Row{{RowID: leaseID(), Value: encode(row)}},
+	})
+}
+
+// takeStagger separates the nodes that could take the lease.
+const takeStagger = 300 * time.Millisecond
+
+// mayTake tells whether the lease is free for this node.
+func (c *Controller) mayTake(now time.Time) bool {
+	status := c.leaseView.Status()
+	if !status.Healthy || !c.config.Presence.View().Status().Healthy {
+		return false
+	}
+	rank := -1
+	for i, node := range presence.Rank(c.config.Presence.Live(now), leaseKey) {
+		if node.Name == c.self.Name {
+			rank = i
+		}
+	}
+	if rank < 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.revision == 0 {
+		return now.Sub(status.HealthySince) >= time.Duration(rank)*takeStagger
+	}
+	quietSince := c.changed
+	if status.HealthySince.After(quietSince) {
+		quietSince = status.HealthySince
+	}
+	free := c.config.Timing.Validity() + c.config.Timing.margin()
+	if c.row.Holder == c.self.Name {
+		// An earlier process of this machine: it cannot order any more.
+		free = 0
+	}
+	return now.Sub(quietSince) >= free+time.Duration(rank)*takeStagger
+}
+
+// acquire takes the lease with the next term.
+func (c *Controller) acquire(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	before, revision, changed := c.row, c.revision, c.changed
+	c.mu.Unlock()
+	next := lease{Holder: c.self.Name, Incarnation: c.self.Incarnation, Term: before.Term + 1}
+	written, err := c.write(ctx, next, revision)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		var conflict *rowstore.ConflictError
+		if errors.As(err, &conflict) {
+			for _, row := range conflict.Rows {
+				if row.Revision > c.revision {
+					c.noteRow(row)
+				}
+			}
+		}
+		return
+	}
+	if c.stopping || written < c.revision {
+		return
+	}
+	c.adopt(next, written, now)
+	c.held, c.token = true, next.Term
+	c.busy, c.taken = make(map[string]bool), make(map[string]int64)
+	c.orderFrom = now
+	if before.Holder != "" && before.Holder != c.self.Name {
+		c.orderFrom = changed.Add(c.config.Timing.Validity() + c.config.Timing.Settle + c.config.Timing.margin())
+	}
+	c.config.Log.Warn(eventlog.LeaseTaken, eventlog.Fields{
+		eventlog.Token: c.token, "before": before.Holder, "orders_in_ms": time.Until(c.orderFrom).Milliseconds(),
+		"quiet_ms": now.Sub(changed).Milliseconds(),
+	})
+}
+
+// mayOrder tells whether an order may be sent now. The lock is held.
+func (c *Controller) mayOrder(now time.Time) bool {
+	return c.held && !c.stopping && now.Before(c.validUntil) && !now.Before(c.orderFrom)
+}
+
+// giveOrders begins what the plan wants.
+func (c *Controller) giveOrders(ctx context.Context) {
+	now := time.Now()
+	backends := c.config.Fleet.All(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.mayOrder(now) {
+		return
+	}
+	for _, next := range plan(backends, c.named, c.busy) {
+		c.busy[next.backend.ID] = true
+		go c.carryOut(ctx, next, c.token)
+	}
+}
--- /dev/null
+++ b/internal/routetable/routetable.go
@@ -0,0 +1,146 @@
+// Package routetable holds the configuration that decides where a request may
+// go: routes by host and path prefix, the services behind them and the limits
+// of callers. A Table is immutable; decisions on it are pure functions.
+package routetable
+
+import (
+	"math"
+	"strings"
+	"time"
+)
+
+// Kind says what may be done with a route's requests.
+type Kind string
+
+const (
+	// KindSafe requests may run more than once.
+	KindSafe Kind = "safe"
+	// KindUnsafe requests may run once at most.
+	KindUnsafe Kind = "unsafe"
+	// KindStream requests are answered by a series of events.
+	KindStream Kind = "stream"
+	// KindBatch requests submit batch jobs.
+	KindBatch Kind = "batch"
+)
+
+// Split is a service's part of a route, by weight.
+type Split struct {
+	Service string
+	Weight  float64
+}
+
+// Route is one route of the configuration.
+type Route struct {
+	Name, Host, Prefix string
+	Kind               Kind
+	Splits             []Split
+	// Timeout is how long a request may be held.
+	Timeout time.Duration
+	// Target is the latency within which an answer has its full worth.
+	Target time.Duration
+	// MaxAttempts is the number of back ends one request may be sent to.
+	MaxAttempts int
+	// Priority is the rank of the route, 0 the highest.
+	Priority int
+	// Resumable streams may be continued by another back end.
+	Resumable bool
+	// SingleVersion demands one weight version for all of a sample.
+	SingleVersion bool
+	// MaxQueue is the time after which an item of a batch job may be given up.
+	MaxQueue time.Duration
+}
+
+// Service is a set of alike back ends.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int
+	Models         []string
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is one version of the configuration.
+type Table struct {
+	Version  int64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+
+	byHost map[string][]*Route
+}
+
+// New returns a table over the routes; it keeps the slice.
+func New(version int64, routes []Route, services []Service, limits Limits) *Table {
+	table := &Table{
+		Version:  version,
+		Routes:   routes,
+		Services: make(map[string]Service, len(services)),
+		Limits:   limits,
+		byHost:   make(map[string][]*Route),
+	}
+	for _, service := range services {
+		table.Services[service.Name] = service
+	}
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		table.byHost[host] = append(table.byHost[host], &routes[i])
+	}
+	return table
+}
+
+// Match returns the route of the host whose prefix begins the path and is the
+// longest, or nil.
+func (t *Table) Match(host, path string) *Route {
+	var best *Route
+	for _, route := range t.byHost[strings.ToLower(host)] {
+		if !strings.HasPrefix(path, route.Prefix) {
+			continue
+		}
+		if best == nil || len(route.Prefix) > len(best.Prefix) {
+			best = route
+		}
+	}
+	return best
+}
+
+// ByName returns the route of that name, or nil.
+func (t *Table) ByName(name string) *Route {
+	for i := range t.Routes {
+		if t.Routes[i].Name == name {
+			return &t.Routes[i]
+		}
+	}
+	return nil
+}
+
+// goldenRatio spreads successive picks evenly over the parts.
+const goldenRatio = 0.6180339887498949
+
+// Pick returns the service for the request numbered sequence of a node whose
+// picks begin at offset (0 to 1). Shares match the weights over any stretch of
+// requests, and nodes with different offsets do not move in step.
+func (r *Route) Pick(sequence uint64, offset float64) string {
+	total := 0.0
+	for _, split := range r.Splits {
+		total += split.Weight
+	}
+	_, point := math.Modf(offset + float64(sequence)*goldenRatio)
+	point *= total
+	for _, split := range r.Splits {
+		if point < split.Weight {
+			return split.Service
+		}
+		point -= split.Weight
+	}
+	if len(r.Splits) == 0 {
+		return ""
+	}
+	return r.Splits[len(r.Splits)-1].Service
+}
--- /dev/null
+++ b/internal/rowstore/view.go
@@ -0,0 +1,222 @@
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Timing of a view.
+const (
+	// retryFirst and retryMost bound the pause after a failed call.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// listPage is the number of rows asked for in one read.
+	listPage = 500
+)
+
+// ViewConfig says what a View mirrors.
+type ViewConfig struct {
+	Name       string
+	Table      string
+	Partitions []string
+	// Wait is how long a watch may stay open without a change. The age of the
+	// view never grows far beyond it while the store answers.
+	Wait time.Duration
+	// Pace is the least time between two answers of a watch that are taken; it
+	// folds frequent changes together. 0 takes each at once.
+	Pace time.Duration
+	// Apply is called with changed rows, in order, from one goroutine. complete
+	// marks a whole table: rows not among them are gone.
+	Apply func(rows []Row, complete bool)
+}
+
+// View mirrors a table and knows how fresh the mirror is. It never goes back:
+// a read older than what it holds is dropped.
+type View struct {
+	config ViewConfig
+	store  Store
+	lg     logrus.FieldLogger
+
+	mu        sync.Mutex
+	revision  int64
+	confirmed time.Time
+	loaded    bool
+	healthy   bool
+	onLoaded  chan struct{}
+	recovered time.Time
+}
+
+// NewView returns a view that Run keeps up to date.
+func NewView(lg logrus.FieldLogger, store Store, config ViewConfig) *View {
+	return &View{config: config, store: store, lg: lg, onLoaded: make(chan struct{})}
+}
+
+// Loaded is closed once the view has been read whole for the first time.
+func (v *View) Loaded() <-chan struct{} { return v.onLoaded }
+
+// Status tells whether the view has ever been read, when the store last
+// confirmed it, since when it has been confirmed without a gap, and up to which
+// revision it reaches.
+func (v *View) Status() Status {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return Status{Loaded: v.loaded, Healthy: v.healthy, Confirmed: v.confirmed, HealthySince: v.recovered, Revision: v.revision}
+}
+
+// Status is the freshness of a view.
+type Status struct {
+	Loaded       bool
+	Healthy      bool
+	Confirmed    time.Time
+	HealthySince time.Time
+	Revision     int64
+}
+
+// Age returns how long ago the store last confirmed the view.
+func (s Status) Age(now time.Time) time.Duration { return now.Sub(s.Confirmed) }
+
+// Run keeps the view up to date until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	pause := retryFirst
+	reload := true
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := v.step(ctx, reload)
+		if err == nil {
+			v.confirm(started, reload)
+			reload = false
+			pause = retryFirst
+			sleep(ctx, v.config.Pace-time.Since(started))
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		v.lose(err)
+		reload = true
+		if !errors.Is(err, ErrCompacted) {
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
+		}
+	}
+}
+
+func (v *View) step(ctx context.Context, reload bool) error {
+	if reload {
+		return v.list(ctx)
+	}
+	snapshot, err := v.store.Watch(ctx, v.config.Table, v.at(), v.config.Wait)
+	if err != nil {
+		return err
+	}
+	if snapshot.Revision < v.at() {
+		return ErrStale
+	}
+	v.advance(snapshot.Revision)
+	if len(snapshot.Rows) > 0 {
+		v.config.Apply(snapshot.Rows, false)
+	}
+	return nil
+}
+
+// list reads all partitions. The watch goes on from the oldest of the reads,
+// so that nothing between two of them is missed.
+func (v *View) list(ctx context.Context) error {
+	var all []Row
+	oldest := int64(-1)
+	for _, partition := range v.config.Partitions {
+		rows, revision, err := ListAll(ctx, v.store, v.config.Table, partition, "", "")
+		if err != nil {
+			return err
+		}
+		all = append(all, rows...)
+		if oldest < 0 || revision < oldest {
+			oldest = revision
+		}
+	}
+	if oldest < v.at() {
+		return ErrStale
+	}
+	v.advance(oldest)
+	v.config.Apply(all, true)
+	return nil
+}
+
+// ListAll reads all rows of a partition with keys in [from, to), page by page,
+// and returns them with the revision of the first page.
+func ListAll(ctx context.Context, store Store, table, partition, from, to string) ([]Row, int64, error) {
+	var rows []Row
+	first := int64(-1)
+	for {
+		snapshot, err := store.List(ctx, table, partition, from, to, listPage)
+		if err != nil {
+			return nil, 0, err
+		}
+		if first < 0 {
+			first = snapshot.Revision
+		}
+		rows = append(rows, snapshot.Rows...)
+		if !snapshot.More || len(snapshot.Rows) == 0 {
+			return rows, first, nil
+		}
+		from = snapshot.Rows[len(snapshot.Rows)-1].Key + "\x00"
+	}
+}
+
+func (v *View) at() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.revision
+}
+
+func (v *View) advance(revision int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.revision = revision
+}
+
+func (v *View) confirm(started time.Time, listed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if listed {
+		// A read proves the state as of its start at the earliest.
+		v.confirmed = started
+	} else {
+		v.confirmed = time.Now()
+	}
+	if !v.healthy {
+		v.healthy = true
+		v.recovered = time.Now()
+		v.lg.WithFields(logrus.Fields{"event": "view_regained", "view": v.config.Name, "revision": v.revision}).Info("view follows the store")
+	}
+	if !v.loaded {
+		v.loaded = true
+		close(v.onLoaded)
+	}
+}
+
+func (v *View) lose(err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.healthy {
+		return
+	}
+	v.healthy = false
+	v.lg.WithFields(logrus.Fields{"event": "view_lost", "view": v.config.Name, "revision": v.revision, "cause": err.Error()}).Warn("view no longer follows the store")
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,70 @@
+package settings
+
+import "time"
+
+// GatewayProgram is the name of the node whose state is all in a row store.
+const GatewayProgram = "sliplift-gateway"
+
+// Gateway is what a gateway node is told at its start.
+type Gateway struct {
+	GatewayIdentity  `group:"Identity"`
+	GatewayListening `group:"Listening"`
+	RowStore         `group:"Row store"`
+	GatewayTiming    `group:"Timing"`
+	GatewayLog       `group:"Log"`
+}
+
+// GatewayIdentity says who the node is and where it stands.
+type GatewayIdentity struct {
+	Name   string `long:"name" format:"name" mandatory:"yes" description:"name of the node, unique among all nodes; one machine keeps its name"`
+	Zone   string `long:"zone" format:"name" mandatory:"yes" description:"zone that the node runs in"`
+	Region string `long:"region" format:"name" description:"region that the zone belongs to"`
+}
+
+// GatewayListening holds the node's own addresses.
+type GatewayListening struct {
+	CallerAddress    string `long:"caller-address" format:"listen" mandatory:"yes" description:"IP:port for callers and trainers"`
+	ReadyAddress     string `long:"ready-address" format:"listen" mandatory:"yes" description:"IP:port for the platform's readiness checks"`
+	DirectoryAddress string `long:"directory-address" format:"listen" mandatory:"yes" description:"IP:port for callers who ask which nodes to use"`
+	MetricsAddress   string `long:"metrics-address" format:"listen" description:"IP:port of the metrics; empty serves none"`
+}
+
+// RowStore tells of the store that keeps the system's state.
+type RowStore struct {
+	StoreAddress  string  `long:"store-address" format:"address" mandatory:"yes" description:"IP:port of the row store"`
+	StoreRowBytes int     `long:"store-row-bytes" default:"65536" min:"1024" max:"16777216" unit:"bytes" description:"largest value of a row"`
+	StoreWrites   float64 `long:"store-writes-per-second" default:"800" min:"1" max:"1000000" unit:"calls" description:"writes a second that the store takes from all nodes together"`
+	StoreReads    float64 `long:"store-reads-per-second" default:"2000" min:"1" max:"1000000" unit:"calls" description:"reads a second that the store takes from all nodes together"`
+}
+
+// GatewayTiming holds how long things take or may take.
+type GatewayTiming struct {
+	ConfigApply time.Duration `long:"config-apply" default:"2s" min:"100ms" max:"1m" description:"time within which a change of the configuration has to be in force"`
+	LeaseSettle time.Duration `long:"lease-settle" default:"3s" min:"100ms" max:"1m" description:"time that has to lie between orders of two lease holders"`
+	StopGrace   time.Duration `long:"stop-grace" default:"8s" min:"1s" max:"10m" description:"time that a planned stop may take"`
+	KeepJobs    time.Duration `long:"keep-jobs" default:"2m" min:"1s" max:"24h" description:"time that a batch job stays readable after it was submitted"`
+	AddressTTL  time.Duration `long:"address-ttl" default:"1s" min:"100ms" max:"1m" description:"time that callers may keep the addresses of nodes"`
+}
+
+// GatewayLog says what the log holds.
+type GatewayLog struct {
+	LogLevel  string `long:"log-level" default:"info" choice:"error" choice:"warning" choice:"info" choice:"debug" description:"least level of entries"`
+	LogFormat string `long:"log-format" default:"json" choice:"text" choice:"json" description:"format of entries on standard output"`
+}
+
+// callerHolds is how many TTLs a caller may keep an address.
+const callerHolds = 3
+
+func (g *Gateway) faults() Faults {
+	faults := distinctAddresses([]keyedAddress{
+		{"caller-address", g.CallerAddress},
+		{"ready-address", g.ReadyAddress},
+		{"directory-address", g.DirectoryAddress},
+		{"metrics-address", g.MetricsAddress},
+	})
+	faults = append(faults, unreachable("caller-address", g.CallerAddress)...)
+	if callerHolds*g.AddressTTL >= g.StopGrace {
+		faults = append(faults, Fault{Key: "address-ttl", Value: g.AddressTTL.String(), Allowed: "three of it must be less than stop-grace, so that callers hear of a stop"})
+	}
+	return faults
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -13,7 +13,8 @@
 	"github.com/zeebo/errs/v2"
 )
 
-// Settings is a schema that Load can fill: *Node, *Emulator or *Experiment.
+// Settings is a schema that Load can fill: *Node, *Gateway, *Emulator or
+// *Experiment.
 type Settings interface {
 	// faults checks what spans several keys.
 	faults() Faults
@@ -139,8 +140,11 @@
 
 func helpText(program string) string {
 	var target Settings = &Node{}
-	if program == EmulatorProgram {
+	switch program {
+	case EmulatorProgram:
 		target = &Emulator{}
+	case GatewayProgram:
+		target = &Gateway{}
 	}
 	parser, err := newParser(program, target, &general{})
 	if err != nil {
--- /dev/null
+++ b/internal/storenode/storenode.go
@@ -0,0 +1,315 @@
+// Package storenode is a node of sliplift whose lasting state is all in a row
+// store: it passes live requests on, keeps batch jobs, moves back ends to named
+// weights and tells callers where to connect. Every node is alike.
+//
+// The node composes the packages that do the work; it decides only what is of
+// the node as a whole: whether it is ready, whether it may deny a route, and the
+// order of a planned stop.
+package storenode
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/batch"
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/forward"
+	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/reload"
+	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/upstream"
+)
+
+// OperatorRow is what a row of the operator says: a configuration, or the
+// newest version of a model, or nothing known.
+type OperatorRow struct {
+	Table   *routetable.Table
+	Model   string
+	Version int64
+}
+
+// Translator reads rows that others write.
+type Translator interface {
+	// Operator reads a row of the operator's table.
+	Operator(row rowstore.Row) (OperatorRow, error)
+	// Instance reads a row of the registry of back ends.
+	Instance(row rowstore.Row) (fleet.Instance, error)
+}
+
+// Config configures a Node.
+type Config struct {
+	Store      rowstore.Store
+	Limits     rowstore.Limits
+	Translator Translator
+	// NewCommander returns the commander of back ends over a client.
+	NewCommander func(client *upstream.Client) reload.Commander
+	Codec        upstream.Codec
+	Log          *eventlog.Log
+	// Self is this node; its incarnation is set by New.
+	Self presence.Node
+	// OperatorTable and InstanceTable are the tables that others write.
+	OperatorTable, InstanceTable string
+	VersionField                 string
+	// SettleTime is how long back ends take to tell two lease holders apart.
+	SettleTime time.Duration
+	// KeepJobs is how long a batch job stays readable.
+	KeepJobs time.Duration
+	// FreshMost is the age of the configuration up to which the node denies a
+	// route that it does not know.
+	FreshMost time.Duration
+	// AddressTTL is how long callers may keep the addresses they are told.
+	AddressTTL time.Duration
+}
+
+// Node is a running node. It is safe for concurrent use.
+type Node struct {
+	config     Config
+	presence   *presence.Registry
+	fleet      *fleet.Fleet
+	client     *upstream.Client
+	forwarder  *forward.Forwarder
+	jobs       *batch.Manager
+	controller *reload.Controller
+	operator   *rowstore.View
+	instances  *rowstore.View
+
+	table         atomic.Pointer[routetable.Table]
+	tableRevision int64
+	stopping      atomic.Bool
+	inFlight      atomic.Int64
+}
+
+// watchShare is how long a watch stays open, as a share of FreshMost: an open
+// watch that returns proves that the view is fresh.
+const watchShare = 0.5
+
+// New returns a node. Its incarnation is read from the store, so that it is
+// above those of all earlier processes of its name; New waits until the store
+// answers or ctx ends.
+func New(ctx context.Context, config Config) (*Node, error) {
+	incarnation, err := nextIncarnation(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	config.Self.Incarnation = incarnation
+	config.Self.State = presence.Ready
+	wait := time.Duration(watchShare * float64(config.FreshMost))
+	node := &Node{config: config}
+	node.presence = presence.New(config.Log, config.Store, config.Self, wait)
+	node.fleet = fleet.New(node.kick)
+	node.client = upstream.NewClient(upstream.Config{Codec: config.Codec})
+	node.forwarder = forward.New(forward.Config{
+		Client: node.client, Fleet: node.fleet, Log: config.Log, Zone: config.Self.Zone, VersionField: config.VersionField,
+	})
+	node.jobs = batch.NewManager(batch.Config{
+		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client,
+		Log: config.Log, Zone: config.Self.Zone, Routes: node.table.Load, VersionField: config.VersionField,
+		Wait: wait, Keep: config.KeepJobs,
+	})
+	node.controller = reload.NewController(reload.Config{
+		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
+		Log: config.Log, Timing: reload.Timing{Settle: config.SettleTime}, Wait: wait, Mode: reload.ModeRetain,
+	})
+	node.operator = rowstore.NewView(config.Log.Logger(), config.Store, rowstore.ViewConfig{
+		Name: "operator", Table: config.OperatorTable, Partitions: []string{""}, Wait: wait, Apply: node.applyOperator,
+	})
+	node.instances = rowstore.NewView(config.Log.Logger(), config.Store, rowstore.ViewConfig{
+		Name: "back ends", Table: config.InstanceTable, Partitions: []string{""}, Wait: wait, Apply: node.applyInstances,
+	})
+	return node, nil
+}
+
+// startRetry is the pause between attempts to read the store at the start.
+const startRetry = 100 * time.Millisecond
+
+func nextIncarnation(ctx context.Context, config Config) (int64, error) {
+	name := config.Self.Name
+	for {
+		last, err := presence.LastIncarnation(ctx, config.Store, name)
+		if err == nil {
+			return max(last+1, time.Now().UnixMicro()), nil
+		}
+		timer := time.NewTimer(startRetry)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return 0, ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+func (n *Node) kick() {
+	if n.jobs != nil {
+		n.jobs.Kick()
+	}
+	if n.controller != nil {
+		n.controller.Kick()
+	}
+}
+
+// sweepEvery is how often idle connections are looked through.
+const sweepEvery = 500 * time.Millisecond
+
+// Run works until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { n.operator.Run(ctx) })
+	group.Go(func() { n.instances.Run(ctx) })
+	group.Go(func() { n.presence.View().Run(ctx) })
+	group.Go(func() { n.beat(ctx) })
+	group.Go(func() { n.jobs.Run(ctx) })
+	group.Go(func() { n.controller.Run(ctx) })
+	group.Go(func() { n.sweep(ctx) })
+	group.Wait()
+}
+
+// beat announces the node once it can serve.
+func (n *Node) beat(ctx context.Context) {
+	for _, view := range []*rowstore.View{n.operator, n.instances} {
+		select {
+		case <-view.Loaded():
+		case <-ctx.Done():
+			return
+		}
+	}
+	n.presence.Run(ctx)
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			now := time.Now()
+			n.client.Sweep(func(_, instance string) bool {
+				backend, found := n.fleet.Get(instance, now)
+				return found && !backend.Draining
+			})
+		}
+	}
+}
+
+// applyOperator takes rows of the operator. Newer rows only: the view drops
+// reads that are behind, and a configuration never goes back.
+func (n *Node) applyOperator(rows []rowstore.Row, _ bool) {
+	for _, row := range rows {
+		if row.Deleted {
+			continue
+		}
+		read, err := n.config.Translator.Operator(row)
+		if err != nil {
+			n.config.Log.Warn(eventlog.ConfigApplied, eventlog.Fields{"row": row.Key, eventlog.Cause: err.Error(), "outcome": "rejected"})
+			continue
+		}
+		if read.Table != nil && row.Revision > n.tableRevision {
+			n.tableRevision = row.Revision
+			n.table.Store(read.Table)
+			n.config.Log.Info(eventlog.ConfigApplied, eventlog.Fields{
+				eventlog.Config: read.Table.Version, "revision": row.Revision, "routes": len(read.Table.Routes),
+			})
+			n.jobs.Kick()
+		}
+		if read.Model != "" {
+			n.controller.SetNamed(read.Model, read.Version)
+		}
+	}
+}
+
+func (n *Node) applyInstances(rows []rowstore.Row, complete bool) {
+	var instances []fleet.Instance
+	var removed []string
+	for _, row := range rows {
+		if row.Deleted {
+			removed = append(removed, row.Key)
+			n.config.Log.Info(eventlog.BackendGone, eventlog.Fields{eventlog.Backend: row.Key, "revision": row.Revision})
+			continue
+		}
+		instance, err := n.config.Translator.Instance(row)
+		if err != nil {
+			continue
+		}
+		n.noteInstance(instance)
+		instances = append(instances, instance)
+	}
+	if complete {
+		n.fleet.Replace(instances)
+		return
+	}
+	n.fleet.Update(instances, removed)
+}
+
+func (n *Node) noteInstance(instance fleet.Instance) {
+	held, found := n.fleet.Get(instance.ID, time.Now())
+	if found && held.Draining == instance.Draining {
+		return
+	}
+	n.config.Log.Info(eventlog.BackendChanged, eventlog.Fields{
+		eventlog.Backend: instance.ID, eventlog.Service: instance.Service, "address": instance.Address,
+		"draining": instance.Draining, "revision": instance.Revision, "known": found,
+	})
+}
+
+// Ready tells whether the node should get requests.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.table.Load() != nil && n.instances.Status().Loaded
+}
+
+// Stopping tells whether a planned stop has begun.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// Match is the outcome of looking a route up.
+type Match struct {
+	Route  *routetable.Route
+	Config *routetable.Table
+	// Denied tells that there certainly is no such route; without it and without a
+	// route the node cannot tell.
+	Denied bool
+}
+
+// Match looks the route of a request up.
+func (n *Node) Match(host, path string) Match {
+	table := n.table.Load()
+	if table == nil {
+		return Match{}
+	}
+	if route := table.Match(host, path); route != nil {
+		return Match{Route: route, Config: table}
+	}
+	status := n.operator.Status()
+	fresh := status.Healthy && status.Age(time.Now()) <= n.config.FreshMost
+	return Match{Config: table, Denied: fresh}
+}
+
+// ConfigAge returns when the configuration was last confirmed.
+func (n *Node) ConfigAge() time.Duration { return n.operator.Status().Age(time.Now()) }
+
+// Forwarder returns what passes live requests on.
+func (n *Node) Forwarder() *forward.Forwarder { return n.forwarder }
+
+// Jobs returns the batch jobs.
+func (n *Node) Jobs() *batch.Manager { return n.jobs }
+
+// Log returns the node's log.
+func (n *Node) Log() *eventlog.Log { return n.config.Log }
+
+// Addresses returns where callers should connect and for how long that holds.
+func (n *Node) Addresses(zone, region string) ([]string, time.Duration) {
+	return n.presence.Addresses(zone, region, time.Now()), n.config.AddressTTL
+}
+
+// Stop begins a planned stop: the node is no longer announced, and hands its
+// jobs over. Requests are still served until the listeners close.
+func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
+	n.presence.SetState(presence.Stopping)
+	n.controller.Stop()
+	n.jobs.Stop(ctx)
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,522 @@
+// Package upstream sends one request to one back end over HTTP/1.1 and says
+// exactly what became of it.
+//
+// The standard client retries by itself and hides whether anything was sent, so
+// this package keeps its own connections; it uses net/http for reading answers.
+// A request has one of these fates:
+//
+//	NotSent   no byte left this process: it has not run
+//	NotRun    the back end said that it did not and will not run it
+//	Unknown   it was sent and may have run
+//	Answered  an answer that belongs to the request has begun
+//
+// An answer belongs to the request only if it echoes its id. A whole answer
+// with another id is surplus: it is passed over, and the connection is not used
+// again. A connection is reused only after a whole answer with nothing behind it.
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Fate is what became of a request.
+type Fate int
+
+// The fates of a request.
+const (
+	NotSent Fate = iota
+	NotRun
+	Unknown
+	Answered
+)
+
+// String returns the fate for logs.
+func (f Fate) String() string {
+	return [...]string{"not_sent", "not_run", "unknown", "answered"}[f]
+}
+
+// Call is a request to one back end.
+type Call struct {
+	ID      string
+	Method  string
+	Target  string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	Address string
+	// Instance is the incarnation that must take the call.
+	Instance string
+	// Deadline is when the back end has to stop work; zero means none.
+	Deadline time.Time
+	// ResumeAfter is the last event that is already there; it counts if Resume.
+	Resume      bool
+	ResumeAfter int64
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Unnumbered calls have no id, and their answers need not carry one.
+	Unnumbered bool
+}
+
+// Meta is what the head of an answer says, translated.
+type Meta struct {
+	// ID is the request that the answer belongs to, empty if it does not say.
+	ID string
+	// NotRun tells that the request has not run and never will.
+	NotRun bool
+	// WrongInstance tells that another incarnation has the address.
+	WrongInstance bool
+	// HasLoad tells whether Running, Waiting and Slots are set.
+	HasLoad                 bool
+	Running, Waiting, Slots int
+	// Version is the weight version that answers, 0 if it does not say.
+	Version int64
+}
+
+// Codec translates calls and answers to and from the back ends' protocol.
+type Codec interface {
+	// Encode returns the header of a call: Call.Header and what the protocol adds.
+	Encode(call *Call, now time.Time) http.Header
+	// Decode reads the head of an answer.
+	Decode(status int, header http.Header) Meta
+}
+
+// Error is a call without an answer of its own.
+type Error struct {
+	Fate  Fate
+	Cause error
+	// Meta and Status are of the answer that said NotRun, if Fate is NotRun.
+	Meta       Meta
+	Status     int
+	RetryAfter string
+	// kept tells that the connection is sound and has been given back.
+	kept bool
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "upstream: " + e.Fate.String() + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// FateOf returns the fate that an error of Do tells.
+func FateOf(err error) Fate {
+	var failure *Error
+	if errors.As(err, &failure) {
+		return failure.Fate
+	}
+	return Unknown
+}
+
+// Causes of failures.
+var (
+	// ErrSurplus says that only answers of other requests came.
+	ErrSurplus = errors.New("answer belongs to another request")
+	// ErrTruncated says that an answer ended before its end.
+	ErrTruncated = errors.New("answer cut short")
+	errNotRun    = errors.New("back end did not run it")
+)
+
+// Config configures a Client.
+type Config struct {
+	Codec Codec
+	// DialTimeout bounds a new connection, 0 means one second.
+	DialTimeout time.Duration
+	// IdleMost is how long a connection without a stated limit is kept.
+	IdleMost time.Duration
+	// Dialer may replace the network, for tests.
+	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnDial is told of each new connection; it may be nil.
+	OnDial func()
+}
+
+const (
+	defaultDialTimeout = time.Second
+	defaultIdle        = 4 * time.Second
+	// idleMargin is taken off the idle time that a back end states.
+	idleMargin = time.Second
+	// inlineBody is the largest body that is written before the answer is read.
+	inlineBody = 32 << 10
+	// surplusMost is the number of surplus answers passed over in a call.
+	surplusMost = 2
+	// surplusBytes bounds a surplus answer.
+	surplusBytes = 1 << 20
+)
+
+// Client sends calls. It is safe for concurrent use.
+type Client struct {
+	config Config
+
+	mu   sync.Mutex
+	idle map[string][]*connection
+}
+
+// NewClient returns a client without connections.
+func NewClient(config Config) *Client {
+	if config.DialTimeout == 0 {
+		config.DialTimeout = defaultDialTimeout
+	}
+	if config.IdleMost == 0 {
+		config.IdleMost = defaultIdle
+	}
+	if config.Dialer == nil {
+		dialer := &net.Dialer{KeepAlive: -1}
+		config.Dialer = dialer.DialContext
+	}
+	return &Client{config: config, idle: make(map[string][]*connection)}
+}
+
+type connection struct {
+	net.Conn
+	key    string
+	reader *bufio.Reader
+	// keep is how long the back end keeps the connection idle, 0 if unknown.
+	keep   time.Duration
+	parked time.Time
+	used   bool
+}
+
+// Answer is an answer that belongs to its call. Body must be closed.
+type Answer struct {
+	Meta   Meta
+	Status int
+	Header http.Header
+	// Length is the body's length in bytes, -1 if it is not known.
+	Length int64
+	Body   io.ReadCloser
+}
+
+// Do sends the call and returns its answer once the head has come, or an
+// *Error. The end of ctx closes the connection, which ends the run.
+func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
+	conn, err := c.connect(ctx, call)
+	if err != nil {
+		return nil, &Error{Fate: NotSent, Cause: err}
+	}
+	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	answer, failure := c.exchange(conn, call, release)
+	return c.settle(ctx, conn, release, answer, failure)
+}
+
+// settle closes the connection of a failed call, unless it was given back.
+func (c *Client) settle(ctx context.Context, conn *connection, release func() bool, answer *Answer, err *Error) (*Answer, error) {
+	if err == nil {
+		return answer, nil
+	}
+	if !err.kept {
+		release()
+		_ = conn.Close()
+	}
+	if ctx.Err() != nil && err.Fate == Unknown {
+		err.Cause = ctx.Err()
+	}
+	return nil, err
+}
+
+func (c *Client) exchange(conn *connection, call *Call, release func() bool) (*Answer, *Error) {
+	head := c.head(call)
+	written, err := send(conn, head, call.Body)
+	if err != nil {
+		// Even a failed write may have delivered all that counts.
+		return nil, &Error{Fate: Unknown, Cause: err}
+	}
+	for surplus := 0; ; surplus++ {
+		response, err := readHead(conn, call.Method)
+		if err != nil {
+			return nil, &Error{Fate: Unknown, Cause: err}
+		}
+		meta := c.config.Codec.Decode(response.StatusCode, response.Header)
+		if c.belongs(conn, call, meta, response.StatusCode, surplus) {
+			return c.answer(conn, call, response, meta, surplus > 0, written, release)
+		}
+		if surplus >= surplusMost || discard(response.Body) != nil || response.Close {
+			return nil, &Error{Fate: Unknown, Cause: ErrSurplus}
+		}
+	}
+}
+
+// belongs tells whether an answer is the call's. One without an id is taken
+// only for a failure that comes first on a new connection: no other request
+// was ever sent there.
+func (c *Client) belongs(conn *connection, call *Call, meta Meta, status, surplus int) bool {
+	if meta.ID != "" {
+		return meta.ID == call.ID
+	}
+	if call.Unnumbered {
+		return true
+	}
+	return status >= http.StatusMultipleChoices && !conn.used && surplus == 0
+}
+
+func (c *Client) answer(conn *connection, call *Call, response *http.Response, meta Meta, tainted bool, written <-chan error, release func() bool) (*Answer, *Error) {
+	if meta.NotRun || meta.WrongInstance {
+		failure := &Error{Fate: NotRun, Cause: errNotRun, Meta: meta, Status: response.StatusCode, RetryAfter: response.Header.Get("Retry-After")}
+		if discard(response.Body) == nil && !tainted && finished(written) && release() {
+			c.park(conn, response)
+			failure.kept = true
+		}
+		return nil, failure
+	}
+	body := &answerBody{client: c, conn: conn, response: response, tainted: tainted, written: written, release: release}
+	return &Answer{
+		Meta:   meta,
+		Status: response.StatusCode,
+		Header: response.Header,
+		Length: response.ContentLength,
+		Body:   body,
+	}, nil
+}
+
+func finished(written <-chan error) bool {
+	if written == nil {
+		return true
+	}
+	select {
+	case err := <-written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func (c *Client) head(call *Call) []byte {
+	var buffer bytes.Buffer
+	header := c.config.Codec.Encode(call, time.Now())
+	buffer.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
+	if len(call.Body) > 0 || bodyExpected(call.Method) {
+		buffer.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	}
+	_ = header.Write(&buffer)
+	buffer.WriteString("\r\n")
+	return buffer.Bytes()
+}
+
+func bodyExpected(method string) bool {
+	return method != http.MethodGet && method != http.MethodHead && method != http.MethodDelete
+}
+
+// send writes the request. A long body is written beside the reading of the
+// answer, which may come first; the channel then tells the end of the write.
+func send(conn net.Conn, head, body []byte) (<-chan error, error) {
+	if len(body) <= inlineBody {
+		_, err := conn.Write(append(head, body...))
+		return nil, err
+	}
+	if _, err := conn.Write(head); err != nil {
+		return nil, err
+	}
+	written := make(chan error, 1)
+	go func() {
+		_, err := conn.Write(body)
+		written <- err
+	}()
+	return written, nil
+}
+
+// readHead returns the next answer that is not informational.
+func readHead(conn *connection, method string) (*http.Response, error) {
+	request := &http.Request{Method: method}
+	for {
+		response, err := http.ReadResponse(conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+func discard(body io.Reader) error {
+	read, err := io.Copy(io.Discard, io.LimitReader(body, surplusBytes+1))
+	if err == nil && read > surplusBytes {
+		return ErrTruncated
+	}
+	return err
+}
+
+// answerBody reads the body and, at its end, gives the connection back.
+type answerBody struct {
+	client   *Client
+	conn     *connection
+	response *http.Response
+	tainted  bool
+	written  <-chan error
+	release  func() bool
+	done     bool
+}
+
+// Read implements io.Reader. The end of a body that was cut is never io.EOF.
+func (b *answerBody) Read(buffer []byte) (int, error) {
+	if b.done {
+		return 0, io.EOF
+	}
+	count, err := b.response.Body.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		b.finish()
+		return count, io.EOF
+	}
+	return count, err
+}
+
+func (b *answerBody) finish() {
+	b.done = true
+	if !b.release() {
+		return
+	}
+	if b.tainted || !finished(b.written) {
+		_ = b.conn.Close()
+		return
+	}
+	b.client.park(b.conn, b.response)
+}
+
+// Close ends the call. A body that was not read whole ends its connection.
+func (b *answerBody) Close() error {
+	if b.done {
+		return nil
+	}
+	b.done = true
+	b.release()
+	return b.conn.Close()
+}
+
+func (c *Client) connect(ctx context.Context, call *Call) (*connection, error) {
+	key := call.Address + "|" + call.Instance
+	if !call.Fresh {
+		if conn := c.takeIdle(key); conn != nil {
+			return conn, nil
+		}
+	}
+	dialing, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
+	defer cancel()
+	raw, err := c.config.Dialer(dialing, "tcp", call.Address)
+	if err != nil {
+		return nil, err
+	}
+	if c.config.OnDial != nil {
+		c.config.OnDial()
+	}
+	return &connection{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, 4096)}, nil
+}
+
+// takeIdle returns the connection that was used last and is still sound.
+func (c *Client) takeIdle(key string) *connection {
+	for {
+		c.mu.Lock()
+		list := c.idle[key]
+		if len(list) == 0 {
+			c.mu.Unlock()
+			return nil
+		}
+		conn := list[len(list)-1]
+		c.idle[key] = list[:len(list)-1]
+		c.mu.Unlock()
+		if time.Since(conn.parked) < c.idleLimit(conn) && silent(conn) {
+			return conn
+		}
+		_ = conn.Close()
+	}
+}
+
+func (c *Client) idleLimit(conn *connection) time.Duration {
+	if conn.keep == 0 {
+		return c.config.IdleMost
+	}
+	return max(conn.keep-idleMargin, conn.keep/2)
+}
+
+func (c *Client) park(conn *connection, response *http.Response) {
+	if response.Close || conn.reader.Buffered() > 0 || !silent(conn) {
+		_ = conn.Close()
+		return
+	}
+	conn.keep = keepAlive(response.Header.Get("Keep-Alive"))
+	conn.parked = time.Now()
+	conn.used = true
+	c.mu.Lock()
+	c.idle[conn.key] = append(c.idle[conn.key], conn)
+	c.mu.Unlock()
+}
+
+// Sweep closes connections whose idle time has run out, and those of back ends
+// that keep says are gone.
+func (c *Client) Sweep(keep func(address, instance string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, list := range c.idle {
+		address, instance, _ := strings.Cut(key, "|")
+		wanted := keep(address, instance)
+		var rest []*connection
+		for _, conn := range list {
+			if wanted && time.Since(conn.parked) < c.idleLimit(conn) {
+				rest = append(rest, conn)
+				continue
+			}
+			_ = conn.Close()
+		}
+		if len(rest) == 0 {
+			delete(c.idle, key)
+			continue
+		}
+		c.idle[key] = rest
+	}
+}
+
+// Idle returns the number of connections that are kept.
+func (c *Client) Idle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, list := range c.idle {
+		count += len(list)
+	}
+	return count
+}
+
+// keepAlive returns the timeout of a Keep-Alive field, 0 if there is none.
+func keepAlive(field string) time.Duration {
+	for _, part := range strings.Split(field, ",") {
+		name, value, found := strings.Cut(strings.TrimSpace(part), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && seconds >= 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
+// silent tells that the peer has neither sent anything nor closed.
+func silent(conn *connection) bool {
+	if conn.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := conn.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, peekErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(peekErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
