--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +51,10 @@
 	ctx, cancel := context.WithCancelCause(job.ctx)
 	item := &job.items[index]
 	item.phase, item.backend, item.cancel, item.started = phaseRunning, backend.ID, cancel, time.Now()
+	if item.runs == 0 {
+		item.waited = item.started.Sub(job.opened)
+	}
+	item.runs++
 	started := &run{
 		runner: r, job: job, index: index, route: route, backend: backend, ctx: ctx, cancel: cancel,
 		endSlot: r.manager.config.Fleet.Begin(backend.ID),
@@ -283,7 +286,8 @@
 		eventlog.Job: run.job.id, eventlog.Item: run.item().ID, eventlog.Backend: run.backend.ID,
 		"events": len(item.text.events), eventlog.TookMillis: time.Since(item.started).Milliseconds(),
 		eventlog.Version: run.backend.Models[run.job.spec.Model], "min_version": run.job.spec.MinVersion,
-		"in_flight": run.backend.InFlight, "others": run.backend.OthersRunning, "hint": strconv.Itoa(run.item().LengthHint),
+		"in_flight": run.backend.InFlight, "others": run.backend.OthersRunning, "hint": run.item().LengthHint,
+		"waited_ms": item.waited.Milliseconds(), "runs": item.runs, "since_open_ms": time.Since(run.job.opened).Milliseconds(),
 	}
 	if err == nil {
 		r.manager.config.Log.Info(event, fields)
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -31,8 +31,11 @@
 	backend string
 	cancel  context.CancelCauseFunc
 	started time.Time
-	moved   time.Time
-	avoid   string
+	// waited is the time from the job's opening to its first run.
+	waited time.Duration
+	runs   int
+	moved  time.Time
+	avoid  string
 }
 
 // ownedJob is a job that this node runs. The runner's lock guards it.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -259,7 +259,7 @@
 // ObservePace records the time between two events of a stream.
 func (f *Fleet) ObservePace(id string, gap time.Duration, now time.Time) {
 	f.with(id, func(c *Condition) {
-		c.Pace = average(c.Pace, gap)
+		c.Pace = paceAverage(c.Pace, gap, now.Sub(c.PaceAt))
 		c.PaceAt = now
 		c.Failures = 0
 	})
@@ -272,6 +272,23 @@
 	return old + time.Duration(smoothing*float64(measured-old))
 }
 
+// paceWindow is the time over which the pace of an instance is averaged, over
+// all its streams.
+const paceWindow = 400 * time.Millisecond
+
+// paceAverage weighs a gap by the time since the last measurement, so that many
+// streams at once do not make the average follow each single event.
+func paceAverage(old, gap, since time.Duration) time.Duration {
+	if old == 0 || since >= paceWindow {
+		return gap
+	}
+	weight := max(float64(since)/float64(paceWindow), paceLeast)
+	return old + time.Duration(weight*float64(gap-old))
+}
+
+// paceLeast is the least weight of a measurement.
+const paceLeast = 0.005
+
 // ObserveFailure records a failure and leaves the instance alone for a time
 // that doubles with each failure in a row.
 func (f *Fleet) ObserveFailure(id, reason string, now time.Time) {
