batch, reload: texts of unfinished items are stored; the lease moves once in a rolling restart

Ruled out: slow start or late take-over (0.2 s after the start). Change: the holder ends what it has begun, writes that it released the lease and how long it has been quiet; nodes restarted by plan come first for the lease; loads are looked at by their usual time; new text of items that run for 0.5 s is stored each 0.5 s in lines that belong to one owner; a submission from a caller with less time than the route allows is held longer while the store does not take it.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -187,15 +187,15 @@
 	callerHolds = 3
 	// stopMargin is kept free at the end of the grace.
 	stopMargin = time.Second
-	// handOverMost bounds the handing over of jobs.
-	handOverMost = 2 * time.Second
+	// endingTime is kept for ending what is in flight once work is handed over.
+	endingTime = 1500 * time.Millisecond
 )
 
 // stop hands work over, lets callers hear of it, and ends what is in flight.
 func stop(cfg *settings.Gateway, log *eventlog.Log, node *storenode.Node, servers *servers) {
 	started := time.Now()
 	log.Info(eventlog.Stopping, eventlog.Fields{eventlog.Node: cfg.Name, "grace_ms": cfg.StopGrace.Milliseconds()})
-	handing, cancelHanding := context.WithTimeout(context.Background(), handOverMost)
+	handing, cancelHanding := context.WithDeadline(context.Background(), started.Add(cfg.StopGrace-stopMargin-endingTime))
 	node.Stop(handing)
 	cancelHanding()
 	time.Sleep(time.Until(started.Add(callerHolds*cfg.AddressTTL + cfg.AddressTTL/2)))
--- /dev/null
+++ b/internal/batch/checkpoint.go
@@ -0,0 +1,128 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+const (
+	// checkpointEvery is how often texts of unfinished items are stored.
+	checkpointEvery = 500 * time.Millisecond
+	// checkpointAge is how long an item must have run: a shorter text is made anew
+	// in the time that a take-over needs.
+	checkpointAge = 500 * time.Millisecond
+)
+
+// stretch is text of an item that is to be stored.
+type stretch struct {
+	item, from, upTo int
+	line             int
+	row              rowstore.Row
+}
+
+// checkpoint stores new text of all owned jobs, one write a job at a time.
+func (r *runner) checkpoint(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, job := range r.jobs {
+		if !job.ready || job.suspended || job.left == 0 || job.checkpointing {
+			continue
+		}
+		stretches := r.newText(job, checkpointAge)
+		if len(stretches) == 0 {
+			continue
+		}
+		job.checkpointing = true
+		go func() {
+			r.storeText(ctx, job, stretches)
+			r.mu.Lock()
+			job.checkpointing = false
+			r.mu.Unlock()
+		}()
+	}
+}
+
+// newText returns the text that is not stored yet of items that have run for an
+// age, as much as fits one transaction. The lock is held.
+func (r *runner) newText(job *ownedJob, age time.Duration) []stretch {
+	limits := r.manager.config.Limits
+	var stretches []stretch
+	size := 0
+	for i := range job.items {
+		item := &job.items[i]
+		made := len(item.text.events)
+		if item.phase == phaseFinished || made <= item.saved || time.Since(item.firstStart) < age {
+			continue
+		}
+		value := encode(partialRow{Events: item.text.events[item.saved:made], Versions: item.text.versions[item.saved:made]})
+		if len(value) > limits.RowBytes {
+			continue
+		}
+		if size+len(value) > transactionMost || len(stretches) >= limits.TransactionRows-1 {
+			break
+		}
+		size += len(value)
+		id := partialID(job.id, i, fmt.Sprintf("%d.%d", job.head.Epoch, item.line), item.saved)
+		stretches = append(stretches, stretch{item: i, from: item.saved, upTo: made, line: item.line, row: rowstore.Row{RowID: id, Value: value}})
+	}
+	return stretches
+}
+
+// storeText writes stretches; losing one costs time only, so it is tried once.
+func (r *runner) storeText(ctx context.Context, job *ownedJob, stretches []stretch) {
+	var transaction rowstore.Transaction
+	for _, part := range stretches {
+		transaction.Puts = append(transaction.Puts, part.row)
+	}
+	if _, err := r.manager.config.Store.Commit(ctx, transaction); err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, part := range stretches {
+		item := &job.items[part.item]
+		if item.line == part.line && item.saved == part.from {
+			item.saved = part.upTo
+		}
+	}
+}
+
+// decodePartials returns the longest stored text of each item, by index.
+func decodePartials(rows []rowstore.Row) map[int]text {
+	lines := make(map[string]text)
+	for _, row := range rows {
+		// Rows of a line come in the order of their first event.
+		_, rest := splitKey(row.Key)
+		parts := strings.Split(rest, "/")
+		if len(parts) != 3 {
+			continue
+		}
+		from, err := strconv.Atoi(parts[2])
+		var stored partialRow
+		if err != nil || json.Unmarshal(row.Value, &stored) != nil || len(stored.Events) != len(stored.Versions) {
+			continue
+		}
+		key := parts[0] + "/" + parts[1]
+		line := lines[key]
+		if from > len(line.events) {
+			continue
+		}
+		line.events = append(line.events[:from:from], stored.Events...)
+		line.versions = append(line.versions[:from:from], stored.Versions...)
+		lines[key] = line
+	}
+	longest := make(map[int]text)
+	for key, line := range lines {
+		number, _, _ := strings.Cut(key, "/")
+		if index, err := strconv.Atoi(number); err == nil && line.longer(longest[index]) {
+			longest[index] = line
+		}
+	}
+	return longest
+}
--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -8,21 +8,29 @@
 //	jobs/ID/end           exists once the job was ended
 //	specs/ID/NONCE/I      the specification, in parts
 //	results/ID/POSITION   one result
-//	partials/ID/ITEM      text of an unfinished item, at a planned hand-over
+//	partials/ID/ITEM/LINE/FROM
+//	                      events of an unfinished item, from an event on
 //
 // Invariants.
 //
 //   - The head is created on the condition that neither head nor end exist, so a
 //     job that is submitted again is taken once.
+//
 //   - Everything the owner writes is conditional on the head's revision and
 //     changes the head. A commit whose outcome is unknown is sent again under the
 //     same condition: either it succeeds, and the first can never take effect, or
 //     the conflict shows the head that the first one wrote.
+//
 //   - A result is served only once it is committed, and its row never changes.
+//
 //   - A job whose owner is gone is taken over by writing the head with the next
 //     epoch on the condition of its revision: of several nodes one succeeds, and
 //     the old owner's later commits fail.
 //
+//   - Text of an unfinished item is stored now and then, so that the next owner
+//     goes on behind it. A line is text that one owner made without a break; only
+//     rows of one line are put together, so that two owners' texts never mix.
+//
 // Owner. The node that accepts a job assigns it to the node that is first for
 // the job's model by rendezvous hashing, so that one node knows all work of a
 // model: it keeps connections, balances, and continues texts of items that come
@@ -104,8 +112,8 @@
 	Versions []int64 `json:"versions,omitempty"`
 }
 
-// Partial is the text of an unfinished item.
-type Partial struct {
+// partialRow is a stretch of an unfinished item's text.
+type partialRow struct {
 	Events   [][]byte `json:"events"`
 	Versions []int64  `json:"versions"`
 }
@@ -145,8 +153,8 @@
 	return rowID(TableSpecs, job, fmt.Sprintf("%s/%06d", nonce, part))
 }
 
-func partialID(job string, item int) rowstore.RowID {
-	return rowID(TablePartials, job, fmt.Sprintf("%08d", item))
+func partialID(job string, item int, line string, from int) rowstore.RowID {
+	return rowID(TablePartials, job, fmt.Sprintf("%08d/%s/%08d", item, line, from))
 }
 
 // splitKey returns the job and the rest of a row's key.
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -592,14 +592,16 @@
 type Submission struct {
 	Spec *Spec
 	// Left is how long the caller waits; Target, within which time it wants the
-	// answer.
-	Left, Target time.Duration
+	// answer; Allowed, how long the route lets a request be held.
+	Left, Target, Allowed time.Duration
 }
 
 const (
 	// holdShare is how much of the caller's time a submission is held while the
-	// store does not take it.
-	holdShare = 0.4
+	// store does not take it: another node may be better off. A caller with less
+	// time than the route allows has tried before, and is held for longer.
+	holdShare      = 0.4
+	holdShareAgain = 0.8
 	// comeBackTargets is when a refused caller should come back, in targets.
 	comeBackTargets = 0.5
 )
@@ -608,7 +610,11 @@
 // come back.
 func (m *Manager) Accept(ctx context.Context, submission Submission) (Status, time.Duration) {
 	started := time.Now()
-	bounded, cancel := context.WithTimeout(ctx, time.Duration(holdShare*float64(submission.Left)))
+	share := holdShare
+	if submission.Left < submission.Allowed {
+		share = holdShareAgain
+	}
+	bounded, cancel := context.WithTimeout(ctx, time.Duration(share*float64(submission.Left)))
 	defer cancel()
 	status := m.Submit(bounded, submission.Spec)
 	if status == OK {
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -193,7 +193,7 @@
 }
 
 func (m *Manager) handOver(ctx context.Context, id string) {
-	unfinished := m.runner.suspend(id)
+	job, unsaved := m.runner.suspend(id)
 	m.runner.flush(ctx, id)
 	m.runner.close(id)
 	state, found := m.snapshot(id)
@@ -204,35 +204,19 @@
 	if next.Name == m.self.Name {
 		return
 	}
-	m.storePartials(ctx, id, unfinished)
+	if len(unsaved) > 0 {
+		m.runner.storeText(ctx, job, unsaved)
+	}
 	head := state.head
 	head.Owner, head.Incarnation = next.Name, next.Incarnation
 	head.Epoch++
 	status := m.replaceHead(ctx, id, state.headRevision, head)
 	m.config.Log.Info(eventlog.JobHanded, eventlog.Fields{
 		eventlog.Job: id, eventlog.Owner: next.Name, eventlog.Epoch: head.Epoch,
-		"outcome": status.String(), "partials": len(unfinished),
+		"outcome": status.String(), "texts_stored": len(unsaved),
 	})
 }
 
-// storePartials keeps the texts of unfinished items; losing them costs time
-// only, so it is tried once.
-func (m *Manager) storePartials(ctx context.Context, id string, unfinished map[int]Partial) {
-	var puts []rowstore.Row
-	size := 0
-	for index, partial := range unfinished {
-		value := encode(partial)
-		if len(value) > m.config.Limits.RowBytes || size+len(value) > transactionMost || len(puts) >= m.config.Limits.TransactionRows {
-			continue
-		}
-		puts = append(puts, rowstore.Row{RowID: partialID(id, index), Value: value})
-		size += len(value)
-	}
-	if len(puts) > 0 {
-		_, _ = m.config.Store.Commit(ctx, rowstore.Transaction{Puts: puts})
-	}
-}
-
 const (
 	// cleanMargin is added to the time a job is kept.
 	cleanMargin = 10 * time.Second
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -52,6 +52,7 @@
 	item := &job.items[index]
 	item.phase, item.backend, item.cancel, item.started = phaseRunning, backend.ID, cancel, time.Now()
 	if item.runs == 0 {
+		item.firstStart = item.started
 		item.waited = item.started.Sub(job.opened)
 	}
 	item.runs++
@@ -210,7 +211,7 @@
 		return errOldVersion
 	}
 	if only := item.text.only(run.route.SingleVersion); only != 0 && version != only {
-		item.text = text{}
+		item.dropText()
 		return errMixed
 	}
 	item.text.events = append(item.text.events, event.Data)
@@ -218,6 +219,13 @@
 	return nil
 }
 
+// dropText begins the item's text anew.
+func (i *itemState) dropText() {
+	i.text = text{}
+	i.line++
+	i.saved = 0
+}
+
 // settle decides what becomes of an item after a run.
 func (r *runner) settle(run *run, err error) {
 	r.mu.Lock()
@@ -247,7 +255,7 @@
 			return
 		}
 	case errors.Is(err, errEmpty):
-		item.text = text{}
+		item.dropText()
 	}
 	if run.job.ctx.Err() == nil {
 		r.logItem(run, eventlog.ItemBroken, err)
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sort"
-	"strconv"
 	"sync"
 	"time"
 
@@ -32,10 +30,14 @@
 	cancel  context.CancelCauseFunc
 	started time.Time
 	// waited is the time from the job's opening to its first run.
-	waited time.Duration
-	runs   int
-	moved  time.Time
-	avoid  string
+	waited     time.Duration
+	runs       int
+	firstStart time.Time
+	// line numbers the texts that were begun anew; saved counts the events of the
+	// present one that are stored.
+	line, saved int
+	moved       time.Time
+	avoid       string
 }
 
 // ownedJob is a job that this node runs. The runner's lock guards it.
@@ -47,9 +49,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	// ready is set once what the store holds of the job has been read.
-	ready     bool
-	suspended bool
-	opened    time.Time
+	ready         bool
+	suspended     bool
+	checkpointing bool
+	opened        time.Time
 
 	head      Head
 	revision  int64
@@ -90,10 +93,15 @@
 func (r *runner) run(ctx context.Context) {
 	ticker := time.NewTicker(scheduleEvery)
 	defer ticker.Stop()
+	checkpoints := time.NewTicker(checkpointEvery)
+	defer checkpoints.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-checkpoints.C:
+			r.checkpoint(ctx)
+			continue
 		case <-ticker.C:
 			r.expire()
 			r.moveSlow()
@@ -158,7 +166,7 @@
 	}
 }
 
-func (r *runner) read(job *ownedJob) (*Spec, []Result, map[int]Partial, error) {
+func (r *runner) read(job *ownedJob) (*Spec, []Result, map[int]text, error) {
 	m := r.manager
 	spec, err := m.loadSpec(job.ctx, job.id, job.head)
 	if err != nil {
@@ -186,21 +194,8 @@
 	return spec, committed, decodePartials(rows), nil
 }
 
-func decodePartials(rows []rowstore.Row) map[int]Partial {
-	partials := make(map[int]Partial)
-	for _, row := range rows {
-		_, rest := splitKey(row.Key)
-		index, err := strconv.Atoi(rest)
-		var partial Partial
-		if err == nil && json.Unmarshal(row.Value, &partial) == nil {
-			partials[index] = partial
-		}
-	}
-	return partials
-}
-
 // start makes the items ready to run.
-func (r *runner) start(job *ownedJob, spec *Spec, committed []Result, partials map[int]Partial) {
+func (r *runner) start(job *ownedJob, spec *Spec, committed []Result, partials map[int]text) {
 	listed := make(map[string]bool, len(committed))
 	for _, result := range committed {
 		listed[result.ID] = true
@@ -219,7 +214,7 @@
 		}
 		job.left++
 		if partial, found := partials[i]; found {
-			item.text = text{events: partial.Events, versions: partial.Versions}
+			item.text = partial
 		}
 		if kept, found := r.kept.take(spec.Items[i].ID); found && kept.longer(item.text) {
 			item.text = kept
@@ -314,27 +309,22 @@
 	job.cancel()
 }
 
-// suspend ends a job's runs for good and returns the texts of what is not
-// finished.
-func (r *runner) suspend(id string) map[int]Partial {
+// suspend ends a job's runs for good and returns what is not stored yet of the
+// items that are not finished.
+func (r *runner) suspend(id string) (*ownedJob, []stretch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	job := r.jobs[id]
-	if job == nil {
-		return nil
+	if job == nil || !job.ready {
+		return nil, nil
 	}
 	job.suspended = true
-	unfinished := make(map[int]Partial)
 	for i := range job.items {
-		item := &job.items[i]
-		if item.phase == phaseRunning {
-			item.cancel(errStopping)
-		}
-		if item.phase != phaseFinished && len(item.text.events) > 0 {
-			unfinished[i] = Partial{Events: item.text.events, Versions: item.text.versions}
+		if job.items[i].phase == phaseRunning {
+			job.items[i].cancel(errStopping)
 		}
 	}
-	return unfinished
+	return job, r.newText(job, 0)
 }
 
 // committed returns results from memory if this node owns the job.
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -41,6 +41,9 @@
 	Region      string `json:"region"`
 	State       State  `json:"state"`
 	Beat        int64  `json:"beat"`
+	// PlannedStarts counts the starts that followed a planned stop. While nodes
+	// are restarted one after the other, those that have been are ahead.
+	PlannedStarts int64 `json:"planned_starts,omitempty"`
 }
 
 const (
@@ -358,18 +361,39 @@
 	return found
 }
 
-// LastIncarnation returns the newest incarnation that the store knows of a
-// node, 0 if there is none.
-func LastIncarnation(ctx context.Context, store rowstore.Store, name string) (int64, error) {
+// Last returns the row that an earlier process of a node left, the zero Node if
+// there is none.
+func Last(ctx context.Context, store rowstore.Store, name string) (Node, error) {
 	snapshot, err := store.List(ctx, Table, rowstore.Shard(name), name, name+"\x00", 1)
 	if err != nil {
-		return 0, err
+		return Node{}, err
 	}
 	for _, row := range snapshot.Rows {
 		var node Node
 		if row.Key == name && json.Unmarshal(row.Value, &node) == nil {
-			return node.Incarnation, nil
+			return node, nil
 		}
 	}
-	return 0, nil
+	return Node{}, nil
+}
+
+// Succeed returns self as the successor of an earlier process of the same node:
+// its incarnation is above the earlier one's, whatever the time of day.
+func Succeed(self, last Node, now time.Time) Node {
+	self.Incarnation = max(last.Incarnation+1, now.UnixMicro())
+	self.PlannedStarts = last.PlannedStarts
+	if last.State == Stopping {
+		self.PlannedStarts++
+	}
+	self.State = Ready
+	return self
+}
+
+// RankSteady orders nodes for a key as Rank does, but puts first those that were
+// restarted by plan more often: in the middle of a rolling restart they are the
+// ones that will not be stopped next.
+func RankSteady(nodes []Node, key string) []Node {
+	ranked := Rank(nodes, key)
+	sort.SliceStable(ranked, func(i, j int) bool { return ranked[i].PlannedStarts > ranked[j].PlannedStarts })
+	return ranked
 }
--- a/internal/reload/carryout.go
+++ b/internal/reload/carryout.go
@@ -12,10 +12,14 @@
 const (
 	// callLimit bounds one call to a back end.
 	callLimit = time.Second
-	// firstLook is when a load that was taken is first asked about; lookEvery is
-	// the time between further looks.
-	firstLook = 800 * time.Millisecond
-	lookEvery = 200 * time.Millisecond
+	// lookEvery is the time between two looks at a load whose usual time is not
+	// known.
+	lookEvery = 150 * time.Millisecond
+	// usualShare is when a load is first looked at, as a share of the usual time;
+	// looksPerLoad how often in that time from then on.
+	usualShare   = 0.85
+	looksPerLoad = 12
+	lookLeast    = 50 * time.Millisecond
 	// loadMost is how long a load may take before the back end is left to the next
 	// plan.
 	loadMost = 15 * time.Second
@@ -107,6 +111,9 @@
 	now := time.Now()
 	c.mu.Lock()
 	allowed := c.mayOrder(now) && c.token == token
+	if allowed {
+		c.lastOrder = now
+	}
 	until := c.validUntil
 	c.mu.Unlock()
 	if !allowed {
@@ -151,7 +158,8 @@
 // awaitLoad waits until the back end reports the version.
 func (c *Controller) awaitLoad(ctx context.Context, next step, taken int64) error {
 	started := time.Now()
-	pause(ctx, firstLook)
+	first, every := c.looks()
+	pause(ctx, first)
 	for ctx.Err() == nil && time.Since(started) < loadMost {
 		report, err := c.report(ctx, next)
 		if errors.Is(err, ErrGone) {
@@ -159,17 +167,40 @@
 		}
 		if err == nil && report.Versions[next.model] >= next.version {
 			c.setTaken(next.backend.ID, report.Taken)
+			c.noteLoadTime(time.Since(started))
 			return nil
 		}
 		if err == nil && !report.Busy && report.Taken == taken && time.Since(started) > unansweredMost {
 			return errors.New("order was not taken")
 		}
-		pause(ctx, lookEvery)
+		pause(ctx, every)
 	}
 	c.forgetTaken(next.backend.ID)
 	return errors.New("load takes too long")
 }
 
+// looks returns when a load is first asked about, and how often then.
+func (c *Controller) looks() (first, every time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loadTime == 0 {
+		return 2 * lookEvery, lookEvery
+	}
+	return time.Duration(usualShare * float64(c.loadTime)), max(c.loadTime/looksPerLoad, lookLeast)
+}
+
+// noteLoadTime keeps the shortest recent time of a load; it forgets slowly, so
+// that a change for the longer is learnt too.
+func (c *Controller) noteLoadTime(took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loadTime == 0 || took < c.loadTime {
+		c.loadTime = took
+		return
+	}
+	c.loadTime += (took - c.loadTime) / 8
+}
+
 // announce tells all nodes what is loading, or which version has been loaded.
 func (c *Controller) announce(ctx context.Context, id, loading string, version int64, model ...string) {
 	c.mu.Lock()
--- a/internal/reload/doc.go
+++ b/internal/reload/doc.go
@@ -9,6 +9,11 @@
 // a view that follows the store, takes the lease, and waits until the old holder
 // has been quiet for the settling time of the back ends before it orders.
 //
+// At a planned stop the holder first ends what it has begun, then writes that it
+// has released the lease and how long it has been quiet; the next holder waits
+// for the rest of the settling time alone. Nodes that were restarted by plan take
+// the lease before others, so that a rolling restart moves it once.
+//
 // Orders. Each names the incarnation that must take it and the number of orders
 // that the back end must have taken before, so that one which is carried out
 // late does nothing. An order without an answer is settled by the back end's own
@@ -44,6 +49,10 @@
 	Incarnation int64  `json:"incarnation"`
 	Term        int64  `json:"term"`
 	Renewal     int64  `json:"renewal"`
+	// Released says that the holder gave the lease up; QuietMillis, how long
+	// before that its last order ended at least, in milliseconds.
+	Released    bool  `json:"released,omitempty"`
+	QuietMillis int64 `json:"quiet_ms,omitempty"`
 }
 
 // Load is what the holder has done with a back end; the key of its row is the
@@ -137,3 +146,12 @@
 
 // margin covers the delays of clocks and messages.
 func (t Timing) margin() time.Duration { return t.Settle / 10 }
+
+// quietAfter returns how long after the last change of a holder's row another
+// holder may order.
+func (t Timing) quietAfter(before lease) time.Duration {
+	if before.Released {
+		return t.Settle - time.Duration(before.QuietMillis)*time.Millisecond + t.margin()
+	}
+	return t.Validity() + t.Settle + t.margin()
+}
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -50,6 +50,8 @@
 	validUntil time.Time
 	orderFrom  time.Time
 	renewed    time.Time
+	lastOrder  time.Time
+	loadTime   time.Duration
 	busy       map[string]bool
 	taken      map[string]int64
 	wakes      chan struct{}
@@ -189,15 +191,46 @@
 	c.config.Fleet.MarkLoading(instance, load.Loading, time.Now().Add(loadingMost))
 }
 
-// Stop gives the lease up: no order is given any more, and the row is left to
-// lapse, since the next holder has to wait in any case.
-func (c *Controller) Stop() {
+// Stop gives the lease up: what has been begun, and what the plan wants at once,
+// is ended while ctx allows; then the row says that the lease is released.
+func (c *Controller) Stop(ctx context.Context) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.stopping = true
-	if c.held {
-		c.lose("stopping")
+	c.mu.Unlock()
+	for c.working(time.Now()) && ctx.Err() == nil {
+		pause(ctx, tick)
+	}
+	c.release()
+}
+
+// working tells whether this node holds the lease and still has orders to end
+// or to give.
+func (c *Controller) working(now time.Time) bool {
+	backends := c.config.Fleet.All(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.held {
+		return false
 	}
+	return len(c.busy) > 0 || len(plan(backends, c.named, c.busy)) > 0
+}
+
+// release writes that the lease is free.
+func (c *Controller) release() {
+	c.mu.Lock()
+	if !c.held {
+		c.mu.Unlock()
+		return
+	}
+	c.lose("stopping")
+	next, revision := c.row, c.revision
+	next.Released = true
+	if len(c.busy) == 0 {
+		next.QuietMillis = min(time.Since(c.lastOrder), c.config.Timing.Settle).Milliseconds()
+	}
+	c.mu.Unlock()
+	// If it fails, the lease lapses.
+	_, _ = c.write(context.Background(), next, revision)
 }
 
 // Holder returns the lease's holder as this node knows it, for metrics.
@@ -214,10 +247,9 @@
 	stopping := c.stopping
 	c.mu.Unlock()
 	switch {
-	case stopping:
 	case held && due:
 		c.renew(ctx, now)
-	case !held && c.mayTake(now):
+	case !held && !stopping && c.mayTake(now):
 		c.acquire(ctx, now)
 	}
 }
@@ -280,7 +312,7 @@
 		return false
 	}
 	rank := -1
-	for i, node := range presence.Rank(c.config.Presence.Live(now), leaseKey) {
+	for i, node := range presence.RankSteady(c.config.Presence.Live(now), leaseKey) {
 		if node.Name == c.self.Name {
 			rank = i
 		}
@@ -298,8 +330,9 @@
 		quietSince = status.HealthySince
 	}
 	free := c.config.Timing.Validity() + c.config.Timing.margin()
-	if c.row.Holder == c.self.Name {
-		// An earlier process of this machine: it cannot order any more.
+	if c.row.Holder == c.self.Name || c.row.Released {
+		// Given up, or held by an earlier process of this machine, which cannot order
+		// any more.
 		free = 0
 	}
 	return now.Sub(quietSince) >= free+time.Duration(rank)*takeStagger
@@ -325,7 +358,7 @@
 		}
 		return
 	}
-	if c.stopping || written < c.revision {
+	if written < c.revision {
 		return
 	}
 	c.adopt(next, written, now)
@@ -333,7 +366,7 @@
 	c.busy, c.taken = make(map[string]bool), make(map[string]int64)
 	c.orderFrom = now
 	if before.Holder != "" && before.Holder != c.self.Name {
-		c.orderFrom = changed.Add(c.config.Timing.Validity() + c.config.Timing.Settle + c.config.Timing.margin())
+		c.orderFrom = changed.Add(c.config.Timing.quietAfter(before))
 	}
 	c.config.Log.Warn(eventlog.LeaseTaken, eventlog.Fields{
 		eventlog.Token: c.token, "before": before.Holder, "orders_in_ms": time.Until(c.orderFrom).Milliseconds(),
@@ -343,7 +376,7 @@
 
 // mayOrder tells whether an order may be sent now. The lock is held.
 func (c *Controller) mayOrder(now time.Time) bool {
-	return c.held && !c.stopping && now.Before(c.validUntil) && !now.Before(c.orderFrom)
+	return c.held && now.Before(c.validUntil) && !now.Before(c.orderFrom)
 }
 
 // giveOrders begins what the plan wants.
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -91,12 +91,11 @@
 // above those of all earlier processes of its name; New waits until the store
 // answers or ctx ends.
 func New(ctx context.Context, config Config) (*Node, error) {
-	incarnation, err := nextIncarnation(ctx, config)
+	last, err := lastSelf(ctx, config)
 	if err != nil {
 		return nil, err
 	}
-	config.Self.Incarnation = incarnation
-	config.Self.State = presence.Ready
+	config.Self = presence.Succeed(config.Self, last, time.Now())
 	wait := time.Duration(watchShare * float64(config.FreshMost))
 	node := &Node{config: config}
 	node.presence = presence.New(config.Log, config.Store, config.Self, wait)
@@ -126,18 +125,18 @@
 // startRetry is the pause between attempts to read the store at the start.
 const startRetry = 100 * time.Millisecond
 
-func nextIncarnation(ctx context.Context, config Config) (int64, error) {
-	name := config.Self.Name
+// lastSelf reads what an earlier process of this node left.
+func lastSelf(ctx context.Context, config Config) (presence.Node, error) {
 	for {
-		last, err := presence.LastIncarnation(ctx, config.Store, name)
+		last, err := presence.Last(ctx, config.Store, config.Self.Name)
 		if err == nil {
-			return max(last+1, time.Now().UnixMicro()), nil
+			return last, nil
 		}
 		timer := time.NewTimer(startRetry)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return 0, ctx.Err()
+			return presence.Node{}, ctx.Err()
 		case <-timer.C:
 		}
 	}
@@ -305,11 +304,20 @@
 	return n.presence.Addresses(zone, region, time.Now()), n.config.AddressTTL
 }
 
+// handOverMost bounds the handing over of jobs.
+const handOverMost = 2 * time.Second
+
 // Stop begins a planned stop: the node is no longer announced, and hands its
 // jobs over. Requests are still served until the listeners close.
 func (n *Node) Stop(ctx context.Context) {
 	n.stopping.Store(true)
 	n.presence.SetState(presence.Stopping)
-	n.controller.Stop()
-	n.jobs.Stop(ctx)
+	var group sync.WaitGroup
+	group.Go(func() { n.controller.Stop(ctx) })
+	group.Go(func() {
+		bounded, cancel := context.WithTimeout(ctx, handOverMost)
+		defer cancel()
+		n.jobs.Stop(bounded)
+	})
+	group.Wait()
 }
