batch: a caller that tries again is held for nearly all of its time

Cause: with the store down for 4 s a submission was tried four times and given up 0.2 s before the store was back, each time held for 0.8 of what was left.

--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -601,7 +601,7 @@
 	// store does not take it: another node may be better off. A caller with less
 	// time than the route allows has tried before, and is held for longer.
 	holdShare      = 0.4
-	holdShareAgain = 0.8
+	holdShareAgain = 0.95
 	// comeBackTargets is when a refused caller should come back, in targets.
 	comeBackTargets = 0.5
 )
