platform: a stand-in of the platform, and tests of whole systems against it

Found by them and mended: a run whose sampler never answers waited for ever (samplers_mute: 50 of 60 listed; the watch for silence began with the head); lapsed nodes came back to the directory while the store was away (3 addresses, want 2); a job's head was read without its lock (race detector).

--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -44,6 +44,8 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	endSlot func()
+	// deadline is when the back end has to stop work; zero means none.
+	deadline time.Time
 }
 
 // launch starts a run. The lock is held.
@@ -60,6 +62,9 @@
 		runner: r, job: job, index: index, route: route, backend: backend, ctx: ctx, cancel: cancel,
 		endSlot: r.manager.config.Fleet.Begin(backend.ID),
 	}
+	if route.MaxQueue > 0 {
+		started.deadline = item.started.Add(max(route.MaxQueue-job.head.age(item.started), time.Second))
+	}
 	after := len(item.text.events)
 	go started.serve(after)
 }
@@ -88,9 +93,7 @@
 	call := &upstream.Call{
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: r.job.spec.Host,
 		Header: header, Body: item.Body, Address: r.backend.Address, Instance: r.backend.ID,
-	}
-	if r.route.MaxQueue > 0 {
-		call.Deadline = time.Now().Add(max(r.route.MaxQueue-r.job.head.age(time.Now()), time.Second))
+		Deadline: r.deadline,
 	}
 	if after > 0 {
 		call.Resume, call.ResumeAfter = true, int64(after)
@@ -100,6 +103,9 @@
 
 func (r *run) stream(after int) error {
 	m := r.runner.manager
+	// A back end may run the item and never answer.
+	watch := newWatchdog(r.silenceLimit(), func() { r.cancel(errSilent) })
+	defer watch.stop()
 	answer, err := m.config.Client.Do(r.ctx, r.call(after))
 	if err != nil {
 		return err
@@ -116,15 +122,14 @@
 	case answer.Status != http.StatusOK:
 		return errNoStream
 	}
-	return r.read(answer, after)
+	return r.read(answer, after, watch)
 }
 
 // read takes events until the stream's end.
-func (r *run) read(answer *upstream.Answer, after int) error {
+func (r *run) read(answer *upstream.Answer, after int, watch *watchdog) error {
 	reader := eventstream.NewReader(answer.Body, r.runner.manager.config.VersionField)
 	version := answer.Meta.Version
-	watch := newWatchdog(r.silenceLimit(), func() { r.cancel(errSilent) })
-	defer watch.stop()
+	watch.reset()
 	previous := time.Time{}
 	for count := after; ; count++ {
 		event, err := reader.Next()
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -261,22 +261,24 @@
 		return Gone
 	case held.node.Incarnation < incarnation:
 		return Unknown
-	case r.quiet(held, now) > Lapse(len(r.nodes)):
-		r.noteLapse(held, now)
+	case r.isLapsed(held, now):
 		return Gone
 	}
 	return Alive
 }
 
-func (r *Registry) noteLapse(held *seen, now time.Time) {
-	if held.lapsed {
-		return
+// isLapsed tells whether a node is lapsed; it stays so until its row changes,
+// also while the view does not follow the store. The lock is held.
+func (r *Registry) isLapsed(held *seen, now time.Time) bool {
+	if held.lapsed || r.quiet(held, now) <= Lapse(len(r.nodes)) {
+		return held.lapsed
 	}
 	held.lapsed = true
 	r.log.Warn(eventlog.NodeLapsed, eventlog.Fields{
 		eventlog.Node: held.node.Name, "incarnation": held.node.Incarnation,
 		"silent_ms": now.Sub(held.at).Milliseconds(),
 	})
+	return true
 }
 
 // Live returns the nodes that are ready and not lapsed, ordered by name. The
@@ -284,10 +286,9 @@
 func (r *Registry) Live(now time.Time) []Node {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lapse := Lapse(len(r.nodes))
 	nodes := make([]Node, 0, len(r.nodes)+1)
 	for name, held := range r.nodes {
-		if name != r.self.Name && held.node.State == Ready && r.quiet(held, now) <= lapse {
+		if name != r.self.Name && held.node.State == Ready && !r.isLapsed(held, now) {
 			nodes = append(nodes, held.node)
 		}
 	}
--- /dev/null
+++ b/internal/rowstore/rowstoretest/store.go
@@ -0,0 +1,286 @@
+// Package rowstoretest is a row store in memory for tests, with the faults of a
+// real one: refusals, silence, lost answers, late effects, dropped history and
+// reads that are behind.
+package rowstoretest
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+// Faults are what goes wrong at present.
+type Faults struct {
+	// Refuse answers every call with ErrRefused.
+	Refuse bool
+	// Silent leaves every call without an answer or an effect.
+	Silent bool
+	// LoseAnswers does commits and does not say so.
+	LoseAnswers bool
+	// Late does commits after this time, if their conditions hold then, and does
+	// not answer.
+	Late time.Duration
+	// Behind makes reads see the store as it was so many revisions ago.
+	Behind int64
+	// Limit is how long a call without an answer takes to fail.
+	Limit time.Duration
+}
+
+// defaultLimit is how long a silent call takes to fail.
+const defaultLimit = time.Second
+
+// Store implements rowstore.Store in memory. It is safe for concurrent use.
+type Store struct {
+	mu        sync.Mutex
+	revision  int64
+	history   map[rowstore.RowID][]rowstore.Row
+	compacted int64
+	changed   chan struct{}
+	faults    Faults
+	commits   int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{history: make(map[rowstore.RowID][]rowstore.Row), changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Compact drops the history: watches from before now fail.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = s.revision
+	s.wake()
+}
+
+// Commits returns the number of commits that took effect.
+func (s *Store) Commits() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commits
+}
+
+// Put writes a row without conditions and faults, as others than the system do.
+func (s *Store) Put(table, partition, key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := rowstore.RowID{Table: table, Partition: partition, Key: key}
+	return s.apply(rowstore.Transaction{Puts: []rowstore.Row{{RowID: id, Value: value}}})
+}
+
+// Delete removes a row without conditions and faults.
+func (s *Store) Delete(table, partition, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(rowstore.Transaction{Deletes: []rowstore.RowID{{Table: table, Partition: partition, Key: key}}})
+}
+
+// Rows returns the rows of a table, ordered by partition and key.
+func (s *Store) Rows(table string) []rowstore.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []rowstore.Row
+	for id := range s.history {
+		if row := s.at(id, s.revision); id.Table == table && row.Revision > 0 {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		return rows[i].Partition+"\x00"+rows[i].Key < rows[j].Partition+"\x00"+rows[j].Key
+	})
+	return rows
+}
+
+func (s *Store) snapshotFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	faults := s.faults
+	if faults.Limit == 0 {
+		faults.Limit = defaultLimit
+	}
+	return faults
+}
+
+// silence waits for the limit of a call that gets no answer.
+func silence(ctx context.Context, faults Faults) error {
+	timer := time.NewTimer(faults.Limit)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return fmt.Errorf("%w: silence", rowstore.ErrUnknown)
+}
+
+// Commit implements rowstore.Store.
+func (s *Store) Commit(ctx context.Context, transaction rowstore.Transaction) (int64, error) {
+	faults := s.snapshotFaults()
+	switch {
+	case ctx.Err() != nil:
+		return 0, fmt.Errorf("%w: %w", rowstore.ErrUnknown, ctx.Err())
+	case faults.Refuse:
+		return 0, rowstore.ErrRefused
+	case faults.Silent:
+		return 0, silence(ctx, faults)
+	case faults.Late > 0:
+		time.AfterFunc(faults.Late, func() { _, _ = s.commit(transaction) })
+		return 0, silence(ctx, faults)
+	}
+	revision, err := s.commit(transaction)
+	if faults.LoseAnswers {
+		return 0, silence(ctx, faults)
+	}
+	return revision, err
+}
+
+func (s *Store) commit(transaction rowstore.Transaction) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := onePartition(transaction); err != nil {
+		return 0, err
+	}
+	conflict := &rowstore.ConflictError{}
+	for _, condition := range transaction.Conditions {
+		row := s.at(condition.RowID, s.revision)
+		if row.Revision != condition.Revision {
+			conflict.Rows = append(conflict.Rows, row)
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		return 0, conflict
+	}
+	s.commits++
+	return s.apply(transaction), nil
+}
+
+func onePartition(transaction rowstore.Transaction) error {
+	seen := make(map[string]bool)
+	for _, condition := range transaction.Conditions {
+		seen[condition.Partition] = true
+	}
+	for _, put := range transaction.Puts {
+		seen[put.Partition] = true
+	}
+	for _, id := range transaction.Deletes {
+		seen[id.Partition] = true
+	}
+	if len(seen) > 1 {
+		return fmt.Errorf("%w: several partitions", rowstore.ErrInvalid)
+	}
+	return nil
+}
+
+func (s *Store) apply(transaction rowstore.Transaction) int64 {
+	s.revision++
+	for _, put := range transaction.Puts {
+		row := rowstore.Row{RowID: put.RowID, Value: append([]byte(nil), put.Value...), Revision: s.revision}
+		s.history[put.RowID] = append(s.history[put.RowID], row)
+	}
+	for _, id := range transaction.Deletes {
+		s.history[id] = append(s.history[id], rowstore.Row{RowID: id, Revision: s.revision, Deleted: true})
+	}
+	s.wake()
+	return s.revision
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// at returns a row as of a revision; one that is not there has revision 0.
+func (s *Store) at(id rowstore.RowID, revision int64) rowstore.Row {
+	found := rowstore.Row{RowID: id}
+	for _, row := range s.history[id] {
+		if row.Revision > revision {
+			break
+		}
+		found = row
+	}
+	if found.Deleted {
+		return rowstore.Row{RowID: id}
+	}
+	return found
+}
+
+// List implements rowstore.Store.
+func (s *Store) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
+	faults := s.snapshotFaults()
+	if faults.Refuse {
+		return rowstore.Snapshot{}, rowstore.ErrRefused
+	}
+	if faults.Silent || ctx.Err() != nil {
+		return rowstore.Snapshot{}, silence(ctx, faults)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	as := s.revision - faults.Behind
+	snapshot := rowstore.Snapshot{Revision: as}
+	for id := range s.history {
+		if id.Table != table || id.Partition != partition || id.Key < from || to != "" && id.Key >= to {
+			continue
+		}
+		if row := s.at(id, as); row.Revision > 0 {
+			snapshot.Rows = append(snapshot.Rows, row)
+		}
+	}
+	sort.Slice(snapshot.Rows, func(i, j int) bool { return snapshot.Rows[i].Key < snapshot.Rows[j].Key })
+	if limit > 0 && len(snapshot.Rows) > limit {
+		snapshot.Rows, snapshot.More = snapshot.Rows[:limit], true
+	}
+	return snapshot, nil
+}
+
+// Watch implements rowstore.Store.
+func (s *Store) Watch(ctx context.Context, table string, after int64, wait time.Duration) (rowstore.Snapshot, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		faults := s.snapshotFaults()
+		if faults.Refuse {
+			return rowstore.Snapshot{}, rowstore.ErrRefused
+		}
+		if faults.Silent {
+			return rowstore.Snapshot{}, silence(ctx, faults)
+		}
+		snapshot, changed, err := s.since(table, after)
+		if err != nil || len(snapshot.Rows) > 0 {
+			return snapshot, err
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return snapshot, nil
+		case <-ctx.Done():
+			return rowstore.Snapshot{}, fmt.Errorf("%w: %w", rowstore.ErrUnknown, ctx.Err())
+		}
+	}
+}
+
+func (s *Store) since(table string, after int64) (rowstore.Snapshot, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.compacted {
+		return rowstore.Snapshot{}, nil, rowstore.ErrCompacted
+	}
+	snapshot := rowstore.Snapshot{Revision: s.revision}
+	for id, versions := range s.history {
+		newest := versions[len(versions)-1]
+		if id.Table == table && newest.Revision > after {
+			snapshot.Rows = append(snapshot.Rows, newest)
+		}
+	}
+	sort.Slice(snapshot.Rows, func(i, j int) bool { return snapshot.Rows[i].Revision < snapshot.Rows[j].Revision })
+	return snapshot, s.changed, nil
+}
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,8 @@
 	// FreshMost is the age of the configuration up to which the node denies a
 	// route that it does not know.
 	FreshMost time.Duration
+	// Dialer may replace the network towards back ends, for tests.
+	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 	// AddressTTL is how long callers may keep the addresses they are told.
 	AddressTTL time.Duration
 }
@@ -80,7 +83,6 @@
 	table         atomic.Pointer[routetable.Table]
 	tableRevision int64
 	stopping      atomic.Bool
-	inFlight      atomic.Int64
 }
 
 // watchShare is how long a watch stays open, as a share of FreshMost: an open
@@ -100,7 +102,7 @@
 	node := &Node{config: config}
 	node.presence = presence.New(config.Log, config.Store, config.Self, wait)
 	node.fleet = fleet.New(node.kick)
-	node.client = upstream.NewClient(upstream.Config{Codec: config.Codec})
+	node.client = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer})
 	node.forwarder = forward.New(forward.Config{
 		Client: node.client, Fleet: node.fleet, Log: config.Log, Zone: config.Self.Zone, VersionField: config.VersionField,
 	})
@@ -296,6 +298,10 @@
 // Jobs returns the batch jobs.
 func (n *Node) Jobs() *batch.Manager { return n.jobs }
 
+// Holder returns who gives orders to back ends, as far as this node knows, and
+// whether it is this node.
+func (n *Node) Holder() (name string, held bool) { return n.controller.Holder() }
+
 // Log returns the node's log.
 func (n *Node) Log() *eventlog.Log { return n.config.Log }
 
