--- /dev/null
+++ b/internal/batch/place_test.go
@@ -0,0 +1,81 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/fleet"
+)
+
+var placeNow = time.Unix(1000, 0)
+
+func backend(id string, change func(*fleet.Backend)) fleet.Backend {
+	b := fleet.Backend{Instance: fleet.Instance{ID: id, Zone: "z", Slots: 4, Models: map[string]int64{"m": 3}}}
+	b.Pace, b.PaceAt = 40*time.Millisecond, placeNow
+	if change != nil {
+		change(&b)
+	}
+	return b
+}
+
+func TestPickBackend(t *testing.T) {
+	want := need{model: "m", minVersion: 3, zone: "z"}
+	cases := []struct {
+		name string
+		pool []fleet.Backend
+		want need
+		pick string
+	}{
+		{"none", nil, want, ""},
+		{"least loaded", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.InFlight = 2 }), backend("b", nil)}, want, "b"},
+		{"load of other nodes counts", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.OthersRunning = 4 }), backend("b", func(b *fleet.Backend) { b.InFlight = 3 })}, want, "b"},
+		{"full", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.InFlight = 4 })}, want, ""},
+		{"fastest", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Pace = 60 * time.Millisecond }), backend("b", func(b *fleet.Backend) { b.InFlight = 3 })}, want, "b"},
+		{"an unknown pace gets a chance", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Pace = 0 }), backend("b", func(b *fleet.Backend) { b.InFlight = 1 })}, want, "a"},
+		{"draining", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Draining = true })}, want, ""},
+		{"suspended", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.SuspendedUntil = placeNow.Add(time.Second) })}, want, ""},
+		{"version too old", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Models = map[string]int64{"m": 2} })}, want, ""},
+		{"newer version will do", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Models = map[string]int64{"m": 9} })}, want, "a"},
+		{"another version than the text so far", []fleet.Backend{backend("a", nil)}, need{model: "m", version: 4}, ""},
+		{"changes its weights", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.LoadingModel = "m" })}, want, ""},
+		{"changes weights of another model", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.LoadingModel = "other" })}, want, "a"},
+		{"own zone first", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Zone = "y" }), backend("b", nil)}, want, "b"},
+		{"avoided only if there is another", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.InFlight = 3 })}, need{model: "m", zone: "z", avoid: "a"}, "b"},
+		{"avoided but alone", []fleet.Backend{backend("a", nil)}, need{model: "m", avoid: "a"}, "a"},
+	}
+	for _, test := range cases {
+		got := ""
+		if index := pickBackend(test.pool, test.want, placeNow); index >= 0 {
+			got = test.pool[index].ID
+		}
+		if got != test.pick {
+			t.Errorf("%s: %q, want %q", test.name, got, test.pick)
+		}
+	}
+}
+
+func TestMoveTarget(t *testing.T) {
+	slow := backend("slow", func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond })
+	cases := []struct {
+		name string
+		pool []fleet.Backend
+		move string
+	}{
+		{"much faster with room", []fleet.Backend{slow, backend("fast", nil)}, "fast"},
+		{"little faster", []fleet.Backend{slow, backend("b", func(b *fleet.Backend) { b.Pace = 100 * time.Millisecond })}, ""},
+		{"faster but full", []fleet.Backend{slow, backend("b", func(b *fleet.Backend) { b.InFlight = 4 })}, ""},
+		{"faster but too old", []fleet.Backend{slow, backend("b", func(b *fleet.Backend) { b.Models = map[string]int64{"m": 1} })}, ""},
+		{"pace not known", []fleet.Backend{slow, backend("b", func(b *fleet.Backend) { b.Pace = 0 })}, ""},
+		{"own pace is old news", []fleet.Backend{backend("slow", func(b *fleet.Backend) { b.Pace, b.PaceAt = time.Second, placeNow.Add(-time.Minute) }), backend("b", nil)}, ""},
+		{"gone from the registry", []fleet.Backend{backend("b", nil)}, ""},
+	}
+	for _, test := range cases {
+		got := ""
+		if index := moveTarget(test.pool, "slow", need{model: "m", minVersion: 3}, placeNow); index >= 0 {
+			got = test.pool[index].ID
+		}
+		if got != test.move {
+			t.Errorf("%s: %q, want %q", test.name, got, test.move)
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/text_test.go
@@ -0,0 +1,126 @@
+package batch
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+func made(versions ...int64) text {
+	var t text
+	for i, version := range versions {
+		t.events = append(t.events, fmt.Appendf(nil, "e%d", i+1))
+		t.versions = append(t.versions, version)
+	}
+	return t
+}
+
+func TestTextFitsAJob(t *testing.T) {
+	cases := []struct {
+		text   text
+		least  int64
+		single bool
+		want   bool
+	}{
+		{made(), 9, true, true},
+		{made(2, 3), 2, false, true},
+		{made(2, 3), 3, false, false},
+		{made(2, 3), 2, true, false},
+		{made(3, 3), 2, true, true},
+	}
+	for _, test := range cases {
+		if got := test.text.fits(test.least, test.single); got != test.want {
+			t.Errorf("versions %v, least %d, single %t: %t", test.text.versions, test.least, test.single, got)
+		}
+	}
+}
+
+func TestTextJoinNamesEachVersionOnce(t *testing.T) {
+	content, versions := made(4, 3, 4, 5).join()
+	if content != "e1\ne2\ne3\ne4" || !reflect.DeepEqual(versions, []int64{3, 4, 5}) {
+		t.Fatalf("%q %v", content, versions)
+	}
+}
+
+func TestKeptTextsForgetTheOldest(t *testing.T) {
+	kept := newKeptTexts()
+	for i := range keptMost + 10 {
+		kept.put(fmt.Sprint(i), made(1))
+	}
+	if _, found := kept.take("9"); found {
+		t.Error("the oldest text is still there")
+	}
+	if _, found := kept.take("10"); !found || len(kept.texts) != keptMost {
+		t.Errorf("%d texts kept", len(kept.texts))
+	}
+}
+
+func partial(item int, line string, from int, words ...string) rowstore.Row {
+	row := partialRow{}
+	for _, word := range words {
+		row.Events = append(row.Events, []byte(word))
+		row.Versions = append(row.Versions, 1)
+	}
+	return rowstore.Row{RowID: partialID("job", item, line, from), Value: encode(row)}
+}
+
+func TestStoredTextIsPutTogetherFromOneLineAlone(t *testing.T) {
+	rows := []rowstore.Row{
+		// Item 0: a line in two rows.
+		partial(0, "1.0", 0, "a", "b"), partial(0, "1.0", 2, "c"),
+		// Item 1: the second owner's line is longer; they do not mix.
+		partial(1, "1.0", 0, "x", "y"), partial(1, "2.0", 0, "p", "q", "r"),
+		// Item 2: a row is missing between two.
+		partial(2, "1.0", 0, "a"), partial(2, "1.0", 3, "d"),
+		// Item 3: the first row is missing.
+		partial(3, "1.0", 2, "c"),
+		// Item 4: a row was written again with more.
+		partial(4, "1.0", 0, "a"), partial(4, "1.0", 0, "a", "b"),
+		{RowID: rowstore.RowID{Key: "job/00000005/1.0/00000000"}, Value: []byte("no JSON")},
+		{RowID: rowstore.RowID{Key: "job/strange"}, Value: []byte("{}")},
+	}
+	got := decodePartials(rows)
+	want := map[int]string{0: "a\nb\nc", 1: "p\nq\nr", 2: "a", 4: "a\nb"}
+	if len(got) != len(want) {
+		t.Errorf("%d texts, want %d", len(got), len(want))
+	}
+	for item, content := range want {
+		if joined, _ := got[item].join(); joined != content {
+			t.Errorf("item %d: %q, want %q", item, joined, content)
+		}
+	}
+}
+
+func TestDecodeResultsWantsConsecutivePositions(t *testing.T) {
+	row := func(position int) rowstore.Row {
+		return rowstore.Row{RowID: resultID("job", position), Value: encode(Result{ID: fmt.Sprint(position)})}
+	}
+	if results, err := decodeResults([]rowstore.Row{row(3), row(4)}, 3); err != nil || len(results) != 2 {
+		t.Errorf("%v, %v", results, err)
+	}
+	if _, err := decodeResults([]rowstore.Row{row(3), row(5)}, 3); err == nil {
+		t.Error("a gap was not seen")
+	}
+	if _, err := decodeResults([]rowstore.Row{row(4)}, 3); err == nil {
+		t.Error("a missing first position was not seen")
+	}
+}
+
+func TestStartOrderIsLongestFirst(t *testing.T) {
+	items := []Item{{LengthHint: 5}, {LengthHint: 50}, {}, {LengthHint: 50}}
+	if got := startOrder(items); !reflect.DeepEqual(got, []int{1, 3, 0, 2}) {
+		t.Errorf("order %v", got)
+	}
+}
+
+func TestPageIsBounded(t *testing.T) {
+	long := Result{Text: string(make([]byte, pageBytes))}
+	if got := trimPage([]Result{long, long}); len(got) != 1 {
+		t.Errorf("%d results on a page", len(got))
+	}
+	if got := trimPage([]Result{{}, {}}); len(got) != 2 {
+		t.Errorf("%d results on a page", len(got))
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+var now = time.Unix(1000, 0)
+
+func instance(id string, revision int64, draining bool) Instance {
+	return Instance{ID: id, Service: "s", Slots: 4, Draining: draining, Models: map[string]int64{"m": 1}, Revision: revision}
+}
+
+func TestRegistryDoesNotGoBack(t *testing.T) {
+	fleet := New(nil)
+	fleet.Update([]Instance{instance("a", 5, true)}, nil)
+	fleet.Update([]Instance{instance("a", 4, false)}, nil)
+	if got, _ := fleet.Get("a", now); !got.Draining {
+		t.Fatal("an older row undid a newer one")
+	}
+	fleet.Replace([]Instance{instance("b", 6, false)})
+	if _, found := fleet.Get("a", now); found || len(fleet.Service("s", now)) != 1 {
+		t.Fatal("an instance that is gone from the whole registry is still there")
+	}
+}
+
+func TestLoadedVersionCountsBeforeTheRegistrySaysSo(t *testing.T) {
+	fleet := New(nil)
+	fleet.Update([]Instance{instance("a", 1, false)}, nil)
+	fleet.MarkVersion("a", "m", 3)
+	if got, _ := fleet.Get("a", now); got.Models["m"] != 3 {
+		t.Fatalf("models %v", got.Models)
+	}
+	fleet.MarkVersion("a", "m", 2)
+	fleet.Update([]Instance{instance("a", 2, false)}, nil)
+	if got, _ := fleet.Get("a", now); got.Models["m"] != 3 {
+		t.Fatalf("a version went back: %v", got.Models)
+	}
+}
+
+func TestSuspensionGrowsWithFailuresInARow(t *testing.T) {
+	fleet := New(nil)
+	fleet.Update([]Instance{instance("a", 1, false)}, nil)
+	for i, want := range []time.Duration{suspendFirst, 2 * suspendFirst, 4 * suspendFirst} {
+		fleet.ObserveFailure("a", "x", now)
+		if got, _ := fleet.Get("a", now); got.SuspendedUntil.Sub(now) != want {
+			t.Fatalf("failure %d: suspended for %s, want %s", i+1, got.SuspendedUntil.Sub(now), want)
+		}
+	}
+	for range 100 {
+		fleet.ObserveFailure("a", "x", now)
+	}
+	if got, _ := fleet.Get("a", now); got.SuspendedUntil.Sub(now) != suspendMost {
+		t.Fatalf("suspended for %s", got.SuspendedUntil.Sub(now))
+	}
+	fleet.ObserveLatency("a", time.Millisecond)
+	fleet.ObserveFailure("a", "x", now)
+	if got, _ := fleet.Get("a", now); got.SuspendedUntil.Sub(now) != suspendFirst {
+		t.Fatal("a success did not reset the failures")
+	}
+}
+
+func TestLoadOfOthersIsForgotten(t *testing.T) {
+	fleet := New(nil)
+	fleet.Update([]Instance{instance("a", 1, false)}, nil)
+	end := fleet.Begin("a")
+	fleet.ObserveLoad("a", 3, 0, now)
+	if got, _ := fleet.Get("a", now); got.Load() != 0.75 {
+		t.Fatalf("load %v", got.Load())
+	}
+	end()
+	end()
+	if got, _ := fleet.Get("a", now.Add(time.Minute)); got.Load() != 0 {
+		t.Fatalf("load %v a minute later", got.Load())
+	}
+}
+
+func TestPaceFollowsTimeNotEvents(t *testing.T) {
+	fleet := New(nil)
+	fleet.Update([]Instance{instance("a", 1, false)}, nil)
+	at := now
+	fleet.ObservePace("a", 40*time.Millisecond, at)
+	for range 20 {
+		// Twenty streams have a slow event at the same moment.
+		at = at.Add(time.Millisecond)
+		fleet.ObservePace("a", 400*time.Millisecond, at)
+	}
+	if got, _ := fleet.Get("a", at); got.Pace > 100*time.Millisecond {
+		t.Fatalf("one slow moment made the pace %s", got.Pace)
+	}
+	for range 20 {
+		at = at.Add(100 * time.Millisecond)
+		fleet.ObservePace("a", 400*time.Millisecond, at)
+	}
+	if got, _ := fleet.Get("a", at); got.Pace < 350*time.Millisecond {
+		t.Fatalf("after two slow seconds the pace is %s", got.Pace)
+	}
+}
+
+func TestLoadingEnds(t *testing.T) {
+	fleet := New(nil)
+	fleet.Update([]Instance{instance("a", 1, false)}, nil)
+	fleet.MarkLoading("a", "m", now.Add(time.Second))
+	if got, _ := fleet.Get("a", now); got.LoadingModel != "m" {
+		t.Fatal("not loading")
+	}
+	if got, _ := fleet.Get("a", now.Add(2*time.Second)); got.LoadingModel != "" {
+		t.Fatal("an announced load keeps others away for ever")
+	}
+}
--- /dev/null
+++ b/internal/forward/choose_test.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/fleet"
+)
+
+var chooseNow = time.Unix(1000, 0)
+
+func candidate(id string, change func(*fleet.Backend)) fleet.Backend {
+	b := fleet.Backend{Instance: fleet.Instance{ID: id, Zone: "z", Slots: 4}}
+	b.Latency = 20 * time.Millisecond
+	if change != nil {
+		change(&b)
+	}
+	return b
+}
+
+func suspended(d time.Duration) func(*fleet.Backend) {
+	return func(b *fleet.Backend) { b.SuspendedUntil = chooseNow.Add(d) }
+}
+
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		name string
+		pool []fleet.Backend
+		want Want
+		pick string
+	}{
+		{"none", nil, Want{}, ""},
+		{"only leaving ones", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Draining = true })}, Want{}, ""},
+		{"own zone", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Zone = "y" }), candidate("b", nil)}, Want{Zone: "z"}, "b"},
+		{"another zone rather than a slow one", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Zone = "y" }), candidate("b", func(b *fleet.Backend) { b.Latency = 80 * time.Millisecond })}, Want{Zone: "z"}, "a"},
+		{"another zone rather than a full one", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Zone = "y" }), candidate("b", func(b *fleet.Backend) { b.InFlight = 4 })}, Want{Zone: "z"}, "a"},
+		{"suspended only if all are", []fleet.Backend{candidate("a", suspended(time.Second)), candidate("b", func(b *fleet.Backend) { b.Latency = time.Second })}, Want{}, "b"},
+		{"the one that is suspended for the shortest", []fleet.Backend{candidate("a", suspended(2*time.Second)), candidate("b", suspended(time.Second))}, Want{}, "b"},
+		{"not the one that was tried", []fleet.Backend{candidate("a", nil), candidate("b", suspended(time.Second))}, Want{Tried: map[string]int{"a": 1}}, "b"},
+		{"tried if there is no other", []fleet.Backend{candidate("a", nil)}, Want{Tried: map[string]int{"a": 1}}, "a"},
+		{"holds the model", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Models = map[string]int64{"n": 1} }), candidate("b", func(b *fleet.Backend) { b.Models = map[string]int64{"m": 1} })}, Want{Model: "m"}, "b"},
+	}
+	for _, test := range cases {
+		got, found := Choose(test.pool, test.want, chooseNow)
+		if found != (test.pick != "") || got.ID != test.pick {
+			t.Errorf("%s: %q, want %q", test.name, got.ID, test.pick)
+		}
+	}
+}
+
+func TestHopByHop(t *testing.T) {
+	header := http.Header{"Connection": {"close, X-Mine"}}
+	for name, want := range map[string]bool{
+		"Connection": true, "Transfer-Encoding": true, "Keep-Alive": true, "Content-Length": true,
+		"X-Mine": true, "X-Other": false, "Content-Type": false, "Date": false,
+	} {
+		if got := HopByHop(name, header); got != want {
+			t.Errorf("%s: %t", name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/presence/presence_test.go
@@ -0,0 +1,184 @@
+package presence
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
+)
+
+type member struct {
+	registry *Registry
+	stop     func()
+}
+
+func join(store *rowstoretest.Store, node Node) member {
+	log := eventlog.New(logrus.New(), io.Discard)
+	registry := New(log, store, node, time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	views, beats := make(chan struct{}), make(chan struct{})
+	go func() { defer close(views); registry.View().Run(ctx) }()
+	go func() { defer close(beats); registry.Run(ctx) }()
+	return member{registry, func() {
+		cancel()
+		<-views
+		<-beats
+		log.Close()
+	}}
+}
+
+func testNode(name string, incarnation int64) Node {
+	return Node{Name: name, Incarnation: incarnation, Address: name + ":80", Zone: "z", Region: "r", State: Ready}
+}
+
+func TestLiveness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		a, b := join(store, testNode("a", 1)), join(store, testNode("b", 1))
+		defer a.stop()
+		time.Sleep(2 * time.Second)
+		expect := func(what string, incarnation int64, want Liveness) {
+			t.Helper()
+			if got := a.registry.Liveness("b", incarnation, time.Now()); got != want {
+				t.Fatalf("%s: liveness %d, want %d", what, got, want)
+			}
+		}
+		expect("running", 1, Alive)
+		expect("an incarnation that is yet to come", 2, Unknown)
+		b.stop()
+		time.Sleep(Lapse(2) / 2)
+		expect("silent for a moment", 1, Alive)
+		time.Sleep(Lapse(2))
+		expect("silent for long", 1, Gone)
+		b = join(store, testNode("b", 2))
+		defer func() { b.stop() }()
+		time.Sleep(time.Second)
+		expect("an earlier process", 1, Gone)
+		expect("the present process", 2, Alive)
+		if got := a.registry.Liveness("nobody", 1, time.Now()); got != Gone {
+			t.Fatalf("a node without a row: %d", got)
+		}
+		if a.registry.Liveness("a", 1, time.Now()) != Alive || a.registry.Liveness("a", 0, time.Now()) != Gone {
+			t.Fatal("a node does not know itself")
+		}
+	})
+}
+
+func TestNobodyLapsesWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		a, b := join(store, testNode("a", 1)), join(store, testNode("b", 1))
+		defer a.stop()
+		defer b.stop()
+		time.Sleep(2 * time.Second)
+		store.SetFaults(rowstoretest.Faults{Silent: true})
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if got := a.registry.Liveness("b", 1, time.Now()); got == Gone {
+				t.Fatal("declared gone without a store")
+			}
+		}
+		store.SetFaults(rowstoretest.Faults{})
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			if got := a.registry.Liveness("b", 1, time.Now()); got == Gone {
+				t.Fatal("declared gone as soon as the store was back")
+			}
+		}
+	})
+}
+
+func TestSucceedRaisesTheIncarnation(t *testing.T) {
+	now := time.UnixMicro(500)
+	for _, test := range []struct {
+		last              Node
+		incarnation, plan int64
+	}{
+		{Node{}, 500, 0},
+		{Node{Incarnation: 900, State: Ready}, 901, 0},
+		{Node{Incarnation: 100, State: Stopping, PlannedStarts: 2}, 500, 3},
+	} {
+		got := Succeed(testNode("a", 0), test.last, now)
+		if got.Incarnation != test.incarnation || got.PlannedStarts != test.plan || got.State != Ready {
+			t.Errorf("after %+v: %+v", test.last, got)
+		}
+	}
+}
+
+func nodes(count int) []Node {
+	list := make([]Node, count)
+	for i := range list {
+		list[i] = testNode(fmt.Sprintf("front-zone-%d", i), 1)
+	}
+	return list
+}
+
+func TestRankSpreadsKeysAndMovesFew(t *testing.T) {
+	const keys, count = 1000, 10
+	all := nodes(count)
+	owned := make(map[string]int)
+	moved := 0
+	for key := range keys {
+		first := Rank(all, fmt.Sprint(key))[0].Name
+		owned[first]++
+		if without := Rank(all[1:], fmt.Sprint(key))[0].Name; without != first && first != all[0].Name {
+			moved++
+		}
+	}
+	for name, count := range owned {
+		if count < keys/20 || count > keys/5 {
+			t.Errorf("%s owns %d of %d keys", name, count, keys)
+		}
+	}
+	if moved > 0 {
+		t.Errorf("%d keys moved that the lost node did not own", moved)
+	}
+}
+
+func TestRankSteadyPutsRestartedNodesFirst(t *testing.T) {
+	all := nodes(5)
+	all[3].PlannedStarts = 1
+	if got := RankSteady(all, "key")[0].Name; got != all[3].Name {
+		t.Errorf("first is %s", got)
+	}
+}
+
+func TestAddressesPreferTheZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		zones := []string{"z", "z", "y", "x"}
+		var members []member
+		for i, zone := range zones {
+			node := testNode(fmt.Sprint("n", i), 1)
+			node.Zone = zone
+			if zone == "x" {
+				node.Region = "far"
+			}
+			members = append(members, join(store, node))
+		}
+		time.Sleep(2 * time.Second)
+		for _, test := range []struct {
+			zone, region string
+			want         int
+		}{{"z", "r", 2}, {"y", "r", 3}, {"x", "far", 4}, {"nowhere", "nowhere", 4}} {
+			if got := members[0].registry.Addresses(test.zone, test.region, time.Now()); len(got) != test.want {
+				t.Errorf("%s in %s: %v, want %d", test.zone, test.region, got, test.want)
+			}
+		}
+		members[1].registry.SetState(Stopping)
+		time.Sleep(time.Second)
+		if got := members[0].registry.Live(time.Now()); len(got) != 3 {
+			t.Errorf("%d live nodes while one is stopping, want 3", len(got))
+		}
+		for _, member := range members {
+			member.stop()
+		}
+	})
+}
--- /dev/null
+++ b/internal/reload/plan_test.go
@@ -0,0 +1,63 @@
+package reload
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/sliplift/sliplift/internal/fleet"
+)
+
+// TestPlan reads back ends and named versions and prints the loads planned.
+// Lines of input:
+//
+//	named MODEL VERSION
+//	ID MODEL=VERSION... [busy] [draining]
+func TestPlan(t *testing.T) {
+	datadriven.RunTest(t, "testdata/plan", func(t *testing.T, data *datadriven.TestData) string {
+		named, busy := make(map[string]int64), make(map[string]bool)
+		var backends []fleet.Backend
+		for line := range strings.Lines(data.Input) {
+			words := strings.Fields(line)
+			if words[0] == "named" {
+				named[words[1]] = number(t, words[2])
+				continue
+			}
+			backends = append(backends, readBackend(t, words, busy))
+		}
+		var out strings.Builder
+		for _, next := range plan(backends, named, busy) {
+			fmt.Fprintf(&out, "%s loads %s %d\n", next.backend.ID, next.model, next.version)
+		}
+		if out.Len() == 0 {
+			return "nothing\n"
+		}
+		return out.String()
+	})
+}
+
+func readBackend(t *testing.T, words []string, busy map[string]bool) fleet.Backend {
+	backend := fleet.Backend{Instance: fleet.Instance{ID: words[0], Service: "pool", Models: make(map[string]int64)}}
+	for _, word := range words[1:] {
+		model, version, found := strings.Cut(word, "=")
+		switch {
+		case found:
+			backend.Models[model] = number(t, version)
+		case word == "busy":
+			busy[backend.ID] = true
+		case word == "draining":
+			backend.Draining = true
+		}
+	}
+	return backend
+}
+
+func number(t *testing.T, text string) int64 {
+	var value int64
+	if _, err := fmt.Sscan(text, &value); err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
--- /dev/null
+++ b/internal/rowstore/view_test.go
@@ -0,0 +1,186 @@
+package rowstore_test
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
+)
+
+// mirror is what a view's Apply makes of a table.
+type mirror struct {
+	mu   sync.Mutex
+	rows map[string]string
+}
+
+func (m *mirror) apply(rows []rowstore.Row, complete bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if complete {
+		m.rows = make(map[string]string)
+	}
+	for _, row := range rows {
+		if row.Deleted {
+			delete(m.rows, row.Key)
+			continue
+		}
+		m.rows[row.Key] = string(row.Value)
+	}
+}
+
+func (m *mirror) String() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(m.rows)) {
+		parts = append(parts, key+"="+m.rows[key])
+	}
+	return strings.Join(parts, " ")
+}
+
+// viewTest runs a view of table t in virtual time.
+func viewTest(t *testing.T, check func(store *rowstoretest.Store, view *rowstore.View, seen *mirror)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		seen := &mirror{rows: make(map[string]string)}
+		logger, _ := test.NewNullLogger()
+		view := rowstore.NewView(logger, rowstore.NewGuard(store), rowstore.ViewConfig{
+			Name: "t", Table: "t", Partitions: []string{"", "p"}, Wait: time.Second, Apply: seen.apply,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			view.Run(ctx)
+		}()
+		check(store, view, seen)
+		cancel()
+		<-done
+	})
+}
+
+func expect(t *testing.T, seen *mirror, want string) {
+	t.Helper()
+	if got := seen.String(); got != want {
+		t.Fatalf("view holds %q, want %q", got, want)
+	}
+}
+
+func TestViewFollowsChanges(t *testing.T) {
+	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, seen *mirror) {
+		store.Put("t", "", "a", []byte("1"))
+		store.Put("t", "p", "b", []byte("2"))
+		store.Put("other", "", "c", []byte("3"))
+		time.Sleep(100 * time.Millisecond)
+		expect(t, seen, "a=1 b=2")
+		store.Put("t", "", "a", []byte("4"))
+		store.Delete("t", "p", "b")
+		time.Sleep(10 * time.Millisecond)
+		expect(t, seen, "a=4")
+		if age := view.Status().Age(time.Now()); age > time.Second {
+			t.Fatalf("age %s of a view that follows the store", age)
+		}
+	})
+}
+
+func TestViewIsFreshWhileNothingChanges(t *testing.T) {
+	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, _ *mirror) {
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			if age := view.Status().Age(time.Now()); age > 1100*time.Millisecond {
+				t.Fatalf("age %s", age)
+			}
+		}
+	})
+}
+
+func TestViewKnowsThatItIsOld(t *testing.T) {
+	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, _ *mirror) {
+		time.Sleep(time.Second)
+		store.SetFaults(rowstoretest.Faults{Silent: true})
+		time.Sleep(10 * time.Second)
+		status := view.Status()
+		if status.Healthy || status.Age(time.Now()) < 8*time.Second {
+			t.Fatalf("status %+v of a view without a store", status)
+		}
+		store.SetFaults(rowstoretest.Faults{})
+		time.Sleep(2 * time.Second)
+		if status := view.Status(); !status.Healthy || time.Since(status.HealthySince) > 2*time.Second {
+			t.Fatalf("status %+v after the store came back", status)
+		}
+	})
+}
+
+func TestViewReadsWholeTableAfterCompaction(t *testing.T) {
+	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, seen *mirror) {
+		store.Put("t", "", "a", []byte("1"))
+		time.Sleep(100 * time.Millisecond)
+		store.SetFaults(rowstoretest.Faults{Refuse: true})
+		time.Sleep(100 * time.Millisecond)
+		store.Delete("t", "", "a")
+		store.Put("t", "", "b", []byte("2"))
+		store.Compact()
+		store.SetFaults(rowstoretest.Faults{})
+		time.Sleep(time.Second)
+		expect(t, seen, "b=2")
+	})
+}
+
+func TestViewNeverGoesBack(t *testing.T) {
+	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, seen *mirror) {
+		store.Put("t", "", "a", []byte("1"))
+		store.Put("t", "", "a", []byte("2"))
+		time.Sleep(100 * time.Millisecond)
+		expect(t, seen, "a=2")
+		store.SetFaults(rowstoretest.Faults{Behind: 1})
+		store.Compact()
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			expect(t, seen, "a=2")
+		}
+	})
+}
+
+func TestGuardRefusesReadsThatAreBehind(t *testing.T) {
+	store := rowstoretest.New()
+	guard := rowstore.NewGuard(store)
+	revision, err := guard.Commit(t.Context(), rowstore.Transaction{Puts: []rowstore.Row{{RowID: rowstore.RowID{Table: "t", Key: "a"}}}})
+	if err != nil || revision != 1 {
+		t.Fatalf("commit: %d, %v", revision, err)
+	}
+	store.SetFaults(rowstoretest.Faults{Behind: 1})
+	if _, err := guard.List(t.Context(), "t", "", "", "", 0); !errors.Is(err, rowstore.ErrStale) {
+		t.Fatalf("error %v, want ErrStale", err)
+	}
+}
+
+func TestListAllReadsPageByPage(t *testing.T) {
+	store := rowstoretest.New()
+	const count = 1203
+	for i := range count {
+		store.Put("t", "", string(rune('a'+i%26))+strings.Repeat("x", i/26), nil)
+	}
+	rows, revision, err := rowstore.ListAll(t.Context(), store, "t", "", "", "")
+	if err != nil || len(rows) != count || revision != count {
+		t.Fatalf("%d rows at %d, %v", len(rows), revision, err)
+	}
+}
+
+func TestShardsAreStable(t *testing.T) {
+	// The stored layout depends on this.
+	for id, want := range map[string]string{"a": "s4", "job-1": "s6", "": "s5"} {
+		if got := rowstore.Shard(id); got != want {
+			t.Errorf("shard of %q is %s, was %s", id, got, want)
+		}
+	}
+}
