explain, metrics: the story of an id from logs; counters and histograms

sliplift explain reads logs of several nodes and prints what names an id, what happened round it and what is missing. Events are counted also where their line was dropped; requests, store calls, ages, jobs and leases are served as metrics. Every line names its node (explain attributed node_lapsed to the lapsed node). The log's test counted an event's name twice a line while it also stood in the message; it counts lines now, with the same bound.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -12,9 +12,8 @@
 	"syscall"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaymetrics"
 	"github.com/sliplift/sliplift/internal/presence"
 	"github.com/sliplift/sliplift/internal/reload"
 	"github.com/sliplift/sliplift/internal/rowstore"
@@ -42,13 +41,16 @@
 		panic("settings let through: " + err.Error())
 	}
 	log := eventlog.New(logger, os.Stdout)
-	code = run(cfg, log)
+	log.SetNode(cfg.Name)
+	metrics := gatewaymetrics.New()
+	log.SetCounter(metrics.Event)
+	code = run(cfg, log, metrics)
 	log.Close()
 	os.Exit(code)
 }
 
 // run serves until a signal ends it, and then stops in order.
-func run(cfg *settings.Gateway, log *eventlog.Log) int {
+func run(cfg *settings.Gateway, log *eventlog.Log, metrics *gatewaymetrics.Metrics) int {
 	log.Info(eventlog.Started, eventlog.Fields{
 		eventlog.Node: cfg.Name, "zone": cfg.Zone, "caller_address": cfg.CallerAddress, "program_version": telemetry.Version(),
 	})
@@ -58,20 +60,25 @@
 	go log.ReportDropped(ctx.Done())
 	servers := &servers{failed: make(chan error, 1)}
 	defer servers.close()
-	for _, address := range []string{cfg.CallerAddress, cfg.ReadyAddress, cfg.DirectoryAddress} {
+	addresses := []string{cfg.CallerAddress, cfg.ReadyAddress, cfg.DirectoryAddress}
+	if cfg.MetricsAddress != "" {
+		addresses = append(addresses, cfg.MetricsAddress)
+	}
+	for _, address := range addresses {
 		if err := servers.listen(address); err != nil {
 			log.Warn(eventlog.Stopped, eventlog.Fields{eventlog.Cause: err.Error()})
 			return exitFailed
 		}
 	}
-	node, err := storenode.New(ctx, nodeConfig(cfg, log))
+	node, err := storenode.New(ctx, nodeConfig(cfg, log, metrics))
 	if err != nil {
 		return exitOrder
 	}
 	working, endWork := context.WithCancel(context.Background())
 	defer endWork()
 	go node.Run(working)
-	servers.serve(platform.NewFront(node), platform.NewReadiness(node), platform.NewDirectory(node))
+	metrics.Watch(node)
+	servers.serve(platform.NewFront(node), platform.NewReadiness(node), platform.NewDirectory(node), metrics.Handler())
 	select {
 	case <-ctx.Done():
 	case err := <-servers.failed:
@@ -109,14 +116,14 @@
 	transactionMost = 1 << 20
 )
 
-func nodeConfig(cfg *settings.Gateway, log *eventlog.Log) storenode.Config {
+func nodeConfig(cfg *settings.Gateway, log *eventlog.Log, metrics *gatewaymetrics.Metrics) storenode.Config {
 	dialer := &net.Dialer{Timeout: storeDialLimit, KeepAlive: -1}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: storeIdleMost, IdleConnTimeout: storeIdleLimit, DisableCompression: true,
 	}}
 	store := platform.NewStore(client, cfg.StoreAddress, platform.StoreLimits{Call: storeCallLimit, WatchSlack: storeWatchSlack})
 	return storenode.Config{
-		Store: rowstore.NewGuard(store),
+		Store: rowstore.NewGuard(rowstore.NewMeter(store, metrics.StoreCall)),
 		Limits: rowstore.Limits{
 			RowBytes: cfg.StoreRowBytes, TransactionBytes: transactionMost, TransactionRows: transactionRows,
 			WritesPerSecond: cfg.StoreWrites, ReadsPerSecond: cfg.StoreReads,
@@ -133,6 +140,9 @@
 		KeepJobs:      cfg.KeepJobs,
 		FreshMost:     cfg.ConfigApply,
 		AddressTTL:    cfg.AddressTTL,
+
+		ObserveRequest: metrics.Request,
+		ObserveDial:    metrics.Dial,
 	}
 }
 
@@ -160,14 +170,12 @@
 )
 
 func (s *servers) serve(handlers ...http.Handler) {
-	discard := logrus.New()
-	discard.SetLevel(logrus.PanicLevel)
-	for i, handler := range handlers {
+	for i, listener := range s.listeners {
+		handler := handlers[i]
 		server := &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: headerBytes,
 		}
 		s.running = append(s.running, server)
-		listener := s.listeners[i]
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				s.failed <- err
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -35,8 +35,6 @@
 	Wait time.Duration
 	// Keep is how long a job stays readable after it was submitted.
 	Keep time.Duration
-	// Observe is told of decisions for metrics; it may be nil.
-	Observe func(event string)
 }
 
 // jobState is what a node knows of a job.
@@ -79,7 +77,7 @@
 		specs:  newSpecCache(),
 	}
 	manager.runner = newRunner(manager)
-	manager.view = rowstore.NewView(config.Log.Logger(), config.Store, rowstore.ViewConfig{
+	manager.view = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
 		Name:       "jobs",
 		Table:      TableJobs,
 		Partitions: rowstore.AllShards(),
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -117,6 +117,20 @@
 	return r.jobs[id] != nil
 }
 
+// Work returns the number of jobs that this node runs, and of items at back ends.
+func (m *Manager) Work() (jobs, items int) {
+	m.runner.mu.Lock()
+	defer m.runner.mu.Unlock()
+	for _, job := range m.runner.jobs {
+		for i := range job.items {
+			if job.items[i].phase == phaseRunning {
+				items++
+			}
+		}
+	}
+	return len(m.runner.jobs), items
+}
+
 func (r *runner) owned() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -75,6 +75,7 @@
 		experimentSpecification(),
 		checkConfigSpecification(),
 		checkHistorySpecification(),
+		explainSpecification(),
 		versionSpecification(),
 	}
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -24,6 +24,8 @@
 	Stopped         = "stopped"
 	SettingsChanged = "settings_changed"
 
+	ViewLost        = "view_lost"
+	ViewRegained    = "view_regained"
 	ConfigApplied   = "config_applied"
 	VersionNamed    = "version_named"
 	BackendChanged  = "backend_changed"
@@ -67,6 +69,7 @@
 // Names of fields.
 const (
 	Event       = "event"
+	From        = "from"
 	Request     = "request"
 	Job         = "job"
 	Item        = "item"
@@ -87,6 +90,8 @@
 	TookMillis  = "took_ms"
 	LeftMillis  = "left_ms"
 	Count       = "count"
+	View        = "view"
+	Revision    = "revision"
 	Token       = "fencing_token"
 	Node        = "node"
 )
@@ -112,8 +117,18 @@
 	output  *asyncWriter
 	dropped atomic.Int64
 	total   atomic.Int64
+	node    string
+	count   func(event string)
 }
 
+// SetNode names the node in every line from now on; it is called before others
+// use the log.
+func (l *Log) SetNode(node string) { l.node = node }
+
+// SetCounter makes every event be counted, also one whose line is dropped; it is
+// called before others use the log.
+func (l *Log) SetCounter(count func(event string)) { l.count = count }
+
 // New returns a log that writes to output; a nil logger formatter is JSON.
 // Close flushes it.
 func New(logger *logrus.Logger, output io.Writer) *Log {
@@ -133,7 +148,13 @@
 func (l *Log) Warn(event string, fields Fields) { l.write(logrus.WarnLevel, event, fields) }
 
 func (l *Log) write(level logrus.Level, event string, fields Fields) {
-	if l == nil || !l.logger.IsLevelEnabled(level) {
+	if l == nil {
+		return
+	}
+	if l.count != nil {
+		l.count(event)
+	}
+	if !l.logger.IsLevelEnabled(level) {
 		return
 	}
 	if !l.limiter.Allow() {
@@ -141,7 +162,13 @@
 		l.total.Add(1)
 		return
 	}
-	l.logger.WithFields(fields).WithField(Event, event).Log(level, event)
+	entry := l.logger.WithFields(fields)
+	// The entry is this call's alone, so that its fields may be added to.
+	entry.Data[Event] = event
+	if l.node != "" {
+		entry.Data[From] = l.node
+	}
+	entry.Log(level, "")
 }
 
 // Dropped returns the number of lines that were not written since the start.
@@ -159,7 +186,7 @@
 		case <-ticker.C:
 		}
 		if count := l.dropped.Swap(0) + l.output.recent.Swap(0); count > 0 {
-			l.logger.WithFields(Fields{Event: LinesDropped, Count: count}).Warn(LinesDropped)
+			l.logger.WithFields(Fields{Event: LinesDropped, Count: count, From: l.node}).Warn("")
 		}
 	}
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -37,13 +37,16 @@
 func TestLineIsOneObject(t *testing.T) {
 	out := &output{}
 	log := newLog(out)
+	counted := 0
+	log.SetNode("n1")
+	log.SetCounter(func(string) { counted++ })
 	log.Info(JobAccepted, Fields{Job: "j", Count: 3})
 	log.Close()
 	var line map[string]any
 	if err := json.Unmarshal(out.content.Bytes(), &line); err != nil {
 		t.Fatal(err)
 	}
-	if line[Event] != JobAccepted || line[Job] != "j" || line[Count] != 3.0 {
+	if line[Event] != JobAccepted || line[Job] != "j" || line[Count] != 3.0 || line[From] != "n1" || counted != 1 {
 		t.Fatalf("line %v", line)
 	}
 }
@@ -64,8 +67,8 @@
 		log.Close()
 		synctest.Wait()
 		written := strings.Count(out.content.String(), ItemDone)
-		if written/2 > LinesBurst+1 || log.Dropped() != int64(lines-written/2) {
-			t.Fatalf("%d lines written, %d dropped", written/2, log.Dropped())
+		if written > LinesBurst+1 || log.Dropped() != int64(lines-written) {
+			t.Fatalf("%d lines written, %d dropped", written, log.Dropped())
 		}
 		if !strings.Contains(out.content.String(), LinesDropped) {
 			t.Fatal("dropped lines were not said")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -76,6 +76,8 @@
 	Log          *eventlog.Log
 	Zone         string
 	VersionField string
+	// Observe is told how each request ended; it may be nil.
+	Observe func(kind routetable.Kind, report Report)
 }
 
 // Forwarder passes requests on. It is safe for concurrent use.
@@ -119,6 +121,9 @@
 	report.Attempts = try.sends
 	report.Took = time.Since(request.Received)
 	f.note(request, route, service, report, configVersion)
+	if f.config.Observe != nil {
+		f.config.Observe(route.Kind, report)
+	}
 	return report
 }
 
--- /dev/null
+++ b/internal/gatewaymetrics/gatewaymetrics.go
@@ -0,0 +1,94 @@
+// Package gatewaymetrics holds the counters and histograms of a gateway node.
+// All label sets are bounded: events by the log's vocabulary, kinds and outcomes
+// by their types.
+package gatewaymetrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/sliplift/sliplift/internal/forward"
+	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/storenode"
+)
+
+const namespace = "sliplift"
+
+// latencyBuckets are in seconds, from a store's answer to a long stream.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10}
+
+// Metrics are the figures of one node.
+type Metrics struct {
+	registry *prometheus.Registry
+	events   *prometheus.CounterVec
+	requests *prometheus.HistogramVec
+	attempts prometheus.Counter
+	dials    prometheus.Counter
+	calls    *prometheus.HistogramVec
+}
+
+// New returns metrics that nothing has been counted in.
+func New() *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	m.events = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "events_total", Help: "Decisions by event name, also those whose log line was dropped.",
+	}, []string{"event"})
+	m.requests = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "request_seconds", Help: "Live requests by kind of route and outcome.", Buckets: latencyBuckets,
+	}, []string{"kind", "outcome"})
+	m.attempts = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "attempts_total", Help: "Attempts of live requests that may have run.",
+	})
+	m.dials = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "backend_connections_total", Help: "New connections to back ends.",
+	})
+	m.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "store_call_seconds", Help: "Calls to the row store by call and outcome.", Buckets: latencyBuckets,
+	}, []string{"call", "outcome"})
+	m.registry.MustRegister(m.events, m.requests, m.attempts, m.dials, m.calls)
+	return m
+}
+
+// Event counts a decision.
+func (m *Metrics) Event(event string) { m.events.WithLabelValues(event).Inc() }
+
+// Request counts a live request.
+func (m *Metrics) Request(kind routetable.Kind, report forward.Report) {
+	m.requests.WithLabelValues(string(kind), string(report.Outcome)).Observe(report.Took.Seconds())
+	m.attempts.Add(float64(report.Attempts))
+}
+
+// Dial counts a new connection to a back end.
+func (m *Metrics) Dial() { m.dials.Inc() }
+
+// StoreCall counts a call to the row store.
+func (m *Metrics) StoreCall(call, outcome string, took time.Duration) {
+	m.calls.WithLabelValues(call, outcome).Observe(took.Seconds())
+}
+
+// Watch adds the figures that a node holds itself.
+func (m *Metrics) Watch(node *storenode.Node) {
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
+	}
+	gauge("config_age_seconds", "Time since the store last confirmed the configuration.", func() float64 { return node.ConfigAge().Seconds() })
+	gauge("registry_age_seconds", "Time since the store last confirmed the registry of back ends.", func() float64 { return node.RegistryAge().Seconds() })
+	gauge("jobs_owned", "Batch jobs that this node runs.", func() float64 { jobs, _ := node.Jobs().Work(); return float64(jobs) })
+	gauge("items_running", "Items of batch jobs that run at back ends.", func() float64 { _, items := node.Jobs().Work(); return float64(items) })
+	gauge("backends_suspended", "Back ends that this node leaves alone for a while.", func() float64 { return float64(node.Suspended()) })
+	gauge("lease_held", "1 while this node gives orders to back ends.", func() float64 {
+		if _, held := node.Holder(); held {
+			return 1
+		}
+		return 0
+	})
+	gauge("log_lines_dropped", "Log lines that were not written since the start.", func() float64 { return float64(node.Log().Dropped()) })
+}
+
+// Handler serves the figures in the text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
+}
--- /dev/null
+++ b/internal/gatewaymetrics/gatewaymetrics_test.go
@@ -0,0 +1,34 @@
+package gatewaymetrics
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/forward"
+	"github.com/sliplift/sliplift/internal/routetable"
+)
+
+func TestFiguresAreServed(t *testing.T) {
+	metrics := New()
+	metrics.Event(eventlog.JobAccepted)
+	metrics.Event(eventlog.JobAccepted)
+	metrics.Request(routetable.KindSafe, forward.Report{Outcome: forward.OutcomeAnswered, Attempts: 2, Took: 30 * time.Millisecond})
+	metrics.Dial()
+	metrics.StoreCall("commit", "unknown", time.Second)
+	recorder := httptest.NewRecorder()
+	metrics.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`sliplift_events_total{event="job_accepted"} 2`,
+		`sliplift_request_seconds_bucket{kind="safe",outcome="answered",le="0.05"} 1`,
+		`sliplift_attempts_total 2`,
+		`sliplift_backend_connections_total 1`,
+		`sliplift_store_call_seconds_count{call="commit",outcome="unknown"} 1`,
+	} {
+		if !strings.Contains(recorder.Body.String(), want) {
+			t.Errorf("missing %s", want)
+		}
+	}
+}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -80,7 +80,7 @@
 // New returns a registry for the node itself.
 func New(log *eventlog.Log, store rowstore.Store, self Node, wait time.Duration) *Registry {
 	registry := &Registry{store: store, log: log, self: self, nodes: make(map[string]*seen), kick: make(chan struct{}, 1)}
-	registry.view = rowstore.NewView(log.Logger(), store, rowstore.ViewConfig{
+	registry.view = rowstore.NewView(log, store, rowstore.ViewConfig{
 		Name:       "nodes",
 		Table:      Table,
 		Partitions: rowstore.AllShards(),
--- a/internal/reload/carryout.go
+++ b/internal/reload/carryout.go
@@ -129,9 +129,6 @@
 		eventlog.Backend: next.backend.ID, eventlog.Model: next.model, eventlog.Version: next.version,
 		"holds": next.backend.Models[next.model], eventlog.Token: token, "taken": taken,
 	})
-	if c.config.Observe != nil {
-		c.config.Observe("order")
-	}
 	done, err := c.config.Commander.Order(bounded, Order{
 		Instance: next.backend.ID, Address: next.backend.Address, Model: next.model, Version: next.version,
 		Taken: taken, Holder: c.self.Name, Token: token, Mode: c.config.Mode,
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -25,8 +25,6 @@
 	Wait time.Duration
 	// Mode says what becomes of runs under way.
 	Mode Mode
-	// Observe is told of decisions for metrics; it may be nil.
-	Observe func(event string)
 }
 
 // Controller takes part in the lease and gives orders while it holds it. It is
@@ -69,10 +67,10 @@
 		loads:  make(map[string]Load),
 		wakes:  make(chan struct{}, 1),
 	}
-	controller.leaseView = rowstore.NewView(config.Log.Logger(), config.Store, rowstore.ViewConfig{
+	controller.leaseView = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
 		Name: "lease", Table: TableLease, Partitions: []string{""}, Wait: config.Wait, Apply: controller.applyLease,
 	})
-	controller.loadsView = rowstore.NewView(config.Log.Logger(), config.Store, rowstore.ViewConfig{
+	controller.loadsView = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
 		Name: "loads", Table: TableLoads, Partitions: []string{""}, Wait: config.Wait, Apply: controller.applyLoads,
 	})
 	return controller
--- /dev/null
+++ b/internal/rowstore/meter.go
@@ -0,0 +1,63 @@
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Observer is told of each call: what it was, how it ended and how long it took.
+type Observer func(call, outcome string, took time.Duration)
+
+// Meter is a Store that tells an observer of every call.
+type Meter struct {
+	store   Store
+	observe Observer
+}
+
+// NewMeter returns a meter over store.
+func NewMeter(store Store, observe Observer) *Meter { return &Meter{store: store, observe: observe} }
+
+// Outcome names how a call ended, for logs and metrics.
+func Outcome(err error) string {
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		return "done"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.Is(err, ErrRefused):
+		return "refused"
+	case errors.Is(err, ErrCompacted):
+		return "compacted"
+	case errors.Is(err, ErrStale):
+		return "stale"
+	case errors.Is(err, ErrInvalid):
+		return "invalid"
+	}
+	return "unknown"
+}
+
+// Commit implements Store.
+func (m *Meter) Commit(ctx context.Context, transaction Transaction) (int64, error) {
+	started := time.Now()
+	revision, err := m.store.Commit(ctx, transaction)
+	m.observe("commit", Outcome(err), time.Since(started))
+	return revision, err
+}
+
+// List implements Store.
+func (m *Meter) List(ctx context.Context, table, partition, from, to string, limit int) (Snapshot, error) {
+	started := time.Now()
+	snapshot, err := m.store.List(ctx, table, partition, from, to, limit)
+	m.observe("list", Outcome(err), time.Since(started))
+	return snapshot, err
+}
+
+// Watch implements Store.
+func (m *Meter) Watch(ctx context.Context, table string, after int64, wait time.Duration) (Snapshot, error) {
+	started := time.Now()
+	snapshot, err := m.store.Watch(ctx, table, after, wait)
+	m.observe("watch", Outcome(err), time.Since(started))
+	return snapshot, err
+}
--- a/internal/rowstore/view.go
+++ b/internal/rowstore/view.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
+	"github.com/sliplift/sliplift/internal/eventlog"
 )
 
 // Timing of a view.
@@ -39,7 +39,7 @@
 type View struct {
 	config ViewConfig
 	store  Store
-	lg     logrus.FieldLogger
+	log    *eventlog.Log
 
 	mu        sync.Mutex
 	revision  int64
@@ -51,8 +51,8 @@
 }
 
 // NewView returns a view that Run keeps up to date.
-func NewView(lg logrus.FieldLogger, store Store, config ViewConfig) *View {
-	return &View{config: config, store: store, lg: lg, onLoaded: make(chan struct{})}
+func NewView(log *eventlog.Log, store Store, config ViewConfig) *View {
+	return &View{config: config, store: store, log: log, onLoaded: make(chan struct{})}
 }
 
 // Loaded is closed once the view has been read whole for the first time.
@@ -191,7 +191,7 @@
 	if !v.healthy {
 		v.healthy = true
 		v.recovered = time.Now()
-		v.lg.WithFields(logrus.Fields{"event": "view_regained", "view": v.config.Name, "revision": v.revision}).Info("view follows the store")
+		v.log.Info(eventlog.ViewRegained, eventlog.Fields{eventlog.View: v.config.Name, eventlog.Revision: v.revision})
 	}
 	if !v.loaded {
 		v.loaded = true
@@ -206,7 +206,10 @@
 		return
 	}
 	v.healthy = false
-	v.lg.WithFields(logrus.Fields{"event": "view_lost", "view": v.config.Name, "revision": v.revision, "cause": err.Error()}).Warn("view no longer follows the store")
+	v.log.Warn(eventlog.ViewLost, eventlog.Fields{
+		eventlog.View: v.config.Name, eventlog.Revision: v.revision, eventlog.Cause: err.Error(),
+		"confirmed_ms_ago": time.Since(v.confirmed).Milliseconds(),
+	})
 }
 
 func sleep(ctx context.Context, pause time.Duration) {
--- a/internal/rowstore/view_test.go
+++ b/internal/rowstore/view_test.go
@@ -11,8 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus/hooks/test"
-
 	"github.com/sliplift/sliplift/internal/rowstore"
 	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
 )
@@ -53,8 +51,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := rowstoretest.New()
 		seen := &mirror{rows: make(map[string]string)}
-		logger, _ := test.NewNullLogger()
-		view := rowstore.NewView(logger, rowstore.NewGuard(store), rowstore.ViewConfig{
+		view := rowstore.NewView(nil, rowstore.NewGuard(store), rowstore.ViewConfig{
 			Name: "t", Table: "t", Partitions: []string{"", "p"}, Wait: time.Second, Apply: seen.apply,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -64,6 +64,10 @@
 	FreshMost time.Duration
 	// Dialer may replace the network towards back ends, for tests.
 	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+	// ObserveRequest is told how each live request ended, ObserveDial of each new
+	// connection to a back end; both may be nil.
+	ObserveRequest func(kind routetable.Kind, report forward.Report)
+	ObserveDial    func()
 	// AddressTTL is how long callers may keep the addresses they are told.
 	AddressTTL time.Duration
 }
@@ -102,9 +106,10 @@
 	node := &Node{config: config}
 	node.presence = presence.New(config.Log, config.Store, config.Self, wait)
 	node.fleet = fleet.New(node.kick)
-	node.client = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer})
+	node.client = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, OnDial: config.ObserveDial})
 	node.forwarder = forward.New(forward.Config{
 		Client: node.client, Fleet: node.fleet, Log: config.Log, Zone: config.Self.Zone, VersionField: config.VersionField,
+		Observe: config.ObserveRequest,
 	})
 	node.jobs = batch.NewManager(batch.Config{
 		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client,
@@ -115,10 +120,10 @@
 		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
 		Log: config.Log, Timing: reload.Timing{Settle: config.SettleTime}, Wait: wait, Mode: reload.ModeRetain,
 	})
-	node.operator = rowstore.NewView(config.Log.Logger(), config.Store, rowstore.ViewConfig{
+	node.operator = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
 		Name: "operator", Table: config.OperatorTable, Partitions: []string{""}, Wait: wait, Apply: node.applyOperator,
 	})
-	node.instances = rowstore.NewView(config.Log.Logger(), config.Store, rowstore.ViewConfig{
+	node.instances = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
 		Name: "back ends", Table: config.InstanceTable, Partitions: []string{""}, Wait: wait, Apply: node.applyInstances,
 	})
 	return node, nil
@@ -292,6 +297,21 @@
 // ConfigAge returns when the configuration was last confirmed.
 func (n *Node) ConfigAge() time.Duration { return n.operator.Status().Age(time.Now()) }
 
+// RegistryAge returns when the registry of back ends was last confirmed.
+func (n *Node) RegistryAge() time.Duration { return n.instances.Status().Age(time.Now()) }
+
+// Suspended returns the number of back ends that the node leaves alone.
+func (n *Node) Suspended() int {
+	now := time.Now()
+	count := 0
+	for _, backend := range n.fleet.All(now) {
+		if backend.Suspended(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // Forwarder returns what passes live requests on.
 func (n *Node) Forwarder() *forward.Forwarder { return n.forwarder }
 
