--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -239,7 +239,7 @@
 		return true
 	}
 	if !launch() {
-		return t.refuse(w, "no back end")
+		return t.refuse(w, causeNoBackend)
 	}
 	hedge := time.NewTimer(t.hedgeDelay())
 	defer hedge.Stop()
@@ -434,7 +434,7 @@
 
 // refuse promises that the request has not run and says when to come back.
 func (t *try) refuse(w http.ResponseWriter, cause string) Report {
-	Fail(w, http.StatusServiceUnavailable, t.retryAfter())
+	Fail(w, http.StatusServiceUnavailable, t.retryAfter(cause, time.Now()))
 	return Report{Outcome: OutcomeRefused, Status: http.StatusServiceUnavailable, Cause: cause}
 }
 
@@ -443,9 +443,20 @@
 	// route's target.
 	retryTarget = 0.25
 	retryLeast  = 50 * time.Millisecond
+	// retryAbsent is when a caller should come back for whom there is no back end
+	// at all, as a share of the time it has left. Entries of the registry lapse
+	// while the store is away and come back with the next heartbeats: that takes
+	// longer than a slot does to fall free.
+	retryAbsent = 0.33
 )
 
-func (t *try) retryAfter() time.Duration {
+// causeNoBackend is why a request is refused for which no back end is known.
+const causeNoBackend = "no back end"
+
+func (t *try) retryAfter(cause string, now time.Time) time.Duration {
+	if cause == causeNoBackend {
+		return max(time.Duration(retryAbsent*float64(t.request.Deadline.Sub(now))), retryLeast)
+	}
 	return max(time.Duration(retryTarget*float64(t.route.Target)), retryLeast)
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -56,7 +56,7 @@
 func (t *try) endStream(state *streamState, ended error) Report {
 	if !state.started {
 		if t.sends == 0 && t.refusals == 0 && t.cause == "" {
-			t.cause = "no back end"
+			t.cause = causeNoBackend
 		}
 		return t.giveUp(state.writer, ended)
 	}
