reload, batch: shares of back ends by demand; one owner for a service's batch work

Change: each model has a share of a service's back ends by the tokens its jobs ask, kept in the loads rows; jobs are owned by service; heads tell the work.

--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -84,11 +84,15 @@
 	Owner       string `json:"owner"`
 	Incarnation int64  `json:"incarnation"`
 	Epoch       int64  `json:"epoch"`
-	Model       string `json:"model,omitempty"`
-	Total       int    `json:"total"`
-	Count       int    `json:"count"`
-	Nonce       string `json:"nonce"`
-	Parts       int    `json:"parts"`
+	// Pool is the service that the items run at.
+	Pool  string `json:"pool"`
+	Model string `json:"model,omitempty"`
+	// Work is the tokens expected to come out of all items.
+	Work  int    `json:"work,omitempty"`
+	Total int    `json:"total"`
+	Count int    `json:"count"`
+	Nonce string `json:"nonce"`
+	Parts int    `json:"parts"`
 	// SubmittedMillis is the accepting node's time of day, Unix milliseconds.
 	SubmittedMillis int64 `json:"submitted_ms"`
 	// Failures counts failed runs by item index.
@@ -181,6 +185,15 @@
 	return append(parts, content)
 }
 
+// expectedTokens returns how many tokens an item is expected to make: the guess
+// that came with it, or else half of what it may.
+func (i *Item) expectedTokens() int {
+	if i.LengthHint > 0 {
+		return i.LengthHint
+	}
+	return i.Tokens / 2
+}
+
 // age returns how long ago a job was submitted, never less than 0.
 func (h Head) age(now time.Time) time.Duration {
 	return max(0, now.Sub(time.UnixMilli(h.SubmittedMillis)))
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -252,21 +252,41 @@
 
 func (m *Manager) newHead(spec *Spec) Head {
 	head := Head{
-		Epoch: 1, Model: spec.Model, Total: len(spec.Items),
+		Epoch: 1, Model: spec.Model, Pool: m.runner.pool(spec), Total: len(spec.Items),
 		Nonce: uuid.NewString()[:8], SubmittedMillis: time.Now().UnixMilli(),
 	}
-	owner := m.placement(spec.Model, time.Now())
+	for i := range spec.Items {
+		head.Work += spec.Items[i].expectedTokens()
+	}
+	owner := m.placement(head.Pool, time.Now())
 	head.Owner, head.Incarnation = owner.Name, owner.Incarnation
 	return head
 }
 
-// placement returns the node that should own jobs of a model.
-func (m *Manager) placement(model string, now time.Time) presence.Node {
+// demandWindow is for how long a job counts as demand.
+const demandWindow = 30 * time.Second
+
+// Demand returns the tokens that jobs submitted lately want of each model.
+func (m *Manager) Demand() map[string]float64 {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	demand := make(map[string]float64)
+	for _, state := range m.jobs {
+		if state.known && now.Sub(state.seen) < demandWindow {
+			demand[state.head.Model] += float64(state.head.Work)
+		}
+	}
+	return demand
+}
+
+// placement returns the node that should own jobs of a pool.
+func (m *Manager) placement(pool string, now time.Time) presence.Node {
 	live := m.config.Presence.Live(now)
 	if len(live) == 0 {
 		return m.self
 	}
-	return presence.Rank(live, model)[0]
+	return presence.Rank(live, pool)[0]
 }
 
 // writeEarlyParts writes the parts that do not fit the transaction of the head,
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -96,7 +96,7 @@
 		state.orphaned = now
 	}
 	current.orphanedFor = now.Sub(state.orphaned)
-	current.rank = rankOf(live, state.head.Model, m.self.Name)
+	current.rank = rankOf(live, state.head.Pool, m.self.Name)
 }
 
 // rankOf returns a node's place in the order for a key, -1 if it is not there.
@@ -200,7 +200,7 @@
 	if !found || state.ended || state.head.Count >= state.head.Total {
 		return
 	}
-	next := m.placement(state.head.Model, time.Now())
+	next := m.placement(state.head.Pool, time.Now())
 	if next.Name == m.self.Name {
 		return
 	}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -273,6 +273,15 @@
 	return table.Match(spec.Host, spec.Items[0].Path)
 }
 
+// pool returns the service that a job's items run at, that of the route's first
+// part if there are several.
+func (r *runner) pool(spec *Spec) string {
+	if route := r.route(spec); route != nil && len(route.Splits) > 0 {
+		return route.Splits[0].Service
+	}
+	return ""
+}
+
 // startOrder returns the order in which items are started: the longest expected
 // first, so that none of them starts late; equals as they were submitted.
 func startOrder(items []Item) []int {
@@ -383,50 +392,72 @@
 	}
 }
 
-// schedule starts what can be started, jobs in the order they were submitted.
+// schedule starts what can be started of all jobs, the longest expected first:
+// a step waits for its longest items, and jobs share the back ends.
 func (r *runner) schedule() {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var jobs []*ownedJob
+	var waiting []waitingItem
 	for _, job := range r.jobs {
-		if job.ready && !job.suspended && job.left > 0 {
-			jobs = append(jobs, job)
+		if !job.ready || job.suspended || job.left == 0 {
+			continue
+		}
+		if route := r.route(job.spec); route != nil {
+			waiting = appendWaiting(waiting, job, route)
 		}
 	}
-	sort.Slice(jobs, func(a, b int) bool { return jobs[a].head.SubmittedMillis < jobs[b].head.SubmittedMillis })
+	sortWaiting(waiting)
 	pools := make(map[string][]fleet.Backend)
-	for _, job := range jobs {
-		r.scheduleJob(job, pools, now)
+	for _, next := range waiting {
+		r.scheduleItem(next, pools, now)
 	}
 }
 
-func (r *runner) scheduleJob(job *ownedJob, pools map[string][]fleet.Backend, now time.Time) {
-	route := r.route(job.spec)
-	if route == nil {
-		return
-	}
+// waitingItem is an item that could be started.
+type waitingItem struct {
+	job   *ownedJob
+	index int
+	route *routetable.Route
+	hint  int
+}
+
+func appendWaiting(waiting []waitingItem, job *ownedJob, route *routetable.Route) []waitingItem {
 	for _, index := range job.order {
-		item := &job.items[index]
-		if item.phase != phaseWaiting {
-			continue
+		if job.items[index].phase == phaseWaiting {
+			waiting = append(waiting, waitingItem{job: job, index: index, route: route, hint: job.spec.Items[index].LengthHint})
 		}
-		service := route.Pick(uint64(index), 0)
-		pool, loaded := pools[service]
-		if !loaded {
-			pool = r.manager.config.Fleet.Service(service, now)
-			pools[service] = pool
-		}
-		place := pickBackend(pool, need{
-			model: job.spec.Model, minVersion: job.spec.MinVersion, zone: r.manager.config.Zone,
-			avoid: item.avoid, version: item.text.only(route.SingleVersion),
-		}, now)
-		if place < 0 {
-			continue
+	}
+	return waiting
+}
+
+// sortWaiting orders items by expected length, equals by the age of their jobs.
+func sortWaiting(waiting []waitingItem) {
+	sort.SliceStable(waiting, func(a, b int) bool {
+		if waiting[a].hint != waiting[b].hint {
+			return waiting[a].hint > waiting[b].hint
 		}
-		pool[place].InFlight++
-		r.launch(job, index, route, pool[place])
+		return waiting[a].job.head.SubmittedMillis < waiting[b].job.head.SubmittedMillis
+	})
+}
+
+func (r *runner) scheduleItem(next waitingItem, pools map[string][]fleet.Backend, now time.Time) {
+	job, item := next.job, &next.job.items[next.index]
+	service := next.route.Pick(uint64(next.index), 0)
+	pool, loaded := pools[service]
+	if !loaded {
+		pool = r.manager.config.Fleet.Service(service, now)
+		pools[service] = pool
+	}
+	place := pickBackend(pool, need{
+		model: job.spec.Model, minVersion: job.spec.MinVersion, zone: r.manager.config.Zone,
+		avoid: item.avoid, version: item.text.only(next.route.SingleVersion),
+	}, now)
+	if place < 0 {
+		return
 	}
+	pool[place].InFlight++
+	r.launch(job, next.index, next.route, pool[place])
 }
 
 // Conditions under which a run is moved to a faster back end.
--- a/internal/reload/carryout.go
+++ b/internal/reload/carryout.go
@@ -201,7 +201,7 @@
 // announce tells all nodes what is loading, or which version has been loaded.
 func (c *Controller) announce(ctx context.Context, id, loading string, version int64, model ...string) {
 	c.mu.Lock()
-	load := Load{Versions: make(map[string]int64), Loading: loading}
+	load := Load{Versions: make(map[string]int64), Loading: loading, Share: c.shares[id]}
 	for name, held := range c.loads[id].Versions {
 		load.Versions[name] = held
 	}
--- a/internal/reload/doc.go
+++ b/internal/reload/doc.go
@@ -21,7 +21,8 @@
 //
 // Policy. Steps accept the newest version and the one before. So each version is
 // loaded on one half of the back ends, the halves taking turns: while one half
-// loads, the other serves.
+// loads, the other serves. Where several models share a service, each has a share
+// of the back ends of its own.
 package reload
 
 import (
@@ -62,6 +63,8 @@
 	Versions map[string]int64 `json:"versions,omitempty"`
 	// Loading is the model whose weights are being changed, empty if none.
 	Loading string `json:"loading,omitempty"`
+	// Share is the model that the back end is for.
+	Share string `json:"share,omitempty"`
 }
 
 // Order is an order to a back end.
--- a/internal/reload/plan.go
+++ b/internal/reload/plan.go
@@ -1,6 +1,9 @@
 package reload
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/sliplift/sliplift/internal/fleet"
@@ -18,24 +21,27 @@
 }
 
 // plan returns the orders to be given next, most urgent first. named maps a
-// model to its newest version; busy holds the back ends that an order is under
-// way at. It is pure.
+// model to its newest version; shares says which model each back end is for; busy
+// holds the back ends that an order is under way at. It is pure.
 //
-// A back end with place p among its service's, ordered by id, belongs to half
-// p mod 2. A version v goes to half v mod 2; the other half is only brought up to
-// v - 1, the oldest version that a new step takes.
-func plan(backends []fleet.Backend, named map[string]int64, busy map[string]bool) []step {
-	places, loading := census(backends, busy)
+// A back end with place p among those of its model, ordered by id, belongs to
+// half p mod 2. A version v goes to half v mod 2; the other half is only brought
+// up to v - 1, the oldest version that a new step takes.
+func plan(backends []fleet.Backend, named map[string]int64, shares map[string]string, busy map[string]bool) []step {
+	places, loading := census(backends, shares, busy)
 	var steps []step
 	for _, backend := range backends {
 		if busy[backend.ID] || backend.Draining {
 			continue
 		}
-		if next, wanted := nextLoad(backend, named, places[backend.ID]); wanted {
-			steps = append(steps, next)
+		model := shares[backend.ID]
+		held, holds := backend.Models[model]
+		newest := named[model]
+		if holds && held < newest && due(held, newest, places[backend.ID]) {
+			steps = append(steps, step{backend: backend, model: model, version: newest})
 		}
 	}
-	sort.SliceStable(steps, func(i, j int) bool { return lag(steps[i], named) > lag(steps[j], named) })
+	sort.SliceStable(steps, func(i, j int) bool { return lag(steps[i]) > lag(steps[j]) })
 	var allowed []step
 	for _, next := range steps {
 		service := next.backend.Service
@@ -47,9 +53,9 @@
 	return allowed
 }
 
-// census returns each back end's place in its service, and how many of a
-// service are loading.
-func census(backends []fleet.Backend, busy map[string]bool) (places, loading map[string]int) {
+// census returns each back end's place among those of its model, and how many
+// of a service are loading.
+func census(backends []fleet.Backend, shares map[string]string, busy map[string]bool) (places, loading map[string]int) {
 	places = make(map[string]int)
 	loading = make(map[string]int)
 	count := make(map[string]int)
@@ -57,8 +63,9 @@
 		if len(backend.Models) == 0 {
 			continue
 		}
-		places[backend.ID] = count[backend.Service]
-		count[backend.Service]++
+		group := backend.Service + "\x00" + shares[backend.ID]
+		places[backend.ID] = count[group]
+		count[group]++
 		if busy[backend.ID] {
 			loading[backend.Service]++
 		}
@@ -66,29 +73,91 @@
 	return places, loading
 }
 
-// nextLoad returns the load that a back end needs most.
-func nextLoad(backend fleet.Backend, named map[string]int64, place int) (step, bool) {
-	best := step{}
-	for model, held := range backend.Models {
-		newest := named[model]
-		if held >= newest || !due(held, newest, place) {
-			continue
+// due tells whether a back end that holds a version has to load the newest one.
+func due(held, newest int64, place int) bool {
+	return held < newest-1 || newest%2 == int64(place%2)
+}
+
+// lag returns how many versions a step's back end is behind.
+func lag(next step) int64 { return next.version - next.backend.Models[next.model] }
+
+// assignShares returns which model each back end is for, where several models
+// with named versions share a service: loads take turns, so that keeping every
+// model new on every back end would take longer than the time between versions.
+// Shares follow demand, which maps a model to the work asked of it lately, and
+// change as little as that allows. It is pure.
+func assignShares(backends []fleet.Backend, named map[string]int64, demand map[string]float64, before map[string]string) map[string]string {
+	shares := make(map[string]string, len(backends))
+	byService := make(map[string][]fleet.Backend)
+	for _, backend := range backends {
+		if len(backend.Models) > 0 {
+			byService[backend.Service] = append(byService[backend.Service], backend)
 		}
-		next := step{backend: backend, model: model, version: newest}
-		if best.model == "" || newest-held > best.version-backend.Models[best.model] ||
-			newest-held == best.version-backend.Models[best.model] && model < best.model {
-			best = next
+	}
+	for _, members := range byService {
+		models := namedModels(members, named)
+		if len(models) > 0 {
+			assignService(members, targets(len(members), models, demand), before, shares)
 		}
 	}
-	return best, best.model != ""
+	return shares
 }
 
-// due tells whether a back end that holds a version has to load the newest one.
-func due(held, newest int64, place int) bool {
-	return held < newest-1 || newest%2 == int64(place%2)
+// shareSlack is by how many back ends a share may miss its target: a back end
+// that changes over loads once more, so shares follow only clear changes.
+const shareSlack = 0.75
+
+// targets returns how many back ends each model should have, as a fraction, at
+// least one. Models without any demand known count alike.
+func targets(members int, models []string, demand map[string]float64) map[string]float64 {
+	total := 0.0
+	for _, model := range models {
+		total += demand[model]
+	}
+	wanted := make(map[string]float64, len(models))
+	for _, model := range models {
+		share := 1 / float64(len(models))
+		if total > 0 {
+			share = demand[model] / total
+		}
+		wanted[model] = max(share*float64(members), 1)
+	}
+	return wanted
 }
 
-// lag returns how many versions a step's back end is behind.
-func lag(next step, named map[string]int64) int64 {
-	return named[next.model] - next.backend.Models[next.model]
+// namedModels returns the models that a service holds and that versions are
+// named of, ordered.
+func namedModels(members []fleet.Backend, named map[string]int64) []string {
+	var models []string
+	for model := range named {
+		held := slices.ContainsFunc(members, func(b fleet.Backend) bool { _, holds := b.Models[model]; return holds })
+		if held {
+			models = append(models, model)
+		}
+	}
+	slices.Sort(models)
+	return models
+}
+
+func assignService(members []fleet.Backend, wanted map[string]float64, before, shares map[string]string) {
+	count := make(map[string]int)
+	var free []string
+	for _, member := range members {
+		model := before[member.ID]
+		target, known := wanted[model]
+		if !known || float64(count[model]+1) > target+shareSlack {
+			free = append(free, member.ID)
+			continue
+		}
+		shares[member.ID] = model
+		count[model]++
+	}
+	models := slices.Sorted(maps.Keys(wanted))
+	for _, id := range free {
+		model := slices.MaxFunc(models, func(a, b string) int {
+			return cmp.Compare(wanted[a]-float64(count[a]), wanted[b]-float64(count[b]))
+		})
+		shares[id] = model
+		count[model]++
+	}
 }
--- a/internal/reload/plan_test.go
+++ b/internal/reload/plan_test.go
@@ -14,37 +14,51 @@
 // Lines of input:
 //
 //	named MODEL VERSION
-//	ID MODEL=VERSION... [busy] [draining]
+//	demand MODEL WORK
+//	ID MODEL=VERSION... [busy] [draining] [for:MODEL]
 func TestPlan(t *testing.T) {
 	datadriven.RunTest(t, "testdata/plan", func(t *testing.T, data *datadriven.TestData) string {
-		named, busy := make(map[string]int64), make(map[string]bool)
+		named, busy, before := make(map[string]int64), make(map[string]bool), make(map[string]string)
+		demand := make(map[string]float64)
 		var backends []fleet.Backend
 		for line := range strings.Lines(data.Input) {
 			words := strings.Fields(line)
+			if words[0] == "demand" {
+				demand[words[1]] = float64(number(t, words[2]))
+				continue
+			}
 			if words[0] == "named" {
 				named[words[1]] = number(t, words[2])
 				continue
 			}
-			backends = append(backends, readBackend(t, words, busy))
+			backends = append(backends, readBackend(t, words, busy, before))
 		}
 		var out strings.Builder
-		for _, next := range plan(backends, named, busy) {
+		shares := assignShares(backends, named, demand, before)
+		for _, next := range plan(backends, named, shares, busy) {
 			fmt.Fprintf(&out, "%s loads %s %d\n", next.backend.ID, next.model, next.version)
 		}
 		if out.Len() == 0 {
-			return "nothing\n"
+			out.WriteString("nothing\n")
+		}
+		if data.HasArg("shares") {
+			for _, backend := range backends {
+				fmt.Fprintf(&out, "%s is for %s\n", backend.ID, shares[backend.ID])
+			}
 		}
 		return out.String()
 	})
 }
 
-func readBackend(t *testing.T, words []string, busy map[string]bool) fleet.Backend {
+func readBackend(t *testing.T, words []string, busy map[string]bool, before map[string]string) fleet.Backend {
 	backend := fleet.Backend{Instance: fleet.Instance{ID: words[0], Service: "pool", Models: make(map[string]int64)}}
 	for _, word := range words[1:] {
 		model, version, found := strings.Cut(word, "=")
 		switch {
 		case found:
 			backend.Models[model] = number(t, version)
+		case strings.HasPrefix(word, "for:"):
+			before[backend.ID] = strings.TrimPrefix(word, "for:")
 		case word == "busy":
 			busy[backend.ID] = true
 		case word == "draining":
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -25,6 +25,8 @@
 	Wait time.Duration
 	// Mode says what becomes of runs under way.
 	Mode Mode
+	// Demand returns the work asked of each model lately, in any one unit.
+	Demand func() map[string]float64
 }
 
 // Controller takes part in the lease and gives orders while it holds it. It is
@@ -54,6 +56,8 @@
 	taken      map[string]int64
 	wakes      chan struct{}
 	loads      map[string]Load
+	// shares says which model each back end is for, as the last holder left it.
+	shares map[string]string
 }
 
 // NewController returns a controller; Run has to be called.
@@ -65,6 +69,7 @@
 		busy:   make(map[string]bool),
 		taken:  make(map[string]int64),
 		loads:  make(map[string]Load),
+		shares: make(map[string]string),
 		wakes:  make(chan struct{}, 1),
 	}
 	controller.leaseView = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
@@ -174,6 +179,9 @@
 		}
 		c.mu.Lock()
 		c.loads[row.Key] = load
+		if load.Share != "" && !c.held {
+			c.shares[row.Key] = load.Share
+		}
 		c.mu.Unlock()
 		c.noteLoad(row.Key, load)
 	}
@@ -210,7 +218,7 @@
 	if !c.held {
 		return false
 	}
-	return len(c.busy) > 0 || len(plan(backends, c.named, c.busy)) > 0
+	return len(c.busy) > 0 || len(plan(backends, c.named, c.shares, c.busy)) > 0
 }
 
 // release writes that the lease is free.
@@ -380,13 +388,14 @@
 // giveOrders begins what the plan wants.
 func (c *Controller) giveOrders(ctx context.Context) {
 	now := time.Now()
-	backends := c.config.Fleet.All(now)
+	backends, demand := c.config.Fleet.All(now), c.config.Demand()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.mayOrder(now) {
 		return
 	}
-	for _, next := range plan(backends, c.named, c.busy) {
+	c.shares = assignShares(backends, c.named, demand, c.shares)
+	for _, next := range plan(backends, c.named, c.shares, c.busy) {
 		c.busy[next.backend.ID] = true
 		go c.carryOut(ctx, next, c.token)
 	}
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -119,6 +119,7 @@
 	node.controller = reload.NewController(reload.Config{
 		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
 		Log: config.Log, Timing: reload.Timing{Settle: config.SettleTime}, Wait: wait, Mode: reload.ModeRetain,
+		Demand: node.jobs.Demand,
 	})
 	node.operator = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
 		Name: "operator", Table: config.OperatorTable, Partitions: []string{""}, Wait: wait, Apply: node.applyOperator,
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -144,7 +144,7 @@
 	defaultDialTimeout = time.Second
 	defaultIdle        = 4 * time.Second
 	// idleMargin is taken off the idle time that a back end states.
-	idleMargin = time.Second
+	idleMargin = 300 * time.Millisecond
 	// inlineBody is the largest body that is written before the answer is read.
 	inlineBody = 32 << 10
 	// surplusMost is the number of surplus answers passed over in a call.
