--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -12,8 +12,10 @@
 const (
 	// groupCommit is how long results are gathered before they are committed.
 	groupCommit = 30 * time.Millisecond
-	// commitRetryPause is the pause after a commit that failed.
-	commitRetryPause = 60 * time.Millisecond
+	// commitRetryFirst and commitRetryMost bound the pause after a commit that
+	// failed.
+	commitRetryFirst = 50 * time.Millisecond
+	commitRetryMost  = 300 * time.Millisecond
 )
 
 // commitLoop commits finished items until the job is closed.
@@ -94,22 +96,40 @@
 
 // commit writes one commit until its outcome is certain.
 func (r *runner) commit(ctx context.Context, job *ownedJob, batch []Result, head Head, transaction rowstore.Transaction) bool {
-	for {
+	retry := commitRetryFirst
+	started := time.Now()
+	for attempt := 1; ; attempt++ {
 		revision, err := r.manager.config.Store.Commit(ctx, transaction)
 		if err == nil {
+			r.noteSettled(job, attempt, started)
 			r.committedAs(job, batch, head, revision)
 			return true
 		}
 		var conflict *rowstore.ConflictError
 		if errors.As(err, &conflict) {
+			r.noteSettled(job, attempt, started)
 			return r.settleConflict(job, batch, head, conflict)
 		}
-		r.manager.config.Log.Warn(eventlog.CommitUncertain, eventlog.Fields{
-			eventlog.Job: job.id, eventlog.Epoch: head.Epoch, eventlog.Count: len(batch), eventlog.Cause: err.Error(),
-		})
-		if !pause(ctx, commitRetryPause) {
+		if attempt == 1 {
+			r.manager.config.Log.Warn(eventlog.CommitUncertain, eventlog.Fields{
+				eventlog.Job: job.id, eventlog.Epoch: head.Epoch, eventlog.Count: len(batch),
+				eventlog.Cause: err.Error(), "outcome": rowstore.Outcome(err),
+			})
+		}
+		if !pause(ctx, retry) {
 			return false
 		}
+		retry = min(2*retry, commitRetryMost)
+	}
+}
+
+// noteSettled says how long it took to be certain of a commit, if it was not at
+// once.
+func (r *runner) noteSettled(job *ownedJob, attempts int, started time.Time) {
+	if attempts > 1 {
+		r.manager.config.Log.Info(eventlog.CommitSettled, eventlog.Fields{
+			eventlog.Job: job.id, eventlog.Attempts: attempts, eventlog.TookMillis: time.Since(started).Milliseconds(),
+		})
 	}
 }
 
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -344,8 +344,9 @@
 			m.adoptRows(conflict.Rows)
 			return OK
 		}
-		if errors.Is(err, rowstore.ErrUnknown) {
-			uncertain = true
+		first := !uncertain
+		uncertain = uncertain || errors.Is(err, rowstore.ErrUnknown)
+		if first && uncertain {
 			m.config.Log.Warn(eventlog.CommitUncertain, eventlog.Fields{eventlog.Job: job, "row": "head", eventlog.Cause: err.Error()})
 		}
 		if errors.Is(err, rowstore.ErrInvalid) || !pause(ctx, submitRetryPause) {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -38,6 +38,7 @@
 	OrderSent       = "order_sent"
 	OrderSettled    = "order_settled"
 	CommitUncertain = "commit_uncertain"
+	CommitSettled   = "commit_settled"
 
 	RequestAnswered = "request_answered"
 	RequestRefused  = "request_refused"
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -221,6 +221,7 @@
 	}
 	all := append(slices.Clone(s.Own), s.Around...)
 	sort.SliceStable(all, func(i, j int) bool { return all[i].Time.Before(all[j].Time) })
+	all = foldViews(all)
 	for _, line := range all {
 		mark := " "
 		if mentions(line, s.ID) == "" {
@@ -235,6 +236,31 @@
 	return err
 }
 
+// foldTime is within which lines of a node's views are told as one.
+const foldTime = 300 * time.Millisecond
+
+// foldViews tells the loss or return of several views of a node as one line: a
+// node loses them together with the store.
+func foldViews(lines []Line) []Line {
+	var folded []Line
+	last := make(map[string]int)
+	for _, line := range lines {
+		view := line.text(eventlog.View)
+		key := line.Node + "\x00" + line.Event
+		at, seen := last[key]
+		if view == "" || !seen || line.Time.Sub(folded[at].Time) > foldTime {
+			if view != "" {
+				last[key] = len(folded)
+				line.Fields = maps.Clone(line.Fields)
+			}
+			folded = append(folded, line)
+			continue
+		}
+		folded[at].Fields[eventlog.View] = folded[at].text(eventlog.View) + "," + view
+	}
+	return folded
+}
+
 // fieldsOf returns the fields of a line but for the id itself.
 func fieldsOf(line Line, id string) string {
 	var parts []string
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -165,6 +165,8 @@
 	uncertain bool
 	tried     map[string]int
 	cause     string
+	// last is the back end that was tried last.
+	last string
 }
 
 // repeatable tells whether the request may run more than once.
@@ -234,6 +236,7 @@
 		}
 		t.sends++
 		t.tried[backend.ID]++
+		t.last = backend.ID
 		pending++
 		go func() { results <- t.attempt(attempts, backend) }()
 		return true
@@ -424,12 +427,20 @@
 	if !t.uncertain {
 		return t.refuse(w, t.cause)
 	}
-	status := http.StatusBadGateway
+	status, cause := http.StatusBadGateway, t.cause
 	if ended != nil {
-		status = http.StatusGatewayTimeout
+		status, cause = http.StatusGatewayTimeout, t.limitReached()
 	}
 	Fail(w, status, 0)
-	return Report{Outcome: OutcomeFailed, Status: status, Cause: t.cause}
+	return Report{Outcome: OutcomeFailed, Status: status, Cause: cause, Backend: t.last}
+}
+
+// limitReached says which limit of time ended the request.
+func (t *try) limitReached() string {
+	if t.limit.Before(t.request.Deadline) {
+		return "time-out of the route, " + t.route.Timeout.String()
+	}
+	return "deadline of the caller"
 }
 
 // refuse promises that the request has not run and says when to come back.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -42,6 +42,7 @@
 		}
 		t.sends++
 		t.tried[backend.ID]++
+		t.last = backend.ID
 		report, done := t.streamFrom(ctx, state, backend)
 		if done {
 			return report
@@ -60,7 +61,7 @@
 		}
 		return t.giveUp(state.writer, ended)
 	}
-	return Report{Outcome: OutcomeBroken, Cause: t.cause}
+	return Report{Outcome: OutcomeBroken, Cause: t.cause, Backend: t.last}
 }
 
 // streamFrom passes on what one back end sends; done tells that the request
