--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
@@ -26,7 +27,7 @@
 			return
 		case <-job.wake:
 		}
-		pause(job.ctx, groupCommit)
+		pause.For(job.ctx, groupCommit)
 		if !r.commitFinished(job.ctx, job) {
 			return
 		}
@@ -116,7 +117,7 @@
 				eventlog.Cause: err.Error(), "outcome": rowstore.Outcome(err),
 			})
 		}
-		if !pause(ctx, retry) {
+		if !pause.For(ctx, retry) {
 			return false
 		}
 		retry = min(2*retry, commitRetryMost)
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -12,6 +12,7 @@
 
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/presence"
 	"github.com/sliplift/sliplift/internal/routetable"
 	"github.com/sliplift/sliplift/internal/rowstore"
@@ -105,22 +106,13 @@
 	var group sync.WaitGroup
 	group.Go(func() { m.view.Run(ctx) })
 	group.Go(func() { m.runner.run(ctx) })
-	group.Go(func() { m.reconcileLoop(ctx) })
-	group.Wait()
-}
-
-func (m *Manager) reconcileLoop(ctx context.Context) {
-	ticker := time.NewTicker(reconcileEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+	group.Go(func() {
+		pause.Every(ctx, reconcileEvery, nil, func() {
 			m.reconcile(ctx)
 			m.cleanUp(ctx)
-		}
-	}
+		})
+	})
+	group.Wait()
 }
 
 // apply takes changed rows of the jobs table.
@@ -317,7 +309,7 @@
 			return OK
 		}
 		uncertain = uncertain || errors.Is(err, rowstore.ErrUnknown)
-		if !pause(ctx, submitRetryPause) {
+		if !pause.For(ctx, submitRetryPause) {
 			if uncertain {
 				return Uncertain
 			}
@@ -349,7 +341,7 @@
 		if first && uncertain {
 			m.config.Log.Warn(eventlog.CommitUncertain, eventlog.Fields{eventlog.Job: job, "row": "head", eventlog.Cause: err.Error()})
 		}
-		if errors.Is(err, rowstore.ErrInvalid) || !pause(ctx, submitRetryPause) {
+		if errors.Is(err, rowstore.ErrInvalid) || !pause.For(ctx, submitRetryPause) {
 			if uncertain {
 				return Uncertain
 			}
@@ -370,18 +362,6 @@
 	}
 }
 
-// pause waits; false means that ctx ended first.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // End ends a job; repeated calls are OK too. A job that is not there is ended
 // in advance, so that a submission which is still on its way does not run.
 func (m *Manager) End(ctx context.Context, job string) Status {
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/presence"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
@@ -173,7 +174,7 @@
 		if errors.Is(err, rowstore.ErrUnknown) {
 			status = Uncertain
 		}
-		if !pause(ctx, submitRetryPause) {
+		if !pause.For(ctx, submitRetryPause) {
 			break
 		}
 	}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/routetable"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
@@ -176,7 +177,7 @@
 			return
 		}
 		r.manager.config.Log.Warn(eventlog.JobReadFail, eventlog.Fields{eventlog.Job: job.id, eventlog.Cause: err.Error()})
-		pause(job.ctx, loadRetryPause)
+		pause.For(job.ctx, loadRetryPause)
 	}
 }
 
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -17,3 +17,19 @@
 		return true
 	}
 }
+
+// Every calls work each period, and whenever wakes delivers, until ctx ends. A
+// nil channel never wakes.
+func Every(ctx context.Context, period time.Duration, wakes <-chan struct{}, work func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-wakes:
+		}
+		work()
+	}
+}
--- a/internal/reload/carryout.go
+++ b/internal/reload/carryout.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
@@ -45,7 +46,7 @@
 	c.settled(next, err, started)
 	c.announce(ctx, id, "", version, next.model)
 	if err != nil {
-		pause(ctx, lookEvery)
+		pause.For(ctx, lookEvery)
 	}
 	c.mu.Lock()
 	if c.token == token {
@@ -156,7 +157,7 @@
 func (c *Controller) awaitLoad(ctx context.Context, next step, taken int64) error {
 	started := time.Now()
 	first, every := c.looks()
-	pause(ctx, first)
+	pause.For(ctx, first)
 	for ctx.Err() == nil && time.Since(started) < loadMost {
 		report, err := c.report(ctx, next)
 		if errors.Is(err, ErrGone) {
@@ -170,7 +171,7 @@
 		if err == nil && !report.Busy && report.Taken == taken && time.Since(started) > unansweredMost {
 			return errors.New("order was not taken")
 		}
-		pause(ctx, every)
+		pause.For(ctx, every)
 	}
 	c.forgetTaken(next.backend.ID)
 	return errors.New("load takes too long")
@@ -214,12 +215,3 @@
 	// A lost announcement costs time only: the registry tells the versions later.
 	_, _ = c.config.Store.Commit(ctx, rowstore.Transaction{Puts: []rowstore.Row{{RowID: loadID(id), Value: encode(load)}}})
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -9,6 +9,7 @@
 
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/presence"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
@@ -111,38 +112,11 @@
 	var group sync.WaitGroup
 	group.Go(func() { c.leaseView.Run(ctx) })
 	group.Go(func() { c.loadsView.Run(ctx) })
-	group.Go(func() { c.leaseLoop(ctx) })
-	group.Go(func() { c.orderLoop(ctx) })
+	group.Go(func() { pause.Every(ctx, tick, nil, func() { c.leaseStep(ctx) }) })
+	group.Go(func() { pause.Every(ctx, tick, c.wakes, func() { c.giveOrders(ctx) }) })
 	group.Wait()
 }
 
-func (c *Controller) leaseLoop(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.leaseStep(ctx)
-		}
-	}
-}
-
-func (c *Controller) orderLoop(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-c.wakes:
-		}
-		c.giveOrders(ctx)
-	}
-}
-
 func (c *Controller) applyLease(rows []rowstore.Row, _ bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -204,7 +178,7 @@
 	c.stopping = true
 	c.mu.Unlock()
 	for c.working(time.Now()) && ctx.Err() == nil {
-		pause(ctx, tick)
+		pause.For(ctx, tick)
 	}
 	c.release()
 }
--- a/internal/rowstore/view.go
+++ b/internal/rowstore/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/pause"
 )
 
 // Timing of a view.
@@ -81,7 +82,7 @@
 
 // Run keeps the view up to date until ctx ends.
 func (v *View) Run(ctx context.Context) {
-	pause := retryFirst
+	retry := retryFirst
 	reload := true
 	for ctx.Err() == nil {
 		started := time.Now()
@@ -89,8 +90,8 @@
 		if err == nil {
 			v.confirm(started, reload)
 			reload = false
-			pause = retryFirst
-			sleep(ctx, v.config.Pace-time.Since(started))
+			retry = retryFirst
+			pause.For(ctx, v.config.Pace-time.Since(started))
 			continue
 		}
 		if ctx.Err() != nil {
@@ -99,8 +100,8 @@
 		v.lose(err)
 		reload = true
 		if !errors.Is(err, ErrCompacted) {
-			sleep(ctx, pause)
-			pause = min(2*pause, retryMost)
+			pause.For(ctx, retry)
+			retry = min(2*retry, retryMost)
 		}
 	}
 }
@@ -211,15 +212,3 @@
 		"confirmed_ms_ago": time.Since(v.confirmed).Milliseconds(),
 	})
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -18,6 +18,7 @@
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/fleet"
 	"github.com/sliplift/sliplift/internal/forward"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/presence"
 	"github.com/sliplift/sliplift/internal/reload"
 	"github.com/sliplift/sliplift/internal/routetable"
@@ -140,12 +141,8 @@
 		if err == nil {
 			return last, nil
 		}
-		timer := time.NewTimer(startRetry)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, startRetry) {
 			return presence.Node{}, ctx.Err()
-		case <-timer.C:
 		}
 	}
 }
@@ -171,7 +168,7 @@
 	group.Go(func() { n.beat(ctx) })
 	group.Go(func() { n.jobs.Run(ctx) })
 	group.Go(func() { n.controller.Run(ctx) })
-	group.Go(func() { n.sweep(ctx) })
+	group.Go(func() { pause.Every(ctx, sweepEvery, nil, n.sweep) })
 	group.Wait()
 }
 
@@ -187,21 +184,13 @@
 	n.presence.Run(ctx)
 }
 
-func (n *Node) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			now := time.Now()
-			n.client.Sweep(func(_, instance string) bool {
-				backend, found := n.fleet.Get(instance, now)
-				return found && !backend.Draining
-			})
-		}
-	}
+// sweep closes connections that are no longer of use.
+func (n *Node) sweep() {
+	now := time.Now()
+	n.client.Sweep(func(_, instance string) bool {
+		backend, found := n.fleet.Get(instance, now)
+		return found && !backend.Draining
+	})
 }
 
 // applyOperator takes rows of the operator. Newer rows only: the view drops
