rowstore, reload, presence, batch: what a node asks falls as nodes grow; more owners and loads at scale

- Pacing: watches whose freshness counts stay open for longer, others are folded, so that all nodes keep within the store's reads; open watches that are there for changes alone wait 5 s.
- Liveness rests on a node's own beats coming back: with longer watches the test TestNobodyLapsesWhileTheStoreIsAway failed, since an open watch still ended in order while writes were lost.
- How many loads at once bring the most is found by trying; two was a constant.
- Work of a service with more slots than one node can serve has several owners.

--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -84,7 +84,7 @@
 	Owner       string `json:"owner"`
 	Incarnation int64  `json:"incarnation"`
 	Epoch       int64  `json:"epoch"`
-	// Pool is the service that the items run at.
+	// Pool is what the owner is chosen by; see ownerKey.
 	Pool  string `json:"pool"`
 	Model string `json:"model,omitempty"`
 	// Work is the tokens expected to come out of all items.
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -32,8 +32,8 @@
 	Routes func() *routetable.Table
 	// VersionField names the stream field that tells the weight version.
 	VersionField string
-	// Wait is how long a watch stays open.
-	Wait time.Duration
+	// Pacing says how often the store may be asked.
+	Pacing rowstore.Pacing
 	// Keep is how long a job stays readable after it was submitted.
 	Keep time.Duration
 }
@@ -82,7 +82,8 @@
 		Name:       "jobs",
 		Table:      TableJobs,
 		Partitions: rowstore.AllShards(),
-		Wait:       config.Wait,
+		Wait:       config.Pacing.IdleWait,
+		Pace:       config.Pacing.BusyPace,
 		Apply:      manager.apply,
 	})
 	return manager
@@ -244,7 +245,7 @@
 
 func (m *Manager) newHead(spec *Spec) Head {
 	head := Head{
-		Epoch: 1, Model: spec.Model, Pool: m.runner.pool(spec), Total: len(spec.Items),
+		Epoch: 1, Model: spec.Model, Pool: m.ownerKeyOf(spec), Total: len(spec.Items),
 		Nonce: uuid.NewString()[:8], SubmittedMillis: time.Now().UnixMilli(),
 	}
 	for i := range spec.Items {
@@ -255,6 +256,11 @@
 	return head
 }
 
+func (m *Manager) ownerKeyOf(spec *Spec) string {
+	service := m.runner.pool(spec)
+	return ownerKey(service, spec.Model, spec.ID, m.config.Fleet.Service(service, time.Now()))
+}
+
 // demandWindow is for how long a job counts as demand.
 const demandWindow = 30 * time.Second
 
--- /dev/null
+++ b/internal/batch/ownerkey.go
@@ -0,0 +1,37 @@
+package batch
+
+import (
+	"fmt"
+	"hash/fnv"
+
+	"github.com/sliplift/sliplift/internal/fleet"
+)
+
+// ownerSlots is the number of streams that one owner serves at once. A stream
+// brings some 25 events a second, and an event costs an owner about 40 us
+// (docs/CAPACITY.md): 600 streams take 0.6 of a core.
+const ownerSlots = 600
+
+// ownerKey returns the key that jobs are assigned to nodes by: one for a service
+// that one node can serve, one a model for a larger one, and one a share of the
+// jobs for a still larger one. It is pure.
+func ownerKey(service, model, job string, backends []fleet.Backend) string {
+	slots := 0
+	models := make(map[string]bool)
+	for _, backend := range backends {
+		slots += backend.Slots
+		for name := range backend.Models {
+			models[name] = true
+		}
+	}
+	shards := (slots + ownerSlots - 1) / ownerSlots
+	switch {
+	case shards <= 1:
+		return service
+	case shards <= len(models):
+		return service + "/" + model
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(job))
+	return fmt.Sprintf("%s/%d", service, hash.Sum32()%uint32(shards))
+}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -2,9 +2,9 @@
 // and writes it again every beat; all read the rows through a view.
 //
 // A node is lapsed when its row has not changed for Lapse by the reader's own
-// clock while the reader's view was confirmed all that time: while the store
-// does not answer, nobody is declared lapsed, and when it answers again every
-// node gets a whole Lapse. Incarnations of one node name are ordered; a process
+// clock while the reader saw its own beats come back through its view: while the
+// store takes no writes or gives no answers, nobody is declared lapsed, and when
+// it does again every node gets a whole Lapse. Incarnations of one node name are ordered; a process
 // whose name has a newer incarnation is gone at once.
 package presence
 
@@ -12,6 +12,7 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -75,17 +76,20 @@
 	self  Node
 	nodes map[string]*seen
 	kick  chan struct{}
+	// echoed is when the node last saw a beat of its own in the view; echoSince,
+	// since when it has seen them without a gap.
+	echoed, echoSince time.Time
 }
 
 // New returns a registry for the node itself.
-func New(log *eventlog.Log, store rowstore.Store, self Node, wait time.Duration) *Registry {
+func New(log *eventlog.Log, store rowstore.Store, self Node, pacing rowstore.Pacing) *Registry {
 	registry := &Registry{store: store, log: log, self: self, nodes: make(map[string]*seen), kick: make(chan struct{}, 1)}
 	registry.view = rowstore.NewView(log, store, rowstore.ViewConfig{
 		Name:       "nodes",
 		Table:      Table,
 		Partitions: rowstore.AllShards(),
-		Wait:       wait,
-		Pace:       beatLeast / 4,
+		Wait:       pacing.IdleWait,
+		Pace:       func() time.Duration { return max(beatLeast/4, pacing.BusyPace()) },
 		Apply:      registry.apply,
 	})
 	return registry
@@ -133,6 +137,9 @@
 	if row.Revision <= held.revision {
 		return
 	}
+	if node.Name == r.self.Name {
+		r.noteEcho(now)
+	}
 	held.node, held.revision, held.at, held.lapsed = node, row.Revision, now, false
 }
 
@@ -157,6 +164,9 @@
 	}
 }
 
+// Size returns the number of nodes that have a row.
+func (r *Registry) Size() int { return r.size() }
+
 func (r *Registry) size() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -211,17 +221,28 @@
 	}
 }
 
-// quiet returns how long a node has been silent as far as the view can tell.
+// noteEcho records that a beat of the node's own came back. The lock is held.
+func (r *Registry) noteEcho(now time.Time) {
+	if now.Sub(r.echoed) > 2*Beat(len(r.nodes)) {
+		r.echoSince = now
+	}
+	r.echoed = now
+}
+
+// quiet returns how long a node has been silent as far as this node can tell.
+// The lock is held.
 func (r *Registry) quiet(held *seen, now time.Time) time.Duration {
 	status := r.view.Status()
-	if !status.Healthy {
+	if !status.Healthy || now.Sub(r.echoed) > 2*Beat(len(r.nodes)) {
 		return 0
 	}
 	since := held.at
-	if status.HealthySince.After(since) {
-		since = status.HealthySince
+	for _, moment := range []time.Time{status.HealthySince, r.echoSince} {
+		if moment.After(since) {
+			since = moment
+		}
 	}
-	return min(now.Sub(since), status.Confirmed.Sub(since)+beatLeast)
+	return r.echoed.Sub(since)
 }
 
 // Liveness is what a node believes of another's process.
@@ -352,13 +373,19 @@
 	return addresses(live, func(Node) bool { return true })
 }
 
+// addresses returns the addresses of the nodes wanted; of too many, some by
+// chance.
 func addresses(nodes []Node, wanted func(Node) bool) []string {
 	var found []string
 	for _, node := range nodes {
-		if wanted(node) && len(found) < addressesMost {
+		if wanted(node) {
 			found = append(found, node.Address)
 		}
 	}
+	if len(found) > addressesMost {
+		rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+		found = found[:addressesMost]
+	}
 	return found
 }
 
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/rowstore"
 	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
 )
 
@@ -21,7 +22,7 @@
 
 func join(store *rowstoretest.Store, node Node) member {
 	log := eventlog.New(logrus.New(), io.Discard)
-	registry := New(log, store, node, time.Second)
+	registry := New(log, store, node, rowstore.Pacing{Fresh: 2 * time.Second, Nodes: func() int { return 2 }})
 	ctx, cancel := context.WithCancel(context.Background())
 	views, beats := make(chan struct{}), make(chan struct{})
 	go func() { defer close(views); registry.View().Run(ctx) }()
@@ -182,3 +183,20 @@
 		}
 	})
 }
+
+func TestAddressesOfManyNodesAreSomeByChance(t *testing.T) {
+	all := nodes(3 * addressesMost)
+	seen := make(map[string]bool)
+	for range 50 {
+		found := addresses(all, func(Node) bool { return true })
+		if len(found) != addressesMost {
+			t.Fatalf("%d addresses", len(found))
+		}
+		for _, address := range found {
+			seen[address] = true
+		}
+	}
+	if len(seen) != len(all) {
+		t.Errorf("only %d of %d nodes are ever told", len(seen), len(all))
+	}
+}
--- a/internal/reload/carryout.go
+++ b/internal/reload/carryout.go
@@ -166,6 +166,7 @@
 		if err == nil && report.Versions[next.model] >= next.version {
 			c.setTaken(next.backend.ID, report.Taken)
 			c.noteLoadTime(time.Since(started))
+			c.noteParallel(next, time.Since(started), time.Now())
 			return nil
 		}
 		if err == nil && !report.Busy && report.Taken == taken && time.Since(started) > unansweredMost {
--- a/internal/reload/plan.go
+++ b/internal/reload/plan.go
@@ -9,25 +9,24 @@
 	"github.com/sliplift/sliplift/internal/fleet"
 )
 
-// parallelMost is how many back ends of a service load at once: with more, each
-// load takes longer.
-const parallelMost = 2
-
 // step is an order that the plan wants given.
 type step struct {
 	backend fleet.Backend
 	model   string
 	version int64
+	// atOnce is how many orders were under way when it was given.
+	atOnce int
 }
 
 // plan returns the orders to be given next, most urgent first. named maps a
 // model to its newest version; shares says which model each back end is for; busy
-// holds the back ends that an order is under way at. It is pure.
+// holds the back ends that an order is under way at; parallel tells how many of a
+// service may load at once. It is pure.
 //
 // A back end with place p among those of its model, ordered by id, belongs to
 // half p mod 2. A version v goes to half v mod 2; the other half is only brought
 // up to v - 1, the oldest version that a new step takes.
-func plan(backends []fleet.Backend, named map[string]int64, shares map[string]string, busy map[string]bool) []step {
+func plan(backends []fleet.Backend, named map[string]int64, shares map[string]string, busy map[string]bool, parallel func(service string) int) []step {
 	places, loading := census(backends, shares, busy)
 	var steps []step
 	for _, backend := range backends {
@@ -45,7 +44,7 @@
 	var allowed []step
 	for _, next := range steps {
 		service := next.backend.Service
-		if loading[service] < parallelMost {
+		if loading[service] < parallel(service) {
 			loading[service]++
 			allowed = append(allowed, next)
 		}
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -22,8 +23,8 @@
 	Commander Commander
 	Log       *eventlog.Log
 	Timing    Timing
-	// Wait is how long a watch stays open.
-	Wait time.Duration
+	// Pacing says how often the store may be asked.
+	Pacing rowstore.Pacing
 	// Mode says what becomes of runs under way.
 	Mode Mode
 	// Demand returns the work asked of each model lately, in any one unit.
@@ -59,6 +60,8 @@
 	loads      map[string]Load
 	// shares says which model each back end is for, as the last holder left it.
 	shares map[string]string
+	// parallel finds, by service, how many load at once.
+	parallel map[string]*parallelism
 }
 
 // NewController returns a controller; Run has to be called.
@@ -71,13 +74,15 @@
 		taken:  make(map[string]int64),
 		loads:  make(map[string]Load),
 		shares: make(map[string]string),
-		wakes:  make(chan struct{}, 1),
+
+		parallel: make(map[string]*parallelism),
+		wakes:    make(chan struct{}, 1),
 	}
 	controller.leaseView = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
-		Name: "lease", Table: TableLease, Partitions: []string{""}, Wait: config.Wait, Apply: controller.applyLease,
+		Name: "lease", Table: TableLease, Partitions: []string{""}, Wait: config.Pacing.IdleWait, Pace: config.Pacing.BusyPace, Apply: controller.applyLease,
 	})
 	controller.loadsView = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
-		Name: "loads", Table: TableLoads, Partitions: []string{""}, Wait: config.Wait, Apply: controller.applyLoads,
+		Name: "loads", Table: TableLoads, Partitions: []string{""}, Wait: config.Pacing.IdleWait, Pace: config.Pacing.BusyPace, Apply: controller.applyLoads,
 	})
 	return controller
 }
@@ -114,6 +119,7 @@
 	group.Go(func() { c.loadsView.Run(ctx) })
 	group.Go(func() { pause.Every(ctx, tick, nil, func() { c.leaseStep(ctx) }) })
 	group.Go(func() { pause.Every(ctx, tick, c.wakes, func() { c.giveOrders(ctx) }) })
+	group.Go(func() { pause.Every(ctx, forgetEvery, nil, func() { c.forgetGone(ctx) }) })
 	group.Wait()
 }
 
@@ -148,7 +154,13 @@
 func (c *Controller) applyLoads(rows []rowstore.Row, _ bool) {
 	for _, row := range rows {
 		var load Load
-		if row.Deleted || json.Unmarshal(row.Value, &load) != nil {
+		if row.Deleted {
+			c.mu.Lock()
+			delete(c.loads, row.Key)
+			c.mu.Unlock()
+			continue
+		}
+		if json.Unmarshal(row.Value, &load) != nil {
 			continue
 		}
 		c.mu.Lock()
@@ -171,6 +183,41 @@
 	c.config.Fleet.MarkLoading(instance, load.Loading, time.Now().Add(loadingMost))
 }
 
+const (
+	// forgetEvery is how often rows of back ends that are gone are looked for.
+	forgetEvery = 30 * time.Second
+	// forgetMost is how many of them are removed at a time.
+	forgetMost = 50
+)
+
+// forgetGone removes what was written of back ends that are no longer there. An
+// entry that only lapsed for a moment loses nothing: its registry row tells the
+// versions again.
+func (c *Controller) forgetGone(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	var transaction rowstore.Transaction
+	for id := range c.loads {
+		if _, found := c.config.Fleet.Get(id, now); c.held && !found && len(transaction.Deletes) < forgetMost {
+			transaction.Deletes = append(transaction.Deletes, loadID(id))
+		}
+	}
+	c.mu.Unlock()
+	if len(transaction.Deletes) == 0 {
+		return
+	}
+	if _, err := c.config.Store.Commit(ctx, transaction); err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range transaction.Deletes {
+		delete(c.loads, id.Key)
+		delete(c.shares, id.Key)
+		delete(c.taken, id.Key)
+	}
+}
+
 // Stop gives the lease up: what has been begun, and what the plan wants at once,
 // is ended while ctx allows; then the row says that the lease is released.
 func (c *Controller) Stop(ctx context.Context) {
@@ -192,7 +239,7 @@
 	if !c.held {
 		return false
 	}
-	return len(c.busy) > 0 || len(plan(backends, c.named, c.shares, c.busy)) > 0
+	return len(c.busy) > 0 || len(plan(backends, c.named, c.shares, c.busy, c.parallelOf)) > 0
 }
 
 // release writes that the lease is free.
@@ -369,8 +416,40 @@
 		return
 	}
 	c.shares = assignShares(backends, c.named, demand, c.shares)
-	for _, next := range plan(backends, c.named, c.shares, c.busy) {
+	for _, next := range plan(backends, c.named, c.shares, c.busy, c.parallelOf) {
 		c.busy[next.backend.ID] = true
+		next.atOnce = len(c.busy)
 		go c.carryOut(ctx, next, c.token)
 	}
 }
+
+// parallelOf returns how many back ends of a service may load at once. The lock
+// is held.
+func (c *Controller) parallelOf(service string) int { return c.parallelism(service).level }
+
+func (c *Controller) parallelism(service string) *parallelism {
+	found := c.parallel[service]
+	if found == nil {
+		found = newParallelism()
+		c.parallel[service] = found
+	}
+	return found
+}
+
+// unlimited lets a plan name all loads that are wanted.
+func unlimited(string) int { return math.MaxInt }
+
+// noteParallel records how long a load took beside others.
+func (c *Controller) noteParallel(done step, took time.Duration, now time.Time) {
+	backends := c.config.Fleet.All(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting := 0
+	for _, next := range plan(backends, c.named, c.shares, c.busy, unlimited) {
+		if next.backend.Service == done.backend.Service {
+			waiting++
+		}
+	}
+	level := c.parallelism(done.backend.Service)
+	level.observe(done.atOnce, took, waiting > level.level, now)
+}
--- /dev/null
+++ b/internal/rowstore/pacing.go
@@ -0,0 +1,52 @@
+package rowstore
+
+import "time"
+
+// Pacing says how often a node asks the store, so that all nodes together keep
+// within what it takes in a second: what each one asks falls as nodes grow.
+type Pacing struct {
+	// Limits are the store's, for all nodes together.
+	Limits Limits
+	// Fresh is the age that a view whose freshness counts may have.
+	Fresh time.Duration
+	// Nodes returns the number of nodes.
+	Nodes func() int
+}
+
+const (
+	// freshShare is how long a watch of such a view stays open, as a share of
+	// Fresh: an open watch that returns proves that the view is fresh.
+	freshShare = 0.5
+	// freshWatches is how many such views a node has; they may use half of the
+	// reads.
+	freshWatches = 2
+	readShare    = 0.5
+	// idleWait is how long other watches stay open: a change ends them at once.
+	idleWait = 5 * time.Second
+	// busyWatches is how many other views change often; they may use a third.
+	busyWatches = 3
+	busyShare   = 0.33
+)
+
+// FreshWait returns how long a watch stays open whose return proves freshness.
+func (p Pacing) FreshWait() time.Duration {
+	least := time.Duration(freshShare * float64(p.Fresh))
+	return max(least, p.interval(freshWatches, readShare))
+}
+
+// IdleWait returns how long a watch stays open that is there for changes alone.
+func (p Pacing) IdleWait() time.Duration { return max(idleWait, p.FreshWait()) }
+
+// BusyPace returns the least time between two answers of a watch that changes
+// often.
+func (p Pacing) BusyPace() time.Duration { return p.interval(busyWatches, busyShare) }
+
+// interval returns how often each of a node's watches may be answered if they
+// have a share of all reads.
+func (p Pacing) interval(watches int, share float64) time.Duration {
+	if p.Limits.ReadsPerSecond <= 0 {
+		return 0
+	}
+	calls := float64(p.Nodes() * watches)
+	return time.Duration(calls / (share * p.Limits.ReadsPerSecond) * float64(time.Second))
+}
--- a/internal/rowstore/view.go
+++ b/internal/rowstore/view.go
@@ -24,12 +24,12 @@
 	Name       string
 	Table      string
 	Partitions []string
-	// Wait is how long a watch may stay open without a change. The age of the
-	// view never grows far beyond it while the store answers.
-	Wait time.Duration
-	// Pace is the least time between two answers of a watch that are taken; it
-	// folds frequent changes together. 0 takes each at once.
-	Pace time.Duration
+	// Wait returns how long a watch may stay open without a change. The age of
+	// the view never grows far beyond it while the store answers.
+	Wait func() time.Duration
+	// Pace returns the least time between two answers of a watch that are taken;
+	// it folds frequent changes together. Nil takes each at once.
+	Pace func() time.Duration
 	// Apply is called with changed rows, in order, from one goroutine. complete
 	// marks a whole table: rows not among them are gone.
 	Apply func(rows []Row, complete bool)
@@ -91,7 +91,9 @@
 			v.confirm(started, reload)
 			reload = false
 			retry = retryFirst
-			pause.For(ctx, v.config.Pace-time.Since(started))
+			if v.config.Pace != nil {
+				pause.For(ctx, v.config.Pace()-time.Since(started))
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -110,7 +112,7 @@
 	if reload {
 		return v.list(ctx)
 	}
-	snapshot, err := v.store.Watch(ctx, v.config.Table, v.at(), v.config.Wait)
+	snapshot, err := v.store.Watch(ctx, v.config.Table, v.at(), v.config.Wait())
 	if err != nil {
 		return err
 	}
--- a/internal/rowstore/view_test.go
+++ b/internal/rowstore/view_test.go
@@ -52,7 +52,7 @@
 		store := rowstoretest.New()
 		seen := &mirror{rows: make(map[string]string)}
 		view := rowstore.NewView(nil, rowstore.NewGuard(store), rowstore.ViewConfig{
-			Name: "t", Table: "t", Partitions: []string{"", "p"}, Wait: time.Second, Apply: seen.apply,
+			Name: "t", Table: "t", Partitions: []string{"", "p"}, Wait: func() time.Duration { return time.Second }, Apply: seen.apply,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -90,10 +90,6 @@
 	stopping      atomic.Bool
 }
 
-// watchShare is how long a watch stays open, as a share of FreshMost: an open
-// watch that returns proves that the view is fresh.
-const watchShare = 0.5
-
 // New returns a node. Its incarnation is read from the store, so that it is
 // above those of all earlier processes of its name; New waits until the store
 // answers or ctx ends.
@@ -103,9 +99,9 @@
 		return nil, err
 	}
 	config.Self = presence.Succeed(config.Self, last, time.Now())
-	wait := time.Duration(watchShare * float64(config.FreshMost))
 	node := &Node{config: config}
-	node.presence = presence.New(config.Log, config.Store, config.Self, wait)
+	pacing := rowstore.Pacing{Limits: config.Limits, Fresh: config.FreshMost, Nodes: func() int { return node.presence.Size() }}
+	node.presence = presence.New(config.Log, config.Store, config.Self, pacing)
 	node.fleet = fleet.New(node.kick)
 	node.client = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, OnDial: config.ObserveDial})
 	node.forwarder = forward.New(forward.Config{
@@ -115,18 +111,18 @@
 	node.jobs = batch.NewManager(batch.Config{
 		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client,
 		Log: config.Log, Zone: config.Self.Zone, Routes: node.table.Load, VersionField: config.VersionField,
-		Wait: wait, Keep: config.KeepJobs,
+		Pacing: pacing, Keep: config.KeepJobs,
 	})
 	node.controller = reload.NewController(reload.Config{
 		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
-		Log: config.Log, Timing: reload.Timing{Settle: config.SettleTime}, Wait: wait, Mode: reload.ModeRetain,
+		Log: config.Log, Timing: reload.Timing{Settle: config.SettleTime}, Pacing: pacing, Mode: reload.ModeRetain,
 		Demand: node.jobs.Demand,
 	})
 	node.operator = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
-		Name: "operator", Table: config.OperatorTable, Partitions: []string{""}, Wait: wait, Apply: node.applyOperator,
+		Name: "operator", Table: config.OperatorTable, Partitions: []string{""}, Wait: pacing.FreshWait, Apply: node.applyOperator,
 	})
 	node.instances = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
-		Name: "back ends", Table: config.InstanceTable, Partitions: []string{""}, Wait: wait, Apply: node.applyInstances,
+		Name: "back ends", Table: config.InstanceTable, Partitions: []string{""}, Wait: pacing.FreshWait, Apply: node.applyInstances,
 	})
 	return node, nil
 }
