--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -15,6 +15,18 @@
 	zone    string
 	// avoid is a back end to be used only if there is no other.
 	avoid string
+	// ran is for how long the item has been running.
+	ran time.Duration
+}
+
+// moveRatio returns how many times slower than the best its back end must be
+// for the item to be moved. One that has run for long is among those that its
+// step waits for, and goes on for long.
+func (n need) moveRatio() float64 {
+	if n.ran > longRun {
+		return moveRatioLong
+	}
+	return moveRatio
 }
 
 const (
@@ -118,7 +130,7 @@
 			best = i
 		}
 	}
-	if best < 0 || float64(from.Pace) < moveRatio*float64(pool[best].Pace) {
+	if best < 0 || float64(from.Pace) < want.moveRatio()*float64(pool[best].Pace) {
 		return -1
 	}
 	return best
--- a/internal/batch/place_test.go
+++ b/internal/batch/place_test.go
@@ -54,6 +54,18 @@
 	}
 }
 
+func TestLongRunsAreMovedForLess(t *testing.T) {
+	pool := []fleet.Backend{backend("slow", func(b *fleet.Backend) { b.Pace = 52 * time.Millisecond }), backend("fast", nil)}
+	want := need{model: "m", minVersion: 3}
+	if got := moveTarget(pool, "slow", want, placeNow); got >= 0 {
+		t.Error("a short run was moved for a third")
+	}
+	want.ran = longRun + time.Second
+	if got := moveTarget(pool, "slow", want, placeNow); got != 1 {
+		t.Error("a long run was left on a back end that is a third slower")
+	}
+}
+
 func TestMoveTarget(t *testing.T) {
 	slow := backend("slow", func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond })
 	cases := []struct {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -464,7 +464,10 @@
 // Conditions under which a run is moved to a faster back end.
 const (
 	// moveRatio is how many times slower than the best its back end must be.
-	moveRatio = 1.6
+	moveRatio     = 1.6
+	moveRatioLong = 1.15
+	// longRun is from when on an item has run for long.
+	longRun = 1500 * time.Millisecond
 	// moveAfter is the least time since its start or the last move.
 	moveAfter = 600 * time.Millisecond
 	// paceFresh is how old a measured pace may be.
@@ -505,7 +508,7 @@
 	}
 	target := moveTarget(pool, item.backend, need{
 		model: job.spec.Model, minVersion: job.spec.MinVersion, zone: r.manager.config.Zone,
-		version: item.text.only(route.SingleVersion),
+		version: item.text.only(route.SingleVersion), ran: now.Sub(item.firstStart),
 	}, now)
 	if target < 0 {
 		return
