--- a/internal/reload/parallel.go
+++ b/internal/reload/parallel.go
@@ -7,7 +7,7 @@
 	parallelFirst = 2
 	// parallelGain is how much more must be loaded in a time for a higher level to
 	// be kept.
-	parallelGain = 1.15
+	parallelGain = 1.25
 	// parallelForget is after how long a level that brought nothing is tried again.
 	parallelForget = 5 * time.Minute
 )
@@ -22,9 +22,11 @@
 	times         map[int]*loadTimes
 }
 
+// loadTimes are of loads at one level. The longest counts: a load that began
+// while another was over but not yet reported so is no measure of the level.
 type loadTimes struct {
-	count int
-	mean  time.Duration
+	count   int
+	longest time.Duration
 }
 
 func newParallelism() *parallelism {
@@ -43,7 +45,7 @@
 		p.times[atOnce] = times
 	}
 	times.count++
-	times.mean += (took - times.mean) / time.Duration(min(times.count, 2*atOnce))
+	times.longest = max(times.longest, took)
 	if times.count < atOnce {
 		return
 	}
@@ -55,6 +57,7 @@
 	case backlog && p.mayRise(now):
 		p.before = p.level
 		p.level = p.next()
+		delete(p.times, p.level)
 	}
 }
 
@@ -67,8 +70,8 @@
 // rate returns how many loads a second a level brings.
 func (p *parallelism) rate(level int) float64 {
 	times := p.times[level]
-	if times == nil || times.mean == 0 {
+	if times == nil || times.longest == 0 {
 		return 0
 	}
-	return float64(level) / times.mean.Seconds()
+	return float64(level) / times.longest.Seconds()
 }
--- a/internal/reload/parallel_test.go
+++ b/internal/reload/parallel_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+func TestLoadsThatBeganAloneDoNotCount(t *testing.T) {
+	p := newParallelism()
+	now := time.Unix(0, 0)
+	for i := range 60 {
+		took := 1050 * time.Millisecond
+		if p.level > parallelFirst && i%2 == 0 {
+			took = 1500 * time.Millisecond
+		}
+		p.observe(p.level, took, true, now)
+		if p.level > parallelFirst+1 {
+			t.Fatalf("level %d, though loads at level 3 take half as long again", p.level)
+		}
+	}
+}
+
 func TestALevelThatBroughtNothingIsTriedAgainLater(t *testing.T) {
 	p := newParallelism()
 	now := time.Unix(0, 0)
