rowstore: views that are there for changes notice a silent connection within a second again

With watches open for 5 s a node whose connection went silent for a moment could believe for up to 4.7 s that it still owned a job, longer than the second and a half that callers are granted after it is back in touch. Reads are budgeted instead: two fifths for views whose freshness counts, a quarter for the others at rest, a third for changes.

--- a/internal/rowstore/pacing.go
+++ b/internal/rowstore/pacing.go
@@ -17,13 +17,16 @@
 	// freshShare is how long a watch of such a view stays open, as a share of
 	// Fresh: an open watch that returns proves that the view is fresh.
 	freshShare = 0.5
-	// freshWatches is how many such views a node has; they may use half of the
-	// reads.
+	// freshWatches is how many such views a node has; they may use two
+	// fifths of the reads.
 	freshWatches = 2
-	readShare    = 0.5
-	// idleWait is how long other watches stay open: a change ends them at once.
-	idleWait = 5 * time.Second
-	// busyWatches is how many other views change often; they may use a third.
+	readShare    = 0.4
+	// idleWatches is how many other views a node has; while nothing changes they may
+	// use a quarter. They are no less fresh than the others in a small system: a
+	// connection that has gone silent is noticed only when a watch should have ended.
+	idleWatches = 4
+	idleShare   = 0.25
+	// busyWatches is how many of them change often; they may use a third.
 	busyWatches = 3
 	busyShare   = 0.33
 )
@@ -35,7 +38,9 @@
 }
 
 // IdleWait returns how long a watch stays open that is there for changes alone.
-func (p Pacing) IdleWait() time.Duration { return max(idleWait, p.FreshWait()) }
+func (p Pacing) IdleWait() time.Duration {
+	return max(p.FreshWait(), p.interval(idleWatches, idleShare))
+}
 
 // BusyPace returns the least time between two answers of a watch that changes
 // often.
--- a/internal/rowstore/pacing_test.go
+++ b/internal/rowstore/pacing_test.go
@@ -9,13 +9,16 @@
 	const reads = 2000
 	for _, nodes := range []int{1, 10, 30, 100, 300, 1000} {
 		pacing := Pacing{Limits: Limits{ReadsPerSecond: reads}, Fresh: 2 * time.Second, Nodes: func() int { return nodes }}
-		perNode := freshWatches/pacing.FreshWait().Seconds() + busyWatches/max(pacing.BusyPace(), 20*time.Millisecond).Seconds()
+		perNode := freshWatches/pacing.FreshWait().Seconds() + idleWatches/pacing.IdleWait().Seconds() + busyWatches/max(pacing.BusyPace(), 20*time.Millisecond).Seconds()
 		if nodes >= 100 && perNode*float64(nodes) > reads {
 			t.Errorf("%d nodes ask %.0f times a second, all views changing", nodes, perNode*float64(nodes))
 		}
 		if nodes <= 300 && pacing.FreshWait() > time.Second {
 			t.Errorf("%d nodes: a fresh view is confirmed each %s", nodes, pacing.FreshWait())
 		}
+		if nodes <= 100 && pacing.IdleWait() > time.Second {
+			t.Errorf("%d nodes: a silent connection is noticed after %s", nodes, pacing.IdleWait())
+		}
 		if nodes <= 30 && pacing.BusyPace() > 150*time.Millisecond {
 			t.Errorf("%d nodes: changes are folded over %s", nodes, pacing.BusyPace())
 		}
