--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -12,7 +12,7 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/load"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 	"github.com/sliplift/sliplift/internal/telemetry"
 )
 
@@ -240,7 +240,7 @@
 
 func (c *loadCommand) runTrainer(ctx context.Context, env *Environment, lg *logrus.Logger, sink history.Sink) error {
 	flags := c.Trainer
-	weights := platform.NewClient(env.HTTPClient, platform.Addresses{Weights: string(flags.WeightsAddress)})
+	weights := storeclient.NewClient(env.HTTPClient, storeclient.Addresses{Weights: string(flags.WeightsAddress)})
 	trainer := load.NewTrainer(lg, load.TrainerConfig{
 		Name: c.Caller, Nodes: c.Nodes, Pool: c.Pool, Model: flags.Model,
 		Version: flags.FirstVersion, VersionBound: flags.VersionBound,
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -15,8 +15,8 @@
 	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/node"
-	"github.com/sliplift/sliplift/internal/platform"
 	"github.com/sliplift/sliplift/internal/settings"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // ErrUnknownNode says that no node of that name runs.
@@ -29,7 +29,7 @@
 type Cluster struct {
 	config    Config
 	emulator  *emulator.Emulator
-	addresses platform.Addresses
+	addresses storeclient.Addresses
 	transport []*http.Transport
 
 	mu          sync.Mutex
@@ -217,8 +217,8 @@
 func (c *Cluster) Emulator() *emulator.Emulator { return c.emulator }
 
 // Platform returns a client of the platform's services from a host.
-func (c *Cluster) Platform(host string) *platform.Client {
-	return platform.NewClient(c.HTTPClient(host), c.addresses)
+func (c *Cluster) Platform(host string) *storeclient.Client {
+	return storeclient.NewClient(c.HTTPClient(host), c.addresses)
 }
 
 // HTTPClient returns a client whose connections come from a host.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -18,7 +18,7 @@
 	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/load"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // Names of the pools that the demo creates.
@@ -104,13 +104,13 @@
 	cfg        Config
 	system     System
 	httpClient *http.Client
-	weights    platform.Weights
+	weights    storeclient.Weights
 	sink       history.Sink
 	operator   *operatorUser
 }
 
 // NewDemo returns a demo of the system, which is reached through httpClient.
-func NewDemo(lg logrus.FieldLogger, cfg Config, system System, httpClient *http.Client, weights platform.Weights, sink history.Sink) *Demo {
+func NewDemo(lg logrus.FieldLogger, cfg Config, system System, httpClient *http.Client, weights storeclient.Weights, sink history.Sink) *Demo {
 	return &Demo{
 		lg:         lg,
 		cfg:        cfg,
--- a/internal/emulator/accessors.go
+++ b/internal/emulator/accessors.go
@@ -12,7 +12,7 @@
 	"github.com/sliplift/sliplift/internal/emulator/scoring"
 	"github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/emulator/weight"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // Engine returns the engine of that name, nil if there is none.
@@ -65,8 +65,8 @@
 
 // ServiceAddresses returns the addresses of the platform's services that are in
 // this process, under the names of DefaultConfig or those configured.
-func (e *Emulator) ServiceAddresses(config Config) platform.Addresses {
-	var addresses platform.Addresses
+func (e *Emulator) ServiceAddresses(config Config) storeclient.Addresses {
+	var addresses storeclient.Addresses
 	if config.Table != nil {
 		addresses.Table = e.Address(config.Table.Name)
 	}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -26,7 +26,7 @@
 	"github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/emulator/weight"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // ErrConfig is returned by Start for a configuration that makes no sense.
@@ -129,11 +129,11 @@
 	return nil
 }
 
-func (e *Emulator) weightStore(config Config, httpClient *http.Client) platform.Weights {
+func (e *Emulator) weightStore(config Config, httpClient *http.Client) storeclient.Weights {
 	if e.weights != nil {
 		return e.weights
 	}
-	return platform.NewClient(httpClient, platform.Addresses{Weights: config.WeightStoreAddress})
+	return storeclient.NewClient(httpClient, storeclient.Addresses{Weights: config.WeightStoreAddress})
 }
 
 func (e *Emulator) serve(name, address string, handler http.Handler) error {
@@ -154,7 +154,7 @@
 	return nil
 }
 
-func (e *Emulator) startEngine(config engine.Config, weights platform.Weights, sink history.Sink) error {
+func (e *Emulator) startEngine(config engine.Config, weights storeclient.Weights, sink history.Sink) error {
 	if err := e.claimName(config.Name); err != nil {
 		return err
 	}
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -24,7 +24,7 @@
 	client "github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/memnet"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 func logger() logrus.FieldLogger {
@@ -49,11 +49,11 @@
 		t.Fatal(err)
 	}
 	defer running.Close()
-	services := platform.NewClient(http.DefaultClient, running.ServiceAddresses(c))
+	services := storeclient.NewClient(http.DefaultClient, running.ServiceAddresses(c))
 	checkServices(t.Context(), t, services)
 }
 
-func checkServices(ctx context.Context, t *testing.T, client *platform.Client) {
+func checkServices(ctx context.Context, t *testing.T, client *storeclient.Client) {
 	t.Helper()
 	if err := client.PutObject(ctx, "batch/1", []byte("content")); err != nil {
 		t.Error(err)
@@ -64,7 +64,7 @@
 	if err := client.DeleteObject(ctx, "batch/1"); err != nil {
 		t.Error(err)
 	}
-	if _, err := client.GetObject(ctx, "batch/1"); !platform.HasCode(err, api.CodeNotFound) {
+	if _, err := client.GetObject(ctx, "batch/1"); !storeclient.HasCode(err, api.CodeNotFound) {
 		t.Errorf("deleted object: %v", err)
 	}
 	put := api.WeightVersion{Model: "language", Version: 2, Bytes: 10}
@@ -104,7 +104,7 @@
 		defer running.Close()
 		transport := &http.Transport{DialContext: network.Dialer("client"), DisableKeepAlives: true}
 		httpClient := &http.Client{Transport: transport}
-		checkServices(t.Context(), t, platform.NewClient(httpClient, running.ServiceAddresses(c)))
+		checkServices(t.Context(), t, storeclient.NewClient(httpClient, running.ServiceAddresses(c)))
 
 		steps := []struct {
 			method, path string
@@ -219,7 +219,7 @@
 			}
 			defer running.Close()
 		}
-		platformClient := platform.NewClient(httpClient, platform.Addresses{Weights: "weights:1"})
+		platformClient := storeclient.NewClient(httpClient, storeclient.Addresses{Weights: "weights:1"})
 		if err := platformClient.PutWeights(t.Context(), api.WeightVersion{Model: "language", Version: 2, Bytes: 1}); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -30,14 +30,14 @@
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/emulator/server"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // Dependencies are what an engine needs of its surroundings.
 type Dependencies struct {
 	Listen  server.ListenFunc
 	Faults  *fault.Set
-	Weights platform.Weights
+	Weights storeclient.Weights
 	Sink    history.Sink
 }
 
--- a/internal/emulator/server/server.go
+++ b/internal/emulator/server/server.go
@@ -18,7 +18,7 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/httpjson"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // ListenFunc opens a listener on an address (host:port).
@@ -225,11 +225,11 @@
 }
 
 // AsUncertain returns the error of a direct call as the platform's interfaces
-// want it: an *api.Error stays, anything else becomes platform.ErrUncertain.
+// want it: an *api.Error stays, anything else becomes storeclient.ErrUncertain.
 func AsUncertain(err error) error {
 	var answer *api.Error
 	if err == nil || errors.As(err, &answer) {
 		return err
 	}
-	return platform.ErrUncertain.Wrap(err)
+	return storeclient.ErrUncertain.Wrap(err)
 }
--- a/internal/emulator/table/table_test.go
+++ b/internal/emulator/table/table_test.go
@@ -18,14 +18,14 @@
 	"github.com/sliplift/sliplift/internal/emulator/server"
 	"github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/memnet"
-	"github.com/sliplift/sliplift/internal/platform"
 	"github.com/sliplift/sliplift/internal/steptest"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // fixture is a table with a limit of one call a second and bursts of 4.
 type fixture struct {
 	faults *fault.Set
-	client platform.Table
+	client storeclient.Table
 }
 
 // TestTable runs every story in testdata twice: against the value itself and
@@ -39,14 +39,14 @@
 func TestTable(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		t.Run("direct", func(t *testing.T) {
-			story(t, path, func(_ *testing.T, service *table.Service, _ *fault.Set) platform.Table { return service })
+			story(t, path, func(_ *testing.T, service *table.Service, _ *fault.Set) storeclient.Table { return service })
 		})
 		t.Run("http", func(t *testing.T) { story(t, path, overHTTP) })
 	})
 }
 
 // story runs the file inside a bubble, where sleeping takes no time.
-func story(t *testing.T, path string, connect func(*testing.T, *table.Service, *fault.Set) platform.Table) {
+func story(t *testing.T, path string, connect func(*testing.T, *table.Service, *fault.Set) storeclient.Table) {
 	synctest.Test(t, func(t *testing.T) {
 		faults := fault.NewSet(1)
 		defer faults.Close()
@@ -56,7 +56,7 @@
 	})
 }
 
-func overHTTP(t *testing.T, service *table.Service, faults *fault.Set) platform.Table {
+func overHTTP(t *testing.T, service *table.Service, faults *fault.Set) storeclient.Table {
 	network := memnet.NewNetwork()
 	lg := logrus.New()
 	lg.SetOutput(io.Discard)
@@ -71,7 +71,7 @@
 		transport.CloseIdleConnections()
 		running.Close()
 	})
-	return platform.NewClient(&http.Client{Transport: transport}, platform.Addresses{Table: "table:1"})
+	return storeclient.NewClient(&http.Client{Transport: transport}, storeclient.Addresses{Table: "table:1"})
 }
 
 func (f *fixture) command(t *testing.T, d *datadriven.TestData) string {
@@ -150,7 +150,7 @@
 func answer(text string, err error) string {
 	var definite *api.Error
 	switch {
-	case errors.Is(err, platform.ErrUncertain):
+	case errors.Is(err, storeclient.ErrUncertain):
 		return "uncertain\n"
 	case errors.As(err, &definite):
 		return fmt.Sprintf("%s, retry after %d ms\n", definite.Code, definite.RetryAfterMS)
--- a/internal/experiment/capacity/standin.go
+++ b/internal/experiment/capacity/standin.go
@@ -11,13 +11,13 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/emulator/table"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // countedTable is the stand-in of the table service, counted. Failed calls are
 // refusals for the rate and lost conditions.
 type countedTable struct {
-	table  platform.Table
+	table  storeclient.Table
 	calls  atomic.Int64
 	failed atomic.Int64
 }
@@ -33,21 +33,21 @@
 	}
 }
 
-// Commit implements platform.Table.
+// Commit implements storeclient.Table.
 func (t *countedTable) Commit(ctx context.Context, transaction api.Transaction) (api.TransactionResponse, error) {
 	response, err := t.table.Commit(ctx, transaction)
 	t.count(err)
 	return response, err
 }
 
-// Get implements platform.Table.
+// Get implements storeclient.Table.
 func (t *countedTable) Get(ctx context.Context, key string) (api.Row, error) {
 	row, err := t.table.Get(ctx, key)
 	t.count(err)
 	return row, err
 }
 
-// Scan implements platform.Table.
+// Scan implements storeclient.Table.
 func (t *countedTable) Scan(ctx context.Context, prefix, after string, limit int) (api.ScanResponse, error) {
 	response, err := t.table.Scan(ctx, prefix, after, limit)
 	t.count(err)
@@ -110,7 +110,7 @@
 	defer s.mu.Unlock()
 	engine, ok := s.engines[address]
 	if !ok {
-		return api.LoadReport{}, platform.ErrUncertain.Errorf("no sampler at %s", address)
+		return api.LoadReport{}, storeclient.ErrUncertain.Errorf("no sampler at %s", address)
 	}
 	now := time.Now()
 	engine.advance(now)
@@ -124,7 +124,7 @@
 	defer s.mu.Unlock()
 	engine, ok := s.engines[address]
 	if !ok {
-		return api.OrderResponse{}, platform.ErrUncertain.Errorf("no sampler at %s", address)
+		return api.OrderResponse{}, storeclient.ErrUncertain.Errorf("no sampler at %s", address)
 	}
 	now := time.Now()
 	engine.advance(now)
--- a/internal/experiment/capacity/steps.go
+++ b/internal/experiment/capacity/steps.go
@@ -10,8 +10,8 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/platform"
 	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // StepSlope is what a step costs its owner.
@@ -38,28 +38,28 @@
 // countedObjects is an object store that counts and keeps nothing.
 type countedObjects struct{ writes, bytes atomic.Int64 }
 
-// PutObject implements platform.Objects.
+// PutObject implements storeclient.Objects.
 func (o *countedObjects) PutObject(_ context.Context, _ string, content []byte) error {
 	o.writes.Add(1)
 	o.bytes.Add(int64(len(content)))
 	return nil
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements storeclient.Objects.
 func (o *countedObjects) GetObject(context.Context, string) ([]byte, error) {
-	return nil, platform.ErrUncertain.Errorf("nothing is kept")
+	return nil, storeclient.ErrUncertain.Errorf("nothing is kept")
 }
 
-// DeleteObject implements platform.Objects.
+// DeleteObject implements storeclient.Objects.
 func (o *countedObjects) DeleteObject(context.Context, string) error { return nil }
 
 // countedRows counts the bytes of the rows written.
 type countedRows struct {
-	platform.Table
+	storeclient.Table
 	calls, bytes atomic.Int64
 }
 
-// Commit implements platform.Table.
+// Commit implements storeclient.Table.
 func (r *countedRows) Commit(ctx context.Context, transaction api.Transaction) (api.TransactionResponse, error) {
 	r.calls.Add(1)
 	for _, put := range transaction.Puts {
--- a/internal/load/nodes.go
+++ b/internal/load/nodes.go
@@ -15,7 +15,7 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/httpjson"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // Node is a node that a client may call.
@@ -104,7 +104,7 @@
 // trying again does not help.
 func retryDelay(err error, unanswered time.Duration) (time.Duration, bool) {
 	var answer *api.Error
-	if !errors.As(err, &answer) || errors.Is(err, platform.ErrUncertain) {
+	if !errors.As(err, &answer) || errors.Is(err, storeclient.ErrUncertain) {
 		return unanswered, true
 	}
 	if answer.RetryAfterMS <= 0 {
--- a/internal/load/trainer.go
+++ b/internal/load/trainer.go
@@ -16,7 +16,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // TrainerConfig says what a Trainer asks for.
@@ -96,14 +96,14 @@
 	lg      logrus.FieldLogger
 	cfg     TrainerConfig
 	nodes   *nodes
-	weights platform.Weights
+	weights storeclient.Weights
 	sink    history.Sink
 	version atomic.Int64
 }
 
 // NewTrainer returns a trainer that calls nodes through httpClient and
 // publishes through weights.
-func NewTrainer(lg logrus.FieldLogger, cfg TrainerConfig, httpClient *http.Client, weights platform.Weights, sink history.Sink) *Trainer {
+func NewTrainer(lg logrus.FieldLogger, cfg TrainerConfig, httpClient *http.Client, weights storeclient.Weights, sink history.Sink) *Trainer {
 	cfg = cfg.withDefaults()
 	trainer := &Trainer{
 		lg:      lg.WithField("trainer", cfg.Name),
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -17,11 +17,11 @@
 	"github.com/sliplift/sliplift/internal/operator"
 	"github.com/sliplift/sliplift/internal/operator/catalog"
 	"github.com/sliplift/sliplift/internal/peer"
-	"github.com/sliplift/sliplift/internal/platform"
 	"github.com/sliplift/sliplift/internal/query"
 	"github.com/sliplift/sliplift/internal/rollout"
 	"github.com/sliplift/sliplift/internal/roster"
 	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // buildCluster makes what nodes tell each other: transport, membership,
@@ -29,7 +29,7 @@
 func (n *Node) buildCluster() {
 	cfg := n.cfg.Settings
 	n.httpTransport = engine.NewTransport(n.cfg.Dial)
-	n.platform = platform.NewClient(&http.Client{Transport: n.httpTransport}, n.cfg.platformAddresses())
+	n.platform = storeclient.NewClient(&http.Client{Transport: n.httpTransport}, n.cfg.platformAddresses())
 	n.transport = peer.NewTransport(n.log, peer.Config{
 		Node:        cfg.Name,
 		Incarnation: n.cfg.Incarnation,
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,9 +12,9 @@
 	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/lease"
-	"github.com/sliplift/sliplift/internal/platform"
 	"github.com/sliplift/sliplift/internal/rollout"
 	"github.com/sliplift/sliplift/internal/settings"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // Config is what a Node is made of.
@@ -67,8 +67,8 @@
 // dialTimeout bounds the opening of one connection.
 const dialTimeout = 2 * time.Second
 
-func (c Config) platformAddresses() platform.Addresses {
-	return platform.Addresses{
+func (c Config) platformAddresses() storeclient.Addresses {
+	return storeclient.Addresses{
 		Table:    c.Settings.TableAddress,
 		Objects:  c.Settings.ObjectsAddress,
 		Weights:  c.Settings.WeightsAddress,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,9 +25,9 @@
 	"github.com/sliplift/sliplift/internal/operator"
 	"github.com/sliplift/sliplift/internal/operator/catalog"
 	"github.com/sliplift/sliplift/internal/peer"
-	"github.com/sliplift/sliplift/internal/platform"
 	"github.com/sliplift/sliplift/internal/rollout"
 	"github.com/sliplift/sliplift/internal/roster"
+	"github.com/sliplift/sliplift/internal/storeclient"
 	"github.com/sliplift/sliplift/internal/telemetry"
 )
 
@@ -42,7 +42,7 @@
 	registry *prometheus.Registry
 
 	httpTransport *http.Transport
-	platform      *platform.Client
+	platform      *storeclient.Client
 	transport     *peer.Transport
 	membership    *membership.Service
 	configuration *configlog.Service
--- a/internal/processtest/system_test.go
+++ b/internal/processtest/system_test.go
@@ -22,7 +22,7 @@
 	"github.com/sliplift/sliplift/internal/httpjson"
 	"github.com/sliplift/sliplift/internal/load"
 	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // Sizes of the system under test.
@@ -305,8 +305,8 @@
 	return nodes
 }
 
-func (s *system) platform() *platform.Client {
-	return platform.NewClient(s.httpClient, platform.Addresses{
+func (s *system) platform() *storeclient.Client {
+	return storeclient.NewClient(s.httpClient, storeclient.Addresses{
 		Table:   s.ports.address("table"),
 		Weights: s.ports.address("weights"),
 	})
--- a/internal/rollout/acquire.go
+++ b/internal/rollout/acquire.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // acquireTimeout bounds a takeover.
@@ -40,7 +40,7 @@
 		return located{owned: owned}, nil
 	}
 	record, err := s.lookup(ctx, key)
-	if platform.HasCode(err, api.CodeNotFound) {
+	if storeclient.HasCode(err, api.CodeNotFound) {
 		return located{}, api.Refusal(http.StatusNotFound, api.CodeUnknownStep, 0, "trainer %s has no step %d", key.trainer, key.step)
 	}
 	if err != nil {
--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -16,7 +16,7 @@
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	emulated "github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // moment names a point of a call at which a fault may strike.
@@ -61,7 +61,7 @@
 
 func (p *fakePlatform) failure() error {
 	if p.down {
-		return fmt.Errorf("down: %w", platform.ErrUncertain)
+		return fmt.Errorf("down: %w", storeclient.ErrUncertain)
 	}
 	if p.limited > 0 {
 		p.limited--
@@ -135,7 +135,7 @@
 		<-stalled
 	}
 	if ctx.Err() != nil {
-		return errors.Join(platform.ErrUncertain, ctx.Err())
+		return errors.Join(storeclient.ErrUncertain, ctx.Err())
 	}
 	if strike == nil || transaction != nil && !strings.Contains(string(transaction.Puts[0].Value), `"manifests"`) {
 		return nil
@@ -248,7 +248,7 @@
 
 func (s *fakeScorer) Score(context.Context, api.ScoreRequest) (api.ScoreResponse, error) {
 	if s.calls.Add(1)%2 == 1 {
-		return api.ScoreResponse{}, platform.ErrUncertain
+		return api.ScoreResponse{}, storeclient.ErrUncertain
 	}
 	return api.ScoreResponse{Score: fakeScore}, nil
 }
--- a/internal/rollout/post.go
+++ b/internal/rollout/post.go
@@ -14,7 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // postTimeout bounds a Post, createTimeout the writes that it began.
@@ -46,7 +46,7 @@
 	if err == nil {
 		return posting.answer(existing.StepRecord)
 	}
-	if !platform.HasCode(err, api.CodeNotFound) {
+	if !storeclient.HasCode(err, api.CodeNotFound) {
 		return api.StepResponse{}, storeError(err)
 	}
 	return s.begin(ctx, posting)
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // Config configures a Service. Zero durations and counts take the defaults of
@@ -19,11 +19,11 @@
 	// Node is this node's name and Address the host:port of its caller port.
 	Node    string
 	Address string
-	Table   platform.Table
-	Objects platform.Objects
+	Table   storeclient.Table
+	Objects storeclient.Objects
 	Runner  Runner
 	// Scorer may be nil; then every score is zero.
-	Scorer platform.Scorer
+	Scorer storeclient.Scorer
 	// Lease is how long other nodes leave a step to this one after its last
 	// sign of life.
 	Lease time.Duration
--- a/internal/rollout/service_test.go
+++ b/internal/rollout/service_test.go
@@ -15,7 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 const (
@@ -211,7 +211,7 @@
 			return nil
 		}
 		c.nodes[0].cancel()
-		return errors.Join(platform.ErrUncertain, context.Canceled)
+		return errors.Join(storeclient.ErrUncertain, context.Canceled)
 	}
 }
 
@@ -248,7 +248,7 @@
 		var calls atomic.Int64
 		c.connections[0].strike = func(m moment) error {
 			if (m == afterCommit || m == afterObject) && calls.Add(1)%2 == 1 {
-				return platform.ErrUncertain
+				return storeclient.ErrUncertain
 			}
 			return nil
 		}
@@ -355,7 +355,7 @@
 		c := newCluster(t, faults)
 		c.connections[0].strike = func(m moment) error {
 			if m == beforeCommit {
-				return platform.ErrUncertain
+				return storeclient.ErrUncertain
 			}
 			return nil
 		}
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -11,14 +11,14 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/platform"
+	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // store makes the platform's calls definite: it repeats what is uncertain or
 // rate limited until an answer is definite or the context ends.
 type store struct {
-	table       platform.Table
-	objects     platform.Objects
+	table       storeclient.Table
+	objects     storeclient.Objects
 	timeout     time.Duration
 	ignoreFence bool
 }
@@ -65,12 +65,12 @@
 	if err == nil {
 		return storedRecord{StepRecord: record, revision: response.Revision}, nil
 	}
-	if !platform.HasCode(err, api.CodeConditionFailed) {
+	if !storeclient.HasCode(err, api.CodeConditionFailed) {
 		return storedRecord{}, err
 	}
 	current, err := s.read(ctx, key)
 	switch {
-	case platform.HasCode(err, api.CodeNotFound):
+	case storeclient.HasCode(err, api.CodeNotFound):
 		return storedRecord{}, errFenced
 	case err != nil:
 		return storedRecord{}, err
@@ -153,7 +153,7 @@
 // definite tells whether an error is a definite answer that repeating does not
 // change.
 func definite(err error) bool {
-	return platform.HasCode(err, api.CodeConditionFailed) || platform.HasCode(err, api.CodeNotFound)
+	return storeclient.HasCode(err, api.CodeConditionFailed) || storeclient.HasCode(err, api.CodeNotFound)
 }
 
 func retryAfter(err error) time.Duration {
--- a/internal/platform/doc.go
+++ b/internal/storeclient/doc.go
@@ -1,4 +1,4 @@
-// Package platform has the clients of the platform's services: the table
+// Package storeclient has the clients of the platform's services: the table
 // service, the object store, the weight store, the machine list and the scoring
 // service.
 //
@@ -8,4 +8,4 @@
 // else matches ErrUncertain: the effect may have happened, and the caller has to
 // read to learn it. The clients never retry by themselves, since only their
 // callers know what a second effect would mean.
-package platform
+package storeclient
