--- a/internal/rowstore/rowstoretest/store.go
+++ b/internal/rowstore/rowstoretest/store.go
@@ -26,6 +26,8 @@
 	Late time.Duration
 	// Behind makes reads see the store as it was so many revisions ago.
 	Behind int64
+	// Slow makes every call take so much longer.
+	Slow time.Duration
 	// Limit is how long a call without an answer takes to fail.
 	Limit time.Duration
 }
@@ -112,6 +114,18 @@
 	return faults
 }
 
+// wait returns false if ctx ends first.
+func wait(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // silence waits for the limit of a call that gets no answer.
 func silence(ctx context.Context, faults Faults) error {
 	timer := time.NewTimer(faults.Limit)
@@ -133,6 +147,8 @@
 		return 0, rowstore.ErrRefused
 	case faults.Silent:
 		return 0, silence(ctx, faults)
+	case faults.Slow > 0 && !wait(ctx, faults.Slow):
+		return 0, fmt.Errorf("%w: %w", rowstore.ErrUnknown, ctx.Err())
 	case faults.Late > 0:
 		time.AfterFunc(faults.Late, func() { _, _ = s.commit(transaction) })
 		return 0, silence(ctx, faults)
@@ -223,6 +239,9 @@
 	if faults.Silent || ctx.Err() != nil {
 		return rowstore.Snapshot{}, silence(ctx, faults)
 	}
+	if faults.Slow > 0 && !wait(ctx, faults.Slow) {
+		return rowstore.Snapshot{}, fmt.Errorf("%w: %w", rowstore.ErrUnknown, ctx.Err())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	as := s.revision - faults.Behind
