--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -113,7 +113,6 @@
 	storeIdleLimit  = 30 * time.Second
 	storeIdleMost   = 16
 	transactionRows = 100
-	transactionMost = 1 << 20
 )
 
 func nodeConfig(cfg *settings.Gateway, log *eventlog.Log, metrics *gatewaymetrics.Metrics) storenode.Config {
@@ -125,7 +124,7 @@
 	return storenode.Config{
 		Store: rowstore.NewGuard(rowstore.NewMeter(store, metrics.StoreCall)),
 		Limits: rowstore.Limits{
-			RowBytes: cfg.StoreRowBytes, TransactionBytes: transactionMost, TransactionRows: transactionRows,
+			RowBytes: cfg.StoreRowBytes, TransactionRows: transactionRows,
 			WritesPerSecond: cfg.StoreWrites, ReadsPerSecond: cfg.StoreReads,
 		},
 		Translator:    platform.Translator{},
--- a/internal/batch/checkpoint.go
+++ b/internal/batch/checkpoint.go
@@ -31,7 +31,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, job := range r.jobs {
-		if !job.ready || job.suspended || job.left == 0 || job.checkpointing {
+		if !job.active() || job.checkpointing {
 			continue
 		}
 		stretches := r.newText(job, checkpointAge)
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -133,11 +133,8 @@
 			}
 		}
 	}
-	ctx := m.base
 	m.mu.Unlock()
-	if ctx != nil {
-		m.reconcile(ctx)
-	}
+	m.reconcileNow()
 }
 
 func (m *Manager) applyRow(job, kind string, row rowstore.Row) {
@@ -150,10 +147,7 @@
 	}
 	switch kind {
 	case "end":
-		if !state.ended {
-			state.ended = true
-			state.announce()
-		}
+		state.end()
 	case "head":
 		var head Head
 		if json.Unmarshal(row.Value, &head) == nil {
@@ -183,6 +177,13 @@
 	s.announce()
 }
 
+func (s *jobState) end() {
+	if !s.ended {
+		s.ended = true
+		s.announce()
+	}
+}
+
 func (s *jobState) announce() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -238,7 +239,7 @@
 	status = m.create(ctx, spec.ID, head, transaction)
 	if status == OK {
 		m.specs.put(spec.ID, spec)
-		m.reconcileSoon()
+		m.reconcileNow()
 	}
 	return status
 }
@@ -379,19 +380,15 @@
 		return status
 	}
 	m.mu.Lock()
-	state := m.state(job)
-	if !state.ended {
-		state.ended = true
-		state.announce()
-	}
+	m.state(job).end()
 	m.mu.Unlock()
 	m.config.Log.Info(eventlog.JobEnded, eventlog.Fields{eventlog.Job: job})
-	m.reconcileSoon()
+	m.reconcileNow()
 	return OK
 }
 
-// reconcileSoon looks at ownership without holding the caller up.
-func (m *Manager) reconcileSoon() {
+// reconcileNow looks at ownership at once, if the manager runs.
+func (m *Manager) reconcileNow() {
 	m.mu.Lock()
 	ctx := m.base
 	m.mu.Unlock()
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -97,17 +97,7 @@
 		state.orphaned = now
 	}
 	current.orphanedFor = now.Sub(state.orphaned)
-	current.rank = rankOf(live, state.head.Pool, m.self.Name)
-}
-
-// rankOf returns a node's place in the order for a key, -1 if it is not there.
-func rankOf(nodes []presence.Node, key, name string) int {
-	for i, node := range presence.Rank(nodes, key) {
-		if node.Name == name {
-			return i
-		}
-	}
-	return -1
+	current.rank = presence.Place(presence.Rank(live, state.head.Pool), m.self.Name)
 }
 
 func (m *Manager) act(ctx context.Context, id string, act action) {
@@ -238,7 +228,7 @@
 		}
 	}
 	m.mu.Unlock()
-	if old == "" || rankOf(m.config.Presence.Live(now), old, m.self.Name) != 0 {
+	if old == "" || presence.Place(presence.Rank(m.config.Presence.Live(now), old), m.self.Name) != 0 {
 		return
 	}
 	for _, table := range []string{TableResults, TableSpecs, TablePartials, TableJobs} {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -67,6 +67,9 @@
 	left int
 }
 
+// active tells whether items of the job may run.
+func (j *ownedJob) active() bool { return j.ready && !j.suspended && j.left > 0 }
+
 // runner runs the items of the jobs that this node owns.
 type runner struct {
 	manager *Manager
@@ -401,7 +404,7 @@
 	defer r.mu.Unlock()
 	var waiting []waitingItem
 	for _, job := range r.jobs {
-		if !job.ready || job.suspended || job.left == 0 {
+		if !job.active() {
 			continue
 		}
 		if route := r.route(job.spec); route != nil {
@@ -409,9 +412,9 @@
 		}
 	}
 	sortWaiting(waiting)
-	pools := make(map[string][]fleet.Backend)
+	pools := r.newPools(now)
 	for _, next := range waiting {
-		r.scheduleItem(next, pools, now)
+		r.scheduleItem(next, pools)
 	}
 }
 
@@ -442,18 +445,43 @@
 	})
 }
 
-func (r *runner) scheduleItem(next waitingItem, pools map[string][]fleet.Backend, now time.Time) {
-	job, item := next.job, &next.job.items[next.index]
-	service := next.route.Pick(uint64(next.index), 0)
-	pool, loaded := pools[service]
-	if !loaded {
-		pool = r.manager.config.Fleet.Service(service, now)
-		pools[service] = pool
+// pools are the back ends of each service as one round of decisions sees them:
+// what the round gives out is counted in them.
+type pools struct {
+	backends *fleet.Fleet
+	now      time.Time
+	services map[string][]fleet.Backend
+}
+
+func (r *runner) newPools(now time.Time) *pools {
+	return &pools{backends: r.manager.config.Fleet, now: now, services: make(map[string][]fleet.Backend)}
+}
+
+// of returns the back ends that an item of a route may run at.
+func (p *pools) of(route *routetable.Route, index int) []fleet.Backend {
+	service := route.Pick(uint64(index), 0)
+	pool, known := p.services[service]
+	if !known {
+		pool = p.backends.Service(service, p.now)
+		p.services[service] = pool
 	}
-	place := pickBackend(pool, need{
+	return pool
+}
+
+// needOf returns what an item wants of a back end.
+func (r *runner) needOf(job *ownedJob, index int, route *routetable.Route) need {
+	return need{
 		model: job.spec.Model, minVersion: job.spec.MinVersion, zone: r.manager.config.Zone,
-		avoid: item.avoid, version: item.text.only(next.route.SingleVersion),
-	}, now)
+		version: job.items[index].text.only(route.SingleVersion),
+	}
+}
+
+func (r *runner) scheduleItem(next waitingItem, pools *pools) {
+	job := next.job
+	pool := pools.of(next.route, next.index)
+	want := r.needOf(job, next.index, next.route)
+	want.avoid = job.items[next.index].avoid
+	place := pickBackend(pool, want, pools.now)
 	if place < 0 {
 		return
 	}
@@ -480,9 +508,9 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	pools := make(map[string][]fleet.Backend)
+	pools := r.newPools(now)
 	for _, job := range r.jobs {
-		if !job.ready || job.suspended || job.left == 0 {
+		if !job.active() {
 			continue
 		}
 		route := r.route(job.spec)
@@ -490,26 +518,20 @@
 			continue
 		}
 		for _, index := range job.order {
-			r.moveItem(job, index, route, pools, now)
+			r.moveItem(job, index, route, pools)
 		}
 	}
 }
 
-func (r *runner) moveItem(job *ownedJob, index int, route *routetable.Route, pools map[string][]fleet.Backend, now time.Time) {
-	item := &job.items[index]
+func (r *runner) moveItem(job *ownedJob, index int, route *routetable.Route, pools *pools) {
+	item, now := &job.items[index], pools.now
 	if item.phase != phaseRunning || now.Sub(item.started) < moveAfter || now.Sub(item.moved) < moveAfter {
 		return
 	}
-	service := route.Pick(uint64(index), 0)
-	pool, loaded := pools[service]
-	if !loaded {
-		pool = r.manager.config.Fleet.Service(service, now)
-		pools[service] = pool
-	}
-	target := moveTarget(pool, item.backend, need{
-		model: job.spec.Model, minVersion: job.spec.MinVersion, zone: r.manager.config.Zone,
-		version: item.text.only(route.SingleVersion), ran: now.Sub(item.firstStart),
-	}, now)
+	pool := pools.of(route, index)
+	want := r.needOf(job, index, route)
+	want.ran = now.Sub(item.firstStart)
+	target := moveTarget(pool, item.backend, want, now)
 	if target < 0 {
 		return
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -30,7 +30,6 @@
 	VersionNamed    = "version_named"
 	BackendChanged  = "backend_changed"
 	BackendGone     = "backend_gone"
-	BackendFailed   = "backend_failed"
 	NodeSeen        = "node_seen"
 	NodeLapsed      = "node_lapsed"
 	LeaseTaken      = "lease_taken"
@@ -57,44 +56,41 @@
 	JobEnded     = "job_ended"
 	JobComplete  = "job_complete"
 	JobReadFail  = "job_read_failed"
-	ItemStarted  = "item_started"
 	ItemDone     = "item_completed"
 	ItemDead     = "item_dead"
 	ItemBroken   = "item_run_broken"
 	ItemMoved    = "item_moved"
-	ItemReused   = "item_text_reused"
 
 	LinesDropped = "lines_dropped"
 )
 
 // Names of fields.
 const (
-	Event       = "event"
-	From        = "from"
-	Request     = "request"
-	Job         = "job"
-	Item        = "item"
-	Route       = "route"
-	Service     = "service"
-	Backend     = "backend"
-	Cause       = "cause"
-	Fate        = "fate"
-	Status      = "status"
-	Attempts    = "attempts"
-	Config      = "config_version"
-	ConfigAge   = "config_age_ms"
-	RegistryAge = "registry_age_ms"
-	Epoch       = "epoch"
-	Owner       = "owner"
-	Model       = "model"
-	Version     = "version"
-	TookMillis  = "took_ms"
-	LeftMillis  = "left_ms"
-	Count       = "count"
-	View        = "view"
-	Revision    = "revision"
-	Token       = "fencing_token"
-	Node        = "node"
+	Event      = "event"
+	From       = "from"
+	Request    = "request"
+	Job        = "job"
+	Item       = "item"
+	Route      = "route"
+	Service    = "service"
+	Backend    = "backend"
+	Cause      = "cause"
+	Fate       = "fate"
+	Status     = "status"
+	Attempts   = "attempts"
+	Config     = "config_version"
+	ConfigAge  = "config_age_ms"
+	Epoch      = "epoch"
+	Owner      = "owner"
+	Model      = "model"
+	Version    = "version"
+	TookMillis = "took_ms"
+	LeftMillis = "left_ms"
+	Count      = "count"
+	View       = "view"
+	Revision   = "revision"
+	Token      = "fencing_token"
+	Node       = "node"
 )
 
 // Fields are the fields of a line.
@@ -116,8 +112,7 @@
 	logger  *logrus.Logger
 	limiter *rate.Limiter
 	output  *asyncWriter
-	dropped atomic.Int64
-	total   atomic.Int64
+	refused atomic.Int64
 	node    string
 	count   func(event string)
 }
@@ -130,8 +125,8 @@
 // called before others use the log.
 func (l *Log) SetCounter(count func(event string)) { l.count = count }
 
-// New returns a log that writes to output; a nil logger formatter is JSON.
-// Close flushes it.
+// New returns a log that writes to output in the logger's format. Close flushes
+// it.
 func New(logger *logrus.Logger, output io.Writer) *Log {
 	log := &Log{logger: logger, limiter: rate.NewLimiter(LinesPerSecond, LinesBurst)}
 	log.output = newAsyncWriter(output)
@@ -159,8 +154,7 @@
 		return
 	}
 	if !l.limiter.Allow() {
-		l.dropped.Add(1)
-		l.total.Add(1)
+		l.refused.Add(1)
 		return
 	}
 	entry := l.logger.WithFields(fields)
@@ -173,20 +167,23 @@
 }
 
 // Dropped returns the number of lines that were not written since the start.
-func (l *Log) Dropped() int64 { return l.total.Load() + l.output.lost.Load() }
+func (l *Log) Dropped() int64 { return l.refused.Load() + l.output.lost.Load() }
 
 // ReportDropped says, now and then, how many lines were dropped; it returns
 // when stop is closed.
 func (l *Log) ReportDropped(stop <-chan struct{}) {
 	ticker := time.NewTicker(dropReport)
 	defer ticker.Stop()
+	said := int64(0)
 	for {
 		select {
 		case <-stop:
 			return
 		case <-ticker.C:
 		}
-		if count := l.dropped.Swap(0) + l.output.recent.Swap(0); count > 0 {
+		dropped := l.Dropped()
+		if count := dropped - said; count > 0 {
+			said = dropped
 			l.logger.WithFields(Fields{Event: LinesDropped, Count: count, From: l.node}).Warn("")
 		}
 	}
@@ -200,7 +197,6 @@
 	lines  chan []byte
 	done   chan struct{}
 	lost   atomic.Int64
-	recent atomic.Int64
 	once   sync.Once
 	closed atomic.Bool
 }
@@ -228,7 +224,6 @@
 	case w.lines <- append([]byte(nil), line...):
 	default:
 		w.lost.Add(1)
-		w.recent.Add(1)
 	}
 	return len(line), nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,7 +4,7 @@
 //
 // The registry decides who may get work: an instance that is draining or gone
 // gets nothing new. Everything else only orders the choice. Snapshots are
-// values; Rank and the Choose functions of the callers are pure.
+// values; what callers choose from them is decided by pure functions.
 package fleet
 
 import (
@@ -169,25 +169,22 @@
 
 // Service returns the back ends of a service, ordered by id.
 func (f *Fleet) Service(service string, now time.Time) []Backend {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var backends []Backend
-	for _, held := range f.instances {
-		if held.instance.Service == service {
-			backends = append(backends, held.backend(now))
-		}
-	}
-	sort.Slice(backends, func(i, j int) bool { return backends[i].ID < backends[j].ID })
-	return backends
+	return f.list(now, func(i *Instance) bool { return i.Service == service })
 }
 
 // All returns all back ends, ordered by id.
 func (f *Fleet) All(now time.Time) []Backend {
+	return f.list(now, func(*Instance) bool { return true })
+}
+
+func (f *Fleet) list(now time.Time, wanted func(*Instance) bool) []Backend {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	backends := make([]Backend, 0, len(f.instances))
+	var backends []Backend
 	for _, held := range f.instances {
-		backends = append(backends, held.backend(now))
+		if wanted(&held.instance) {
+			backends = append(backends, held.backend(now))
+		}
 	}
 	sort.Slice(backends, func(i, j int) bool { return backends[i].ID < backends[j].ID })
 	return backends
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -9,14 +9,16 @@
 package presence
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
-	"hash/fnv"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
@@ -154,7 +156,7 @@
 	for ctx.Err() == nil {
 		r.write(ctx)
 		r.forget(ctx)
-		timer := time.NewTimer(Beat(r.size()))
+		timer := time.NewTimer(Beat(r.Size()))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -165,9 +167,7 @@
 }
 
 // Size returns the number of nodes that have a row.
-func (r *Registry) Size() int { return r.size() }
-
-func (r *Registry) size() int {
+func (r *Registry) Size() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return len(r.nodes)
@@ -316,7 +316,7 @@
 	if r.self.State == Ready {
 		nodes = append(nodes, r.self)
 	}
-	sort.Slice(nodes, func(i, j int) bool { return nodes[i].Name < nodes[j].Name })
+	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
 	return nodes
 }
 
@@ -331,23 +331,18 @@
 // the order wherever they know the same nodes, and the loss of one moves only
 // the keys that it was best for.
 func Rank(nodes []Node, key string) []Node {
-	ranked := append([]Node(nil), nodes...)
-	weight := func(name string) uint64 {
-		hash := fnv.New64a()
-		_, _ = hash.Write([]byte(key + "\x00" + name))
-		return mix(hash.Sum64())
+	ranked := slices.Clone(nodes)
+	weights := make(map[string]uint64, len(nodes))
+	for _, node := range nodes {
+		weights[node.Name] = xxhash.Sum64String(key + "\x00" + node.Name)
 	}
-	sort.Slice(ranked, func(i, j int) bool { return weight(ranked[i].Name) > weight(ranked[j].Name) })
+	slices.SortFunc(ranked, func(a, b Node) int { return cmp.Compare(weights[b.Name], weights[a.Name]) })
 	return ranked
 }
 
-// mix spreads the bits of a hash; names often differ in one character only.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+// Place returns a node's place in a rank, -1 if it is not there.
+func Place(ranked []Node, name string) int {
+	return slices.IndexFunc(ranked, func(n Node) bool { return n.Name == name })
 }
 
 // minimumAddresses is the number of a zone's nodes from which on a caller of
@@ -422,6 +417,6 @@
 // ones that will not be stopped next.
 func RankSteady(nodes []Node, key string) []Node {
 	ranked := Rank(nodes, key)
-	sort.SliceStable(ranked, func(i, j int) bool { return ranked[i].PlannedStarts > ranked[j].PlannedStarts })
+	slices.SortStableFunc(ranked, func(a, b Node) int { return cmp.Compare(b.PlannedStarts, a.PlannedStarts) })
 	return ranked
 }
--- a/internal/reload/carryout.go
+++ b/internal/reload/carryout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/eventlog"
@@ -33,18 +34,18 @@
 	id := next.backend.ID
 	taken, err := c.ordersTaken(ctx, next)
 	if err == nil {
-		c.announce(ctx, id, next.model, 0)
+		c.announce(ctx, id, next.model, nil)
 		err = c.send(ctx, next, token, taken)
 		if err == nil {
 			err = c.awaitLoad(ctx, next, taken)
 		}
 	}
-	version := int64(0)
+	var loaded map[string]int64
 	if err == nil {
-		version = next.version
+		loaded = map[string]int64{next.model: next.version}
 	}
 	c.settled(next, err, started)
-	c.announce(ctx, id, "", version, next.model)
+	c.announce(ctx, id, "", loaded)
 	if err != nil {
 		pause.For(ctx, lookEvery)
 	}
@@ -200,16 +201,13 @@
 	c.loadTime += (took - c.loadTime) / 8
 }
 
-// announce tells all nodes what is loading, or which version has been loaded.
-func (c *Controller) announce(ctx context.Context, id, loading string, version int64, model ...string) {
+// announce tells all nodes the model that is loading, if any, and versions that
+// have been loaded.
+func (c *Controller) announce(ctx context.Context, id, loading string, loaded map[string]int64) {
 	c.mu.Lock()
 	load := Load{Versions: make(map[string]int64), Loading: loading, Share: c.shares[id]}
-	for name, held := range c.loads[id].Versions {
-		load.Versions[name] = held
-	}
-	if version > 0 {
-		load.Versions[model[0]] = version
-	}
+	maps.Copy(load.Versions, c.loads[id].Versions)
+	maps.Copy(load.Versions, loaded)
 	c.loads[id] = load
 	c.mu.Unlock()
 	c.noteLoad(id, load)
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -126,6 +126,11 @@
 func (c *Controller) applyLease(rows []rowstore.Row, _ bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteRows(rows)
+}
+
+// noteRows takes the lease's row if it is newer. The lock is held.
+func (c *Controller) noteRows(rows []rowstore.Row) {
 	for _, row := range rows {
 		if row.Key == leaseKey && !row.Deleted && row.Revision > c.revision {
 			c.noteRow(row)
@@ -301,11 +306,7 @@
 	if !errors.As(err, &conflict) {
 		return
 	}
-	for _, row := range conflict.Rows {
-		if row.Revision > c.revision {
-			c.noteRow(row)
-		}
-	}
+	c.noteRows(conflict.Rows)
 	if c.held && c.row.Renewal == next.Renewal {
 		// An attempt whose answer was lost has done it; when is not known, so it
 		// extends nothing.
@@ -338,23 +339,25 @@
 	if !status.Healthy || !c.config.Presence.View().Status().Healthy {
 		return false
 	}
-	rank := -1
-	for i, node := range presence.RankSteady(c.config.Presence.Live(now), leaseKey) {
-		if node.Name == c.self.Name {
-			rank = i
-		}
-	}
-	if rank < 0 {
+	waited := c.freeFor(status.HealthySince, now)
+	if waited < 0 {
 		return false
 	}
+	rank := presence.Place(presence.RankSteady(c.config.Presence.Live(now), leaseKey), c.self.Name)
+	return rank >= 0 && waited >= time.Duration(rank)*takeStagger
+}
+
+// freeFor returns for how long the lease has been free, negative while it is
+// not, as a view tells that has followed the store since healthySince.
+func (c *Controller) freeFor(healthySince, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.revision == 0 {
-		return now.Sub(status.HealthySince) >= time.Duration(rank)*takeStagger
+		return now.Sub(healthySince)
 	}
 	quietSince := c.changed
-	if status.HealthySince.After(quietSince) {
-		quietSince = status.HealthySince
+	if healthySince.After(quietSince) {
+		quietSince = healthySince
 	}
 	free := c.config.Timing.Validity() + c.config.Timing.margin()
 	if c.row.Holder == c.self.Name || c.row.Released {
@@ -362,7 +365,7 @@
 		// any more.
 		free = 0
 	}
-	return now.Sub(quietSince) >= free+time.Duration(rank)*takeStagger
+	return now.Sub(quietSince) - free
 }
 
 // acquire takes the lease with the next term.
@@ -377,11 +380,7 @@
 	if err != nil {
 		var conflict *rowstore.ConflictError
 		if errors.As(err, &conflict) {
-			for _, row := range conflict.Rows {
-				if row.Revision > c.revision {
-					c.noteRow(row)
-				}
-			}
+			c.noteRows(conflict.Rows)
 		}
 		return
 	}
@@ -409,6 +408,12 @@
 // giveOrders begins what the plan wants.
 func (c *Controller) giveOrders(ctx context.Context) {
 	now := time.Now()
+	c.mu.Lock()
+	allowed := c.mayOrder(now)
+	c.mu.Unlock()
+	if !allowed {
+		return
+	}
 	backends, demand := c.config.Fleet.All(now), c.config.Demand()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -87,8 +87,6 @@
 type Limits struct {
 	// RowBytes bounds the value of a row.
 	RowBytes int
-	// TransactionBytes bounds the values of a transaction, encoded.
-	TransactionBytes int
 	// TransactionRows bounds the entries of a transaction.
 	TransactionRows int
 	// WritesPerSecond and ReadsPerSecond are shared by all nodes.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -95,10 +95,8 @@
 type Error struct {
 	Fate  Fate
 	Cause error
-	// Meta and Status are of the answer that said NotRun, if Fate is NotRun.
-	Meta       Meta
-	Status     int
-	RetryAfter string
+	// Status is of the answer that said NotRun, if Fate is NotRun.
+	Status int
 	// kept tells that the connection is sound and has been given back.
 	kept bool
 }
@@ -205,22 +203,17 @@
 	}
 	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	answer, failure := c.exchange(conn, call, release)
-	return c.settle(ctx, conn, release, answer, failure)
-}
-
-// settle closes the connection of a failed call, unless it was given back.
-func (c *Client) settle(ctx context.Context, conn *connection, release func() bool, answer *Answer, err *Error) (*Answer, error) {
-	if err == nil {
+	if failure == nil {
 		return answer, nil
 	}
-	if !err.kept {
+	if !failure.kept {
 		release()
 		_ = conn.Close()
 	}
-	if ctx.Err() != nil && err.Fate == Unknown {
-		err.Cause = ctx.Err()
+	if ctx.Err() != nil && failure.Fate == Unknown {
+		failure.Cause = ctx.Err()
 	}
-	return nil, err
+	return nil, failure
 }
 
 func (c *Client) exchange(conn *connection, call *Call, release func() bool) (*Answer, *Error) {
@@ -260,7 +253,7 @@
 
 func (c *Client) answer(conn *connection, call *Call, response *http.Response, meta Meta, tainted bool, written <-chan error, release func() bool) (*Answer, *Error) {
 	if meta.NotRun || meta.WrongInstance {
-		failure := &Error{Fate: NotRun, Cause: errNotRun, Meta: meta, Status: response.StatusCode, RetryAfter: response.Header.Get("Retry-After")}
+		failure := &Error{Fate: NotRun, Cause: errNotRun, Status: response.StatusCode}
 		if discard(response.Body) == nil && !tainted && finished(written) && release() {
 			c.park(conn, response)
 			failure.kept = true
