--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -17,8 +17,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
@@ -44,6 +42,9 @@
 	Region      string `json:"region"`
 	State       State  `json:"state"`
 	Beat        int64  `json:"beat"`
+	// Cores is the processor time that the node has in a second, in seconds; 0 is
+	// not known.
+	Cores float64 `json:"cores,omitempty"`
 	// PlannedStarts counts the starts that followed a planned stop. While nodes
 	// are restarted one after the other, those that have been are ahead.
 	PlannedStarts int64 `json:"planned_starts,omitempty"`
@@ -327,24 +328,6 @@
 	return r.self
 }
 
-// Rank orders nodes for a key by rendezvous hashing, best first. Nodes agree on
-// the order wherever they know the same nodes, and the loss of one moves only
-// the keys that it was best for.
-func Rank(nodes []Node, key string) []Node {
-	ranked := slices.Clone(nodes)
-	weights := make(map[string]uint64, len(nodes))
-	for _, node := range nodes {
-		weights[node.Name] = xxhash.Sum64String(key + "\x00" + node.Name)
-	}
-	slices.SortFunc(ranked, func(a, b Node) int { return cmp.Compare(weights[b.Name], weights[a.Name]) })
-	return ranked
-}
-
-// Place returns a node's place in a rank, -1 if it is not there.
-func Place(ranked []Node, name string) int {
-	return slices.IndexFunc(ranked, func(n Node) bool { return n.Name == name })
-}
-
 // minimumAddresses is the number of a zone's nodes from which on a caller of
 // that zone is sent to its own zone alone.
 const minimumAddresses = 2
@@ -411,12 +394,3 @@
 	self.State = Ready
 	return self
 }
-
-// RankSteady orders nodes for a key as Rank does, but puts first those that were
-// restarted by plan more often: in the middle of a rolling restart they are the
-// ones that will not be stopped next.
-func RankSteady(nodes []Node, key string) []Node {
-	ranked := Rank(nodes, key)
-	slices.SortStableFunc(ranked, func(a, b Node) int { return cmp.Compare(b.PlannedStarts, a.PlannedStarts) })
-	return ranked
-}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -8,6 +8,7 @@
 // Gateway is what a gateway node is told at its start.
 type Gateway struct {
 	GatewayIdentity  `group:"Identity"`
+	GatewayMachine   `group:"Machine"`
 	GatewayListening `group:"Listening"`
 	RowStore         `group:"Row store"`
 	GatewayTiming    `group:"Timing"`
@@ -21,6 +22,12 @@
 	Region string `long:"region" format:"name" description:"region that the zone belongs to"`
 }
 
+// GatewayMachine tells what the machine gives to the node.
+type GatewayMachine struct {
+	CPUShare float64 `long:"cpu-share" default:"1" min:"0.001" max:"1024" unit:"cores" description:"share of its cores that the node may use"`
+	Cores    float64 `long:"cores" default:"1" min:"0.001" max:"1024" unit:"cores" description:"speed of a core, in usual cores"`
+}
+
 // GatewayListening holds the node's own addresses.
 type GatewayListening struct {
 	CallerAddress    string `long:"caller-address" format:"listen" mandatory:"yes" description:"IP:port for callers and trainers"`
