--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -51,7 +51,7 @@
 		"store-address = 10.0.0.9:80\n":         "store-address = 10.0.0.9:0\n",
 		"directory-address = 10.0.0.1:82\n":     "directory-address = 10.0.0.1:82\nlog-format = xml\n",
 		"zone = hall-a\n":                       "zone = hall-a\ncpu-share = 0\n",
-		"name = n1\nzone":                      "cores = many\nname = n1\nzone",
+		"name = n1\nzone":                       "cores = many\nname = n1\nzone",
 		"region = r\ncaller-address = 10.0.0.1": "region = r\ncaller-address = 0.0.0.0",
 	}
 	for before, after := range cases {
