reload: loads at once begin by the size of the service; shares before the first version

Loads at once began at two and rose only while a backlog showed, so that at 12.3 s, when steps wanted version 2, model baka had it on 2 of its 16 back ends, and 48 of its 128 items waited for up to 4 s (a step took 10.1 s, the last one was never asked). Ruled out: a long load (1.18 s each at 2 and at 8 at once) and slow back ends alone (moves had no place to go to).

Back ends are shared out by the work asked before any version is named.

--- a/internal/reload/plan.go
+++ b/internal/reload/plan.go
@@ -21,13 +21,13 @@
 // plan returns the orders to be given next, most urgent first. named maps a
 // model to its newest version; shares says which model each back end is for; busy
 // holds the back ends that an order is under way at; parallel tells how many of a
-// service may load at once. It is pure.
+// service, which has a number of back ends, may load at once. It is pure.
 //
 // A back end with place p among those of its model, ordered by id, belongs to
 // half p mod 2. A version v goes to half v mod 2; the other half is only brought
 // up to v - 1, the oldest version that a new step takes.
-func plan(backends []fleet.Backend, named map[string]int64, shares map[string]string, busy map[string]bool, parallel func(service string) int) []step {
-	places, loading := census(backends, shares, busy)
+func plan(backends []fleet.Backend, named map[string]int64, shares map[string]string, busy map[string]bool, parallel func(service string, backends int) int) []step {
+	places, members, loading := census(backends, shares, busy)
 	var steps []step
 	for _, backend := range backends {
 		if busy[backend.ID] || backend.Draining {
@@ -44,7 +44,7 @@
 	var allowed []step
 	for _, next := range steps {
 		service := next.backend.Service
-		if loading[service] < parallel(service) {
+		if loading[service] < parallel(service, members[service]) {
 			loading[service]++
 			allowed = append(allowed, next)
 		}
@@ -52,10 +52,11 @@
 	return allowed
 }
 
-// census returns each back end's place among those of its model, and how many
-// of a service are loading.
-func census(backends []fleet.Backend, shares map[string]string, busy map[string]bool) (places, loading map[string]int) {
+// census returns each back end's place among those of its model, how many a
+// service has, and how many of these are loading.
+func census(backends []fleet.Backend, shares map[string]string, busy map[string]bool) (places, members, loading map[string]int) {
 	places = make(map[string]int)
+	members = make(map[string]int)
 	loading = make(map[string]int)
 	count := make(map[string]int)
 	for _, backend := range backends {
@@ -65,11 +66,12 @@
 		group := backend.Service + "\x00" + shares[backend.ID]
 		places[backend.ID] = count[group]
 		count[group]++
+		members[backend.Service]++
 		if busy[backend.ID] {
 			loading[backend.Service]++
 		}
 	}
-	return places, loading
+	return places, members, loading
 }
 
 // due tells whether a back end that holds a version has to load the newest one.
@@ -80,8 +82,8 @@
 // lag returns how many versions a step's back end is behind.
 func lag(next step) int64 { return next.version - next.backend.Models[next.model] }
 
-// assignShares returns which model each back end is for, where several models
-// with named versions share a service: loads take turns, so that keeping every
+// assignShares returns which model each back end is for, where several trained
+// models share a service: loads take turns, so that keeping every
 // model new on every back end would take longer than the time between versions.
 // Shares follow demand, which maps a model to the work asked of it lately, and
 // change as little as that allows. It is pure.
@@ -94,7 +96,7 @@
 		}
 	}
 	for _, members := range byService {
-		models := namedModels(members, named)
+		models := trainedModels(members, named, demand)
 		if len(models) > 0 {
 			assignService(members, targets(len(members), models, demand), before, shares)
 		}
@@ -124,11 +126,19 @@
 	return wanted
 }
 
-// namedModels returns the models that a service holds and that versions are
-// named of, ordered.
-func namedModels(members []fleet.Backend, named map[string]int64) []string {
-	var models []string
+// trainedModels returns the models that a service holds and that versions are
+// named of or that work is asked of, ordered: what is asked comes before the
+// first version, so that its loads need not wait for shares to settle.
+func trainedModels(members []fleet.Backend, named map[string]int64, demand map[string]float64) []string {
+	known := make(map[string]bool)
 	for model := range named {
+		known[model] = true
+	}
+	for model := range demand {
+		known[model] = true
+	}
+	var models []string
+	for model := range known {
 		held := slices.ContainsFunc(members, func(b fleet.Backend) bool { _, holds := b.Models[model]; return holds })
 		if held {
 			models = append(models, model)
--- a/internal/reload/plan_test.go
+++ b/internal/reload/plan_test.go
@@ -35,7 +35,7 @@
 		}
 		var out strings.Builder
 		shares := assignShares(backends, named, demand, before)
-		for _, next := range plan(backends, named, shares, busy, func(string) int { return 2 }) {
+		for _, next := range plan(backends, named, shares, busy, func(string, int) int { return 2 }) {
 			fmt.Fprintf(&out, "%s loads %s %d\n", next.backend.ID, next.model, next.version)
 		}
 		if out.Len() == 0 {
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -430,31 +430,38 @@
 
 // parallelOf returns how many back ends of a service may load at once. The lock
 // is held.
-func (c *Controller) parallelOf(service string) int { return c.parallelism(service).level }
+func (c *Controller) parallelOf(service string, backends int) int {
+	return c.parallelism(service, backends).level
+}
 
-func (c *Controller) parallelism(service string) *parallelism {
+func (c *Controller) parallelism(service string, backends int) *parallelism {
 	found := c.parallel[service]
 	if found == nil {
-		found = newParallelism()
+		found = newParallelism(backends)
 		c.parallel[service] = found
 	}
 	return found
 }
 
 // unlimited lets a plan name all loads that are wanted.
-func unlimited(string) int { return math.MaxInt }
+func unlimited(string, int) int { return math.MaxInt }
 
 // noteParallel records how long a load took beside others.
 func (c *Controller) noteParallel(done step, took time.Duration, now time.Time) {
 	backends := c.config.Fleet.All(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	waiting := 0
+	waiting, members := 0, 0
+	for _, b := range backends {
+		if b.Service == done.backend.Service {
+			members++
+		}
+	}
 	for _, next := range plan(backends, c.named, c.shares, c.busy, unlimited) {
 		if next.backend.Service == done.backend.Service {
 			waiting++
 		}
 	}
-	level := c.parallelism(done.backend.Service)
+	level := c.parallelism(done.backend.Service, members)
 	level.observe(done.atOnce, took, waiting > level.level, now)
 }
