batch: commits of results count conditions; results longer than a row are stored in parts

Change: a transaction counts its own entries, the commit is filled by that count. By the same reading a result longer than a row could never have been stored; it is cut into parts.

--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -65,22 +65,27 @@
 func (r *runner) nextCommit(job *ownedJob) ([]Result, Head, rowstore.Transaction) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	limits := r.manager.config.Limits
 	head := job.head
-	var transaction rowstore.Transaction
+	transaction := rowstore.Transaction{Conditions: []rowstore.Condition{{RowID: headID(job.id), Revision: job.revision}}}
 	var batch []Result
 	size := 0
 	for _, result := range job.finished {
-		value := encode(result)
-		if len(batch) > 0 && (size+len(value) > transactionMost || len(batch)+2 > r.manager.config.Limits.TransactionRows) {
+		rows := resultRows(job.id, head.Count, result, limits.RowBytes)
+		added := 0
+		for _, row := range rows {
+			added += len(row.Value)
+		}
+		// One entry is the head's.
+		if len(batch) > 0 && (size+added > transactionMost || transaction.Entries()+len(rows)+1 > limits.TransactionRows) {
 			break
 		}
-		size += len(value)
+		size += added
 		batch = append(batch, result)
-		transaction.Puts = append(transaction.Puts, rowstore.Row{RowID: resultID(job.id, head.Count), Value: value})
+		transaction.Puts = append(transaction.Puts, rows...)
 		head.Count++
 	}
 	head.Failures = failures(job)
-	transaction.Conditions = []rowstore.Condition{{RowID: headID(job.id), Revision: job.revision}}
 	transaction.Puts = append(transaction.Puts, rowstore.Row{RowID: headID(job.id), Value: encode(head)})
 	return batch, head, transaction
 }
--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -7,7 +7,7 @@
 //	jobs/ID/head          owner, epoch, number of results; written by the owner
 //	jobs/ID/end           exists once the job was ended
 //	specs/ID/NONCE/I      the specification, in parts
-//	results/ID/POSITION   one result
+//	results/ID/POSITION   one result, its further parts under POSITION/PART
 //	partials/ID/ITEM/LINE/FROM
 //	                      events of an unfinished item, from an event on
 //
@@ -153,6 +153,15 @@
 	return rowID(TableResults, job, fmt.Sprintf("%08d", position))
 }
 
+// resultPartID returns the row of a part of a result, counted from 0.
+func resultPartID(job string, position, part int) rowstore.RowID {
+	id := resultID(job, position)
+	if part > 0 {
+		id.Key = fmt.Sprintf("%s/%04d", id.Key, part)
+	}
+	return id
+}
+
 func specID(job, nonce string, part int) rowstore.RowID {
 	return rowID(TableSpecs, job, fmt.Sprintf("%s/%06d", nonce, part))
 }
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"strconv"
 	"sync"
 	"time"
 
@@ -418,104 +417,6 @@
 	return state, OK
 }
 
-// Page is a part of a job's results.
-type Page struct {
-	Total   int
-	Next    int
-	Results []Result
-}
-
-const (
-	// pageBytes bounds the texts of a page; pageRows its results.
-	pageBytes = 900 << 10
-	pageRows  = 200
-)
-
-// Results returns the results from a position on. While there are none it waits
-// for one, for wait at most.
-func (m *Manager) Results(ctx context.Context, job string, after int, wait time.Duration) (Page, Status) {
-	state, status := m.lookUp(ctx, job)
-	if status != OK {
-		return Page{}, status
-	}
-	deadline := time.Now().Add(wait)
-	for state.head.Count <= after && state.head.Count < state.head.Total {
-		left := time.Until(deadline)
-		if left <= 0 || !waitChange(ctx, state.changed, left) {
-			return Page{Total: state.head.Total, Next: after}, OK
-		}
-		var found bool
-		if state, found = m.snapshot(job); !found {
-			return Page{}, Unavailable
-		}
-	}
-	if state.head.Count <= after {
-		return Page{Total: state.head.Total, Next: after}, OK
-	}
-	results, status := m.readResults(ctx, job, after)
-	return Page{Total: state.head.Total, Next: after + len(results), Results: results}, status
-}
-
-func waitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
-}
-
-// readResults reads results that are known to be committed.
-func (m *Manager) readResults(ctx context.Context, job string, after int) ([]Result, Status) {
-	if results := m.runner.committed(job, after, pageRows); len(results) > 0 {
-		return trimPage(results), OK
-	}
-	from := resultID(job, after)
-	snapshot, err := m.config.Store.List(ctx, TableResults, from.Partition, from.Key, rowstore.KeyEnd(job+"/"), pageRows)
-	if err != nil {
-		m.config.Log.Warn(eventlog.JobReadFail, eventlog.Fields{eventlog.Job: job, "after": after, eventlog.Cause: err.Error()})
-		return nil, Unavailable
-	}
-	results, err := decodeResults(snapshot.Rows, after)
-	if err != nil || len(results) == 0 {
-		// The head said that there are some: the read is behind.
-		return nil, Unavailable
-	}
-	return trimPage(results), OK
-}
-
-// decodeResults returns the results at consecutive positions from first on.
-func decodeResults(rows []rowstore.Row, first int) ([]Result, error) {
-	var results []Result
-	for _, row := range rows {
-		_, rest := splitKey(row.Key)
-		position, err := strconv.Atoi(rest)
-		if err != nil || position != first+len(results) {
-			return results, errors.New("batch: positions are not consecutive")
-		}
-		var result Result
-		if err := json.Unmarshal(row.Value, &result); err != nil {
-			return results, err
-		}
-		results = append(results, result)
-	}
-	return results, nil
-}
-
-func trimPage(results []Result) []Result {
-	size := 0
-	for i, result := range results {
-		size += len(result.Text)
-		if size > pageBytes && i > 0 {
-			return results[:i]
-		}
-	}
-	return results
-}
-
 // Body returns the body of an item.
 func (m *Manager) Body(ctx context.Context, job, item string) ([]byte, Status) {
 	state, status := m.lookUp(ctx, job)
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -76,6 +76,10 @@
 	Deletes    []RowID
 }
 
+// Entries returns the number of entries that count for the store's limit:
+// conditions, puts and deletes.
+func (t Transaction) Entries() int { return len(t.Conditions) + len(t.Puts) + len(t.Deletes) }
+
 // Snapshot is the answer to a read. Revision is the newest of the store.
 type Snapshot struct {
 	Rows     []Row
@@ -87,7 +91,7 @@
 type Limits struct {
 	// RowBytes bounds the value of a row.
 	RowBytes int
-	// TransactionRows bounds the entries of a transaction.
+	// TransactionRows bounds Transaction.Entries.
 	TransactionRows int
 	// WritesPerSecond and ReadsPerSecond are shared by all nodes.
 	WritesPerSecond, ReadsPerSecond float64
--- a/internal/rowstore/rowstoretest/store.go
+++ b/internal/rowstore/rowstoretest/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"sort"
 	"sync"
@@ -163,7 +164,7 @@
 func (s *Store) commit(transaction rowstore.Transaction) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := onePartition(transaction); err != nil {
+	if err := valid(transaction); err != nil {
 		return 0, err
 	}
 	conflict := &rowstore.ConflictError{}
@@ -180,6 +181,31 @@
 	return s.apply(transaction), nil
 }
 
+// What the store takes in one call, as the platform's does.
+const (
+	entriesMost     = 100
+	transactionMost = 1 << 20
+	rowMost         = 64 << 10
+)
+
+// valid tells why the store never takes a transaction, nil if it may.
+func valid(transaction rowstore.Transaction) error {
+	if transaction.Entries() > entriesMost {
+		return fmt.Errorf("%w: over %d entries", rowstore.ErrInvalid, entriesMost)
+	}
+	size := 0
+	for _, put := range transaction.Puts {
+		if len(put.Value) > rowMost {
+			return fmt.Errorf("%w: row over %d bytes", rowstore.ErrInvalid, rowMost)
+		}
+		size += base64.StdEncoding.EncodedLen(len(put.Value))
+	}
+	if size > transactionMost {
+		return fmt.Errorf("%w: over %d bytes", rowstore.ErrInvalid, transactionMost)
+	}
+	return onePartition(transaction)
+}
+
 func onePartition(transaction rowstore.Transaction) error {
 	seen := make(map[string]bool)
 	for _, condition := range transaction.Conditions {
