presence: beats are paced by what the store writes, not by a fixed 5 ms a node

Ruled out: views that came back late (all by 8.0 s), the stagger of the take-over (first in rank acted at once).

Change: the beat is 0.6 s, and longer only where all nodes would use more than 15% of the store's writes (411 nodes at 1,500 a second: 1.8 s, before 2.7 s).

--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -1,10 +1,10 @@
 // Package presence tells which nodes there are: each keeps a row in the store
 // and writes it again every beat; all read the rows through a view.
 //
-// A node is lapsed when its row has not changed for Lapse by the reader's own
+// A node is lapsed when its row has not changed for three beats by the reader's own
 // clock while the reader saw its own beats come back through its view: while the
 // store takes no writes or gives no answers, nobody is declared lapsed, and when
-// it does again every node gets a whole Lapse. Incarnations of one node name are ordered; a process
+// it does again every node gets that time whole. Incarnations of one node name are ordered; a process
 // whose name has a newer incarnation is gone at once.
 package presence
 
@@ -51,10 +51,9 @@
 }
 
 const (
-	// beatLeast is the time between two writes of a small system; beatPerNode is
-	// added for each node, so that all nodes together stay under a fixed rate.
-	beatLeast   = 600 * time.Millisecond
-	beatPerNode = 5 * time.Millisecond
+	// beatLeast is the time between two writes of a node's row; it is more where
+	// all nodes together would write too often for the store.
+	beatLeast = 600 * time.Millisecond
 	// lapseBeats is how many beats may be missed.
 	lapseBeats = 3
 	// forgetBeats is after how many beats a lapsed row is removed.
@@ -71,9 +70,10 @@
 // Registry keeps this node's row and the view of all. It is safe for
 // concurrent use.
 type Registry struct {
-	store rowstore.Store
-	view  *rowstore.View
-	log   *eventlog.Log
+	store  rowstore.Store
+	pacing rowstore.Pacing
+	view   *rowstore.View
+	log    *eventlog.Log
 
 	mu    sync.Mutex
 	self  Node
@@ -86,7 +86,7 @@
 
 // New returns a registry for the node itself.
 func New(log *eventlog.Log, store rowstore.Store, self Node, pacing rowstore.Pacing) *Registry {
-	registry := &Registry{store: store, log: log, self: self, nodes: make(map[string]*seen), kick: make(chan struct{}, 1)}
+	registry := &Registry{store: store, pacing: pacing, log: log, self: self, nodes: make(map[string]*seen), kick: make(chan struct{}, 1)}
 	registry.view = rowstore.NewView(log, store, rowstore.ViewConfig{
 		Name:       "nodes",
 		Table:      Table,
@@ -146,18 +146,18 @@
 	held.node, held.revision, held.at, held.lapsed = node, row.Revision, now, false
 }
 
-// Beat returns the time between two writes of the row in a system of a size.
-func Beat(nodes int) time.Duration { return beatLeast + time.Duration(nodes)*beatPerNode }
+// beat returns the time between two writes of the row in a system of a size.
+func (r *Registry) beat(nodes int) time.Duration { return max(beatLeast, r.pacing.BeatInterval(nodes)) }
 
-// Lapse returns the silence after which a node counts as lapsed.
-func Lapse(nodes int) time.Duration { return lapseBeats * Beat(nodes) }
+// lapse returns the silence after which a node counts as lapsed.
+func (r *Registry) lapse(nodes int) time.Duration { return lapseBeats * r.beat(nodes) }
 
 // Run keeps the row written until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.write(ctx)
 		r.forget(ctx)
-		timer := time.NewTimer(Beat(r.Size()))
+		timer := time.NewTimer(r.beat(r.Size()))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -194,7 +194,7 @@
 	r.mu.Lock()
 	var gone *seen
 	for _, held := range r.nodes {
-		if held.node.Name != r.self.Name && r.quiet(held, now) > forgetBeats*Beat(len(r.nodes)) {
+		if held.node.Name != r.self.Name && r.quiet(held, now) > forgetBeats*r.beat(len(r.nodes)) {
 			gone = held
 			break
 		}
@@ -224,7 +224,7 @@
 
 // noteEcho records that a beat of the node's own came back. The lock is held.
 func (r *Registry) noteEcho(now time.Time) {
-	if now.Sub(r.echoed) > 2*Beat(len(r.nodes)) {
+	if now.Sub(r.echoed) > 2*r.beat(len(r.nodes)) {
 		r.echoSince = now
 	}
 	r.echoed = now
@@ -234,7 +234,7 @@
 // The lock is held.
 func (r *Registry) quiet(held *seen, now time.Time) time.Duration {
 	status := r.view.Status()
-	if !status.Healthy || now.Sub(r.echoed) > 2*Beat(len(r.nodes)) {
+	if !status.Healthy || now.Sub(r.echoed) > 2*r.beat(len(r.nodes)) {
 		return 0
 	}
 	since := held.at
@@ -258,7 +258,7 @@
 
 // Liveness tells whether an incarnation of a node is alive. A row that is
 // missing from a view that was read whole counts as gone once the view has been
-// healthy for a Lapse.
+// healthy for as long as a lapse takes.
 func (r *Registry) Liveness(name string, incarnation int64, now time.Time) Liveness {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -275,7 +275,7 @@
 	held := r.nodes[name]
 	switch {
 	case held == nil:
-		if now.Sub(status.HealthySince) > Lapse(len(r.nodes)) {
+		if now.Sub(status.HealthySince) > r.lapse(len(r.nodes)) {
 			return Gone
 		}
 		return Unknown
@@ -292,7 +292,7 @@
 // isLapsed tells whether a node is lapsed; it stays so until its row changes,
 // also while the view does not follow the store. The lock is held.
 func (r *Registry) isLapsed(held *seen, now time.Time) bool {
-	if held.lapsed || r.quiet(held, now) <= Lapse(len(r.nodes)) {
+	if held.lapsed || r.quiet(held, now) <= r.lapse(len(r.nodes)) {
 		return held.lapsed
 	}
 	held.lapsed = true
--- a/internal/rowstore/pacing.go
+++ b/internal/rowstore/pacing.go
@@ -55,3 +55,15 @@
 	calls := float64(p.Nodes() * watches)
 	return time.Duration(calls / (share * p.Limits.ReadsPerSecond) * float64(time.Second))
 }
+
+// beatShare is the share of all writes that the nodes' beats may use.
+const beatShare = 0.15
+
+// BeatInterval returns the least time between two beats of a node if there are
+// so many nodes.
+func (p Pacing) BeatInterval(nodes int) time.Duration {
+	if p.Limits.WritesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(nodes) / (beatShare * p.Limits.WritesPerSecond) * float64(time.Second))
+}
--- a/internal/rowstore/pacing_test.go
+++ b/internal/rowstore/pacing_test.go
@@ -24,3 +24,15 @@
 		}
 	}
 }
+
+func TestBeatsOfAllNodesStayWithinTheirShareOfTheWrites(t *testing.T) {
+	pacing := Pacing{Limits: Limits{WritesPerSecond: 800}}
+	for _, nodes := range []int{1, 10, 100, 1000} {
+		if writes := float64(nodes) / pacing.BeatInterval(nodes).Seconds(); writes > 0.16*800 {
+			t.Errorf("%d nodes beat %.0f times a second", nodes, writes)
+		}
+	}
+	if (Pacing{}).BeatInterval(100) != 0 {
+		t.Error("a store without a limit sets a pace")
+	}
+}
