nodes at scale: idle ones sleep, the fleet is indexed by service, one line for the registry

Change: the first whole read of the registry and of the nodes is one line each (the lines of requests are no longer crowded out of the log's rate); periods of the runner and the plan count only while there is work; a service's back ends are a list, their models copied on write; changes of the registry are folded over a quarter of its freshness at most; a schedule over thousands of back ends is followed by a pause so that schedules take a fifth of the time at most.

--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -95,7 +95,7 @@
 func (m *Manager) Kick() { m.runner.kick() }
 
 // reconcileEvery is how often ownership is checked without a change.
-const reconcileEvery = 100 * time.Millisecond
+const reconcileEvery = 200 * time.Millisecond
 
 // Run keeps the view, takes over orphaned jobs and runs owned ones until ctx
 // ends.
@@ -258,7 +258,8 @@
 
 func (m *Manager) ownerKeyOf(spec *Spec) string {
 	service := m.runner.pool(spec)
-	return ownerKey(service, spec.Model, spec.ID, m.config.Fleet.Service(service, time.Now()))
+	slots, models := m.config.Fleet.Slots(service)
+	return ownerKey(service, spec.Model, spec.ID, slots, models)
 }
 
 // demandWindow is for how long a job counts as demand.
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/eventlog"
@@ -59,7 +60,7 @@
 	}
 	var tasks []task
 	m.mu.Lock()
-	var live []presence.Node
+	live := sync.OnceValue(func() []presence.Node { return m.config.Presence.Live(now) })
 	for id, state := range m.jobs {
 		current := situation{
 			known: state.known, taking: state.taking, stopping: m.stopping,
@@ -68,9 +69,6 @@
 			running:  m.runner.has(id),
 		}
 		if current.known && !current.finished && !current.mine {
-			if live == nil {
-				live = m.config.Presence.Live(now)
-			}
 			m.judgeOwner(state, &current, live, now)
 		}
 		act := decide(current)
@@ -87,7 +85,7 @@
 	}
 }
 
-func (m *Manager) judgeOwner(state *jobState, current *situation, live []presence.Node, now time.Time) {
+func (m *Manager) judgeOwner(state *jobState, current *situation, live func() []presence.Node, now time.Time) {
 	current.owner = m.config.Presence.Liveness(state.head.Owner, state.head.Incarnation, now)
 	if current.owner != presence.Gone {
 		state.orphaned = time.Time{}
@@ -97,7 +95,7 @@
 		state.orphaned = now
 	}
 	current.orphanedFor = now.Sub(state.orphaned)
-	current.rank = presence.Place(presence.Rank(live, state.head.Pool), m.self.Name)
+	current.rank = presence.Place(presence.Rank(live(), state.head.Pool), m.self.Name)
 }
 
 func (m *Manager) act(ctx context.Context, id string, act action) {
--- a/internal/batch/ownerkey.go
+++ b/internal/batch/ownerkey.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-
-	"github.com/sliplift/sliplift/internal/fleet"
 )
 
 // ownerSlots is the number of streams that one owner serves at once. A stream
@@ -15,20 +13,12 @@
 // ownerKey returns the key that jobs are assigned to nodes by: one for a service
 // that one node can serve, one a model for a larger one, and one a share of the
 // jobs for a still larger one. It is pure.
-func ownerKey(service, model, job string, backends []fleet.Backend) string {
-	slots := 0
-	models := make(map[string]bool)
-	for _, backend := range backends {
-		slots += backend.Slots
-		for name := range backend.Models {
-			models[name] = true
-		}
-	}
+func ownerKey(service, model, job string, slots, models int) string {
 	shards := (slots + ownerSlots - 1) / ownerSlots
 	switch {
 	case shards <= 1:
 		return service
-	case shards <= len(models):
+	case shards <= models:
 		return service + "/" + model
 	}
 	hash := fnv.New32a()
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -100,19 +100,51 @@
 	checkpoints := time.NewTicker(checkpointEvery)
 	defer checkpoints.Stop()
 	for {
+		ticks, saves := ticker.C, checkpoints.C
+		if r.idle() {
+			ticks, saves = nil, nil
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-checkpoints.C:
+		case <-saves:
 			r.checkpoint(ctx)
 			continue
-		case <-ticker.C:
+		case <-ticks:
 			r.expire()
 			r.moveSlow()
 		case <-r.wakes:
 		}
+		began := time.Now()
 		r.schedule()
+		if rest := schedulePause(time.Since(began)); rest > 0 {
+			pause.For(ctx, rest)
+		}
+	}
+}
+
+// idle tells whether the node owns no job; opening one wakes the runner.
+func (r *runner) idle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.jobs) == 0
+}
+
+const (
+	// scheduleShare is the share of the time that schedules may take.
+	scheduleShare = 0.2
+	// scheduleQuick is the time of a schedule after which the next may follow at
+	// once.
+	scheduleQuick = time.Millisecond
+)
+
+// schedulePause returns how long to wait after a schedule that took some time:
+// with thousands of back ends each item that ends would bring on a long one.
+func schedulePause(took time.Duration) time.Duration {
+	if took < scheduleQuick {
+		return 0
 	}
+	return min(time.Duration(float64(took)*(1/scheduleShare-1)), scheduleEvery)
 }
 
 func (r *runner) has(id string) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,7 +8,8 @@
 package fleet
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -81,20 +82,36 @@
 type entry struct {
 	instance  Instance
 	condition Condition
-	loaded    map[string]int64
+	// loaded is known beside the registry; models is both, never changed in place,
+	// so that snapshots share it.
+	loaded, models map[string]int64
+}
+
+// merge makes models anew.
+func (e *entry) merge() {
+	if len(e.loaded) == 0 {
+		e.models = e.instance.Models
+		return
+	}
+	e.models = make(map[string]int64, len(e.instance.Models))
+	for model, version := range e.instance.Models {
+		e.models[model] = max(version, e.loaded[model])
+	}
 }
 
 // Fleet holds the back ends. It is safe for concurrent use.
 type Fleet struct {
 	mu        sync.Mutex
 	instances map[string]*entry
-	onChange  func()
+	// services holds the same entries by service, each list ordered by id.
+	services map[string][]*entry
+	onChange func()
 }
 
 // New returns an empty fleet. onChange, which may be nil, is called without
 // locks held after each change of the registry.
 func New(onChange func()) *Fleet {
-	return &Fleet{instances: make(map[string]*entry), onChange: onChange}
+	return &Fleet{instances: make(map[string]*entry), services: make(map[string][]*entry), onChange: onChange}
 }
 
 // Replace makes the registry hold exactly the instances given, but for those
@@ -108,7 +125,7 @@
 	}
 	for id := range f.instances {
 		if !keep[id] {
-			delete(f.instances, id)
+			f.remove(id)
 		}
 	}
 	f.mu.Unlock()
@@ -122,7 +139,7 @@
 		f.put(instance)
 	}
 	for _, id := range removed {
-		delete(f.instances, id)
+		f.remove(id)
 	}
 	f.mu.Unlock()
 	f.changed()
@@ -134,17 +151,47 @@
 	}
 }
 
+// put adds an instance or takes a newer entry of it. The lock is held.
 func (f *Fleet) put(instance Instance) {
 	held := f.instances[instance.ID]
+	if held != nil && instance.Revision < held.instance.Revision {
+		return
+	}
+	if held != nil && held.instance.Service != instance.Service {
+		f.remove(instance.ID)
+		held = nil
+	}
+	if held == nil {
+		held = &entry{}
+		f.instances[instance.ID] = held
+		f.enlist(held, instance)
+	}
+	held.instance = instance
+	held.merge()
+}
+
+// enlist puts an entry into its service's list. The lock is held.
+func (f *Fleet) enlist(e *entry, instance Instance) {
+	list := f.services[instance.Service]
+	place, _ := slices.BinarySearchFunc(list, instance.ID, byID)
+	f.services[instance.Service] = slices.Insert(list, place, e)
+}
+
+// remove forgets an instance. The lock is held.
+func (f *Fleet) remove(id string) {
+	held := f.instances[id]
 	if held == nil {
-		f.instances[instance.ID] = &entry{instance: instance}
 		return
 	}
-	if instance.Revision >= held.instance.Revision {
-		held.instance = instance
+	delete(f.instances, id)
+	list := f.services[held.instance.Service]
+	if place, found := slices.BinarySearchFunc(list, id, byID); found {
+		f.services[held.instance.Service] = slices.Delete(list, place, place+1)
 	}
 }
 
+func byID(e *entry, id string) int { return cmp.Compare(e.instance.ID, id) }
+
 // MarkVersion records that an instance holds a version of a model, where that
 // is known before the registry says so.
 func (f *Fleet) MarkVersion(id, model string, version int64) {
@@ -155,6 +202,7 @@
 			held.loaded = make(map[string]int64)
 		}
 		held.loaded[model] = max(held.loaded[model], version)
+		held.merge()
 	}
 	f.mu.Unlock()
 	f.changed()
@@ -169,24 +217,40 @@
 
 // Service returns the back ends of a service, ordered by id.
 func (f *Fleet) Service(service string, now time.Time) []Backend {
-	return f.list(now, func(i *Instance) bool { return i.Service == service })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := f.services[service]
+	backends := make([]Backend, len(list))
+	for i, held := range list {
+		backends[i] = held.backend(now)
+	}
+	return backends
 }
 
-// All returns all back ends, ordered by id.
-func (f *Fleet) All(now time.Time) []Backend {
-	return f.list(now, func(*Instance) bool { return true })
+// Slots returns the slots of all back ends of a service, and how many models
+// they hold.
+func (f *Fleet) Slots(service string) (slots, models int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := make(map[string]bool)
+	for _, e := range f.services[service] {
+		slots += e.instance.Slots
+		for model := range e.instance.Models {
+			held[model] = true
+		}
+	}
+	return slots, len(held)
 }
 
-func (f *Fleet) list(now time.Time, wanted func(*Instance) bool) []Backend {
+// All returns all back ends, ordered by id.
+func (f *Fleet) All(now time.Time) []Backend {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var backends []Backend
+	backends := make([]Backend, 0, len(f.instances))
 	for _, held := range f.instances {
-		if wanted(&held.instance) {
-			backends = append(backends, held.backend(now))
-		}
+		backends = append(backends, held.backend(now))
 	}
-	sort.Slice(backends, func(i, j int) bool { return backends[i].ID < backends[j].ID })
+	slices.SortFunc(backends, func(a, b Backend) int { return cmp.Compare(a.ID, b.ID) })
 	return backends
 }
 
@@ -209,13 +273,7 @@
 	if now.After(e.condition.LoadingUntil) {
 		backend.LoadingModel = ""
 	}
-	if len(e.loaded) == 0 {
-		return backend
-	}
-	backend.Models = make(map[string]int64, len(e.instance.Models))
-	for model, version := range e.instance.Models {
-		backend.Models[model] = max(version, e.loaded[model])
-	}
+	backend.Models = e.models
 	return backend
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -108,3 +109,48 @@
 		t.Fatal("an announced load keeps others away for ever")
 	}
 }
+
+func TestSnapshotsDoNotChange(t *testing.T) {
+	fleet := New(nil)
+	fleet.Update([]Instance{instance("b", 1, false), instance("a", 2, false), instance("c", 3, false)}, nil)
+	before := fleet.Service("s", now)
+	fleet.MarkVersion("a", "m", 7)
+	if before[0].ID != "a" || before[0].Models["m"] != 1 {
+		t.Fatalf("an earlier snapshot holds %+v", before[0])
+	}
+	if after := fleet.Service("s", now); after[0].Models["m"] != 7 {
+		t.Fatalf("a new snapshot holds %+v", after[0])
+	}
+}
+
+func TestServiceListsFollowTheRegistry(t *testing.T) {
+	fleet := New(nil)
+	moved := instance("b", 5, false)
+	moved.Service = "other"
+	fleet.Update([]Instance{instance("b", 1, false), instance("a", 2, false), instance("c", 3, false)}, nil)
+	fleet.Update([]Instance{moved}, []string{"c", "nobody"})
+	if list := fleet.Service("s", now); len(list) != 1 || list[0].ID != "a" {
+		t.Errorf("service s: %+v", list)
+	}
+	if list := fleet.Service("other", now); len(list) != 1 || list[0].ID != "b" {
+		t.Errorf("service other: %+v", list)
+	}
+	if slots, models := fleet.Slots("s"); slots != 4 || models != 1 {
+		t.Errorf("%d slots, %d models", slots, models)
+	}
+	fleet.Replace([]Instance{instance("d", 9, false)})
+	if len(fleet.Service("other", now)) != 0 || len(fleet.All(now)) != 1 {
+		t.Error("instances that are gone are still listed")
+	}
+}
+
+func BenchmarkServiceOfThreeThousand(b *testing.B) {
+	fleet := New(nil)
+	for i := range 3000 {
+		fleet.Update([]Instance{instance(fmt.Sprintf("i%04d", i), int64(i+1), false)}, nil)
+		fleet.MarkVersion(fmt.Sprintf("i%04d", i), "m", 2)
+	}
+	for b.Loop() {
+		fleet.Service("s", now)
+	}
+}
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -21,13 +21,23 @@
 // Every calls work each period, and whenever wakes delivers, until ctx ends. A
 // nil channel never wakes.
 func Every(ctx context.Context, period time.Duration, wakes <-chan struct{}, work func()) {
+	EveryWhile(ctx, period, wakes, func() bool { return true }, work)
+}
+
+// EveryWhile is Every, but the periods count only while active tells so, as it
+// is asked after each call of work: a process with nothing to do sleeps.
+func EveryWhile(ctx context.Context, period time.Duration, wakes <-chan struct{}, active func() bool, work func()) {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
+		ticks := ticker.C
+		if !active() {
+			ticks = nil
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-ticks:
 		case <-wakes:
 		}
 		work()
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -34,3 +34,18 @@
 		}
 	})
 }
+
+func TestEveryWhileSleepsWhileThereIsNothingToDo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10500*time.Millisecond)
+		defer cancel()
+		wakes := make(chan struct{}, 1)
+		time.AfterFunc(5200*time.Millisecond, func() { wakes <- struct{}{} })
+		count := 0
+		active := func() bool { return count > 0 && count < 4 }
+		EveryWhile(ctx, time.Second, wakes, active, func() { count++ })
+		if count != 4 {
+			t.Errorf("worked %d times, want once by the wake and three times by time", count)
+		}
+	})
+}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -105,10 +105,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	first := complete && len(r.nodes) == 0
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
-		r.applyRow(row, now)
+		r.applyRow(row, now, !first)
+	}
+	if first {
+		r.log.Info(eventlog.NodesRead, eventlog.Fields{eventlog.Count: len(r.nodes)})
 	}
 	if !complete {
 		return
@@ -120,7 +124,9 @@
 	}
 }
 
-func (r *Registry) applyRow(row rowstore.Row, now time.Time) {
+// applyRow takes a row; tell says whether a new node is worth a line of its own.
+// The lock is held.
+func (r *Registry) applyRow(row rowstore.Row, now time.Time, tell bool) {
 	held := r.nodes[row.Key]
 	if row.Deleted {
 		if held != nil && row.Revision >= held.revision {
@@ -134,7 +140,9 @@
 	}
 	if held == nil {
 		r.nodes[row.Key] = &seen{node: node, revision: row.Revision, at: now}
-		r.log.Info(eventlog.NodeSeen, eventlog.Fields{eventlog.Node: node.Name, "incarnation": node.Incarnation, "state": node.State})
+		if tell {
+			r.log.Info(eventlog.NodeSeen, eventlog.Fields{eventlog.Node: node.Name, "incarnation": node.Incarnation, "state": node.State})
+		}
 		return
 	}
 	if row.Revision <= held.revision {
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -109,16 +109,20 @@
 	}
 }
 
-// tick is how often lease and plan are looked at without an event.
-const tick = 100 * time.Millisecond
+const (
+	// tick is how often the holder looks at the plan without an event.
+	tick = 100 * time.Millisecond
+	// leaseTick is how often a node looks at the lease.
+	leaseTick = 200 * time.Millisecond
+)
 
 // Run takes part until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { c.leaseView.Run(ctx) })
 	group.Go(func() { c.loadsView.Run(ctx) })
-	group.Go(func() { pause.Every(ctx, tick, nil, func() { c.leaseStep(ctx) }) })
-	group.Go(func() { pause.Every(ctx, tick, c.wakes, func() { c.giveOrders(ctx) }) })
+	group.Go(func() { pause.Every(ctx, leaseTick, nil, func() { c.leaseStep(ctx) }) })
+	group.Go(func() { pause.EveryWhile(ctx, tick, c.wakes, c.holds, func() { c.giveOrders(ctx) }) })
 	group.Go(func() { pause.Every(ctx, forgetEvery, nil, func() { c.forgetGone(ctx) }) })
 	group.Wait()
 }
@@ -265,6 +269,13 @@
 	_, _ = c.write(context.Background(), next, revision)
 }
 
+// holds tells whether this node holds the lease.
+func (c *Controller) holds() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held
+}
+
 // Holder returns the lease's holder as this node knows it, for metrics.
 func (c *Controller) Holder() (name string, held bool) {
 	c.mu.Lock()
@@ -389,6 +400,7 @@
 	}
 	c.adopt(next, written, now)
 	c.held, c.token = true, next.Term
+	c.Kick()
 	c.busy, c.taken = make(map[string]bool), make(map[string]int64)
 	c.orderFrom = now
 	if before.Holder != "" && before.Holder != c.self.Name {
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -87,7 +87,9 @@
 
 	table         atomic.Pointer[routetable.Table]
 	tableRevision int64
-	stopping      atomic.Bool
+	// registryRead tells that the registry was read whole once.
+	registryRead bool
+	stopping     atomic.Bool
 }
 
 // New returns a node. Its incarnation is read from the store, so that it is
@@ -122,7 +124,8 @@
 		Name: "operator", Table: config.OperatorTable, Partitions: []string{""}, Wait: pacing.FreshWait, Apply: node.applyOperator,
 	})
 	node.instances = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
-		Name: "back ends", Table: config.InstanceTable, Partitions: []string{""}, Wait: pacing.FreshWait, Apply: node.applyInstances,
+		Name: "back ends", Table: config.InstanceTable, Partitions: []string{""}, Wait: pacing.FreshWait,
+		Pace: func() time.Duration { return min(pacing.BusyPace(), pacing.FreshWait()/4) }, Apply: node.applyInstances,
 	})
 	return node, nil
 }
@@ -218,6 +221,8 @@
 func (n *Node) applyInstances(rows []rowstore.Row, complete bool) {
 	var instances []fleet.Instance
 	var removed []string
+	first := complete && !n.registryRead
+	n.registryRead = n.registryRead || complete
 	for _, row := range rows {
 		if row.Deleted {
 			removed = append(removed, row.Key)
@@ -228,9 +233,14 @@
 		if err != nil {
 			continue
 		}
-		n.noteInstance(instance)
+		if !first {
+			n.noteInstance(instance)
+		}
 		instances = append(instances, instance)
 	}
+	if first {
+		n.noteRegistry(instances)
+	}
 	if complete {
 		n.fleet.Replace(instances)
 		return
@@ -238,6 +248,23 @@
 	n.fleet.Update(instances, removed)
 }
 
+// noteRegistry says in one line what the first whole read of the registry
+// brought: at scale a line for each would crowd out those of requests.
+func (n *Node) noteRegistry(instances []fleet.Instance) {
+	services := make(map[string]int)
+	draining, newest := 0, int64(0)
+	for _, instance := range instances {
+		services[instance.Service]++
+		newest = max(newest, instance.Revision)
+		if instance.Draining {
+			draining++
+		}
+	}
+	n.config.Log.Info(eventlog.RegistryRead, eventlog.Fields{
+		eventlog.Count: len(instances), "services": services, "draining": draining, eventlog.Revision: newest,
+	})
+}
+
 func (n *Node) noteInstance(instance fleet.Instance) {
 	held, found := n.fleet.Get(instance.ID, time.Now())
 	if found && held.Draining == instance.Draining {
