--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -47,8 +47,12 @@
 // commitFinished commits all finished items; false means that the job is no
 // longer this node's.
 func (r *runner) commitFinished(ctx context.Context, job *ownedJob) bool {
-	job.committing.Lock()
-	defer job.committing.Unlock()
+	select {
+	case job.committing <- struct{}{}:
+		defer func() { <-job.committing }()
+	case <-ctx.Done():
+		return false
+	}
 	for ctx.Err() == nil {
 		batch, head, transaction := r.nextCommit(job)
 		if len(batch) == 0 {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -61,8 +61,9 @@
 	// finished holds results that are not committed yet.
 	finished []Result
 	wake     chan struct{}
-	// committing is held during a commit, so that one is under way at a time.
-	committing sync.Mutex
+	// committing holds a token during a commit, so that one is under way at a time;
+	// it is no mutex, since who waits for it may have little time.
+	committing chan struct{}
 	// left counts items that are not finished.
 	left int
 }
@@ -186,7 +187,7 @@
 	jobCtx, cancel := context.WithCancel(ctx)
 	job := &ownedJob{
 		id: id, ctx: jobCtx, cancel: cancel, head: state.head, revision: state.headRevision,
-		wake: make(chan struct{}, 1), opened: time.Now(),
+		wake: make(chan struct{}, 1), opened: time.Now(), committing: make(chan struct{}, 1),
 	}
 	r.mu.Lock()
 	if r.jobs[id] != nil {
