batch: the call of an item's scorer; a result is listed with its score

Cause: an item may name a scorer, a request whose signed answer is the result's score.

Change: a batch job knows a scorer of each item (id, host, path, body). Once the text is whole it waits in phaseScoring; the owner sends the call where the route of its host and path leads in the configuration of that moment, at a back end with a slot beyond one that live requests keep, in its own zone while that is not loaded. A call has a limit that doubles each time it is cut; a second one beside a slow one comes out of a budget of 5 in 100. Answers of 500 are counted by item, written with the head, and outlive a change of owner; at the route's attempts the item is dead. Whole texts that wait are stored at the next checkpoint, handed over at a planned stop and never made again.

--- a/internal/batch/checkpoint.go
+++ b/internal/batch/checkpoint.go
@@ -23,6 +23,7 @@
 type stretch struct {
 	item, from, upTo int
 	line             int
+	whole            bool
 	row              rowstore.Row
 }
 
@@ -57,10 +58,11 @@
 	for i := range job.items {
 		item := &job.items[i]
 		made := len(item.text.events)
-		if item.phase == phaseFinished || made <= item.saved || time.Since(item.firstStart) < age {
+		if !item.unsaved(age) {
 			continue
 		}
-		value := encode(partialRow{Events: item.text.events[item.saved:made], Versions: item.text.versions[item.saved:made]})
+		whole := item.text.complete
+		value := encode(partialRow{Events: item.text.events[item.saved:made], Versions: item.text.versions[item.saved:made], Whole: whole})
 		if len(value) > limits.RowBytes {
 			continue
 		}
@@ -69,11 +71,25 @@
 		}
 		size += len(value)
 		id := partialID(job.id, i, fmt.Sprintf("%d.%d", job.head.Epoch, item.line), item.saved)
-		stretches = append(stretches, stretch{item: i, from: item.saved, upTo: made, line: item.line, row: rowstore.Row{RowID: id, Value: value}})
+		stretches = append(stretches, stretch{item: i, from: item.saved, upTo: made, line: item.line, whole: whole, row: rowstore.Row{RowID: id, Value: value}})
 	}
 	return stretches
 }
 
+// unsaved tells whether there is something to store of an item that has run for
+// an age. A whole text that waits for its score is stored at any age: the call
+// may take long, and the text need not be made again.
+func (i *itemState) unsaved(age time.Duration) bool {
+	switch {
+	case i.phase == phaseFinished:
+		return false
+	case i.text.complete:
+		return !i.savedWhole
+	default:
+		return len(i.text.events) > i.saved && time.Since(i.firstStart) >= age
+	}
+}
+
 // storeText writes stretches; losing one costs time only, so it is tried once.
 func (r *runner) storeText(ctx context.Context, job *ownedJob, stretches []stretch) {
 	var transaction rowstore.Transaction
@@ -88,7 +104,7 @@
 	for _, part := range stretches {
 		item := &job.items[part.item]
 		if item.line == part.line && item.saved == part.from {
-			item.saved = part.upTo
+			item.saved, item.savedWhole = part.upTo, part.whole
 		}
 	}
 }
@@ -115,6 +131,7 @@
 		}
 		line.events = append(line.events[:from:from], stored.Events...)
 		line.versions = append(line.versions[:from:from], stored.Versions...)
+		line.complete = stored.Whole
 		lines[key] = line
 	}
 	longest := make(map[int]text)
--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -55,7 +55,7 @@
 	}
 	for ctx.Err() == nil {
 		batch, head, transaction := r.nextCommit(job)
-		if len(batch) == 0 {
+		if len(transaction.Puts) == 0 {
 			return true
 		}
 		if !r.commit(ctx, job, batch, head, transaction) {
@@ -65,7 +65,8 @@
 	return false
 }
 
-// nextCommit returns the results that go into the next commit, and the commit.
+// nextCommit returns the results that go into the next commit, and the commit; it
+// is empty if there is nothing that the store does not hold.
 func (r *runner) nextCommit(job *ownedJob) ([]Result, Head, rowstore.Transaction) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -89,19 +90,32 @@
 		transaction.Puts = append(transaction.Puts, rows...)
 		head.Count++
 	}
-	head.Failures = failures(job)
+	if len(batch) == 0 && !job.failed {
+		return nil, head, rowstore.Transaction{}
+	}
+	job.failed = false
+	head.Failures, head.ScoreFailures = failures(job)
 	transaction.Puts = append(transaction.Puts, rowstore.Row{RowID: headID(job.id), Value: encode(head)})
 	return batch, head, transaction
 }
 
-func failures(job *ownedJob) map[int]int {
-	counts := make(map[int]int)
+// failures returns the failed runs and calls of scoring services of unfinished
+// items, by index. The runner's lock is held.
+func failures(job *ownedJob) (runs, scores map[int]int) {
+	runs, scores = make(map[int]int), make(map[int]int)
 	for i := range job.items {
-		if job.items[i].failures > 0 && job.items[i].phase != phaseFinished {
-			counts[i] = job.items[i].failures
+		item := &job.items[i]
+		if item.phase == phaseFinished {
+			continue
+		}
+		if item.failures > 0 {
+			runs[i] = item.failures
+		}
+		if item.score.failures > 0 {
+			scores[i] = item.score.failures
 		}
 	}
-	return counts
+	return runs, scores
 }
 
 // commit writes one commit until its outcome is certain.
--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -9,7 +9,8 @@
 //	specs/ID/NONCE/I      the specification, in parts
 //	results/ID/POSITION   one result, its further parts under POSITION/PART
 //	partials/ID/ITEM/LINE/FROM
-//	                      events of an unfinished item, from an event on
+//	                      events of an unfinished item, from an event on; the
+//	                      last row of a line says whether the text is whole
 //
 // Invariants.
 //
@@ -31,10 +32,15 @@
 //     goes on behind it. A line is text that one owner made without a break; only
 //     rows of one line are put together, so that two owners' texts never mix.
 //
+//   - An item with a scorer is listed as completed only with the score that a
+//     call to its scoring service returned, made after the text was whole. Text,
+//     versions and score are one row. A text that waits for its score is stored
+//     like that of an unfinished item, and is not made again.
+//
 // Owner. The node that accepts a job assigns it to the node that is first for
-// the job's model by rendezvous hashing, so that one node knows all work of a
-// model: it keeps connections, balances, and continues texts of items that come
-// again in a later job.
+// the job's service by rendezvous hashing (see ownerKey), so that one node knows
+// all work of a service: it keeps connections, balances, and continues texts of
+// items that come again in a later job.
 package batch
 
 import (
@@ -65,6 +71,17 @@
 	// at what will come out, 0 if there is none.
 	Tokens     int `json:"tokens"`
 	LengthHint int `json:"length_hint,omitempty"`
+	// Scorer is the call that scores the item's text, nil if it has no score.
+	Scorer *Scorer `json:"scorer,omitempty"`
+}
+
+// Scorer is the request to a scoring service that gives an item its score. It
+// goes where the route of its host and path leads, and may be repeated.
+type Scorer struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body []byte `json:"body,omitempty"`
 }
 
 // Spec is a job as it was submitted.
@@ -95,8 +112,10 @@
 	Parts int    `json:"parts"`
 	// SubmittedMillis is the accepting node's time of day, Unix milliseconds.
 	SubmittedMillis int64 `json:"submitted_ms"`
-	// Failures counts failed runs by item index.
-	Failures map[int]int `json:"failures,omitempty"`
+	// Failures counts failed runs by item index, ScoreFailures failed calls of
+	// scoring services.
+	Failures      map[int]int `json:"failures,omitempty"`
+	ScoreFailures map[int]int `json:"score_failures,omitempty"`
 }
 
 // State is how an item ended.
@@ -114,12 +133,16 @@
 	State    State   `json:"state"`
 	Text     string  `json:"text"`
 	Versions []int64 `json:"versions,omitempty"`
+	// Score is what the scoring service returned, empty without a scorer.
+	Score string `json:"score,omitempty"`
 }
 
-// partialRow is a stretch of an unfinished item's text.
+// partialRow is a stretch of an unfinished item's text. Whole tells that the text
+// ends with it.
 type partialRow struct {
 	Events   [][]byte `json:"events"`
 	Versions []int64  `json:"versions"`
+	Whole    bool     `json:"whole,omitempty"`
 }
 
 // Status tells how a call of the package ended.
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -228,7 +228,7 @@
 func (i *itemState) dropText() {
 	i.text = text{}
 	i.line++
-	i.saved = 0
+	i.saved, i.savedWhole = 0, false
 }
 
 // settle decides what becomes of an item after a run.
@@ -243,7 +243,7 @@
 	if err == nil {
 		item.text.complete = true
 		r.logItem(run, eventlog.ItemDone, nil)
-		r.finish(run.job, run.index, Completed)
+		r.textWhole(run.job, run.index)
 		return
 	}
 	r.blame(run, err)
@@ -254,6 +254,8 @@
 		return
 	case errors.Is(err, errFailed):
 		item.failures++
+		run.job.failed = true
+		run.job.wakeCommit()
 		if item.failures >= max(run.route.MaxAttempts, 1) {
 			r.logItem(run, eventlog.ItemDead, err)
 			r.finish(run.job, run.index, Dead)
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 const (
 	phaseWaiting phase = iota
 	phaseRunning
+	// phaseScoring: the text is whole and waits for its score.
+	phaseScoring
 	phaseFinished
 )
 
@@ -37,8 +40,11 @@
 	// line numbers the texts that were begun anew; saved counts the events of the
 	// present one that are stored.
 	line, saved int
-	moved       time.Time
-	avoid       string
+	// savedWhole tells that the whole text is stored.
+	savedWhole bool
+	moved      time.Time
+	avoid      string
+	score      scoreState
 }
 
 // ownedJob is a job that this node runs. The runner's lock guards it.
@@ -66,6 +72,10 @@
 	committing chan struct{}
 	// left counts items that are not finished.
 	left int
+	// scoring are the items in phaseScoring, by index, the first one first.
+	scoring []int
+	// failed tells that failures were counted that the head does not tell yet.
+	failed bool
 }
 
 // active tells whether items of the job may run.
@@ -79,6 +89,8 @@
 	jobs  map[string]*ownedJob
 	kept  keptTexts
 	wakes chan struct{}
+	// seconds bounds second calls of scoring services beside slow ones.
+	seconds secondCalls
 }
 
 func newRunner(manager *Manager) *runner {
@@ -258,7 +270,7 @@
 	reused := 0
 	for i := range spec.Items {
 		item := &job.items[i]
-		item.failures = job.head.Failures[i]
+		item.failures, item.score.failures = job.head.Failures[i], job.head.ScoreFailures[i]
 		if listed[spec.Items[i].ID] {
 			item.phase = phaseFinished
 			continue
@@ -277,7 +289,7 @@
 			reused++
 		}
 		if item.text.complete {
-			r.finish(job, i, Completed)
+			r.textWhole(job, i)
 		}
 	}
 	job.order = startOrder(spec.Items)
@@ -336,17 +348,26 @@
 	if item.phase == phaseFinished {
 		return
 	}
+	if item.phase == phaseScoring {
+		job.scoring = slices.DeleteFunc(job.scoring, func(i int) bool { return i == index })
+	}
 	item.phase = phaseFinished
 	job.left--
 	result := Result{ID: job.spec.Items[index].ID, State: state}
 	if state == Completed {
 		result.Text, result.Versions = item.text.join()
+		result.Score = item.text.score
 		r.kept.put(result.ID, item.text)
 	}
 	item.text = text{}
 	job.finished = append(job.finished, result)
+	job.wakeCommit()
+}
+
+// wakeCommit makes the commit loop look at the job.
+func (j *ownedJob) wakeCommit() {
 	select {
-	case job.wake <- struct{}{}:
+	case j.wake <- struct{}{}:
 	default:
 	}
 }
@@ -383,6 +404,7 @@
 		if job.items[i].phase == phaseRunning {
 			job.items[i].cancel(errStopping)
 		}
+		job.items[i].score.cancelCalls()
 	}
 	return job, r.newText(job, 0)
 }
@@ -423,6 +445,7 @@
 			if job.items[i].cancel != nil {
 				job.items[i].cancel(errExpired)
 			}
+			job.items[i].score.cancelCalls()
 			r.manager.config.Log.Warn(eventlog.ItemDead, eventlog.Fields{eventlog.Job: job.id, eventlog.Item: job.spec.Items[i].ID, eventlog.Cause: "waited too long"})
 			r.finish(job, i, Dead)
 		}
@@ -446,6 +469,10 @@
 	}
 	sortWaiting(waiting)
 	pools := r.newPools(now)
+	r.scheduleScores(pools)
+	if r.waitingForScore() >= scoringMost {
+		return
+	}
 	for _, next := range waiting {
 		r.scheduleItem(next, pools)
 	}
@@ -492,7 +519,11 @@
 
 // of returns the back ends that an item of a route may run at.
 func (p *pools) of(route *routetable.Route, index int) []fleet.Backend {
-	service := route.Pick(uint64(index), 0)
+	return p.service(route.Pick(uint64(index), 0))
+}
+
+// service returns the back ends of a service.
+func (p *pools) service(service string) []fleet.Backend {
 	pool, known := p.services[service]
 	if !known {
 		pool = p.backends.Service(service, p.now)
--- /dev/null
+++ b/internal/batch/scoreplace.go
@@ -0,0 +1,128 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/sliplift/sliplift/internal/clock"
+	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/routetable"
+)
+
+// Bounds of the calls to scoring services.
+const (
+	// scoreCallsMost is the number of calls of one item at the same time.
+	scoreCallsMost = 2
+	// scoreReserve is the share of a back end's slots, one at least, that calls
+	// leave free: live requests share the service and go first.
+	scoreReserve = 0.15
+	// scoreZoneCost is what another zone costs, as a share of the latency: a call
+	// hardly waits for a round trip, and bytes between zones have a price.
+	scoreZoneCost = 0.5
+	// scoreUsual stands for a latency that nothing is known of.
+	scoreUsual = 30 * time.Millisecond
+	// scoreLimitLatencies is how many usual latencies a call may take at first, and
+	// scoreLimitTargets how many targets of the route at least. Each call that its
+	// limit cuts doubles the next one's: one request may be much longer than most.
+	scoreLimitLatencies = 12
+	scoreLimitTargets   = 2
+	// scoreTimeout is the limit of a call on a route without a time-out.
+	scoreTimeout clock.Millis = 2000
+	// failedPause is the pause of an item whose call was answered with a failure.
+	failedPause clock.Millis = 30
+	// secondLatencies and secondTargets: a second call is sent beside one that has
+	// taken so many usual latencies and this share of the route's target.
+	secondLatencies = 4
+	secondTargets   = 0.5
+)
+
+// scorerWant is what a call wants of a back end.
+type scorerWant struct {
+	zone string
+	// avoid is the back end of the call beside which a second one is sent.
+	avoid string
+}
+
+// pickScorer returns the index of the back end that a call goes to, or -1 if none
+// has a slot beyond those that live requests keep. It is pure.
+func pickScorer(pool []fleet.Backend, want scorerWant, now time.Time) int {
+	best := -1
+	var bestCost float64
+	for i := range pool {
+		b := &pool[i]
+		if b.Draining || b.ID == want.avoid || b.Suspended(now) || !hasRoom(b) {
+			continue
+		}
+		cost := scorerCost(b, want)
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+func scorerCost(b *fleet.Backend, want scorerWant) float64 {
+	cost := float64(scoreLatency(b)) * (1 + b.Load())
+	if b.Zone != want.zone {
+		cost *= 1 + scoreZoneCost
+	}
+	return cost
+}
+
+func scoreLatency(b *fleet.Backend) time.Duration {
+	if b.Latency == 0 {
+		return scoreUsual
+	}
+	return b.Latency
+}
+
+// hasRoom tells whether a back end has a slot for a call.
+func hasRoom(b *fleet.Backend) bool {
+	reserve := max(1, int(scoreReserve*float64(b.Slots)))
+	used := b.InFlight + b.OthersRunning
+	return b.Waiting == 0 && used < max(b.Slots-reserve, 1)
+}
+
+// scoreLimit returns how long a call may take. It is pure.
+func scoreLimit(b *fleet.Backend, route *routetable.Route, cuts int) clock.Millis {
+	most := clock.Of(route.Timeout)
+	if most == 0 {
+		most = scoreTimeout
+	}
+	least := max(scoreLimitLatencies*scoreLatency(b), scoreLimitTargets*route.Target)
+	limit := clock.Of(least)
+	for range cuts {
+		if limit >= most {
+			break
+		}
+		limit *= 2
+	}
+	return min(limit, most)
+}
+
+// secondAfter returns after which time a second call is sent beside one. It is
+// pure.
+func secondAfter(pool []fleet.Backend, route *routetable.Route) clock.Millis {
+	usual := time.Duration(0)
+	for i := range pool {
+		if usual == 0 || scoreLatency(&pool[i]) < usual {
+			usual = scoreLatency(&pool[i])
+		}
+	}
+	return clock.Of(max(secondLatencies*usual, time.Duration(secondTargets*float64(route.Target))))
+}
+
+// secondCalls is a budget: each first call earns a share of a second one.
+type secondCalls struct {
+	tokens float64
+}
+
+const (
+	// secondShare is the number of second calls to a first one; secondsMost, how
+	// many may be saved up.
+	secondShare = 0.05
+	secondsMost = 4
+)
+
+func (s *secondCalls) add()       { s.tokens = min(s.tokens+secondShare, secondsMost) }
+func (s *secondCalls) left() bool { return s.tokens >= 1 }
+func (s *secondCalls) take()      { s.tokens-- }
--- /dev/null
+++ b/internal/batch/scoreplace_test.go
@@ -0,0 +1,161 @@
+package batch
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/clock"
+	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/upstream"
+)
+
+func scoringBackend(id, zone string, running int, latency time.Duration) fleet.Backend {
+	return fleet.Backend{
+		Instance:  fleet.Instance{ID: id, Zone: zone, Slots: 6},
+		Condition: fleet.Condition{InFlight: running, Latency: latency},
+	}
+}
+
+func TestPickScorer(t *testing.T) {
+	now := time.Now()
+	const ms = time.Millisecond
+	near := scoringBackend("near", "z1", 0, 30*ms)
+	far := scoringBackend("far", "z2", 0, 30*ms)
+	change := func(b fleet.Backend, f func(*fleet.Backend)) fleet.Backend { f(&b); return b }
+	cases := []struct {
+		name string
+		pool []fleet.Backend
+		want scorerWant
+		id   string
+	}{
+		{"none", nil, scorerWant{}, ""},
+		{"own zone first", []fleet.Backend{far, near}, scorerWant{zone: "z1"}, "near"},
+		{"other zone if the own is loaded", []fleet.Backend{scoringBackend("near", "z1", 4, 30*ms), far}, scorerWant{zone: "z1"}, "far"},
+		{"a slot stays free for live requests", []fleet.Backend{scoringBackend("near", "z1", 5, 30*ms)}, scorerWant{zone: "z1"}, ""},
+		{"what others run counts", []fleet.Backend{change(near, func(b *fleet.Backend) { b.OthersRunning = 5 })}, scorerWant{}, ""},
+		{"where requests wait nothing is added", []fleet.Backend{change(near, func(b *fleet.Backend) { b.Waiting = 1 })}, scorerWant{}, ""},
+		{"leaving", []fleet.Backend{change(near, func(b *fleet.Backend) { b.Draining = true })}, scorerWant{}, ""},
+		{"suspended", []fleet.Backend{change(near, func(b *fleet.Backend) { b.SuspendedUntil = now.Add(ms) })}, scorerWant{}, ""},
+		{"second call goes elsewhere", []fleet.Backend{near, far}, scorerWant{zone: "z1", avoid: "near"}, "far"},
+		{"one slot alone is used", []fleet.Backend{change(near, func(b *fleet.Backend) { b.Slots = 1 })}, scorerWant{}, "near"},
+		{"slow", []fleet.Backend{scoringBackend("near", "z1", 0, 100*ms), far}, scorerWant{zone: "z1"}, "far"},
+	}
+	for _, test := range cases {
+		place := pickScorer(test.pool, test.want, now)
+		got := ""
+		if place >= 0 {
+			got = test.pool[place].ID
+		}
+		if got != test.id {
+			t.Errorf("%s: %q, want %q", test.name, got, test.id)
+		}
+	}
+}
+
+func TestScoreLimit(t *testing.T) {
+	const ms = time.Millisecond
+	route := &routetable.Route{Target: 150 * ms, Timeout: 1500 * ms}
+	for _, test := range []struct {
+		name    string
+		latency time.Duration
+		route   *routetable.Route
+		cuts    int
+		want    clock.Millis
+	}{
+		{"quick", 10 * ms, route, 0, 300},
+		{"usual", 40 * ms, route, 0, 480},
+		{"cut once", 40 * ms, route, 1, 960},
+		{"never above the route's time-out", 40 * ms, route, 9, 1500},
+		{"route without a time-out", 40 * ms, &routetable.Route{}, 9, scoreTimeout},
+	} {
+		b := scoringBackend("b", "z", 0, test.latency)
+		if got := scoreLimit(&b, test.route, test.cuts); got != test.want {
+			t.Errorf("%s: %d, want %d", test.name, got, test.want)
+		}
+	}
+}
+
+func TestSecondCallsHaveABudget(t *testing.T) {
+	var budget secondCalls
+	taken := 0
+	for range 1000 {
+		budget.add()
+		if budget.left() {
+			budget.take()
+			taken++
+		}
+	}
+	if most := int(1000*secondShare) + secondsMost; taken > most || taken == 0 {
+		t.Errorf("%d second calls beside 1000 first ones, want 1 to %d", taken, most)
+	}
+}
+
+func TestFateOfAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		status int
+		stamp  string
+		want   scoreFate
+	}{
+		{"score", 200, "s", scored{"s"}},
+		{"success without a score", 200, "", scoreUnusable{200}},
+		{"failure", 500, "s", scoreFailed{}},
+		{"out of time", 504, "s", scoreUnusable{504}},
+		{"redirect", 302, "s", scoreUnusable{302}},
+	} {
+		if got := fateOfAnswer(test.status, upstream.Meta{Stamp: test.stamp}); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+	failure := errors.New("reset")
+	for fate, wantCut := range map[upstream.Fate]bool{upstream.NotSent: false, upstream.NotRun: false, upstream.Unknown: true} {
+		_, cut := fateOfCall(&upstream.Error{Fate: fate, Cause: failure}).(scoreCut)
+		if cut != wantCut {
+			t.Errorf("fate %s: cut %t", fate, cut)
+		}
+	}
+}
+
+func TestWholeTextIsStoredAndReadAgain(t *testing.T) {
+	rows := []struct {
+		from  int
+		whole bool
+		texts []string
+	}{{0, false, []string{"a", "b"}}, {2, true, []string{"c"}}}
+	item := itemState{phase: phaseScoring, firstStart: time.Now(), text: text{events: [][]byte{[]byte("a")}, versions: []int64{1}, complete: true}}
+	if !item.unsaved(time.Hour) {
+		t.Error("a whole text that waits is not stored at once")
+	}
+	item.saved, item.savedWhole = 1, true
+	if item.unsaved(0) {
+		t.Error("a whole text is stored twice")
+	}
+	var stored []partialRow
+	for _, row := range rows {
+		made := partialRow{Whole: row.whole}
+		for _, event := range row.texts {
+			made.Events, made.Versions = append(made.Events, []byte(event)), append(made.Versions, 1)
+		}
+		stored = append(stored, made)
+	}
+	for count, wantWhole := range map[int]bool{1: false, 2: true} {
+		found := decodePartials(partialRows("job", stored[:count]))[0]
+		if found.complete != wantWhole {
+			t.Errorf("with %d rows: whole %t", count, found.complete)
+		}
+	}
+}
+
+// partialRows returns the rows of stretches of item 0.
+func partialRows(job string, stretches []partialRow) []rowstore.Row {
+	var rows []rowstore.Row
+	from := 0
+	for _, stretch := range stretches {
+		rows = append(rows, rowstore.Row{RowID: partialID(job, 0, "1.0", from), Value: encode(stretch)})
+		from += len(stretch.Events)
+	}
+	return rows
+}
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -11,6 +11,14 @@
 	events   [][]byte
 	versions []int64
 	complete bool
+	// score is what the call with the id scorer returned for the whole text.
+	score, scorer string
+}
+
+// scoredBy tells whether the text has the score that an item's scorer gives, or
+// needs none.
+func (t text) scoredBy(scorer *Scorer) bool {
+	return scorer == nil || t.scorer == scorer.ID && t.score != ""
 }
 
 // fits tells whether the text may be used under a bound on versions.
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -62,6 +62,8 @@
 	ItemDead     = "item_dead"
 	ItemBroken   = "item_run_broken"
 	ItemMoved    = "item_moved"
+	ItemScored   = "item_scored"
+	ScoreFailed  = "score_failed"
 
 	LinesDropped = "lines_dropped"
 )
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -81,6 +81,8 @@
 	Running, Waiting, Slots int
 	// Version is the weight version that answers, 0 if it does not say.
 	Version int64
+	// Stamp is the back end's signature of the answer, empty if it gives none.
+	Stamp string
 }
 
 // Codec translates calls and answers to and from the back ends' protocol.
