rowstore: calls that were sent into a silence end when the store answers again

Change: Recall, a store over the store. A call that waits for 0.9 s while nothing is answered begins to probe with small reads; the first answer ends the calls that were sent before it and since the silence began; a list is sent again at once.

Ruled out: shorter limits for all calls (tried earlier, nothing: a slow store needs them); waking by the views alone, which wait for their own limits.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -122,7 +122,7 @@
 	}}
 	store := platform.NewStore(client, cfg.StoreAddress, platform.StoreLimits{Call: storeCallLimit, WatchSlack: storeWatchSlack})
 	return storenode.Config{
-		Store: rowstore.NewGuard(rowstore.NewMeter(store, metrics.StoreCall)),
+		Store: rowstore.NewGuard(rowstore.NewRecall(rowstore.NewMeter(store, metrics.StoreCall))),
 		Limits: rowstore.Limits{
 			RowBytes: cfg.StoreRowBytes, TransactionRows: transactionRows,
 			WritesPerSecond: cfg.StoreWrites, ReadsPerSecond: cfg.StoreReads,
