batch: each attempt of a commit holds all that is finished by then

Cause: a commit without an answer was sent again as it was, so that after an outage the few results it held were settled first, and what was made meanwhile came in further commits.

Change: results keep their order, and only the owner writes the head in its epoch; so a longer commit under the same condition holds all of a shorter one, and a conflict's head tells by its count how much took effect. A result is encoded once. Failures that were counted are a commit of their own if nothing else is due.

--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -54,49 +54,54 @@
 		return false
 	}
 	for ctx.Err() == nil {
-		batch, head, transaction := r.nextCommit(job)
-		if len(transaction.Puts) == 0 {
+		switch r.commit(ctx, job) {
+		case commitNothing:
 			return true
-		}
-		if !r.commit(ctx, job, batch, head, transaction) {
+		case commitLost:
 			return false
+		case commitDone:
 		}
 	}
 	return false
 }
 
-// nextCommit returns the results that go into the next commit, and the commit; it
-// is empty if there is nothing that the store does not hold.
-func (r *runner) nextCommit(job *ownedJob) ([]Result, Head, rowstore.Transaction) {
+// proposal is what a commit would write: the results that go into it, the head
+// behind them, and the transaction.
+type proposal struct {
+	results     int
+	head        Head
+	failures    int
+	transaction rowstore.Transaction
+}
+
+// propose returns the next commit, whose transaction is empty if there is nothing
+// that the store does not hold.
+func (r *runner) propose(job *ownedJob) proposal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	limits := r.manager.config.Limits
-	head := job.head
-	transaction := rowstore.Transaction{Conditions: []rowstore.Condition{{RowID: headID(job.id), Revision: job.revision}}}
-	var batch []Result
+	p := proposal{head: job.head, failures: job.failures}
+	if len(job.finished) == 0 && job.failures == job.failuresStored {
+		return p
+	}
+	p.transaction.Conditions = []rowstore.Condition{{RowID: headID(job.id), Revision: job.revision}}
 	size := 0
-	for _, result := range job.finished {
-		rows := resultRows(job.id, head.Count, result, limits.RowBytes)
-		added := 0
-		for _, row := range rows {
-			added += len(row.Value)
-		}
+	for i := range job.finished {
+		value := job.finished[i].encoded()
+		rows := resultRows(job.id, p.head.Count, value, limits.RowBytes)
 		// One entry is the head's.
-		if len(batch) > 0 && (size+added > transactionMost || transaction.Entries()+len(rows)+1 > limits.TransactionRows) {
+		full := size+len(value) > transactionMost || p.transaction.Entries()+len(rows)+1 > limits.TransactionRows
+		if p.results > 0 && full {
 			break
 		}
-		size += added
-		batch = append(batch, result)
-		transaction.Puts = append(transaction.Puts, rows...)
-		head.Count++
+		size += len(value)
+		p.results++
+		p.head.Count++
+		p.transaction.Puts = append(p.transaction.Puts, rows...)
 	}
-	if len(batch) == 0 && !job.failed {
-		return nil, head, rowstore.Transaction{}
-	}
-	job.failed = false
-	head.Failures, head.ScoreFailures = failures(job)
-	transaction.Puts = append(transaction.Puts, rowstore.Row{RowID: headID(job.id), Value: encode(head)})
-	return batch, head, transaction
+	p.head.Failures, p.head.ScoreFailures = failures(job)
+	p.transaction.Puts = append(p.transaction.Puts, rowstore.Row{RowID: headID(job.id), Value: encode(p.head)})
+	return p
 }
 
 // failures returns the failed runs and calls of scoring services of unfinished
@@ -118,30 +123,49 @@
 	return runs, scores
 }
 
-// commit writes one commit until its outcome is certain.
-func (r *runner) commit(ctx context.Context, job *ownedJob, batch []Result, head Head, transaction rowstore.Transaction) bool {
+// commitOutcome is how a commit ended.
+type commitOutcome int
+
+const (
+	// commitNothing: there was nothing to commit.
+	commitNothing commitOutcome = iota
+	// commitDone: it is certain what the store holds.
+	commitDone
+	// commitLost: the job is no longer this node's, or the time is up.
+	commitLost
+)
+
+// commit writes what is finished until the outcome is certain. Each attempt holds
+// all that is finished by then: results keep their order, so that a longer commit
+// under the same condition holds all of a shorter one, and whichever took effect,
+// the head's count tells how much is stored.
+func (r *runner) commit(ctx context.Context, job *ownedJob) commitOutcome {
 	retry := commitRetryFirst
 	started := time.Now()
 	for attempt := 1; ; attempt++ {
-		revision, err := r.manager.config.Store.Commit(ctx, transaction)
+		p := r.propose(job)
+		if len(p.transaction.Puts) == 0 {
+			return commitNothing
+		}
+		revision, err := r.manager.config.Store.Commit(ctx, p.transaction)
 		if err == nil {
 			r.noteSettled(job, attempt, started)
-			r.committedAs(job, batch, head, revision)
-			return true
+			r.committedAs(job, p.head, revision, p.failures)
+			return commitDone
 		}
 		var conflict *rowstore.ConflictError
 		if errors.As(err, &conflict) {
 			r.noteSettled(job, attempt, started)
-			return r.settleConflict(job, batch, head, conflict)
+			return r.settleConflict(job, conflict)
 		}
 		if attempt == 1 {
 			r.manager.config.Log.Warn(eventlog.CommitUncertain, eventlog.Fields{
-				eventlog.Job: job.id, eventlog.Epoch: head.Epoch, eventlog.Count: len(batch),
+				eventlog.Job: job.id, eventlog.Epoch: p.head.Epoch, eventlog.Count: p.results,
 				eventlog.Cause: err.Error(), "outcome": rowstore.Outcome(err),
 			})
 		}
 		if !pause.For(ctx, retry) {
-			return false
+			return commitLost
 		}
 		retry = min(2*retry, commitRetryMost)
 	}
@@ -157,33 +181,53 @@
 	}
 }
 
-// settleConflict tells from the head as it is whether an earlier attempt of
-// this very commit took effect.
-func (r *runner) settleConflict(job *ownedJob, batch []Result, head Head, conflict *rowstore.ConflictError) bool {
+// settleConflict tells from the head as it is whether an earlier attempt took
+// effect: in its epoch the owner alone writes the head.
+func (r *runner) settleConflict(job *ownedJob, conflict *rowstore.ConflictError) commitOutcome {
 	r.manager.adoptRows(conflict.Rows)
 	state, found := r.manager.snapshot(job.id)
-	if found && state.head.Epoch == head.Epoch && state.head.Count == head.Count {
-		r.committedAs(job, batch, head, state.headRevision)
-		return true
+	if found && state.head.Epoch == job.head.Epoch && state.headRevision > job.revision {
+		// Failures may have been counted since: they are written once more.
+		r.committedAs(job, state.head, state.headRevision, job.failuresStored)
+		return commitDone
 	}
 	r.manager.config.Log.Warn(eventlog.JobLost, eventlog.Fields{
-		eventlog.Job: job.id, eventlog.Epoch: head.Epoch, "store_epoch": state.head.Epoch, eventlog.Owner: state.head.Owner,
+		eventlog.Job: job.id, eventlog.Epoch: job.head.Epoch, "store_epoch": state.head.Epoch, eventlog.Owner: state.head.Owner,
 	})
 	r.close(job.id)
-	return false
+	return commitLost
 }
 
-func (r *runner) committedAs(job *ownedJob, batch []Result, head Head, revision int64) {
+// committedAs takes note that the store holds a head, and the results up to its
+// count.
+func (r *runner) committedAs(job *ownedJob, head Head, revision int64, failuresStored int) {
 	r.mu.Lock()
-	job.head, job.revision = head, revision
-	job.committed = append(job.committed, batch...)
-	job.finished = job.finished[len(batch):]
+	added := head.Count - job.head.Count
+	for i := range added {
+		job.committed = append(job.committed, job.finished[i].result)
+	}
+	job.head, job.revision, job.failuresStored = head, revision, failuresStored
+	job.finished = job.finished[added:]
 	left := len(job.items) - head.Count
 	r.mu.Unlock()
 	r.manager.adopt(job.id, head, revision)
-	if left == 0 {
+	if left == 0 && added > 0 {
 		r.manager.config.Log.Info(eventlog.JobComplete, eventlog.Fields{
 			eventlog.Job: job.id, eventlog.Count: head.Count, eventlog.TookMillis: head.age(time.Now()).Milliseconds(),
 		})
 	}
 }
+
+// finishedItem is a result that is not committed yet.
+type finishedItem struct {
+	result Result
+	value  []byte
+}
+
+// encoded returns the result's encoding, made once.
+func (f *finishedItem) encoded() []byte {
+	if f.value == nil {
+		f.value = encode(f.result)
+	}
+	return f.value
+}
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -84,8 +84,8 @@
 
 // resultRows returns the rows of the result at a position: its encoding, cut to
 // values of at most most bytes.
-func resultRows(job string, position int, result Result, most int) []rowstore.Row {
-	parts := splitParts(encode(result), most)
+func resultRows(job string, position int, encoding []byte, most int) []rowstore.Row {
+	parts := splitParts(encoding, most)
 	rows := make([]rowstore.Row, len(parts))
 	for i, part := range parts {
 		rows[i] = rowstore.Row{RowID: resultPartID(job, position, i), Value: part}
--- a/internal/batch/results_test.go
+++ b/internal/batch/results_test.go
@@ -14,7 +14,7 @@
 	short := Result{ID: "a", State: Dead}
 	var rows []rowstore.Row
 	for i, result := range []Result{short, long, short} {
-		rows = append(rows, resultRows("job", 7+i, result, most)...)
+		rows = append(rows, resultRows("job", 7+i, encode(result), most)...)
 	}
 	for i, row := range rows {
 		if len(row.Value) > most {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -254,7 +254,7 @@
 		return
 	case errors.Is(err, errFailed):
 		item.failures++
-		run.job.failed = true
+		run.job.failures++
 		run.job.wakeCommit()
 		if item.failures >= max(run.route.MaxAttempts, 1) {
 			r.logItem(run, eventlog.ItemDead, err)
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -65,7 +65,7 @@
 	revision  int64
 	committed []Result
 	// finished holds results that are not committed yet.
-	finished []Result
+	finished []finishedItem
 	wake     chan struct{}
 	// committing holds a token during a commit, so that one is under way at a time;
 	// it is no mutex, since who waits for it may have little time.
@@ -74,8 +74,9 @@
 	left int
 	// scoring are the items in phaseScoring, by index, the first one first.
 	scoring []int
-	// failed tells that failures were counted that the head does not tell yet.
-	failed bool
+	// failures counts failed runs and calls; failuresStored, those that the head
+	// tells of.
+	failures, failuresStored int
 }
 
 // active tells whether items of the job may run.
@@ -360,7 +361,7 @@
 		r.kept.put(result.ID, item.text)
 	}
 	item.text = text{}
-	job.finished = append(job.finished, result)
+	job.finished = append(job.finished, finishedItem{result: result})
 	job.wakeCommit()
 }
 
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -138,7 +138,7 @@
 		return
 	case scoreFailed:
 		item.score.failures++
-		c.job.failed = true
+		c.job.failures++
 		c.job.wakeCommit()
 		if item.score.failures >= max(c.route.MaxAttempts, 1) {
 			item.score.cancelCalls()
