batch: moves and starts are one schedule; slow back ends get what is worth starting

Change: runs that could be moved are ranked with the items that wait, by expected length; those that have run for long, and those just moved, come first. An item is started at a back end over 1.6 times slower than the best only if it ends sooner there than after its wait for a fast one; hints and times of ended items tell what to expect.

--- /dev/null
+++ b/internal/batch/move.go
@@ -0,0 +1,78 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/fleet"
+)
+
+// Conditions under which a run is moved to a faster back end.
+const (
+	// moveRatio is how many times slower than the best its back end must be.
+	moveRatio     = 1.6
+	moveRatioLong = 1.15
+	// longRun is from when on an item has run for long.
+	longRun = 1500 * time.Millisecond
+	// moveAfter is the least time since its start or the last move.
+	moveAfter = 600 * time.Millisecond
+	// paceFresh is how old a measured pace may be.
+	paceFresh = time.Second
+)
+
+// movable tells whether an item has run at its back end for long enough.
+func movable(item *itemState, now time.Time) bool {
+	return now.Sub(item.started) >= moveAfter && now.Sub(item.moved) >= moveAfter
+}
+
+// moveItem ends the run of an item on a back end that is much slower than one with
+// room; it goes on there after its last event. The lock is held.
+func (r *runner) moveItem(c candidate, p *pools) {
+	item := &c.job.items[c.index]
+	pool := p.of(c.route, c.index)
+	want := r.needOf(c)
+	if pool.full[want] {
+		return
+	}
+	moving := want
+	moving.ran = p.now.Sub(item.firstStart)
+	target := moveTarget(pool.backends, item.backend, moving, p.now)
+	if target < 0 {
+		return
+	}
+	b := &pool.backends[target]
+	b.InFlight++
+	item.moved = p.now
+	item.avoid = item.backend
+	item.urgent = true
+	r.manager.config.Log.Info(eventlog.ItemMoved, eventlog.Fields{
+		eventlog.Job: c.job.id, eventlog.Item: c.job.spec.Items[c.index].ID, eventlog.Backend: item.backend,
+		"to": b.ID, "events": len(item.text.events), "to_pace_ms": b.Pace.Milliseconds(),
+	})
+	item.cancel(errMoved)
+}
+
+// moveTarget returns the index of a back end that is so much faster than the
+// one that runs an item that moving it is worth while, or -1. It is pure.
+func moveTarget(pool []fleet.Backend, current string, want need, now time.Time) int {
+	var from *fleet.Backend
+	for i := range pool {
+		if pool[i].ID == current {
+			from = &pool[i]
+		}
+	}
+	if from == nil || from.Pace == 0 || now.Sub(from.PaceAt) > paceFresh {
+		return -1
+	}
+	best := -1
+	for i := range pool {
+		b := &pool[i]
+		if b.Pace == 0 || now.Sub(b.PaceAt) > paceMemory || float64(from.Pace) < want.moveRatio()*float64(b.Pace) {
+			continue
+		}
+		if (best < 0 || b.Pace < pool[best].Pace) && suits(b, want, now) {
+			best = i
+		}
+	}
+	return best
+}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -47,10 +47,10 @@
 	var bestCost float64
 	typical := typicalPace(pool, now)
 	for i := range pool {
-		if !suits(pool[i], want, now) {
+		if !suits(&pool[i], want, now) {
 			continue
 		}
-		cost := runCost(pool[i], want, typical, now)
+		cost := runCost(&pool[i], want, typical, now)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -58,21 +58,27 @@
 	return best
 }
 
-func suits(backend fleet.Backend, want need, now time.Time) bool {
-	if backend.Draining || backend.Suspended(now) || backend.Load() >= 1 {
+// suits tells whether an item may start at a back end now.
+func suits(b *fleet.Backend, want need, now time.Time) bool {
+	return b.Load() < 1 && fits(b, want, now)
+}
+
+// fits tells whether an item may run at a back end once it has room.
+func fits(b *fleet.Backend, want need, now time.Time) bool {
+	if b.Draining || b.Suspended(now) {
 		return false
 	}
-	version, holds := backend.Models[want.model]
+	version, holds := b.Models[want.model]
 	if want.model == "" {
 		return true
 	}
-	if !holds || version < want.minVersion || backend.LoadingModel == want.model {
+	if !holds || version < want.minVersion || b.LoadingModel == want.model {
 		return false
 	}
 	return want.version == 0 || version == want.version
 }
 
-func runCost(backend fleet.Backend, want need, typical time.Duration, now time.Time) float64 {
+func runCost(backend *fleet.Backend, want need, typical time.Duration, now time.Time) float64 {
 	cost := float64(pace(backend, typical, now)) * (1 + loadSlowdown*backend.Load())
 	if backend.Zone != want.zone {
 		cost *= 1 + zoneSlowdown
@@ -83,7 +89,7 @@
 	return cost
 }
 
-func pace(backend fleet.Backend, typical time.Duration, now time.Time) time.Duration {
+func pace(backend *fleet.Backend, typical time.Duration, now time.Time) time.Duration {
 	if backend.Pace == 0 || now.Sub(backend.PaceAt) > paceMemory {
 		return typical
 	}
@@ -97,7 +103,8 @@
 // known of gets a chance.
 func typicalPace(pool []fleet.Backend, now time.Time) time.Duration {
 	least := time.Duration(0)
-	for _, backend := range pool {
+	for i := range pool {
+		backend := &pool[i]
 		if backend.Pace > 0 && now.Sub(backend.PaceAt) <= paceMemory && (least == 0 || backend.Pace < least) {
 			least = backend.Pace
 		}
@@ -107,31 +114,3 @@
 	}
 	return least
 }
-
-// moveTarget returns the index of a back end that is so much faster than the
-// one that runs an item that moving it is worth while, or -1. It is pure.
-func moveTarget(pool []fleet.Backend, current string, want need, now time.Time) int {
-	var from *fleet.Backend
-	for i := range pool {
-		if pool[i].ID == current {
-			from = &pool[i]
-		}
-	}
-	if from == nil || from.Pace == 0 || now.Sub(from.PaceAt) > paceFresh {
-		return -1
-	}
-	best := -1
-	for i := range pool {
-		candidate := pool[i]
-		if candidate.ID == current || !suits(candidate, want, now) || candidate.Pace == 0 || now.Sub(candidate.PaceAt) > paceMemory {
-			continue
-		}
-		if best < 0 || candidate.Pace < pool[best].Pace {
-			best = i
-		}
-	}
-	if best < 0 || float64(from.Pace) < want.moveRatio()*float64(pool[best].Pace) {
-		return -1
-	}
-	return best
-}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -242,6 +242,7 @@
 	item.phase, item.cancel = phaseWaiting, nil
 	if err == nil {
 		item.text.complete = true
+		r.lengths.observe(run.item().LengthHint, len(item.text.events), time.Since(item.firstStart))
 		r.logItem(run, eventlog.ItemDone, nil)
 		r.textWhole(run.job, run.index)
 		return
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/fleet"
 	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/routetable"
 	"github.com/sliplift/sliplift/internal/rowstore"
@@ -44,7 +43,9 @@
 	savedWhole bool
 	moved      time.Time
 	avoid      string
-	score      scoreState
+	// urgent items, which were moved, go before all that wait.
+	urgent bool
+	score  scoreState
 }
 
 // ownedJob is a job that this node runs. The runner's lock guards it.
@@ -92,6 +93,7 @@
 	wakes chan struct{}
 	// seconds bounds second calls of scoring services beside slow ones.
 	seconds secondCalls
+	lengths lengths
 }
 
 func newRunner(manager *Manager) *runner {
@@ -126,7 +128,6 @@
 			continue
 		case <-ticks:
 			r.expire()
-			r.moveSlow()
 		case <-r.wakes:
 		}
 		began := time.Now()
@@ -452,160 +453,3 @@
 		}
 	}
 }
-
-// schedule starts what can be started of all jobs, the longest expected first:
-// a step waits for its longest items, and jobs share the back ends.
-func (r *runner) schedule() {
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var waiting []waitingItem
-	for _, job := range r.jobs {
-		if !job.active() {
-			continue
-		}
-		if route := r.route(job.spec); route != nil {
-			waiting = appendWaiting(waiting, job, route)
-		}
-	}
-	sortWaiting(waiting)
-	pools := r.newPools(now)
-	r.scheduleScores(pools)
-	if r.waitingForScore() >= scoringMost {
-		return
-	}
-	for _, next := range waiting {
-		r.scheduleItem(next, pools)
-	}
-}
-
-// waitingItem is an item that could be started.
-type waitingItem struct {
-	job   *ownedJob
-	index int
-	route *routetable.Route
-	hint  int
-}
-
-func appendWaiting(waiting []waitingItem, job *ownedJob, route *routetable.Route) []waitingItem {
-	for _, index := range job.order {
-		if job.items[index].phase == phaseWaiting {
-			waiting = append(waiting, waitingItem{job: job, index: index, route: route, hint: job.spec.Items[index].LengthHint})
-		}
-	}
-	return waiting
-}
-
-// sortWaiting orders items by expected length, equals by the age of their jobs.
-func sortWaiting(waiting []waitingItem) {
-	sort.SliceStable(waiting, func(a, b int) bool {
-		if waiting[a].hint != waiting[b].hint {
-			return waiting[a].hint > waiting[b].hint
-		}
-		return waiting[a].job.head.SubmittedMillis < waiting[b].job.head.SubmittedMillis
-	})
-}
-
-// pools are the back ends of each service as one round of decisions sees them:
-// what the round gives out is counted in them.
-type pools struct {
-	backends *fleet.Fleet
-	now      time.Time
-	services map[string][]fleet.Backend
-}
-
-func (r *runner) newPools(now time.Time) *pools {
-	return &pools{backends: r.manager.config.Fleet, now: now, services: make(map[string][]fleet.Backend)}
-}
-
-// of returns the back ends that an item of a route may run at.
-func (p *pools) of(route *routetable.Route, index int) []fleet.Backend {
-	return p.service(route.Pick(uint64(index), 0))
-}
-
-// service returns the back ends of a service.
-func (p *pools) service(service string) []fleet.Backend {
-	pool, known := p.services[service]
-	if !known {
-		pool = p.backends.Service(service, p.now)
-		p.services[service] = pool
-	}
-	return pool
-}
-
-// needOf returns what an item wants of a back end.
-func (r *runner) needOf(job *ownedJob, index int, route *routetable.Route) need {
-	return need{
-		model: job.spec.Model, minVersion: job.spec.MinVersion, zone: r.manager.config.Zone,
-		version: job.items[index].text.only(route.SingleVersion),
-	}
-}
-
-func (r *runner) scheduleItem(next waitingItem, pools *pools) {
-	job := next.job
-	pool := pools.of(next.route, next.index)
-	want := r.needOf(job, next.index, next.route)
-	want.avoid = job.items[next.index].avoid
-	place := pickBackend(pool, want, pools.now)
-	if place < 0 {
-		return
-	}
-	pool[place].InFlight++
-	r.launch(job, next.index, next.route, pool[place])
-}
-
-// Conditions under which a run is moved to a faster back end.
-const (
-	// moveRatio is how many times slower than the best its back end must be.
-	moveRatio     = 1.6
-	moveRatioLong = 1.15
-	// longRun is from when on an item has run for long.
-	longRun = 1500 * time.Millisecond
-	// moveAfter is the least time since its start or the last move.
-	moveAfter = 600 * time.Millisecond
-	// paceFresh is how old a measured pace may be.
-	paceFresh = time.Second
-)
-
-// moveSlow ends runs on back ends that are much slower than one with room;
-// they go on there after their last event.
-func (r *runner) moveSlow() {
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	pools := r.newPools(now)
-	for _, job := range r.jobs {
-		if !job.active() {
-			continue
-		}
-		route := r.route(job.spec)
-		if route == nil {
-			continue
-		}
-		for _, index := range job.order {
-			r.moveItem(job, index, route, pools)
-		}
-	}
-}
-
-func (r *runner) moveItem(job *ownedJob, index int, route *routetable.Route, pools *pools) {
-	item, now := &job.items[index], pools.now
-	if item.phase != phaseRunning || now.Sub(item.started) < moveAfter || now.Sub(item.moved) < moveAfter {
-		return
-	}
-	pool := pools.of(route, index)
-	want := r.needOf(job, index, route)
-	want.ran = now.Sub(item.firstStart)
-	target := moveTarget(pool, item.backend, want, now)
-	if target < 0 {
-		return
-	}
-	pool[target].InFlight++
-	item.moved = now
-	item.avoid = item.backend
-	r.manager.config.Log.Info(eventlog.ItemMoved, eventlog.Fields{
-		eventlog.Job: job.id, eventlog.Item: job.spec.Items[index].ID, eventlog.Backend: item.backend,
-		"to": pool[target].ID, "events": len(item.text.events), "to_pace_ms": pool[target].Pace.Milliseconds(),
-	})
-	item.cancel(errMoved)
-}
--- /dev/null
+++ b/internal/batch/schedule.go
@@ -0,0 +1,227 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/routetable"
+)
+
+// candidate is an item that could be started, or be moved to a faster back end.
+type candidate struct {
+	job   *ownedJob
+	index int
+	route *routetable.Route
+	// rank orders candidates, the highest first.
+	rank   float64
+	moving bool
+}
+
+// schedule starts what can be started of all jobs and moves what runs on slow back
+// ends, the longest expected first: a step waits for its longest items, and jobs
+// share the back ends.
+func (r *runner) schedule() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.newPools(time.Now())
+	r.scheduleScores(p)
+	if r.waitingForScore() >= scoringMost {
+		return
+	}
+	var list []candidate
+	for _, job := range r.jobs {
+		if !job.active() {
+			continue
+		}
+		if route := r.route(job.spec); route != nil {
+			list = r.appendCandidates(list, job, route, p)
+		}
+	}
+	sortCandidates(list)
+	for _, c := range list {
+		if c.moving {
+			r.moveItem(c, p)
+			continue
+		}
+		r.scheduleItem(c, p)
+	}
+}
+
+// urgentRank is above that of all expected lengths.
+const urgentRank = 1e12
+
+func (r *runner) appendCandidates(list []candidate, job *ownedJob, route *routetable.Route, p *pools) []candidate {
+	for _, index := range job.order {
+		item := &job.items[index]
+		c := candidate{job: job, index: index, route: route, rank: float64(job.spec.Items[index].LengthHint)}
+		switch item.phase {
+		case phaseWaiting:
+			if item.urgent {
+				c.rank += urgentRank
+			}
+			list = append(list, c)
+		case phaseRunning:
+			if !p.of(route, index).uneven || !movable(item, p.now) {
+				continue
+			}
+			c.moving = true
+			if p.now.Sub(item.firstStart) > longRun {
+				c.rank += urgentRank
+			}
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// sortCandidates orders candidates by rank, equals by the age of their jobs.
+func sortCandidates(list []candidate) {
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.job.head.SubmittedMillis, b.job.head.SubmittedMillis))
+	})
+}
+
+// pools are the back ends of each service as one round of decisions sees them:
+// what the round gives out is counted in them.
+type pools struct {
+	fleet    *fleet.Fleet
+	now      time.Time
+	services map[string]*pool
+}
+
+// pool is the back ends of one service.
+type pool struct {
+	backends []fleet.Backend
+	// typical is the least pace that is known; uneven tells that some work at a
+	// pace at which moving is worth while.
+	typical time.Duration
+	uneven  bool
+	// full holds the needs that no back end has room for; passed counts the items
+	// that were left waiting in this round.
+	full   map[need]bool
+	passed int
+}
+
+func (r *runner) newPools(now time.Time) *pools {
+	return &pools{fleet: r.manager.config.Fleet, now: now, services: make(map[string]*pool)}
+}
+
+// of returns the back ends that an item of a route may run at.
+func (p *pools) of(route *routetable.Route, index int) *pool {
+	return p.service(route.Pick(uint64(index), 0))
+}
+
+// service returns the back ends of a service.
+func (p *pools) service(service string) *pool {
+	found, known := p.services[service]
+	if known {
+		return found
+	}
+	found = &pool{backends: p.fleet.Service(service, p.now), full: make(map[need]bool)}
+	found.typical = typicalPace(found.backends, p.now)
+	for i := range found.backends {
+		b := &found.backends[i]
+		if b.InFlight > 0 && float64(b.Pace) > moveRatioLong*float64(found.typical) && p.now.Sub(b.PaceAt) <= paceFresh {
+			found.uneven = true
+		}
+	}
+	p.services[service] = found
+	return found
+}
+
+// needOf returns what an item wants of a back end.
+func (r *runner) needOf(c candidate) need {
+	return need{
+		model: c.job.spec.Model, minVersion: c.job.spec.MinVersion, zone: r.manager.config.Zone,
+		version: c.job.items[c.index].text.only(c.route.SingleVersion),
+	}
+}
+
+// scheduleItem starts an item if a back end has room that is worth taking.
+func (r *runner) scheduleItem(c candidate, p *pools) {
+	pool := p.of(c.route, c.index)
+	item := &c.job.items[c.index]
+	want := r.needOf(c)
+	want.avoid = item.avoid
+	if pool.full[want] {
+		return
+	}
+	place := pickBackend(pool.backends, want, p.now)
+	if place < 0 {
+		pool.full[want] = true
+		return
+	}
+	b := &pool.backends[place]
+	slow := pace(b, pool.typical, p.now)
+	if float64(slow) > moveRatio*float64(pool.typical) {
+		events := r.lengths.expected(c.job.spec.Items[c.index].LengthHint) - float64(len(item.text.events))
+		slots := fastSlots(pool.backends, want, pool.typical, p.now)
+		if !worthStarting(events, slow, pool.typical, r.lengths.wait(pool.passed, slots)) {
+			pool.passed++
+			return
+		}
+	}
+	b.InFlight++
+	item.urgent = false
+	r.launch(c.job, c.index, c.route, *b)
+}
+
+// worthStarting tells whether an item of expected events should start at a slow
+// back end now rather than wait for a fast one. It is pure.
+func worthStarting(events float64, slow, fast, wait time.Duration) bool {
+	return events*float64(slow-fast) <= float64(wait)
+}
+
+// fastSlots returns the slots of the back ends that an item may run at, now or
+// once one is free, which are not slow. It is pure.
+func fastSlots(backends []fleet.Backend, want need, typical time.Duration, now time.Time) int {
+	slots := 0
+	for i := range backends {
+		b := &backends[i]
+		if fits(b, want, now) && float64(pace(b, typical, now)) <= moveRatio*float64(typical) {
+			slots += b.Slots
+		}
+	}
+	return slots
+}
+
+// lengths learns what hints of length are worth, and how long items run, from the
+// items that ended.
+type lengths struct {
+	hints, events, took, count float64
+}
+
+// lengthMemory is the weight of what was learnt before when an item ends.
+const lengthMemory = 0.99
+
+func (l *lengths) observe(hint, events int, took time.Duration) {
+	l.hints = lengthMemory*l.hints + float64(hint)
+	l.events = lengthMemory*l.events + float64(events)
+	l.took = lengthMemory*l.took + float64(took)
+	l.count = lengthMemory*l.count + 1
+}
+
+// expected returns how many events an item with a hint should have, 0 if nothing
+// is known.
+func (l *lengths) expected(hint int) float64 {
+	if l.hints == 0 {
+		return 0
+	}
+	return float64(hint) * l.events / l.hints
+}
+
+// wait returns how long an item waits with so many before it, for so many slots.
+func (l *lengths) wait(before, slots int) time.Duration {
+	if slots == 0 {
+		return never
+	}
+	if l.count == 0 {
+		return 0
+	}
+	return time.Duration(l.took / l.count * float64(before+1) / float64(slots))
+}
+
+// never is longer than anything waits.
+const never = 24 * time.Hour
--- /dev/null
+++ b/internal/batch/schedule_test.go
@@ -0,0 +1,71 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/fleet"
+)
+
+func TestWorthStarting(t *testing.T) {
+	const ms = time.Millisecond
+	for _, test := range []struct {
+		name       string
+		events     float64
+		slow, fast time.Duration
+		wait       time.Duration
+		want       bool
+	}{
+		{"long item, slot free soon", 100, 120 * ms, 40 * ms, 50 * ms, false},
+		{"long item, long queue", 100, 120 * ms, 40 * ms, 9000 * ms, true},
+		{"short item, long queue", 5, 120 * ms, 40 * ms, 1000 * ms, true},
+		{"nothing known of lengths", 0, 120 * ms, 40 * ms, 0, true},
+	} {
+		if got := worthStarting(test.events, test.slow, test.fast, test.wait); got != test.want {
+			t.Errorf("%s: %t", test.name, got)
+		}
+	}
+}
+
+func TestFastSlots(t *testing.T) {
+	pool := []fleet.Backend{
+		backend("fast", nil), backend("full", func(b *fleet.Backend) { b.InFlight = 4 }),
+		backend("slow", func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond }),
+		backend("old", func(b *fleet.Backend) { b.Models = map[string]int64{"m": 1} }),
+	}
+	want := need{model: "m", minVersion: 3}
+	if got := fastSlots(pool, want, typicalPace(pool, placeNow), placeNow); got != 8 {
+		t.Errorf("%d slots, want 8: full ones count, slow and old ones do not", got)
+	}
+}
+
+func TestLengthsAreLearnt(t *testing.T) {
+	var l lengths
+	if l.expected(100) != 0 || l.wait(3, 4) != 0 || l.wait(3, 0) != never {
+		t.Error("something is known before any item ended")
+	}
+	for range 50 {
+		l.observe(100, 20, time.Second)
+	}
+	if got := l.expected(200); got < 39.9 || got > 40.1 {
+		t.Errorf("%.1f events expected, want 40", got)
+	}
+	if got := l.wait(7, 4); got < 1990*time.Millisecond || got > 2010*time.Millisecond {
+		t.Errorf("wait %s, want 2 s: eight items for four slots of a second each", got)
+	}
+}
+
+func TestCandidatesAreOrdered(t *testing.T) {
+	older := &ownedJob{id: "older", head: Head{SubmittedMillis: 1}}
+	newer := &ownedJob{id: "newer", head: Head{SubmittedMillis: 2}}
+	list := []candidate{
+		{job: newer, index: 0, rank: 50}, {job: newer, index: 1, rank: 90}, {job: older, index: 2, rank: 50},
+		{job: newer, index: 3, rank: 10 + urgentRank, moving: true},
+	}
+	sortCandidates(list)
+	for i, want := range []int{3, 1, 2, 0} {
+		if list[i].index != want {
+			t.Errorf("place %d: candidate %d, want %d", i, list[i].index, want)
+		}
+	}
+}
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -97,7 +97,7 @@
 	if route == nil {
 		return
 	}
-	pool := p.service(route.Pick(uint64(index+state.sends), 0))
+	pool := p.service(route.Pick(uint64(index+state.sends), 0)).backends
 	want := scorerWant{zone: r.manager.config.Zone}
 	if len(state.calls) > 0 {
 		first := state.calls[0]
