batch: checkpoints store what costs most first, and all of it

Change: items with most unsaved events first, and further transactions while the one before was full.

Tests: TestCheckpointStoresWhatCostsMostFirst, TestCheckpointStoresAll.

--- a/internal/batch/checkpoint.go
+++ b/internal/batch/checkpoint.go
@@ -1,9 +1,11 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -40,27 +42,36 @@
 			continue
 		}
 		job.checkpointing = true
-		go func() {
-			r.storeText(ctx, job, stretches)
+		go r.storeAll(ctx, job, stretches)
+	}
+}
+
+// storeAll stores stretches, and then what did not fit the transaction with them.
+func (r *runner) storeAll(ctx context.Context, job *ownedJob, stretches []stretch) {
+	for len(stretches) > 0 && r.storeText(ctx, job, stretches) {
+		full := len(stretches) >= r.manager.config.Limits.TransactionRows-1
+		stretches = nil
+		if full {
 			r.mu.Lock()
-			job.checkpointing = false
+			stretches = r.newText(job, checkpointAge)
 			r.mu.Unlock()
-		}()
+		}
 	}
+	r.mu.Lock()
+	job.checkpointing = false
+	r.mu.Unlock()
 }
 
 // newText returns the text that is not stored yet of items that have run for an
-// age, as much as fits one transaction. The lock is held.
+// age, as much as fits one transaction, what would cost most to make again first.
+// The lock is held.
 func (r *runner) newText(job *ownedJob, age time.Duration) []stretch {
 	limits := r.manager.config.Limits
 	var stretches []stretch
 	size := 0
-	for i := range job.items {
+	for _, i := range job.unsaved(age) {
 		item := &job.items[i]
 		made := len(item.text.events)
-		if !item.unsaved(age) {
-			continue
-		}
 		whole := item.text.complete
 		value := encode(partialRow{Events: item.text.events[item.saved:made], Versions: item.text.versions[item.saved:made], Whole: whole})
 		if len(value) > limits.RowBytes {
@@ -90,14 +101,28 @@
 	}
 }
 
+// unsaved returns the items of which there is something to store, by the events
+// that are not stored, most first.
+func (j *ownedJob) unsaved(age time.Duration) []int {
+	var found []int
+	for i := range j.items {
+		if j.items[i].unsaved(age) {
+			found = append(found, i)
+		}
+	}
+	lost := func(i int) int { return len(j.items[i].text.events) - j.items[i].saved }
+	slices.SortStableFunc(found, func(a, b int) int { return cmp.Compare(lost(b), lost(a)) })
+	return found
+}
+
 // storeText writes stretches; losing one costs time only, so it is tried once.
-func (r *runner) storeText(ctx context.Context, job *ownedJob, stretches []stretch) {
+func (r *runner) storeText(ctx context.Context, job *ownedJob, stretches []stretch) bool {
 	var transaction rowstore.Transaction
 	for _, part := range stretches {
 		transaction.Puts = append(transaction.Puts, part.row)
 	}
 	if _, err := r.manager.config.Store.Commit(ctx, transaction); err != nil {
-		return
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -107,6 +132,7 @@
 			item.saved, item.savedWhole = part.upTo, part.whole
 		}
 	}
+	return true
 }
 
 // decodePartials returns the longest stored text of each item, by index.
--- /dev/null
+++ b/internal/batch/checkpoint_test.go
@@ -0,0 +1,54 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
+)
+
+// checkpointed returns a job of items that have made so many events each, run by a
+// runner over a store that takes few rows at once.
+func checkpointed(rows *rowstoretest.Store, made ...int) (*runner, *ownedJob) {
+	m := &Manager{config: Config{Store: rows, Limits: rowstore.Limits{RowBytes: 1 << 10, TransactionRows: 4}}}
+	r := newRunner(m)
+	job := &ownedJob{id: "job", ready: true, left: len(made), items: make([]itemState, len(made))}
+	for i, events := range made {
+		item := &job.items[i]
+		item.phase, item.firstStart = phaseRunning, time.Now().Add(-time.Hour)
+		for range events {
+			item.text.events, item.text.versions = append(item.text.events, []byte("e")), append(item.text.versions, 1)
+		}
+	}
+	r.jobs[job.id] = job
+	return r, job
+}
+
+func TestCheckpointStoresWhatCostsMostFirst(t *testing.T) {
+	r, job := checkpointed(rowstoretest.New(), 1, 9, 3, 0, 7)
+	var order []int
+	for _, part := range r.newText(job, 0) {
+		order = append(order, part.item)
+	}
+	if want := []int{1, 4, 2}; !slices.Equal(order, want) {
+		t.Errorf("items %v, want %v", order, want)
+	}
+}
+
+func TestCheckpointStoresAll(t *testing.T) {
+	rows := rowstoretest.New()
+	r, job := checkpointed(rows, 1, 9, 3, 0, 7, 2, 2, 5)
+	r.storeAll(context.Background(), job, r.newText(job, 0))
+	for i := range job.items {
+		if item := &job.items[i]; item.saved != len(item.text.events) {
+			t.Errorf("item %d: %d of %d events are stored", i, item.saved, len(item.text.events))
+		}
+	}
+	stored := decodePartials(rows.Rows(TablePartials))
+	if len(stored) != 7 || len(stored[1].events) != 9 {
+		t.Errorf("texts of %d items read again", len(stored))
+	}
+}
