presence: a row from before this process began proves nothing

Change: a node's row is proven once it was written after the start of the reader's process (by the store's revision). Jobs are placed on proven nodes; an unproven one is lapsed after 0.9 beats from the second own beat on in place of three.

Ruled out: taking unproven nodes out of the ranks at once: the first node to read the rows would take all jobs over.

--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -279,9 +279,11 @@
 	return demand
 }
 
-// placement returns the node that should own jobs of a pool.
+// placement returns the node that should own jobs of a pool. Nodes that nothing
+// but an old row speaks for are passed over: a job at one that is gone waits until
+// that is noticed.
 func (m *Manager) placement(pool string, now time.Time) presence.Node {
-	live := m.config.Presence.Live(now)
+	live := m.config.Presence.Proven(now)
 	if len(live) == 0 {
 		return m.self
 	}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -56,6 +56,10 @@
 	beatLeast = 600 * time.Millisecond
 	// lapseBeats is how many beats may be missed.
 	lapseBeats = 3
+	// unprovenBeats is the silence, in beats from the second one of this process on,
+	// after which a node is lapsed that has not beaten since the process began:
+	// nothing but an old row speaks for it.
+	unprovenBeats = 0.9
 	// forgetBeats is after how many beats a lapsed row is removed.
 	forgetBeats = 60
 )
@@ -65,6 +69,9 @@
 	revision int64
 	at       time.Time
 	lapsed   bool
+	// proven tells that the row was written since this process began: rows of nodes
+	// that went away before are still there when all nodes start anew.
+	proven bool
 }
 
 // Registry keeps this node's row and the view of all. It is safe for
@@ -79,14 +86,20 @@
 	self  Node
 	nodes map[string]*seen
 	kick  chan struct{}
+	// began is the store's revision when this process began.
+	began int64
 	// echoed is when the node last saw a beat of its own in the view; echoSince,
 	// since when it has seen them without a gap.
 	echoed, echoSince time.Time
 }
 
-// New returns a registry for the node itself.
-func New(log *eventlog.Log, store rowstore.Store, self Node, pacing rowstore.Pacing) *Registry {
-	registry := &Registry{store: store, pacing: pacing, log: log, self: self, nodes: make(map[string]*seen), kick: make(chan struct{}, 1)}
+// New returns a registry for the node itself, whose process began at a revision of
+// the store.
+func New(log *eventlog.Log, store rowstore.Store, self Node, began int64, pacing rowstore.Pacing) *Registry {
+	registry := &Registry{
+		store: store, pacing: pacing, log: log, self: self, began: began,
+		nodes: make(map[string]*seen), kick: make(chan struct{}, 1),
+	}
 	registry.view = rowstore.NewView(log, store, rowstore.ViewConfig{
 		Name:       "nodes",
 		Table:      Table,
@@ -139,7 +152,7 @@
 		return
 	}
 	if held == nil {
-		r.nodes[row.Key] = &seen{node: node, revision: row.Revision, at: now}
+		r.nodes[row.Key] = &seen{node: node, revision: row.Revision, at: now, proven: row.Revision > r.began}
 		if tell {
 			r.log.Info(eventlog.NodeSeen, eventlog.Fields{eventlog.Node: node.Name, "incarnation": node.Incarnation, "state": node.State})
 		}
@@ -151,7 +164,7 @@
 	if node.Name == r.self.Name {
 		r.noteEcho(now)
 	}
-	held.node, held.revision, held.at, held.lapsed = node, row.Revision, now, false
+	held.node, held.revision, held.at, held.lapsed, held.proven = node, row.Revision, now, false, true
 }
 
 // beat returns the time between two writes of the row in a system of a size.
@@ -300,7 +313,11 @@
 // isLapsed tells whether a node is lapsed; it stays so until its row changes,
 // also while the view does not follow the store. The lock is held.
 func (r *Registry) isLapsed(held *seen, now time.Time) bool {
-	if held.lapsed || r.quiet(held, now) <= r.lapse(len(r.nodes)) {
+	most := r.lapse(len(r.nodes))
+	if !held.proven {
+		most = time.Duration(unprovenBeats * float64(r.beat(len(r.nodes))))
+	}
+	if held.lapsed || r.quiet(held, now) <= most {
 		return held.lapsed
 	}
 	held.lapsed = true
@@ -329,6 +346,18 @@
 	return nodes
 }
 
+// Proven returns those of the live nodes that are certain to have been there since
+// this process began. The node itself is among them unless it is stopping.
+func (r *Registry) Proven(now time.Time) []Node {
+	live := r.Live(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(live, func(n Node) bool {
+		held := r.nodes[n.Name]
+		return n.Name != r.self.Name && (held == nil || !held.proven)
+	})
+}
+
 // Self returns the node's own row.
 func (r *Registry) Self() Node {
 	r.mu.Lock()
@@ -376,19 +405,19 @@
 }
 
 // Last returns the row that an earlier process of a node left, the zero Node if
-// there is none.
-func Last(ctx context.Context, store rowstore.Store, name string) (Node, error) {
+// there is none, and the store's revision.
+func Last(ctx context.Context, store rowstore.Store, name string) (Node, int64, error) {
 	snapshot, err := store.List(ctx, Table, rowstore.Shard(name), name, name+"\x00", 1)
 	if err != nil {
-		return Node{}, err
+		return Node{}, 0, err
 	}
 	for _, row := range snapshot.Rows {
 		var node Node
 		if row.Key == name && json.Unmarshal(row.Value, &node) == nil {
-			return node, nil
+			return node, snapshot.Revision, nil
 		}
 	}
-	return Node{}, nil
+	return Node{}, snapshot.Revision, nil
 }
 
 // Succeed returns self as the successor of an earlier process of the same node:
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -22,7 +22,11 @@
 
 func join(store *rowstoretest.Store, node Node) member {
 	log := eventlog.New(logrus.New(), io.Discard)
-	registry := New(log, store, node, rowstore.Pacing{Fresh: 2 * time.Second, Nodes: func() int { return 2 }})
+	_, began, err := Last(context.Background(), store, node.Name)
+	if err != nil {
+		panic(err)
+	}
+	registry := New(log, store, node, began, rowstore.Pacing{Fresh: 2 * time.Second, Nodes: func() int { return 2 }})
 	ctx, cancel := context.WithCancel(context.Background())
 	views, beats := make(chan struct{}), make(chan struct{})
 	go func() { defer close(views); registry.View().Run(ctx) }()
@@ -72,6 +76,42 @@
 	})
 }
 
+// TestOldRowsProveNothing starts a node beside the rows of one that is gone and of
+// one that goes on.
+func TestOldRowsProveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		gone, stays := join(store, testNode("gone", 1)), join(store, testNode("stays", 1))
+		defer stays.stop()
+		time.Sleep(2 * time.Second)
+		gone.stop()
+		later := join(store, testNode("later", 1))
+		defer later.stop()
+		time.Sleep(10 * time.Millisecond)
+		names := func(nodes []Node) string {
+			text := ""
+			for _, node := range nodes {
+				text += node.Name + " "
+			}
+			return text
+		}
+		if got := names(later.registry.Live(time.Now())); got != "gone later stays " {
+			t.Errorf("live at first: %s", got)
+		}
+		if got := names(later.registry.Proven(time.Now())); got != "later " {
+			t.Errorf("proven at first: %s", got)
+		}
+		time.Sleep(700 * time.Millisecond)
+		if got := names(later.registry.Proven(time.Now())); got != "later stays " {
+			t.Errorf("proven after a beat: %s", got)
+		}
+		time.Sleep(time.Second)
+		if got := names(later.registry.Live(time.Now())); got != "later stays " {
+			t.Errorf("live after %.1f beats: %s", unprovenBeats, got)
+		}
+	})
+}
+
 func TestNobodyLapsesWhileTheStoreIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := rowstoretest.New()
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -96,14 +96,14 @@
 // above those of all earlier processes of its name; New waits until the store
 // answers or ctx ends.
 func New(ctx context.Context, config Config) (*Node, error) {
-	last, err := lastSelf(ctx, config)
+	last, began, err := lastSelf(ctx, config)
 	if err != nil {
 		return nil, err
 	}
 	config.Self = presence.Succeed(config.Self, last, time.Now())
 	node := &Node{config: config}
 	pacing := rowstore.Pacing{Limits: config.Limits, Fresh: config.FreshMost, Nodes: func() int { return node.presence.Size() }}
-	node.presence = presence.New(config.Log, config.Store, config.Self, pacing)
+	node.presence = presence.New(config.Log, config.Store, config.Self, began, pacing)
 	node.fleet = fleet.New(node.kick)
 	node.client = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, OnDial: config.ObserveDial})
 	node.forwarder = forward.New(forward.Config{
@@ -133,15 +133,16 @@
 // startRetry is the pause between attempts to read the store at the start.
 const startRetry = 100 * time.Millisecond
 
-// lastSelf reads what an earlier process of this node left.
-func lastSelf(ctx context.Context, config Config) (presence.Node, error) {
+// lastSelf reads what an earlier process of this node left, and the store's
+// revision.
+func lastSelf(ctx context.Context, config Config) (presence.Node, int64, error) {
 	for {
-		last, err := presence.Last(ctx, config.Store, config.Self.Name)
+		last, revision, err := presence.Last(ctx, config.Store, config.Self.Name)
 		if err == nil {
-			return last, nil
+			return last, revision, nil
 		}
 		if !pause.For(ctx, startRetry) {
-			return presence.Node{}, ctx.Err()
+			return presence.Node{}, 0, ctx.Err()
 		}
 	}
 }
