--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -203,21 +203,23 @@
 		miss(s.count(eventlog.JobComplete, eventlog.JobEnded) == 0, "neither all results nor the job's end were seen")
 	case eventlog.Item:
 		miss(s.count(eventlog.ItemDone, eventlog.ItemDead) == 0, "the item neither completed nor died: its job ended first, or it waited")
+		failed := s.count(eventlog.ScoreFailed) > 0 && s.count(eventlog.ItemScored, eventlog.ItemDead) == 0
+		miss(failed, "the text is whole and no call brought its score: the job ended first, or the scoring service is at fault")
 	}
 	for _, line := range lines {
 		if line.Event == eventlog.LinesDropped {
-			s.Missing = append(s.Missing, fmt.Sprintf("%s dropped %s lines before %s", line.Node, line.text(eventlog.Count), line.Time.Format(clock)))
+			s.Missing = append(s.Missing, fmt.Sprintf("%s dropped %s lines before %s", line.Node, line.text(eventlog.Count), line.Time.Format(clockLayout)))
 		}
 	}
 }
 
-const clock = "15:04:05.000"
+const clockLayout = "15:04:05.000"
 
 // Write prints the story.
 func (s Story) Write(w io.Writer) error {
 	var out strings.Builder
 	if len(s.Own) > 0 {
-		fmt.Fprintf(&out, "%s %s, %d lines of its own from %s on\n", s.Kind, s.ID, len(s.Own), s.Own[0].Time.Format(clock))
+		fmt.Fprintf(&out, "%s %s, %d lines of its own from %s on\n", s.Kind, s.ID, len(s.Own), s.Own[0].Time.Format(clockLayout))
 	}
 	all := append(slices.Clone(s.Own), s.Around...)
 	sort.SliceStable(all, func(i, j int) bool { return all[i].Time.Before(all[j].Time) })
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -19,6 +19,12 @@
 					t.Fatal(err)
 				}
 				return ""
+			case "steps":
+				var out strings.Builder
+				if err := WriteSteps(&out, log.Steps()); err != nil {
+					t.Fatal(err)
+				}
+				return out.String()
 			case "explain":
 				var out strings.Builder
 				if err := log.Tell(data.CmdArgs[0].Key).Write(&out); err != nil {
