batch: results are held back for the group that makes the step whole

Hypothesis: a caller that waits for whole groups reads about twice a second; a read that is answered at once with a result of no use sends it away for half a second, and each commit wakes every node. So results wait up to 400 ms while fewer groups are whole than the caller wants.

--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/clock"
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/rowstore"
@@ -13,6 +14,9 @@
 const (
 	// groupCommit is how long results are gathered before they are committed.
 	groupCommit = 30 * time.Millisecond
+	// holdMost is how long results are held back for the rest of what their caller
+	// waits for. Callers read about twice a second.
+	holdMost clock.Millis = 400
 	// commitRetryFirst and commitRetryMost bound the pause after a commit that
 	// failed.
 	commitRetryFirst = 50 * time.Millisecond
@@ -28,12 +32,46 @@
 		case <-job.wake:
 		}
 		pause.For(job.ctx, groupCommit)
-		if !r.commitFinished(job.ctx, job) {
+		for outcome := commitDone; outcome != commitNothing; {
+			r.holdBack(job)
+			if outcome = r.commitOnce(job.ctx, job); outcome == commitLost {
+				return
+			}
+		}
+	}
+}
+
+// holdBack waits while what is finished may be held back, see holdLeft.
+func (r *runner) holdBack(job *ownedJob) {
+	for {
+		r.mu.Lock()
+		left := job.holdLeft(clock.Now())
+		r.mu.Unlock()
+		if left <= 0 {
 			return
 		}
+		timer := time.NewTimer(left.Duration())
+		select {
+		case <-job.ctx.Done():
+		case <-job.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
 }
 
+// holdLeft returns for how much longer the results that are not committed yet may
+// be held back. A caller that waits for a number of whole groups is not served by
+// single results: each answer that brings it some makes it come back only after a
+// while, and each commit wakes every node. So results wait for the group that
+// makes the step whole, but for no longer than holdMost.
+func (j *ownedJob) holdLeft(now clock.Millis) clock.Millis {
+	if len(j.finished) == 0 || j.left == 0 || j.ctx.Err() != nil || j.groups.reached() {
+		return 0
+	}
+	return j.finished[0].at + holdMost - now
+}
+
 // flush commits what is finished; it is called once no run is left.
 func (r *runner) flush(ctx context.Context, id string) {
 	r.mu.Lock()
@@ -44,25 +82,24 @@
 	}
 }
 
-// commitFinished commits all finished items; false means that the job is no
-// longer this node's.
-func (r *runner) commitFinished(ctx context.Context, job *ownedJob) bool {
+// commitFinished commits all finished items, until ctx ends.
+func (r *runner) commitFinished(ctx context.Context, job *ownedJob) {
+	for r.commitOnce(ctx, job) == commitDone {
+	}
+}
+
+// commitOnce makes one commit, once no other is under way.
+func (r *runner) commitOnce(ctx context.Context, job *ownedJob) commitOutcome {
 	select {
 	case job.committing <- struct{}{}:
 		defer func() { <-job.committing }()
 	case <-ctx.Done():
-		return false
-	}
-	for ctx.Err() == nil {
-		switch r.commit(ctx, job) {
-		case commitNothing:
-			return true
-		case commitLost:
-			return false
-		case commitDone:
-		}
+		return commitLost
+	}
+	if ctx.Err() != nil {
+		return commitLost
 	}
-	return false
+	return r.commit(ctx, job)
 }
 
 // proposal is what a commit would write: the results that go into it, the head
@@ -222,6 +259,7 @@
 type finishedItem struct {
 	result Result
 	value  []byte
+	at     clock.Millis
 }
 
 // encoded returns the result's encoding, made once.
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/clock"
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/routetable"
@@ -72,7 +73,8 @@
 	// it is no mutex, since who waits for it may have little time.
 	committing chan struct{}
 	// left counts items that are not finished.
-	left int
+	left   int
+	groups groups
 	// scoring are the items in phaseScoring, by index, the first one first.
 	scoring []int
 	// failures counts failed runs and calls; failuresStored, those that the head
@@ -269,12 +271,14 @@
 	r.mu.Lock()
 	job.spec, job.committed = spec, committed
 	job.items = make([]itemState, len(spec.Items))
+	job.groups = newGroups(spec)
 	reused := 0
 	for i := range spec.Items {
 		item := &job.items[i]
 		item.failures, item.score.failures = job.head.Failures[i], job.head.ScoreFailures[i]
 		if listed[spec.Items[i].ID] {
 			item.phase = phaseFinished
+			job.groups.finish(spec.Items[i].Group)
 			continue
 		}
 		job.left++
@@ -362,7 +366,8 @@
 		r.kept.put(result.ID, item.text)
 	}
 	item.text = text{}
-	job.finished = append(job.finished, finishedItem{result: result})
+	job.finished = append(job.finished, finishedItem{result: result, at: clock.Now()})
+	job.groups.finish(job.spec.Items[index].Group)
 	job.wakeCommit()
 }
 
