experiment: the hollow fleet and the simulation of a change's spread go

The users' bench plays 30, 100 and 300 machines with real processes; hollow nodes in one process and a model of gossip say nothing about the gateway, which has neither.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -15,10 +15,8 @@
 
 // experimentCommand groups the subcommands of experiment.
 type experimentCommand struct {
-	Run      experimentRunCommand      `command:"run" description:"play a scenario in virtual time and write results"`
-	Report   experimentReportCommand   `command:"report" description:"make a page of tables and plots from results"`
-	Capacity experimentCapacityCommand `command:"capacity" description:"measure what a node costs with hollow nodes, for docs/CAPACITY.md"`
-	Spread   experimentSpreadCommand   `command:"spread" description:"model how a configuration change spreads, for docs/design/configuration.md"`
+	Run    experimentRunCommand    `command:"run" description:"play a scenario in virtual time and write results"`
+	Report experimentReportCommand `command:"report" description:"make a page of tables and plots from results"`
 }
 
 type experimentRunCommand struct {
@@ -60,19 +58,12 @@
 		examples: []string{
 			"sliplift experiment run examples/experiments/hysbys.ini --results hysbys.jsonl",
 			"sliplift experiment report hysbys.jsonl noreste.jsonl --folder report",
-			"sliplift experiment capacity --nodes 10,30 --output json",
 		},
 		command: &experimentCommand{},
 	}
 }
 
 func (c *experimentCommand) run(ctx context.Context, env *Environment) error {
-	if c.Spread.active {
-		return c.Spread.run(env)
-	}
-	if c.Capacity.active {
-		return c.Capacity.run(ctx, env)
-	}
 	if c.Report.active {
 		return c.Report.run(env)
 	}
