relay: calls about batch jobs reach a node in touch with the store; opening reads less

Change: a node whose view of the jobs is not confirmed any more passes submissions, reads, ends and bodies on to another node, once, its own zone's first; what may have been done is never sent to a second one.

--- /dev/null
+++ b/internal/batch/open.go
@@ -0,0 +1,102 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+// stored is what the store holds of a job.
+type stored struct {
+	spec      *Spec
+	committed []Result
+	// texts are the longest stored texts of unfinished items, by index.
+	texts map[int]text
+}
+
+// read reads what the store holds of a job: specification and results side by
+// side, then the texts of items that are not listed.
+func (r *runner) read(job *ownedJob) (stored, error) {
+	var found stored
+	var specErr, resultErr error
+	var group sync.WaitGroup
+	group.Go(func() { found.spec, specErr = r.manager.loadSpec(job.ctx, job.id, job.head) })
+	begun := job.head.Epoch > 1 || job.head.Count > 0
+	if begun {
+		group.Go(func() { found.committed, resultErr = r.readCommitted(job) })
+	}
+	group.Wait()
+	if err := errors.Join(specErr, resultErr); err != nil || !begun {
+		return found, err
+	}
+	var err error
+	found.texts, err = r.readTexts(job, unlisted(found.spec, found.committed))
+	return found, err
+}
+
+func (r *runner) readCommitted(job *ownedJob) ([]Result, error) {
+	prefix := job.id + "/"
+	rows, _, err := rowstore.ListAll(job.ctx, r.manager.config.Store, TableResults, rowstore.Shard(job.id), prefix, rowstore.KeyEnd(prefix))
+	if err != nil {
+		return nil, err
+	}
+	committed, err := decodeResults(rows, 0)
+	if err == nil && len(committed) < job.head.Count {
+		err = rowstore.ErrStale
+	}
+	return committed, err
+}
+
+// unlisted returns the items that no result names, by index.
+func unlisted(spec *Spec, committed []Result) []int {
+	listed := make(map[string]bool, len(committed))
+	for _, result := range committed {
+		listed[result.ID] = true
+	}
+	var rest []int
+	for i := range spec.Items {
+		if !listed[spec.Items[i].ID] {
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
+
+// textLists is up to how many items texts are read item by item: those of items
+// that are listed stay in the store, and are most of what lies there when few
+// items are left.
+const textLists = 32
+
+// readTexts reads the stored texts of items.
+func (r *runner) readTexts(job *ownedJob, items []int) (map[int]text, error) {
+	if len(items) > textLists {
+		return r.readTextsUnder(job.ctx, job.id, job.id+"/")
+	}
+	found := make(map[int]text)
+	var mu sync.Mutex
+	var failed error
+	var group sync.WaitGroup
+	for _, item := range items {
+		group.Go(func() {
+			texts, err := r.readTextsUnder(job.ctx, job.id, fmt.Sprintf("%s/%08d/", job.id, item))
+			mu.Lock()
+			defer mu.Unlock()
+			failed = errors.Join(failed, err)
+			maps.Copy(found, texts)
+		})
+	}
+	group.Wait()
+	return found, failed
+}
+
+func (r *runner) readTextsUnder(ctx context.Context, job, prefix string) (map[int]text, error) {
+	rows, _, err := rowstore.ListAll(ctx, r.manager.config.Store, TablePartials, rowstore.Shard(job), prefix, rowstore.KeyEnd(prefix))
+	if err != nil {
+		return nil, err
+	}
+	return decodePartials(rows), nil
+}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -11,7 +11,6 @@
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/routetable"
-	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
 type phase int
@@ -222,9 +221,9 @@
 // load reads what the store holds of the job and starts it.
 func (r *runner) load(job *ownedJob) {
 	for job.ctx.Err() == nil {
-		spec, committed, partials, err := r.read(job)
+		found, err := r.read(job)
 		if err == nil {
-			r.start(job, spec, committed, partials)
+			r.start(job, found)
 			r.commitLoop(job)
 			return
 		}
@@ -233,36 +232,9 @@
 	}
 }
 
-func (r *runner) read(job *ownedJob) (*Spec, []Result, map[int]text, error) {
-	m := r.manager
-	spec, err := m.loadSpec(job.ctx, job.id, job.head)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	if job.head.Epoch == 1 && job.head.Count == 0 {
-		return spec, nil, nil, nil
-	}
-	prefix := job.id + "/"
-	rows, _, err := rowstore.ListAll(job.ctx, m.config.Store, TableResults, rowstore.Shard(job.id), prefix, rowstore.KeyEnd(prefix))
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	committed, err := decodeResults(rows, 0)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	if len(committed) < job.head.Count {
-		return nil, nil, nil, rowstore.ErrStale
-	}
-	rows, _, err = rowstore.ListAll(job.ctx, m.config.Store, TablePartials, rowstore.Shard(job.id), prefix, rowstore.KeyEnd(prefix))
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	return spec, committed, decodePartials(rows), nil
-}
-
 // start makes the items ready to run.
-func (r *runner) start(job *ownedJob, spec *Spec, committed []Result, partials map[int]text) {
+func (r *runner) start(job *ownedJob, found stored) {
+	spec, committed := found.spec, found.committed
 	listed := make(map[string]bool, len(committed))
 	for _, result := range committed {
 		listed[result.ID] = true
@@ -282,10 +254,8 @@
 			continue
 		}
 		job.left++
-		if partial, found := partials[i]; found {
-			item.text = partial
-		}
-		if kept, found := r.kept.take(spec.Items[i].ID); found && kept.longer(item.text) {
+		item.text = found.texts[i]
+		if kept, known := r.kept.take(spec.Items[i].ID); known && kept.longer(item.text) {
 			item.text = kept
 		}
 		if !item.text.fits(spec.MinVersion, singleVersion) {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -47,6 +47,7 @@
 	RequestLeft     = "request_left"
 	AttemptFailed   = "attempt_failed"
 	StreamResumed   = "stream_resumed"
+	CallRelayed     = "call_relayed"
 
 	JobAccepted  = "job_accepted"
 	JobRefused   = "job_refused"
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,117 @@
+// Package relay passes calls about batch jobs on to another node while the node
+// that got them is out of touch with the store: the store may turn single nodes
+// away, or a partition may do so, while it serves the others, and callers choose
+// their node by chance.
+//
+// Live requests are not relayed: a node serves them with what it knows. A call is
+// relayed once at most; the node that gets it answers as well as it can. What may
+// have been done is never sent to a second node: its outcome is unknown, as that
+// of any call without an answer.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/upstream"
+)
+
+// Config configures a Relay.
+type Config struct {
+	Client *upstream.Client
+	// Peers returns the other nodes that calls may be relayed to.
+	Peers func() []presence.Node
+	// InTouch tells whether this node is in touch with the store.
+	InTouch func() bool
+	Log     *eventlog.Log
+	Zone    string
+}
+
+// Relay passes calls on. It is safe for concurrent use.
+type Relay struct {
+	config Config
+	turn   atomic.Uint64
+}
+
+// New returns a relay.
+func New(config Config) *Relay { return &Relay{config: config} }
+
+// Needed tells whether calls should be relayed.
+func (r *Relay) Needed() bool { return !r.config.InTouch() }
+
+const (
+	// triesMost is the number of nodes that one call is sent to.
+	triesMost = 2
+	// quickRefusal is within which time a refusal tells that the node refuses at
+	// once, so that another may be asked.
+	quickRefusal = 300 * time.Millisecond
+)
+
+// Pass sends the call to another node and returns its answer, whose body must be
+// closed. The error is an *upstream.Error; its fate NotSent means that no node got
+// the call.
+func (r *Relay) Pass(ctx context.Context, call *upstream.Call) (*upstream.Answer, error) {
+	failure := &upstream.Error{Fate: upstream.NotSent, Cause: errNoPeer}
+	var refusal *upstream.Answer
+	for _, peer := range r.choose() {
+		started := time.Now()
+		attempt := *call
+		attempt.Address = peer.Address
+		answer, err := r.config.Client.Do(ctx, &attempt)
+		if err != nil {
+			r.note(call, peer, err.Error())
+			if fate := upstream.FateOf(err); fate != upstream.NotSent {
+				return nil, err
+			}
+			continue
+		}
+		if refusal != nil {
+			_ = refusal.Body.Close()
+			refusal = nil
+		}
+		if answer.Status != http.StatusServiceUnavailable || time.Since(started) > quickRefusal {
+			r.note(call, peer, "")
+			return answer, nil
+		}
+		refusal = answer
+	}
+	if refusal != nil {
+		return refusal, nil
+	}
+	return nil, failure
+}
+
+// choose returns the nodes to try, those of the own zone first, by turns.
+func (r *Relay) choose() []presence.Node {
+	return order(r.config.Peers(), r.config.Zone, int(r.turn.Add(1)))
+}
+
+// order returns triesMost of the peers at most, those of a zone first, beginning at
+// another one with each turn. It is pure.
+func order(peers []presence.Node, zone string, turn int) []presence.Node {
+	var near, far []presence.Node
+	for i := range peers {
+		peer := peers[(i+turn)%len(peers)]
+		if peer.Zone == zone {
+			near = append(near, peer)
+			continue
+		}
+		far = append(far, peer)
+	}
+	all := append(near, far...)
+	return all[:min(len(all), triesMost)]
+}
+
+func (r *Relay) note(call *upstream.Call, peer presence.Node, cause string) {
+	fields := eventlog.Fields{eventlog.Request: call.ID, "method": call.Method, "target": call.Target, "to": peer.Name}
+	if cause == "" {
+		r.config.Log.Info(eventlog.CallRelayed, fields)
+		return
+	}
+	fields[eventlog.Cause] = cause
+	r.config.Log.Warn(eventlog.CallRelayed, fields)
+}
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/sliplift/sliplift/internal/forward"
 	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/relay"
 	"github.com/sliplift/sliplift/internal/reload"
 	"github.com/sliplift/sliplift/internal/routetable"
 	"github.com/sliplift/sliplift/internal/rowstore"
@@ -76,10 +78,12 @@
 // Node is a running node. It is safe for concurrent use.
 type Node struct {
 	config     Config
+	pacing     rowstore.Pacing
 	presence   *presence.Registry
 	fleet      *fleet.Fleet
 	client     *upstream.Client
 	forwarder  *forward.Forwarder
+	relay      *relay.Relay
 	jobs       *batch.Manager
 	controller *reload.Controller
 	operator   *rowstore.View
@@ -103,6 +107,7 @@
 	config.Self = presence.Succeed(config.Self, last, time.Now())
 	node := &Node{config: config}
 	pacing := rowstore.Pacing{Limits: config.Limits, Fresh: config.FreshMost, Nodes: func() int { return node.presence.Size() }}
+	node.pacing = pacing
 	node.presence = presence.New(config.Log, config.Store, config.Self, began, pacing)
 	node.fleet = fleet.New(node.kick)
 	node.client = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, OnDial: config.ObserveDial})
@@ -115,6 +120,10 @@
 		Log: config.Log, Zone: config.Self.Zone, Routes: node.table.Load, VersionField: config.VersionField,
 		Pacing: pacing, Keep: config.KeepJobs,
 	})
+	node.relay = relay.New(relay.Config{
+		Client: upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, DialTimeout: relayDial}),
+		Peers:  node.peers, InTouch: node.inTouch, Log: config.Log, Zone: config.Self.Zone,
+	})
 	node.controller = reload.NewController(reload.Config{
 		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
 		Log: config.Log, Timing: reload.Timing{Settle: config.SettleTime}, Pacing: pacing, Mode: reload.ModeRetain,
@@ -130,6 +139,27 @@
 	return node, nil
 }
 
+// relayDial bounds a connection to another node.
+const relayDial = 300 * time.Millisecond
+
+// peers returns the other nodes.
+func (n *Node) peers() []presence.Node {
+	return slices.DeleteFunc(n.presence.Proven(time.Now()), func(p presence.Node) bool { return p.Name == n.config.Self.Name })
+}
+
+// touchSlack is added to the time that a watch may stay open.
+const touchSlack = 500 * time.Millisecond
+
+// inTouch tells whether the node follows what becomes of the batch jobs.
+func (n *Node) inTouch() bool {
+	status := n.jobs.View().Status()
+	return status.Healthy && status.Age(time.Now()) < n.pacing.IdleWait()+n.pacing.BusyPace()+touchSlack
+}
+
+// Relay returns what passes calls about batch jobs on while the node is out of touch
+// with the store.
+func (n *Node) Relay() *relay.Relay { return n.relay }
+
 // startRetry is the pause between attempts to read the store at the start.
 const startRetry = 100 * time.Millisecond
 
