--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -8,6 +8,7 @@
 	"github.com/sliplift/sliplift/internal/clock"
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/pause"
+	"github.com/sliplift/sliplift/internal/routetable"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
@@ -45,7 +46,7 @@
 func (r *runner) holdBack(job *ownedJob) {
 	for {
 		r.mu.Lock()
-		left := job.holdLeft(clock.Now())
+		left := job.holdLeft(r.route(job.spec), time.Now())
 		r.mu.Unlock()
 		if left <= 0 {
 			return
@@ -64,12 +65,17 @@
 // be held back. A caller that waits for a number of whole groups is not served by
 // single results: each answer that brings it some makes it come back only after a
 // while, and each commit wakes every node. So results wait for the group that
-// makes the step whole, but for no longer than holdMost.
-func (j *ownedJob) holdLeft(now clock.Millis) clock.Millis {
+// makes the step whole, but for no longer than holdMost, and not once they are
+// nearly due.
+func (j *ownedJob) holdLeft(route *routetable.Route, now time.Time) clock.Millis {
 	if len(j.finished) == 0 || j.left == 0 || j.ctx.Err() != nil || j.groups.reached() {
 		return 0
 	}
-	return j.finished[0].at + holdMost - now
+	left := j.finished[0].at + holdMost - clock.At(now)
+	if route != nil && route.ResultDue > 0 {
+		left = min(left, clock.Of(route.ResultDue-j.head.age(now))-holdMost)
+	}
+	return left
 }
 
 // flush commits what is finished; it is called once no run is left.
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -46,6 +46,9 @@
 	Resumable bool
 	// SingleVersion demands one weight version for all of a sample.
 	SingleVersion bool
+	// ResultDue is the time from a batch job's submission by which its results are
+	// due, 0 if none is.
+	ResultDue time.Duration
 	// MaxQueue is the time after which an item of a batch job may be given up.
 	MaxQueue time.Duration
 }
