batch: in the tail of a step results are held for up to 2 s

Cause (a trial that logged each read): the caller reads on a grid of half a second. A read that finds nothing is held, and brings the last group the moment it is listed.

Change: while little is missing (30 in 100 of the groups wanted) results are held for up to 2 s, not beyond the time they are due, and not more than half a page of text. Groups that were in an earlier job are all waited for, as the caller does.

--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -16,8 +16,11 @@
 	// groupCommit is how long results are gathered before they are committed.
 	groupCommit = 30 * time.Millisecond
 	// holdMost is how long results are held back for the rest of what their caller
-	// waits for. Callers read about twice a second.
+	// waits for, and holdTail, while little of that is missing.
 	holdMost clock.Millis = 400
+	holdTail clock.Millis = 2000
+	// holdBytes is how much text is held back at most: half of what one read brings.
+	holdBytes = pageBytes / 2
 	// commitRetryFirst and commitRetryMost bound the pause after a commit that
 	// failed.
 	commitRetryFirst = 50 * time.Millisecond
@@ -62,22 +65,36 @@
 }
 
 // holdLeft returns for how much longer the results that are not committed yet may
-// be held back. A caller that waits for a number of whole groups is not served by
-// single results: each answer that brings it some makes it come back only after a
-// while, and each commit wakes every node. So results wait for the group that
-// makes the step whole, but for no longer than holdMost, and not once they are
-// nearly due.
+// be held back. A caller that waits for a number of whole groups reads about twice
+// a second. A read that finds nothing new is held until there is, and brings the
+// result that makes the step whole at once; one that is answered with results of no
+// use sends the caller away for half a second. And each commit wakes every node.
+// So results wait for the group that makes the step whole, for holdMost, or for
+// holdTail while little is missing, but not beyond the time at which they are due.
 func (j *ownedJob) holdLeft(route *routetable.Route, now time.Time) clock.Millis {
-	if len(j.finished) == 0 || j.left == 0 || j.ctx.Err() != nil || j.groups.reached() {
+	if len(j.finished) == 0 || j.left == 0 || j.ctx.Err() != nil || j.groups.reached() || j.heldBytes() > holdBytes {
 		return 0
 	}
-	left := j.finished[0].at + holdMost - clock.At(now)
+	most := holdMost
+	if j.groups.near() {
+		most = holdTail
+	}
+	left := j.finished[0].at + most - clock.At(now)
 	if route != nil && route.ResultDue > 0 {
-		left = min(left, clock.Of(route.ResultDue-j.head.age(now))-holdMost)
+		left = min(left, clock.Of(route.ResultDue-j.head.age(now)))
 	}
 	return left
 }
 
+// heldBytes returns how much text is not committed yet.
+func (j *ownedJob) heldBytes() int {
+	size := 0
+	for i := range j.finished {
+		size += len(j.finished[i].result.Text)
+	}
+	return size
+}
+
 // flush commits what is finished; it is called once no run is left.
 func (r *runner) flush(ctx context.Context, id string) {
 	r.mu.Lock()
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -255,7 +255,11 @@
 		}
 		job.left++
 		item.text = found.texts[i]
-		if kept, known := r.kept.take(spec.Items[i].ID); known && kept.longer(item.text) {
+		kept, known := r.kept.take(spec.Items[i].ID)
+		if known {
+			job.groups.carry(spec.Items[i].Group)
+		}
+		if known && kept.longer(item.text) {
 			item.text = kept
 		}
 		if !item.text.fits(spec.MinVersion, singleVersion) {
