rowstore: the silence of a single partition is noticed too

Change: Recall keeps the silence of the store and of each partition apart; probes go to the partition that is silent; while all is silent there is one prober.

--- a/internal/rowstore/recall.go
+++ b/internal/rowstore/recall.go
@@ -11,25 +11,34 @@
 )
 
 // Recall is a Store that notices when a store which has been silent answers again,
-// and ends the calls that were sent into the silence, so that their callers try
-// again at once rather than when their limits have run out.
+// whole or in one partition, and ends the calls that were sent into the silence, so
+// that their callers try again at once rather than when their limits have run out.
 //
 // A call is suspect once it has waited for longer than an answer takes. If nothing
-// was answered meanwhile, a small read probes the store until one is. An answered
-// probe shows that the store is back: calls that began before it, and since the
-// last answer before the silence, are ended with ErrUnknown; a List is sent again.
+// was answered meanwhile, by the store or for the call's partition, small reads
+// probe it until one is. The first answer shows that it is back: calls that began
+// before, and since the last answer before the silence, are ended with ErrUnknown;
+// a List is sent again.
 type Recall struct {
 	store Store
 
 	mu sync.Mutex
-	// answered is when the last answer came; calls are those under way.
+	// whole is the silence of the store, parts that of each partition.
+	whole silence
+	parts map[string]*silence
+	calls map[*pendingCall]struct{}
+}
+
+// silence is what is known of a store, or of a part of it, that may not answer.
+type silence struct {
+	// answered is when the last answer came.
 	answered clock.Millis
-	calls    map[*pendingCall]struct{}
-	// silent tells that the store is taken to be silent; probing, that it is probed.
+	// silent tells that it is taken to be silent; probing, that it is probed.
 	silent, probing bool
 }
 
 type pendingCall struct {
+	part   string
 	began  clock.Millis
 	cancel context.CancelCauseFunc
 }
@@ -49,13 +58,16 @@
 
 // NewRecall returns a Recall over store.
 func NewRecall(store Store) *Recall {
-	return &Recall{store: store, answered: clock.Now(), calls: make(map[*pendingCall]struct{})}
+	return &Recall{
+		store: store, whole: silence{answered: clock.Now()}, parts: make(map[string]*silence),
+		calls: make(map[*pendingCall]struct{}),
+	}
 }
 
 // Commit implements Store.
 func (r *Recall) Commit(ctx context.Context, transaction Transaction) (int64, error) {
 	var revision int64
-	err := r.call(ctx, 0, func(ctx context.Context) (err error) {
+	err := r.call(ctx, transaction.partition(), 0, func(ctx context.Context) (err error) {
 		revision, err = r.store.Commit(ctx, transaction)
 		return err
 	})
@@ -69,9 +81,9 @@
 		snapshot, err = r.store.List(ctx, table, partition, from, to, limit)
 		return err
 	}
-	err := r.call(ctx, 0, list)
+	err := r.call(ctx, partition, 0, list)
 	if errors.Is(err, errRecalled) {
-		err = r.call(ctx, 0, list)
+		err = r.call(ctx, partition, 0, list)
 	}
 	return snapshot, err
 }
@@ -79,28 +91,31 @@
 // Watch implements Store.
 func (r *Recall) Watch(ctx context.Context, table string, after int64, wait time.Duration) (Snapshot, error) {
 	var snapshot Snapshot
-	err := r.call(ctx, clock.Of(wait), func(ctx context.Context) (err error) {
+	err := r.call(ctx, "", clock.Of(wait), func(ctx context.Context) (err error) {
 		snapshot, err = r.store.Watch(ctx, table, after, wait)
 		return err
 	})
 	return snapshot, err
 }
 
-// call makes a call that may rightly take wait.
-func (r *Recall) call(ctx context.Context, wait clock.Millis, do func(context.Context) error) error {
+// call makes a call to a partition that may rightly take wait.
+func (r *Recall) call(ctx context.Context, part string, wait clock.Millis, do func(context.Context) error) error {
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c := &pendingCall{began: clock.Now(), cancel: cancel}
+	c := &pendingCall{part: part, began: clock.Now(), cancel: cancel}
 	r.mu.Lock()
+	if r.parts[part] == nil {
+		r.parts[part] = &silence{}
+	}
 	r.calls[c] = struct{}{}
 	r.mu.Unlock()
-	suspect := time.AfterFunc((wait + suspectAfter).Duration(), r.suspect)
+	suspect := time.AfterFunc((wait + suspectAfter).Duration(), func() { r.suspect(part) })
 	err := do(bounded)
 	suspect.Stop()
 	r.mu.Lock()
 	delete(r.calls, c)
 	if answers(err) {
-		r.note(c.began)
+		r.note(part, c.began)
 	}
 	r.mu.Unlock()
 	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(bounded), errRecalled) {
@@ -115,46 +130,55 @@
 	return err == nil || errors.As(err, &conflict) || errors.Is(err, ErrCompacted)
 }
 
-// note takes the answer to a call that began at a moment. If the store was silent,
-// it is back: calls that were sent before, and not before the silence, are ended.
-// The lock is held.
-func (r *Recall) note(began clock.Millis) {
-	if r.silent {
-		for c := range r.calls {
-			if c.began >= r.answered && c.began < began {
-				c.cancel(errRecalled)
-			}
+// note takes the answer to a call to a partition that began at a moment. If there
+// was silence, it is over. The lock is held.
+func (r *Recall) note(part string, began clock.Millis) {
+	for c := range r.calls {
+		ended := r.whole.endedBy(c, began) || c.part == part && r.parts[part].endedBy(c, began)
+		if ended {
+			c.cancel(errRecalled)
 		}
 	}
-	r.silent = false
-	r.answered = clock.Now()
+	now := clock.Now()
+	r.whole.silent, r.whole.answered = false, now
+	r.parts[part].silent, r.parts[part].answered = false, now
 }
 
-// suspect begins to probe if the store has been silent.
-func (r *Recall) suspect() {
+// endedBy tells whether a call was sent into a silence that the answer to one which
+// began at a moment has ended.
+func (s *silence) endedBy(c *pendingCall, began clock.Millis) bool {
+	return s.silent && c.began >= s.answered && c.began < began
+}
+
+// suspect begins to probe if there is silence.
+func (r *Recall) suspect(part string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.silent || clock.Now()-r.answered < silenceLeast {
+	for _, s := range []*silence{&r.whole, r.parts[part]} {
+		if s.silent || clock.Now()-s.answered < silenceLeast {
+			continue
+		}
+		s.silent = true
+		if !s.probing {
+			s.probing = true
+			go r.probe(s, part)
+		}
+		// While all is silent, one probe is enough.
 		return
 	}
-	r.silent = true
-	if !r.probing {
-		r.probing = true
-		go r.probe()
-	}
 }
 
 // probeTable is the table that probes read; it need not exist.
 const probeTable = "probe"
 
-// probe reads until the store answers, or nobody waits for it any more.
-func (r *Recall) probe() {
+// probe reads a partition until it answers, or nobody waits for it any more.
+func (r *Recall) probe(s *silence, part string) {
 	for {
 		began := clock.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), probeEvery.Duration())
-		_, err := r.store.List(ctx, probeTable, "", "", "", 1)
+		_, err := r.store.List(ctx, probeTable, part, "", "", 1)
 		cancel()
-		if r.probed(began, err) {
+		if r.probed(s, part, began, err) {
 			return
 		}
 		time.Sleep((probeEvery - (clock.Now() - began)).Duration())
@@ -162,15 +186,26 @@
 }
 
 // probed takes the outcome of a probe and tells whether it was the last.
-func (r *Recall) probed(began clock.Millis, err error) bool {
+func (r *Recall) probed(s *silence, part string, began clock.Millis, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if answers(err) {
-		r.note(began)
+		r.note(part, began)
+	}
+	if !r.waitsFor(s, part) {
+		s.silent = false
 	}
-	if len(r.calls) == 0 {
-		r.silent = false
+	s.probing = s.silent
+	return !s.probing
+}
+
+// waitsFor tells whether a call is under way that a silence may hold up. The lock is
+// held.
+func (r *Recall) waitsFor(s *silence, part string) bool {
+	for c := range r.calls {
+		if s == &r.whole || c.part == part {
+			return true
+		}
 	}
-	r.probing = r.silent
-	return !r.probing
+	return false
 }
--- a/internal/rowstore/recall_test.go
+++ b/internal/rowstore/recall_test.go
@@ -55,6 +55,35 @@
 	}
 }
 
+// TestCallsToASilentPartitionEndWhenItIsBack lets one partition be silent while the
+// others answer.
+func TestCallsToASilentPartitionEndWhenItIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := rowstoretest.New()
+		store := rowstore.NewRecall(rows)
+		put := func(partition string) error {
+			_, err := store.Commit(context.Background(), rowstore.Transaction{Puts: []rowstore.Row{{RowID: rowstore.RowID{Table: "t", Partition: partition}}}})
+			return err
+		}
+		rows.SetFaults(rowstoretest.Faults{Silent: true, Partition: "p", Limit: 10 * time.Second})
+		began := time.Now()
+		ended := make(chan error)
+		go func() { ended <- put("p") }()
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			if err := put("q"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		rows.SetFaults(rowstoretest.Faults{})
+		err := <-ended
+		if took := time.Since(began); took > 3500*time.Millisecond || !errors.Is(err, rowstore.ErrUnknown) {
+			t.Errorf("ended after %s with %v, want an unknown outcome within 3.5 s", took, err)
+		}
+		synctest.Wait()
+	})
+}
+
 // TestSlowCallsAreLeftAlone lets a call take long while others are answered.
 func TestSlowCallsAreLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -80,6 +80,20 @@
 // conditions, puts and deletes.
 func (t Transaction) Entries() int { return len(t.Conditions) + len(t.Puts) + len(t.Deletes) }
 
+// partition returns the partition that the transaction touches.
+func (t Transaction) partition() string {
+	switch {
+	case len(t.Conditions) > 0:
+		return t.Conditions[0].Partition
+	case len(t.Puts) > 0:
+		return t.Puts[0].Partition
+	case len(t.Deletes) > 0:
+		return t.Deletes[0].Partition
+	default:
+		return ""
+	}
+}
+
 // Snapshot is the answer to a read. Revision is the newest of the store.
 type Snapshot struct {
 	Rows     []Row
--- a/internal/rowstore/rowstoretest/store.go
+++ b/internal/rowstore/rowstoretest/store.go
@@ -29,6 +29,8 @@
 	Behind int64
 	// Slow makes every call take so much longer.
 	Slow time.Duration
+	// Partition, if it is set, is the one that the faults are of; watches go on.
+	Partition string
 	// Limit is how long a call without an answer takes to fail.
 	Limit time.Duration
 }
@@ -105,10 +107,14 @@
 	return rows
 }
 
-func (s *Store) snapshotFaults() Faults {
+// snapshotFaults returns the faults of a call to a partition.
+func (s *Store) snapshotFaults(partition string) Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	faults := s.faults
+	if faults.Partition != "" && faults.Partition != partition {
+		faults = Faults{}
+	}
 	if faults.Limit == 0 {
 		faults.Limit = defaultLimit
 	}
@@ -140,7 +146,7 @@
 
 // Commit implements rowstore.Store.
 func (s *Store) Commit(ctx context.Context, transaction rowstore.Transaction) (int64, error) {
-	faults := s.snapshotFaults()
+	faults := s.snapshotFaults(partitionOf(transaction))
 	switch {
 	case ctx.Err() != nil:
 		return 0, fmt.Errorf("%w: %w", rowstore.ErrUnknown, ctx.Err())
@@ -161,6 +167,17 @@
 	return revision, err
 }
 
+// partitionOf returns the partition of a transaction's first entry.
+func partitionOf(transaction rowstore.Transaction) string {
+	for _, put := range transaction.Puts {
+		return put.Partition
+	}
+	for _, id := range transaction.Deletes {
+		return id.Partition
+	}
+	return ""
+}
+
 func (s *Store) commit(transaction rowstore.Transaction) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -258,7 +275,7 @@
 
 // List implements rowstore.Store.
 func (s *Store) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
-	faults := s.snapshotFaults()
+	faults := s.snapshotFaults(partition)
 	if faults.Refuse {
 		return rowstore.Snapshot{}, rowstore.ErrRefused
 	}
@@ -292,7 +309,7 @@
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
-		faults := s.snapshotFaults()
+		faults := s.snapshotFaults("")
 		if faults.Refuse {
 			return rowstore.Snapshot{}, rowstore.ErrRefused
 		}
