--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -18,9 +18,8 @@
 	// ran is for how long the item has been running.
 	ran time.Duration
 	// short items are among those that their step does not wait for: they leave the
-	// fastest back ends, whose pace is best, to others.
+	// fastest back ends to others.
 	short bool
-	best  time.Duration
 }
 
 // moveRatio returns how many times slower than the best its back end must be
@@ -92,27 +91,17 @@
 	if backend.ID == want.avoid {
 		cost *= 1 + avoidSlowdown
 	}
-	if want.short && leisurely(backend, want.best) && float64(pace(backend, typical, now)) <= moveRatio*float64(typical) {
+	if want.short && leisurely(pace(backend, typical, now), typical) {
 		cost *= leisurelyBonus
 	}
 	return cost
 }
 
-// leisurely tells whether a back end is slower than the best by itself, and not by
-// its load.
-func leisurely(b *fleet.Backend, best time.Duration) bool {
-	return float64(b.BestPace) > moveRatioLong*float64(best)
-}
-
-// leastBest returns the best pace of the fastest back end, 0 if none is known.
-func leastBest(pool []fleet.Backend) time.Duration {
-	least := time.Duration(0)
-	for i := range pool {
-		if best := pool[i].BestPace; best > 0 && (least == 0 || best < least) {
-			least = best
-		}
-	}
-	return least
+// leisurely tells whether a pace is slower than the best, yet not so slow that
+// items are better not begun there.
+func leisurely(pace, typical time.Duration) bool {
+	ratio := float64(pace) / float64(typical)
+	return ratio > moveRatioLong && ratio <= moveRatio
 }
 
 func pace(backend *fleet.Backend, typical time.Duration, now time.Time) time.Duration {
--- a/internal/batch/place_test.go
+++ b/internal/batch/place_test.go
@@ -18,13 +18,6 @@
 	return b
 }
 
-// slower sets the pace and the best pace of a back end, in ms.
-func slower(pace, best int) func(*fleet.Backend) {
-	return func(b *fleet.Backend) {
-		b.Pace, b.BestPace = time.Duration(pace)*time.Millisecond, time.Duration(best)*time.Millisecond
-	}
-}
-
 func TestPickBackend(t *testing.T) {
 	want := need{model: "m", minVersion: 3, zone: "z"}
 	cases := []struct {
@@ -48,10 +41,8 @@
 		{"changes weights of another model", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.LoadingModel = "other" })}, want, "a"},
 		{"own zone first", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Zone = "y" }), backend("b", nil)}, want, "b"},
 		{"avoided only if there is another", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.InFlight = 3 })}, need{model: "m", zone: "z", avoid: "a"}, "b"},
-		{"short items leave the fastest to others", []fleet.Backend{backend("a", nil), backend("b", slower(52, 52))}, need{model: "m", zone: "z", short: true, best: 40 * time.Millisecond}, "b"},
-		{"others do not", []fleet.Backend{backend("a", nil), backend("b", slower(52, 52))}, want, "a"},
-		{"what is slower by its load alone is no better", []fleet.Backend{backend("a", nil), backend("b", slower(52, 40))}, need{model: "m", zone: "z", short: true, best: 40 * time.Millisecond}, "a"},
-		{"short items shun slow ones too", []fleet.Backend{backend("a", nil), backend("b", slower(120, 120))}, need{model: "m", zone: "z", short: true, best: 40 * time.Millisecond}, "a"},
+		{"short items leave the fastest to others", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 52 * time.Millisecond })}, need{model: "m", zone: "z", short: true}, "b"},
+		{"short items shun slow ones too", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond })}, need{model: "m", zone: "z", short: true}, "a"},
 		{"avoided but alone", []fleet.Backend{backend("a", nil)}, need{model: "m", avoid: "a"}, "a"},
 	}
 	for _, test := range cases {
--- a/internal/batch/schedule.go
+++ b/internal/batch/schedule.go
@@ -98,8 +98,6 @@
 	// pace at which moving is worth while.
 	typical time.Duration
 	uneven  bool
-	// best is the best pace of the fastest back end.
-	best time.Duration
 	// full holds the needs that no back end has room for; passed counts the items
 	// that were left waiting in this round.
 	full   map[need]bool
@@ -123,7 +121,6 @@
 	}
 	found = &pool{backends: p.fleet.Service(service, p.now), full: make(map[need]bool)}
 	found.typical = typicalPace(found.backends, p.now)
-	found.best = leastBest(found.backends)
 	for i := range found.backends {
 		b := &found.backends[i]
 		if b.InFlight > 0 && float64(b.Pace) > moveRatioLong*float64(found.typical) && p.now.Sub(b.PaceAt) <= paceFresh {
@@ -148,9 +145,7 @@
 	item := &c.job.items[c.index]
 	want := r.needOf(c)
 	want.avoid = item.avoid
-	if item.short && len(item.text.events) == 0 {
-		want.short, want.best = true, pool.best
-	}
+	want.short = item.short && len(item.text.events) == 0
 	if pool.full[want] {
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,8 +43,6 @@
 	Latency time.Duration
 	Pace    time.Duration
 	PaceAt  time.Time
-	// BestPace is the least pace of late: what the back end does with little to do.
-	BestPace time.Duration
 	// Failures counts failures in a row; until SuspendedUntil it gets no work
 	// unless there is no other.
 	Failures       int
@@ -316,9 +314,7 @@
 // ObservePace records the time between two events of a stream.
 func (f *Fleet) ObservePace(id string, gap time.Duration, now time.Time) {
 	f.with(id, func(c *Condition) {
-		since := now.Sub(c.PaceAt)
-		c.Pace = paceAverage(c.Pace, gap, since)
-		c.BestPace = bestPace(c.BestPace, c.Pace, since)
+		c.Pace = paceAverage(c.Pace, gap, now.Sub(c.PaceAt))
 		c.PaceAt = now
 		c.Failures = 0
 	})
@@ -345,17 +341,6 @@
 	return old + time.Duration(weight*float64(gap-old))
 }
 
-// bestMemory is the time in which a best pace comes near the present one.
-const bestMemory = 10 * time.Second
-
-// bestPace returns the least pace of late after a pace was measured.
-func bestPace(best, pace, since time.Duration) time.Duration {
-	if best == 0 || pace < best {
-		return pace
-	}
-	return best + time.Duration(min(float64(since)/float64(bestMemory), 1)*float64(pace-best))
-}
-
 // paceLeast is the least weight of a measurement.
 const paceLeast = 0.005
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -154,21 +154,3 @@
 		fleet.Service("s", now)
 	}
 }
-
-func TestBestPaceFollowsSlowly(t *testing.T) {
-	const ms = time.Millisecond
-	for _, test := range []struct {
-		name              string
-		best, pace, since time.Duration
-		want              time.Duration
-	}{
-		{"first", 0, 50 * ms, time.Second, 50 * ms},
-		{"better", 50 * ms, 40 * ms, ms, 40 * ms},
-		{"worse for a moment", 40 * ms, 60 * ms, 100 * ms, 40*ms + 200*time.Microsecond},
-		{"worse for long", 40 * ms, 60 * ms, time.Minute, 60 * ms},
-	} {
-		if got := bestPace(test.best, test.pace, test.since); got != test.want {
-			t.Errorf("%s: %s, want %s", test.name, got, test.want)
-		}
-	}
-}
