--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -97,8 +97,10 @@
 	return cost
 }
 
-// leisurely tells whether a pace is slower than the best, yet not so slow that
-// items are better not begun there.
+// leisurely tells whether a pace is slower than the best, by the back end itself or
+// by what runs there, yet not so slow that items are better not begun there. Short
+// items gather at such back ends and leave those with little to do to long ones,
+// whose pace decides how long a step lasts.
 func leisurely(pace, typical time.Duration) bool {
 	ratio := float64(pace) / float64(typical)
 	return ratio > moveRatioLong && ratio <= moveRatio
