--- a/internal/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaymetrics/gatewaymetrics.go
@@ -78,6 +78,7 @@
 	gauge("registry_age_seconds", "Time since the store last confirmed the registry of back ends.", func() float64 { return node.RegistryAge().Seconds() })
 	gauge("jobs_owned", "Batch jobs that this node runs.", func() float64 { jobs, _ := node.Jobs().Work(); return float64(jobs) })
 	gauge("items_running", "Items of batch jobs that run at back ends.", func() float64 { _, items := node.Jobs().Work(); return float64(items) })
+	gauge("texts_waiting", "Whole texts of batch jobs that wait for their score.", func() float64 { return float64(node.Jobs().WaitingForScore()) })
 	gauge("backends_suspended", "Back ends that this node leaves alone for a while.", func() float64 { return float64(node.Suspended()) })
 	gauge("lease_held", "1 while this node gives orders to back ends.", func() float64 {
 		if _, held := node.Holder(); held {
