--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -82,6 +82,7 @@
 	presence   *presence.Registry
 	fleet      *fleet.Fleet
 	client     *upstream.Client
+	peerClient *upstream.Client
 	forwarder  *forward.Forwarder
 	relay      *relay.Relay
 	jobs       *batch.Manager
@@ -120,9 +121,9 @@
 		Log: config.Log, Zone: config.Self.Zone, Routes: node.table.Load, VersionField: config.VersionField,
 		Pacing: pacing, Keep: config.KeepJobs,
 	})
+	node.peerClient = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, DialTimeout: relayDial})
 	node.relay = relay.New(relay.Config{
-		Client: upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, DialTimeout: relayDial}),
-		Peers:  node.peers, InTouch: node.inTouch, Log: config.Log, Zone: config.Self.Zone,
+		Client: node.peerClient, Peers: node.peers, InTouch: node.inTouch, Log: config.Log, Zone: config.Self.Zone,
 	})
 	node.controller = reload.NewController(reload.Config{
 		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
@@ -216,6 +217,7 @@
 
 // sweep closes connections that are no longer of use.
 func (n *Node) sweep() {
+	n.peerClient.Sweep(func(string, string) bool { return true })
 	now := time.Now()
 	n.client.Sweep(func(_, instance string) bool {
 		backend, found := n.fleet.Get(instance, now)
