rowstore: a view that failed goes on where it was

Change: a watch that failed is sent again from the revision that the view has; the table is read whole only if the history is gone or the answer is behind. The first watch after a failure does not wait, so that the view is confirmed at once.

--- a/internal/rowstore/view.go
+++ b/internal/rowstore/view.go
@@ -15,6 +15,8 @@
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
+	// recoverWait is how long a watch stays open that follows a failure.
+	recoverWait = 20 * time.Millisecond
 	// listPage is the number of rows asked for in one read.
 	listPage = 500
 )
@@ -83,13 +85,13 @@
 // Run keeps the view up to date until ctx ends.
 func (v *View) Run(ctx context.Context) {
 	retry := retryFirst
-	reload := true
+	reload, failed := true, false
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := v.step(ctx, reload)
+		err := v.step(ctx, reload, failed)
 		if err == nil {
 			v.confirm(started, reload)
-			reload = false
+			reload, failed = false, false
 			retry = retryFirst
 			if v.config.Pace != nil {
 				pause.For(ctx, v.config.Pace()-time.Since(started))
@@ -100,7 +102,9 @@
 			return
 		}
 		v.lose(err)
-		reload = true
+		failed = true
+		// What a failed watch missed is still in the history, unless that is gone.
+		reload = reload || errors.Is(err, ErrCompacted) || errors.Is(err, ErrStale)
 		if !errors.Is(err, ErrCompacted) {
 			pause.For(ctx, retry)
 			retry = min(2*retry, retryMost)
@@ -108,11 +112,17 @@
 	}
 }
 
-func (v *View) step(ctx context.Context, reload bool) error {
+// step reads the table whole or what has changed. After a failure it does not wait
+// for changes, so that the view is confirmed as soon as the store answers.
+func (v *View) step(ctx context.Context, reload, failed bool) error {
 	if reload {
 		return v.list(ctx)
 	}
-	snapshot, err := v.store.Watch(ctx, v.config.Table, v.at(), v.config.Wait())
+	wait := v.config.Wait()
+	if failed {
+		wait = min(wait, recoverWait)
+	}
+	snapshot, err := v.store.Watch(ctx, v.config.Table, v.at(), wait)
 	if err != nil {
 		return err
 	}
--- a/internal/rowstore/view_test.go
+++ b/internal/rowstore/view_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,6 +134,55 @@
 	})
 }
 
+// countingStore counts the reads of whole tables.
+type countingStore struct {
+	*rowstoretest.Store
+	lists atomic.Int64
+}
+
+func (s *countingStore) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
+	s.lists.Add(1)
+	return s.Store.List(ctx, table, partition, from, to, limit)
+}
+
+// TestViewGoesOnWhereItWasAfterAFailure lets the store fail for a while: with many
+// nodes, reading all tables anew is more than a store that has just come back takes.
+func TestViewGoesOnWhereItWasAfterAFailure(t *testing.T) {
+	for _, fault := range []rowstoretest.Faults{{Refuse: true}, {Silent: true, Limit: time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &countingStore{Store: rowstoretest.New()}
+			seen := &mirror{rows: make(map[string]string)}
+			view := rowstore.NewView(nil, rowstore.NewGuard(store), rowstore.ViewConfig{
+				Name: "t", Table: "t", Partitions: []string{"", "p"}, Wait: func() time.Duration { return time.Second }, Apply: seen.apply,
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				view.Run(ctx)
+			}()
+			store.Put("t", "", "a", []byte("1"))
+			time.Sleep(2 * time.Second)
+			before := store.lists.Load()
+			store.SetFaults(fault)
+			time.Sleep(3 * time.Second)
+			store.Delete("t", "", "a")
+			store.Put("t", "p", "b", []byte("2"))
+			store.SetFaults(rowstoretest.Faults{})
+			time.Sleep(1500 * time.Millisecond)
+			expect(t, seen, "b=2")
+			if lists := store.lists.Load() - before; lists != 0 {
+				t.Errorf("%d reads of whole partitions after a failure", lists)
+			}
+			if status := view.Status(); !status.Healthy {
+				t.Error("the view is not confirmed")
+			}
+			cancel()
+			<-done
+		})
+	}
+}
+
 func TestViewNeverGoesBack(t *testing.T) {
 	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, seen *mirror) {
 		store.Put("t", "", "a", []byte("1"))
