batch, rowstore, relay: what stood twice stands once; one pace a round

Found by reading the whole change again: the least pace of a pool was worked out for each item that is placed, though the round holds it (pickBackend takes it now); the ids that results name were gathered twice at opening (listedIDs); the load that an answer reports was taken in two ways (Manager.observeLoad); the store for tests had a wait and a partition of its own beside pause.For and Transaction.Partition; a view's test set up what viewTest does; an error of one line had a file. Behaviour as before; the tests keep their assertions, TestPickBackend hands the pace in.

--- a/internal/batch/open.go
+++ b/internal/batch/open.go
@@ -51,12 +51,18 @@
 	return committed, err
 }
 
-// unlisted returns the items that no result names, by index.
-func unlisted(spec *Spec, committed []Result) []int {
-	listed := make(map[string]bool, len(committed))
-	for _, result := range committed {
+// listedIDs returns the ids of the items that results name.
+func listedIDs(results []Result) map[string]bool {
+	listed := make(map[string]bool, len(results))
+	for _, result := range results {
 		listed[result.ID] = true
 	}
+	return listed
+}
+
+// unlisted returns the items that no result names, by index.
+func unlisted(spec *Spec, committed []Result) []int {
+	listed := listedIDs(committed)
 	var rest []int
 	for i := range spec.Items {
 		if !listed[spec.Items[i].ID] {
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -46,11 +46,10 @@
 )
 
 // pickBackend returns the index of the back end that is expected to run the
-// item fastest and has room, or -1. It is pure.
-func pickBackend(pool []fleet.Backend, want need, now time.Time) int {
+// item fastest and has room, or -1; typical is the pool's typicalPace. It is pure.
+func pickBackend(pool []fleet.Backend, want need, typical time.Duration, now time.Time) int {
 	best := -1
 	var bestCost float64
-	typical := typicalPace(pool, now)
 	for i := range pool {
 		if !suits(&pool[i], want, now) {
 			continue
--- a/internal/batch/place_test.go
+++ b/internal/batch/place_test.go
@@ -47,7 +47,7 @@
 	}
 	for _, test := range cases {
 		got := ""
-		if index := pickBackend(test.pool, test.want, placeNow); index >= 0 {
+		if index := pickBackend(test.pool, test.want, typicalPace(test.pool, placeNow), placeNow); index >= 0 {
 			got = test.pool[index].ID
 		}
 		if got != test.pick {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -111,9 +111,7 @@
 		return err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if answer.Meta.HasLoad {
-		m.config.Fleet.ObserveLoad(r.backend.ID, answer.Meta.Running, answer.Meta.Waiting, time.Now())
-	}
+	m.observeLoad(r.backend.ID, answer.Meta)
 	switch {
 	case answer.Status == http.StatusUnprocessableEntity:
 		return errUndoable
@@ -125,6 +123,13 @@
 	return r.read(answer, after, watch)
 }
 
+// observeLoad takes the load that an answer of a back end reports.
+func (m *Manager) observeLoad(backend string, meta upstream.Meta) {
+	if meta.HasLoad {
+		m.config.Fleet.ObserveLoad(backend, meta.Running, meta.Waiting, time.Now())
+	}
+}
+
 // read takes events until the stream's end.
 func (r *run) read(answer *upstream.Answer, after int, watch *watchdog) error {
 	reader := eventstream.NewReader(answer.Body, r.runner.manager.config.VersionField)
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -237,10 +237,7 @@
 // start makes the items ready to run.
 func (r *runner) start(job *ownedJob, found stored) {
 	spec, committed := found.spec, found.committed
-	listed := make(map[string]bool, len(committed))
-	for _, result := range committed {
-		listed[result.ID] = true
-	}
+	listed := listedIDs(committed)
 	singleVersion := r.singleVersion(spec)
 	r.mu.Lock()
 	job.spec, job.committed = spec, committed
--- a/internal/batch/schedule.go
+++ b/internal/batch/schedule.go
@@ -149,7 +149,7 @@
 	if pool.full[want] {
 		return
 	}
-	place := pickBackend(pool.backends, want, p.now)
+	place := pickBackend(pool.backends, want, pool.typical, p.now)
 	if place < 0 {
 		pool.full[want] = true
 		return
--- a/internal/batch/scorecall.go
+++ b/internal/batch/scorecall.go
@@ -94,10 +94,7 @@
 		return fateOfCall(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	now := time.Now()
-	if answer.Meta.HasLoad {
-		m.config.Fleet.ObserveLoad(c.backend.ID, answer.Meta.Running, answer.Meta.Waiting, now)
-	}
+	m.observeLoad(c.backend.ID, answer.Meta)
 	size, err := io.Copy(io.Discard, io.LimitReader(answer.Body, scoreAnswerMost))
 	if err == nil && size >= scoreAnswerMost {
 		err = upstream.ErrTruncated
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,9 @@
 	quickRefusal = 300 * time.Millisecond
 )
 
+// errNoPeer says that no other node could be reached.
+var errNoPeer = errors.New("relay: no other node")
+
 // Pass sends the call to another node and returns its answer, whose body must be
 // closed. The error is an *upstream.Error; its fate NotSent means that no node got
 // the call.
--- a/internal/rowstore/recall.go
+++ b/internal/rowstore/recall.go
@@ -67,7 +67,7 @@
 // Commit implements Store.
 func (r *Recall) Commit(ctx context.Context, transaction Transaction) (int64, error) {
 	var revision int64
-	err := r.call(ctx, transaction.partition(), 0, func(ctx context.Context) (err error) {
+	err := r.call(ctx, transaction.Partition(), 0, func(ctx context.Context) (err error) {
 		revision, err = r.store.Commit(ctx, transaction)
 		return err
 	})
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -80,8 +80,8 @@
 // conditions, puts and deletes.
 func (t Transaction) Entries() int { return len(t.Conditions) + len(t.Puts) + len(t.Deletes) }
 
-// partition returns the partition that the transaction touches.
-func (t Transaction) partition() string {
+// Partition returns the partition that the transaction touches.
+func (t Transaction) Partition() string {
 	switch {
 	case len(t.Conditions) > 0:
 		return t.Conditions[0].Partition
--- a/internal/rowstore/rowstoretest/store.go
+++ b/internal/rowstore/rowstoretest/store.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
@@ -121,18 +122,6 @@
 	return faults
 }
 
-// wait returns false if ctx ends first.
-func wait(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // silence waits for the limit of a call that gets no answer.
 func silence(ctx context.Context, faults Faults) error {
 	timer := time.NewTimer(faults.Limit)
@@ -146,7 +135,7 @@
 
 // Commit implements rowstore.Store.
 func (s *Store) Commit(ctx context.Context, transaction rowstore.Transaction) (int64, error) {
-	faults := s.snapshotFaults(partitionOf(transaction))
+	faults := s.snapshotFaults(transaction.Partition())
 	switch {
 	case ctx.Err() != nil:
 		return 0, fmt.Errorf("%w: %w", rowstore.ErrUnknown, ctx.Err())
@@ -154,7 +143,7 @@
 		return 0, rowstore.ErrRefused
 	case faults.Silent:
 		return 0, silence(ctx, faults)
-	case faults.Slow > 0 && !wait(ctx, faults.Slow):
+	case faults.Slow > 0 && !pause.For(ctx, faults.Slow):
 		return 0, fmt.Errorf("%w: %w", rowstore.ErrUnknown, ctx.Err())
 	case faults.Late > 0:
 		time.AfterFunc(faults.Late, func() { _, _ = s.commit(transaction) })
@@ -167,17 +156,6 @@
 	return revision, err
 }
 
-// partitionOf returns the partition of a transaction's first entry.
-func partitionOf(transaction rowstore.Transaction) string {
-	for _, put := range transaction.Puts {
-		return put.Partition
-	}
-	for _, id := range transaction.Deletes {
-		return id.Partition
-	}
-	return ""
-}
-
 func (s *Store) commit(transaction rowstore.Transaction) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -282,7 +260,7 @@
 	if faults.Silent || ctx.Err() != nil {
 		return rowstore.Snapshot{}, silence(ctx, faults)
 	}
-	if faults.Slow > 0 && !wait(ctx, faults.Slow) {
+	if faults.Slow > 0 && !pause.For(ctx, faults.Slow) {
 		return rowstore.Snapshot{}, fmt.Errorf("%w: %w", rowstore.ErrUnknown, ctx.Err())
 	}
 	s.mu.Lock()
--- a/internal/rowstore/view_test.go
+++ b/internal/rowstore/view_test.go
@@ -48,9 +48,9 @@
 }
 
 // viewTest runs a view of table t in virtual time.
-func viewTest(t *testing.T, check func(store *rowstoretest.Store, view *rowstore.View, seen *mirror)) {
+func viewTest(t *testing.T, check func(store *countingStore, view *rowstore.View, seen *mirror)) {
 	synctest.Test(t, func(t *testing.T) {
-		store := rowstoretest.New()
+		store := &countingStore{Store: rowstoretest.New()}
 		seen := &mirror{rows: make(map[string]string)}
 		view := rowstore.NewView(nil, rowstore.NewGuard(store), rowstore.ViewConfig{
 			Name: "t", Table: "t", Partitions: []string{"", "p"}, Wait: func() time.Duration { return time.Second }, Apply: seen.apply,
@@ -67,6 +67,17 @@
 	})
 }
 
+// countingStore counts the reads of whole tables.
+type countingStore struct {
+	*rowstoretest.Store
+	lists atomic.Int64
+}
+
+func (s *countingStore) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
+	s.lists.Add(1)
+	return s.Store.List(ctx, table, partition, from, to, limit)
+}
+
 func expect(t *testing.T, seen *mirror, want string) {
 	t.Helper()
 	if got := seen.String(); got != want {
@@ -75,7 +86,7 @@
 }
 
 func TestViewFollowsChanges(t *testing.T) {
-	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, seen *mirror) {
+	viewTest(t, func(store *countingStore, view *rowstore.View, seen *mirror) {
 		store.Put("t", "", "a", []byte("1"))
 		store.Put("t", "p", "b", []byte("2"))
 		store.Put("other", "", "c", []byte("3"))
@@ -92,7 +103,7 @@
 }
 
 func TestViewIsFreshWhileNothingChanges(t *testing.T) {
-	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, _ *mirror) {
+	viewTest(t, func(store *countingStore, view *rowstore.View, _ *mirror) {
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
 			if age := view.Status().Age(time.Now()); age > 1100*time.Millisecond {
@@ -103,7 +114,7 @@
 }
 
 func TestViewKnowsThatItIsOld(t *testing.T) {
-	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, _ *mirror) {
+	viewTest(t, func(store *countingStore, view *rowstore.View, _ *mirror) {
 		time.Sleep(time.Second)
 		store.SetFaults(rowstoretest.Faults{Silent: true})
 		time.Sleep(10 * time.Second)
@@ -120,7 +131,7 @@
 }
 
 func TestViewReadsWholeTableAfterCompaction(t *testing.T) {
-	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, seen *mirror) {
+	viewTest(t, func(store *countingStore, view *rowstore.View, seen *mirror) {
 		store.Put("t", "", "a", []byte("1"))
 		time.Sleep(100 * time.Millisecond)
 		store.SetFaults(rowstoretest.Faults{Refuse: true})
@@ -134,33 +145,11 @@
 	})
 }
 
-// countingStore counts the reads of whole tables.
-type countingStore struct {
-	*rowstoretest.Store
-	lists atomic.Int64
-}
-
-func (s *countingStore) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
-	s.lists.Add(1)
-	return s.Store.List(ctx, table, partition, from, to, limit)
-}
-
 // TestViewGoesOnWhereItWasAfterAFailure lets the store fail for a while: with many
 // nodes, reading all tables anew is more than a store that has just come back takes.
 func TestViewGoesOnWhereItWasAfterAFailure(t *testing.T) {
 	for _, fault := range []rowstoretest.Faults{{Refuse: true}, {Silent: true, Limit: time.Second}} {
-		synctest.Test(t, func(t *testing.T) {
-			store := &countingStore{Store: rowstoretest.New()}
-			seen := &mirror{rows: make(map[string]string)}
-			view := rowstore.NewView(nil, rowstore.NewGuard(store), rowstore.ViewConfig{
-				Name: "t", Table: "t", Partitions: []string{"", "p"}, Wait: func() time.Duration { return time.Second }, Apply: seen.apply,
-			})
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				view.Run(ctx)
-			}()
+		viewTest(t, func(store *countingStore, view *rowstore.View, seen *mirror) {
 			store.Put("t", "", "a", []byte("1"))
 			time.Sleep(2 * time.Second)
 			before := store.lists.Load()
@@ -177,14 +166,12 @@
 			if status := view.Status(); !status.Healthy {
 				t.Error("the view is not confirmed")
 			}
-			cancel()
-			<-done
 		})
 	}
 }
 
 func TestViewNeverGoesBack(t *testing.T) {
-	viewTest(t, func(store *rowstoretest.Store, view *rowstore.View, seen *mirror) {
+	viewTest(t, func(store *countingStore, view *rowstore.View, seen *mirror) {
 		store.Put("t", "", "a", []byte("1"))
 		store.Put("t", "", "a", []byte("2"))
 		time.Sleep(100 * time.Millisecond)
