batch: pace is measured over several events, results wait for the end that is near

The best pace counted as typical, and every long item followed it: up to five runs an item, 38 moves in one step, each of which costs some 0.1 s. (2) A caller that is answered with results of no use reads again half a second later. Ten items of 182 events end within 50 ms at the end of a step and are more text than may be held back, so that a part was committed just before the rest: the step ended 0.7 to 0.95 s after its last text.

Ruled out: processor time of small nodes as the reason of the late ends. Sending callers to nodes with more of a core was tried in a trial and taken back: calls about batch jobs go to any node whatever the directory says, and the ends stayed as late.

Change: a pace is the mean over four to eight gaps; typical is the lower quartile of the known paces, and an item is moved only if its own back end is slow beside that. The longest item of each model is learnt; once no item can go on for more than 2 s, results wait for that end, and go earlier only if one read could not bring all and the caller has the time to come back. A head says when a transaction could not hold all that was finished, and a read waits up to 0.3 s for the rest. Results that are so late that reading them sooner earns nothing are held back again. Commits that are under way when their job is complete are no longer told as uncertain. Reads are told in the log.

--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -19,6 +19,14 @@
 	// waits for, and holdTail, while little of that is missing.
 	holdMost clock.Millis = 400
 	holdTail clock.Millis = 2000
+	// holdSlack is added to the time at which the last item should end at the latest.
+	holdSlack clock.Millis = 200
+	// readEvery is within which time a caller that was answered reads again: half a
+	// second, and what the read and a commit take.
+	readEvery clock.Millis = 650
+	// dueGrace is by how much a result may be late and still count as read in time by
+	// its caller, as the users' rules have it.
+	dueGrace clock.Millis = 700
 	// holdBytes is how much text is held back at most: half of what one read brings.
 	holdBytes = pageBytes / 2
 	// commitRetryFirst and commitRetryMost bound the pause after a commit that
@@ -49,7 +57,7 @@
 func (r *runner) holdBack(job *ownedJob) {
 	for {
 		r.mu.Lock()
-		left := job.holdLeft(r.route(job.spec), time.Now())
+		left := job.holdLeft(r.route(job.spec), &r.lengths, time.Now())
 		r.mu.Unlock()
 		if left <= 0 {
 			return
@@ -71,21 +79,81 @@
 // use sends the caller away for half a second. And each commit wakes every node.
 // So results wait for the group that makes the step whole, for holdMost, or for
 // holdTail while little is missing, but not beyond the time at which they are due.
-func (j *ownedJob) holdLeft(route *routetable.Route, now time.Time) clock.Millis {
-	if len(j.finished) == 0 || j.left == 0 || j.ctx.Err() != nil || j.groups.reached() || j.heldBytes() > holdBytes {
+// Once even the longest item will end within holdTail, they wait for that end, see
+// holdToEnd.
+func (j *ownedJob) holdLeft(route *routetable.Route, known *lengths, now time.Time) clock.Millis {
+	if len(j.finished) == 0 || j.left == 0 || j.ctx.Err() != nil || j.groups.reached() {
+		return 0
+	}
+	left := j.dueLeft(route, now)
+	if end, sure := j.endWithin(known); sure && end <= holdTail {
+		return min(left, j.holdToEnd(end, now))
+	}
+	if j.heldBytes() > holdBytes {
 		return 0
 	}
 	most := holdMost
 	if j.groups.near() {
 		most = holdTail
 	}
-	left := j.finished[0].at + most - clock.At(now)
-	if route != nil && route.ResultDue > 0 {
-		left = min(left, clock.Of(route.ResultDue-j.head.age(now)))
+	return min(left, j.finished[0].at+most-clock.At(now))
+}
+
+// holdToEnd returns for how much longer results are held back that all items will
+// have joined by end. A commit shortly before that would send the caller away just
+// then; where one read could not bring all, what there is goes while the caller has
+// the time to come back.
+func (j *ownedJob) holdToEnd(end clock.Millis, now time.Time) clock.Millis {
+	held := j.heldBytes()
+	if held > pageBytes || end > readEvery && held+j.runningBytes() > pageBytes {
+		return 0
+	}
+	return min(end+holdSlack, j.finished[0].at+holdTail+holdMost-clock.At(now))
+}
+
+// dueLeft returns how long it is until results are due. Once they are so late that
+// no result earns more for being read early, they may be held back again.
+func (j *ownedJob) dueLeft(route *routetable.Route, now time.Time) clock.Millis {
+	if route == nil || route.ResultDue == 0 {
+		return holdTail + holdMost
+	}
+	left := clock.Of(route.ResultDue - j.head.age(now))
+	if left < -dueGrace {
+		return holdTail + holdMost
 	}
 	return left
 }
 
+// runningBytes returns how much text the items that are not finished have so far.
+func (j *ownedJob) runningBytes() int {
+	size := 0
+	for i := range j.items {
+		for _, event := range j.items[i].text.events {
+			size += len(event)
+		}
+	}
+	return size
+}
+
+// endWithin returns within which time all items will have ended, and whether that is
+// known: all run, and how long they can be at most has been seen. The runner's lock
+// is held.
+func (j *ownedJob) endWithin(known *lengths) (clock.Millis, bool) {
+	most, running := time.Duration(0), false
+	for i := range j.items {
+		item := &j.items[i]
+		if item.phase == phaseFinished || item.phase == phaseScoring {
+			continue
+		}
+		left, sure := known.longestLeft(j.spec.Model, len(item.text.events))
+		if !sure || item.phase != phaseRunning {
+			return 0, false
+		}
+		most, running = max(most, left), true
+	}
+	return clock.Of(most), running
+}
+
 // heldBytes returns how much text is not committed yet.
 func (j *ownedJob) heldBytes() int {
 	size := 0
@@ -170,6 +238,7 @@
 		p.head.Count++
 		p.transaction.Puts = append(p.transaction.Puts, rows...)
 	}
+	p.head.More = p.results < len(job.finished)
 	p.head.Failures, p.head.ScoreFailures = failures(job)
 	p.transaction.Puts = append(p.transaction.Puts, rowstore.Row{RowID: headID(job.id), Value: encode(p.head)})
 	return p
@@ -229,7 +298,8 @@
 			r.noteSettled(job, attempt, started)
 			return r.settleConflict(job, conflict)
 		}
-		if attempt == 1 {
+		// A job that is closed meanwhile has all its results listed, or another owner.
+		if attempt == 1 && ctx.Err() == nil {
 			r.manager.config.Log.Warn(eventlog.CommitUncertain, eventlog.Fields{
 				eventlog.Job: job.id, eventlog.Epoch: p.head.Epoch, eventlog.Count: p.results,
 				eventlog.Cause: err.Error(), "outcome": rowstore.Outcome(err),
--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -105,9 +105,12 @@
 	Pool  string `json:"pool"`
 	Model string `json:"model,omitempty"`
 	// Work is the tokens expected to come out of all items.
-	Work  int    `json:"work,omitempty"`
-	Total int    `json:"total"`
-	Count int    `json:"count"`
+	Work  int `json:"work,omitempty"`
+	Total int `json:"total"`
+	Count int `json:"count"`
+	// More tells that a transaction could not hold all results that were finished: the
+	// next commit follows at once.
+	More  bool   `json:"more,omitempty"`
 	Nonce string `json:"nonce"`
 	Parts int    `json:"parts"`
 	// SubmittedMillis is the accepting node's time of day, Unix milliseconds.
--- a/internal/batch/groups_test.go
+++ b/internal/batch/groups_test.go
@@ -36,13 +36,60 @@
 		{"soon due", ownedJob{left: 3, head: submitted(6900 * time.Millisecond), groups: few, finished: finished(0)}, due, 100},
 		{"little is missing", ownedJob{left: 3, groups: groups{wanted: 10, whole: 8}, finished: finished(500)}, nil, holdTail - 500},
 		{"carried groups are missing", ownedJob{left: 3, groups: groups{wanted: 2, whole: 2, carriedLeft: 1}, finished: finished(0)}, nil, holdTail},
+		{"due for long", ownedJob{left: 3, head: submitted(9 * time.Second), groups: few, finished: finished(100)}, due, holdMost - 100},
+		{"just past due", ownedJob{left: 3, head: submitted(7100 * time.Millisecond), groups: few, finished: finished(0)}, due, -100},
 		{"much text", ownedJob{left: 3, groups: few, finished: []finishedItem{{at: moment, result: Result{Text: strings.Repeat(".", holdBytes+1)}}}}, nil, 0},
 	}
 	for _, test := range cases {
 		if test.job.ctx == nil {
 			test.job.ctx = context.Background()
 		}
-		if got := test.job.holdLeft(test.route, now); got != test.want && got != test.want-1 {
+		if got := test.job.holdLeft(test.route, &lengths{}, now); got != test.want && got != test.want-1 {
+			t.Errorf("%s: %d ms, want %d", test.name, got, test.want)
+		}
+	}
+}
+
+// TestResultsWaitForTheEndThatIsNear: results that end shortly before the last item
+// wait for it, though many groups are missing, and others do not.
+func TestResultsWaitForTheEndThatIsNear(t *testing.T) {
+	now := time.Now()
+	spec := &Spec{Model: "m"}
+	var known lengths
+	for range 10 {
+		known.observe("m", 100, 100, 4*time.Second)
+	}
+	running := func(events int) itemState {
+		return itemState{phase: phaseRunning, text: text{events: make([][]byte, events)}}
+	}
+	long := func(events int) itemState {
+		item := running(events)
+		item.text.events[0] = make([]byte, pageBytes+1)
+		return item
+	}
+	due := &routetable.Route{ResultDue: 7 * time.Second}
+	cases := []struct {
+		name  string
+		items []itemState
+		known *lengths
+		age   time.Duration
+		want  clock.Millis
+	}{
+		{"the longest has 25 events to go", []itemState{{phase: phaseFinished}, running(90), running(75)}, &known, 0, 1000 + holdSlack},
+		{"longer than any known", []itemState{running(120)}, &known, 0, holdMost - 300},
+		{"the longest has long to go", []itemState{running(90), running(20)}, &known, 0, holdMost - 300},
+		{"one waits for a slot", []itemState{running(90), {phase: phaseWaiting}}, &known, 0, holdMost - 300},
+		{"nothing is known of the model", []itemState{running(90)}, &lengths{}, 0, holdMost - 300},
+		{"more than one read brings, with time to come back", []itemState{long(75)}, &known, 0, 0},
+		{"more than one read brings, too late", []itemState{long(85)}, &known, 0, 600 + holdSlack},
+		{"due before that", []itemState{running(75)}, &known, 6500 * time.Millisecond, 500},
+	}
+	for _, test := range cases {
+		job := ownedJob{
+			left: 3, ctx: context.Background(), spec: spec, items: test.items, groups: groups{wanted: 9, whole: 1},
+			finished: []finishedItem{{at: clock.At(now) - 300}}, head: Head{SubmittedMillis: now.Add(-test.age).UnixMilli()},
+		}
+		if got := job.holdLeft(due, test.known, now); got < test.want-2 || got > test.want {
 			t.Errorf("%s: %d ms, want %d", test.name, got, test.want)
 		}
 	}
--- a/internal/batch/move.go
+++ b/internal/batch/move.go
@@ -36,7 +36,7 @@
 	}
 	moving := want
 	moving.ran = p.now.Sub(item.firstStart)
-	target := moveTarget(pool.backends, item.backend, moving, p.now)
+	target := moveTarget(pool.backends, item.backend, moving, pool.typical, p.now)
 	if target < 0 {
 		return
 	}
@@ -53,8 +53,10 @@
 }
 
 // moveTarget returns the index of a back end that is so much faster than the
-// one that runs an item that moving it is worth while, or -1. It is pure.
-func moveTarget(pool []fleet.Backend, current string, want need, now time.Time) int {
+// one that runs an item that moving it is worth while, or -1. The one that runs it
+// must be slow beside the typical pace of the pool too: against the best alone,
+// items would follow each wrong measurement. It is pure.
+func moveTarget(pool []fleet.Backend, current string, want need, typical time.Duration, now time.Time) int {
 	var from *fleet.Backend
 	for i := range pool {
 		if pool[i].ID == current {
@@ -64,6 +66,9 @@
 	if from == nil || from.Pace == 0 || now.Sub(from.PaceAt) > paceFresh {
 		return -1
 	}
+	if float64(from.Pace) < want.moveRatio()*float64(typical) {
+		return -1
+	}
 	best := -1
 	for i := range pool {
 		b := &pool[i]
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -33,8 +33,6 @@
 }
 
 const (
-	// usualPace stands for a pace that nothing is known of.
-	usualPace = 40 * time.Millisecond
 	// loadSlowdown is how much slower a full back end is taken to be.
 	loadSlowdown = 0.15
 	// zoneSlowdown is what another zone costs, as a share of the pace.
@@ -104,29 +102,3 @@
 	ratio := float64(pace) / float64(typical)
 	return ratio > moveRatioLong && ratio <= moveRatio
 }
-
-func pace(backend *fleet.Backend, typical time.Duration, now time.Time) time.Duration {
-	if backend.Pace == 0 || now.Sub(backend.PaceAt) > paceMemory {
-		return typical
-	}
-	return backend.Pace
-}
-
-// paceMemory is how long a measured pace counts when choosing a back end.
-const paceMemory = 8 * time.Second
-
-// typicalPace returns the least pace that is known: a back end that nothing is
-// known of gets a chance.
-func typicalPace(pool []fleet.Backend, now time.Time) time.Duration {
-	least := time.Duration(0)
-	for i := range pool {
-		backend := &pool[i]
-		if backend.Pace > 0 && now.Sub(backend.PaceAt) <= paceMemory && (least == 0 || backend.Pace < least) {
-			least = backend.Pace
-		}
-	}
-	if least == 0 {
-		return usualPace
-	}
-	return least
-}
--- a/internal/batch/place_test.go
+++ b/internal/batch/place_test.go
@@ -59,11 +59,11 @@
 func TestLongRunsAreMovedForLess(t *testing.T) {
 	pool := []fleet.Backend{backend("slow", func(b *fleet.Backend) { b.Pace = 52 * time.Millisecond }), backend("fast", nil)}
 	want := need{model: "m", minVersion: 3}
-	if got := moveTarget(pool, "slow", want, placeNow); got >= 0 {
+	if got := moveTarget(pool, "slow", want, typicalPace(pool, placeNow), placeNow); got >= 0 {
 		t.Error("a short run was moved for a third")
 	}
 	want.ran = longRun + time.Second
-	if got := moveTarget(pool, "slow", want, placeNow); got != 1 {
+	if got := moveTarget(pool, "slow", want, typicalPace(pool, placeNow), placeNow); got != 1 {
 		t.Error("a long run was left on a back end that is a third slower")
 	}
 }
@@ -85,7 +85,7 @@
 	}
 	for _, test := range cases {
 		got := ""
-		if index := moveTarget(test.pool, "slow", need{model: "m", minVersion: 3}, placeNow); index >= 0 {
+		if index := moveTarget(test.pool, "slow", need{model: "m", minVersion: 3}, typicalPace(test.pool, placeNow), placeNow); index >= 0 {
 			got = test.pool[index].ID
 		}
 		if got != test.move {
@@ -93,3 +93,41 @@
 		}
 	}
 }
+
+// TestNoMoveAfterOneWrongPace: after a start of many runs at once a back end's pace
+// was measured far too good, and all long runs followed it, one after the other.
+func TestNoMoveAfterOneWrongPace(t *testing.T) {
+	pool := []fleet.Backend{backend("wrong", func(b *fleet.Backend) { b.Pace = 25 * time.Millisecond })}
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		pool = append(pool, backend(id, nil))
+	}
+	want := need{model: "m", minVersion: 3, ran: longRun + time.Second}
+	if got := moveTarget(pool, "a", want, typicalPace(pool, placeNow), placeNow); got >= 0 {
+		t.Errorf("a run at the usual pace was moved to %s", pool[got].ID)
+	}
+	pool[1].Pace = 120 * time.Millisecond
+	if got := moveTarget(pool, "a", want, typicalPace(pool, placeNow), placeNow); got < 0 {
+		t.Error("a run at a slow back end was left there")
+	}
+}
+
+// TestPaceOfEventsReadAtOnce: the pace of a run is that of its back end, also where
+// the node reads some events late and then several at once.
+func TestPaceOfEventsReadAtOnce(t *testing.T) {
+	const made = 40 * time.Millisecond
+	var window paceWindow
+	for event := range 60 {
+		// Events 20 to 24 are all read when the last of them is there.
+		read := event
+		if event >= 20 && event < 24 {
+			read = 24
+		}
+		pace, known := window.add(placeNow.Add(time.Duration(read) * made))
+		if known != (event >= paceGapsLeast) {
+			t.Fatalf("event %d: known %t", event, known)
+		}
+		if known && (pace < made/2 || pace > 2*made) {
+			t.Errorf("event %d: pace %s", event, pace)
+		}
+	}
+}
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -47,10 +47,32 @@
 	if state.head.Count <= after {
 		return Page{Total: state.head.Total, Next: after}, OK
 	}
+	m.awaitMore(ctx, job, min(moreMost, time.Until(deadline)))
 	results, status := m.readResults(ctx, job, after)
+	m.config.Log.Info(eventlog.JobRead, eventlog.Fields{
+		eventlog.Job: job, "after": after, eventlog.Count: len(results), "listed": state.head.Count, "total": state.head.Total,
+		eventlog.Revision: state.headRevision, "held_ms": (wait - time.Until(deadline)).Milliseconds(), "outcome": status.String(),
+	})
 	return Page{Total: state.head.Total, Next: after + len(results), Results: results}, status
 }
 
+// moreMost is how long a read waits for a commit that follows at once.
+const moreMost = 300 * time.Millisecond
+
+// awaitMore waits while the owner says that the next commit follows at once: a
+// caller that is answered with a part comes back for the rest only half a second
+// later.
+func (m *Manager) awaitMore(ctx context.Context, job string, limit time.Duration) {
+	deadline := time.Now().Add(limit)
+	for {
+		state, found := m.snapshot(job)
+		left := time.Until(deadline)
+		if !found || !state.head.More || left <= 0 || !waitChange(ctx, state.changed, left) {
+			return
+		}
+	}
+}
+
 func waitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
--- a/internal/batch/results_test.go
+++ b/internal/batch/results_test.go
@@ -4,10 +4,44 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
+// TestReadsWaitForTheRest: a read that a part of the finished results would answer
+// waits for the commit that follows, yet not for long.
+func TestReadsWaitForTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &Manager{jobs: make(map[string]*jobState)}
+		began := time.Now()
+		wait := func(limit time.Duration) time.Duration {
+			from := time.Now()
+			m.awaitMore(t.Context(), "j", limit)
+			return time.Since(from)
+		}
+		m.adopt("j", Head{Count: 3}, 1)
+		if got := wait(moreMost); got != 0 {
+			t.Errorf("waited %s though nothing follows", got)
+		}
+		m.adopt("j", Head{Count: 4, More: true}, 2)
+		if got := wait(moreMost); got != moreMost {
+			t.Errorf("waited %s for an owner that is gone, want %s", got, moreMost)
+		}
+		if got := wait(0); got != 0 {
+			t.Errorf("waited %s though the caller does not", got)
+		}
+		time.AfterFunc(40*time.Millisecond, func() { m.adopt("j", Head{Count: 9}, 3) })
+		if got := wait(moreMost); got != 40*time.Millisecond {
+			t.Errorf("waited %s, want until the commit", got)
+		}
+		if time.Since(began) > time.Second {
+			t.Error("the test itself took long")
+		}
+	})
+}
+
 func TestResultsLongerThanARow(t *testing.T) {
 	const most = 64
 	long := Result{ID: "b", State: Completed, Text: strings.Repeat("text", 200)}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -135,7 +135,7 @@
 	reader := eventstream.NewReader(answer.Body, r.runner.manager.config.VersionField)
 	version := answer.Meta.Version
 	watch.reset()
-	previous := time.Time{}
+	var arrivals paceWindow
 	for count := after; ; count++ {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -155,10 +155,9 @@
 			return errGap
 		}
 		now := time.Now()
-		if !previous.IsZero() {
-			r.runner.manager.config.Fleet.ObservePace(r.backend.ID, now.Sub(previous), now)
+		if pace, known := arrivals.add(now); known {
+			r.runner.manager.config.Fleet.ObservePace(r.backend.ID, pace, now)
 		}
-		previous = now
 		if err := r.runner.take(r, event, version); err != nil {
 			return err
 		}
@@ -247,7 +246,7 @@
 	item.phase, item.cancel = phaseWaiting, nil
 	if err == nil {
 		item.text.complete = true
-		r.lengths.observe(run.item().LengthHint, len(item.text.events), time.Since(item.firstStart))
+		r.lengths.observe(run.job.spec.Model, run.item().LengthHint, len(item.text.events), time.Since(item.firstStart))
 		r.logItem(run, eventlog.ItemDone, nil)
 		r.textWhole(run.job, run.index)
 		return
--- a/internal/batch/schedule_test.go
+++ b/internal/batch/schedule_test.go
@@ -45,7 +45,7 @@
 		t.Error("something is known before any item ended")
 	}
 	for range 50 {
-		l.observe(100, 20, time.Second)
+		l.observe("m", 100, 20, time.Second)
 	}
 	if got := l.expected(200); got < 39.9 || got > 40.1 {
 		t.Errorf("%.1f events expected, want 40", got)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -40,6 +40,9 @@
 	OrderSettled    = "order_settled"
 	LoadUntold      = "load_untold"
 	RowUnreadable   = "row_unreadable"
+	StoreDetour     = "store_detour"
+	StoreDirect     = "store_direct"
+	StoreRelayed    = "store_relayed"
 	CommitUncertain = "commit_uncertain"
 	CommitSettled   = "commit_settled"
 
@@ -60,6 +63,7 @@
 	JobHanded    = "job_handed_over"
 	JobEnded     = "job_ended"
 	JobComplete  = "job_complete"
+	JobRead      = "job_read"
 	JobReadFail  = "job_read_failed"
 	ItemDone     = "item_completed"
 	ItemDead     = "item_dead"
