storerelay: a node that the store turns away uses it through another node

Cause: on the large deployments the store turns away a third of the nodes, the holder of the lease or the owner of a job, or is cut off from it alone, while it serves all others.

Change: nodes answer calls of other nodes on an address of their own, JSON lines, one call at a time a connection, by their own way to the store alone. A node whose calls are refused or silent, with a probe of its own that fails too, asks other nodes, those of its zone and the largest first; if one reaches the store, calls under way end as of unknown outcome and all go through it until two probes in a row are answered again. While the store is away for all, nobody relays: a node refuses at once unless it was answered within the last second, and asks others ever more seldom.

Ruled out: handing jobs over when a commit is refused (texts would still be lost, and it knows no better owner); relaying callers' calls alone, which is there and stays.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -19,6 +19,7 @@
 	"github.com/sliplift/sliplift/internal/rowstore"
 	"github.com/sliplift/sliplift/internal/settings"
 	"github.com/sliplift/sliplift/internal/storenode"
+	"github.com/sliplift/sliplift/internal/storerelay"
 	"github.com/sliplift/sliplift/internal/telemetry"
 	"github.com/sliplift/sliplift/internal/upstream"
 	"github.com/sliplift/sliplift/platform"
@@ -70,10 +71,20 @@
 			return exitFailed
 		}
 	}
-	node, err := storenode.New(ctx, nodeConfig(cfg, log, metrics))
+	detour := storerelay.New(storerelay.Config{
+		Store: newStore(cfg, metrics), Dial: (&net.Dialer{KeepAlive: -1}).DialContext, Zone: cfg.Zone, Log: log,
+	})
+	node, err := storenode.New(ctx, nodeConfig(cfg, detour, log, metrics))
 	if err != nil {
 		return exitOrder
 	}
+	if cfg.PeerAddress != "" {
+		if err := servers.servePeers(cfg.PeerAddress, detour); err != nil {
+			log.Warn(eventlog.Stopped, eventlog.Fields{eventlog.Cause: err.Error()})
+			return exitFailed
+		}
+	}
+	detour.SetPeers(node.Peers)
 	working, endWork := context.WithCancel(context.Background())
 	defer endWork()
 	go node.Run(working)
@@ -115,14 +126,19 @@
 	transactionRows = 100
 )
 
-func nodeConfig(cfg *settings.Gateway, log *eventlog.Log, metrics *gatewaymetrics.Metrics) storenode.Config {
+// newStore returns this node's own way to the store.
+func newStore(cfg *settings.Gateway, metrics *gatewaymetrics.Metrics) rowstore.Store {
 	dialer := &net.Dialer{Timeout: storeDialLimit, KeepAlive: -1}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: storeIdleMost, IdleConnTimeout: storeIdleLimit, DisableCompression: true,
 	}}
 	store := platform.NewStore(client, cfg.StoreAddress, platform.StoreLimits{Call: storeCallLimit, WatchSlack: storeWatchSlack})
+	return rowstore.NewMeter(store, metrics.StoreCall)
+}
+
+func nodeConfig(cfg *settings.Gateway, store rowstore.Store, log *eventlog.Log, metrics *gatewaymetrics.Metrics) storenode.Config {
 	return storenode.Config{
-		Store: rowstore.NewGuard(rowstore.NewRecall(rowstore.NewMeter(store, metrics.StoreCall))),
+		Store: rowstore.NewGuard(rowstore.NewRecall(store)),
 		Limits: rowstore.Limits{
 			RowBytes: cfg.StoreRowBytes, TransactionRows: transactionRows,
 			WritesPerSecond: cfg.StoreWrites, ReadsPerSecond: cfg.StoreReads,
@@ -132,7 +148,7 @@
 		Codec:        platform.Codec{},
 		Log:          log,
 		Self: presence.Node{
-			Name: cfg.Name, Address: cfg.CallerAddress, Zone: cfg.Zone, Region: cfg.Region, Cores: cfg.CPUShare * cfg.Cores,
+			Name: cfg.Name, Address: cfg.CallerAddress, PeerAddress: cfg.PeerAddress, Zone: cfg.Zone, Region: cfg.Region, Cores: cfg.CPUShare * cfg.Cores,
 		},
 		OperatorTable: platform.TableOperator,
 		InstanceTable: platform.TableInstances,
@@ -150,6 +166,7 @@
 // servers are the node's listeners and what answers on them.
 type servers struct {
 	listeners []net.Listener
+	peers     net.Listener
 	running   []*http.Server
 	failed    chan error
 }
@@ -185,7 +202,25 @@
 	}
 }
 
+// servePeers answers other nodes at an address.
+func (s *servers) servePeers(address string, detour *storerelay.Detour) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.peers = listener
+	go func() {
+		if err := detour.Serve(listener); err != nil {
+			s.failed <- err
+		}
+	}()
+	return nil
+}
+
 func (s *servers) close() {
+	if s.peers != nil {
+		_ = s.peers.Close()
+	}
 	for _, listener := range s.listeners {
 		_ = listener.Close()
 	}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -38,6 +38,8 @@
 	Name        string `json:"name"`
 	Incarnation int64  `json:"incarnation"`
 	Address     string `json:"address"`
+	// PeerAddress is where other nodes reach it, empty if they do not.
+	PeerAddress string `json:"peer_address,omitempty"`
 	Zone        string `json:"zone"`
 	Region      string `json:"region"`
 	State       State  `json:"state"`
--- a/internal/rowstore/recall.go
+++ b/internal/rowstore/recall.go
@@ -114,7 +114,7 @@
 	suspect.Stop()
 	r.mu.Lock()
 	delete(r.calls, c)
-	if answers(err) {
+	if Answered(err) {
 		r.note(part, c.began)
 	}
 	r.mu.Unlock()
@@ -124,8 +124,8 @@
 	return err
 }
 
-// answers tells whether a call's outcome shows that the store works.
-func answers(err error) bool {
+// Answered tells whether a call's outcome shows that the store works.
+func Answered(err error) bool {
 	var conflict *ConflictError
 	return err == nil || errors.As(err, &conflict) || errors.Is(err, ErrCompacted)
 }
@@ -189,7 +189,7 @@
 func (r *Recall) probed(s *silence, part string, began clock.Millis, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if answers(err) {
+	if Answered(err) {
 		r.note(part, began)
 	}
 	if !r.waitsFor(s, part) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -33,6 +33,7 @@
 	CallerAddress    string `long:"caller-address" format:"listen" mandatory:"yes" description:"IP:port for callers and trainers"`
 	ReadyAddress     string `long:"ready-address" format:"listen" mandatory:"yes" description:"IP:port for the platform's readiness checks"`
 	DirectoryAddress string `long:"directory-address" format:"listen" mandatory:"yes" description:"IP:port for callers who ask which nodes to use"`
+	PeerAddress      string `long:"peer-address" format:"listen" description:"IP:port for other nodes that the store turns away; empty serves none"`
 	MetricsAddress   string `long:"metrics-address" format:"listen" description:"IP:port of the metrics; empty serves none"`
 }
 
@@ -67,6 +68,7 @@
 		{"caller-address", g.CallerAddress},
 		{"ready-address", g.ReadyAddress},
 		{"directory-address", g.DirectoryAddress},
+		{"peer-address", g.PeerAddress},
 		{"metrics-address", g.MetricsAddress},
 	})
 	faults = append(faults, unreachable("caller-address", g.CallerAddress)...)
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -123,7 +123,7 @@
 	})
 	node.peerClient = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, DialTimeout: relayDial})
 	node.relay = relay.New(relay.Config{
-		Client: node.peerClient, Peers: node.peers, InTouch: node.inTouch, Log: config.Log, Zone: config.Self.Zone,
+		Client: node.peerClient, Peers: node.Peers, InTouch: node.inTouch, Log: config.Log, Zone: config.Self.Zone,
 	})
 	node.controller = reload.NewController(reload.Config{
 		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
@@ -143,8 +143,8 @@
 // relayDial bounds a connection to another node.
 const relayDial = 300 * time.Millisecond
 
-// peers returns the other nodes.
-func (n *Node) peers() []presence.Node {
+// Peers returns the other nodes that are certain to have been there of late.
+func (n *Node) Peers() []presence.Node {
 	return slices.DeleteFunc(n.presence.Proven(time.Now()), func(p presence.Node) bool { return p.Name == n.config.Self.Name })
 }
 
--- /dev/null
+++ b/internal/storerelay/detour.go
@@ -0,0 +1,310 @@
+package storerelay
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/clock"
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+// Config configures a Detour.
+type Config struct {
+	// Store is this node's own way to the store. It bounds the time of its calls.
+	Store rowstore.Store
+	Dial  DialFunc
+	Zone  string
+	Log   *eventlog.Log
+}
+
+const (
+	// silentAfter is how long a call waits, beyond what it may rightly take, until the
+	// store is suspected of not answering this node.
+	silentAfter = 500 * time.Millisecond
+	// quietLeast is how long nothing may have been answered for another node to be
+	// asked: a store that is slow or busy still answers now and then.
+	quietLeast clock.Millis = 250
+	// worksWithin is the age of the last answer up to which calls of others are made.
+	worksWithin clock.Millis = 1000
+	// tryLeast and tryMost bound the pause after other nodes were asked in vain; it
+	// doubles each time.
+	tryLeast clock.Millis = 500
+	tryMost  clock.Millis = 4000
+	// triedNodes is how many other nodes are asked at a time.
+	triedNodes = 3
+	// probeEvery is the time between two direct reads while the node is away, probeMost
+	// how long each may take, and probesGood how many answers in a row end it.
+	probeEvery = 300 * time.Millisecond
+	probeMost  = 250 * time.Millisecond
+	probesGood = 2
+	// refusalsMost is how many refusals in a row another node may give.
+	refusalsMost = 2
+	// probeTable is the table that probes read; it need not exist.
+	probeTable = "probe"
+)
+
+// errTurned is why a call is ended when the node begins to go through another.
+var errTurned = errors.New("calls go through another node from now on")
+
+// Detour is a rowstore.Store that goes through another node while the store does not
+// answer this one. It is safe for concurrent use.
+type Detour struct {
+	config Config
+
+	mu    sync.Mutex
+	peers func() []presence.Node
+	// answered is when the store last answered this node directly.
+	answered clock.Millis
+	calls    map[*context.CancelCauseFunc]struct{}
+	// via is the other node, nil while the node goes its own way.
+	via      *client
+	viaNode  string
+	refusals int
+	// trying tells that other nodes are being asked; tryAgain, when they may be asked
+	// again, and tryPause the pause after the next failure.
+	trying   bool
+	tryAgain clock.Millis
+	tryPause clock.Millis
+}
+
+// New returns a Detour that goes its own way until SetPeers is called.
+func New(config Config) *Detour {
+	return &Detour{config: config, calls: make(map[*context.CancelCauseFunc]struct{}), tryPause: tryLeast, answered: clock.Now()}
+}
+
+// SetPeers gives the function that returns the other nodes.
+func (d *Detour) SetPeers(peers func() []presence.Node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers = peers
+}
+
+// Away returns the node that calls go through, empty while none.
+func (d *Detour) Away() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.viaNode
+}
+
+// works tells whether this node's own way to the store works.
+func (d *Detour) works() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.via == nil && clock.Now()-d.answered < worksWithin
+}
+
+// Commit implements rowstore.Store.
+func (d *Detour) Commit(ctx context.Context, transaction rowstore.Transaction) (int64, error) {
+	got := d.call(ctx, request{Operation: opCommit, Transaction: &transaction})
+	return got.Revision, got.err()
+}
+
+// List implements rowstore.Store.
+func (d *Detour) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
+	got := d.call(ctx, request{Operation: opList, Table: table, Partition: partition, From: from, To: to, Limit: limit})
+	return got.snapshot(), got.err()
+}
+
+// Watch implements rowstore.Store.
+func (d *Detour) Watch(ctx context.Context, table string, after int64, wait time.Duration) (rowstore.Snapshot, error) {
+	got := d.call(ctx, request{Operation: opWatch, Table: table, After: after, WaitMillis: wait.Milliseconds()})
+	return got.snapshot(), got.err()
+}
+
+// call makes a call by the way that is in use.
+func (d *Detour) call(ctx context.Context, asked request) answer {
+	d.mu.Lock()
+	via := d.via
+	d.mu.Unlock()
+	if via == nil {
+		return d.makeCall(ctx, asked)
+	}
+	got, err := via.call(ctx, asked)
+	if err != nil {
+		if ctx.Err() == nil {
+			d.leave(via, err.Error())
+		}
+		return answerOf(err)
+	}
+	d.noteRelayed(via, got)
+	return got
+}
+
+// noteRelayed counts the refusals of the node that calls go through: it may have been
+// turned away as well.
+func (d *Detour) noteRelayed(via *client, got answer) {
+	d.mu.Lock()
+	if got.Outcome != outcomeRefused {
+		d.refusals = 0
+		d.mu.Unlock()
+		return
+	}
+	d.refusals++
+	many := d.refusals >= refusalsMost
+	d.mu.Unlock()
+	if many {
+		d.leave(via, got.Cause)
+	}
+}
+
+// direct makes a call by the node's own way, which may rightly take wait.
+func (d *Detour) direct(ctx context.Context, wait time.Duration, do func(context.Context) error) error {
+	bounded, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	d.mu.Lock()
+	d.calls[&cancel] = struct{}{}
+	d.mu.Unlock()
+	silence := time.AfterFunc(wait+silentAfter, d.suspect)
+	err := do(bounded)
+	silence.Stop()
+	d.mu.Lock()
+	delete(d.calls, &cancel)
+	if rowstore.Answered(err) {
+		d.answered = clock.Now()
+	}
+	d.mu.Unlock()
+	if errors.Is(err, rowstore.ErrRefused) {
+		d.suspect()
+	}
+	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(bounded), errTurned) {
+		return fmt.Errorf("%w: %w", rowstore.ErrUnknown, errTurned)
+	}
+	return err
+}
+
+// suspect asks other nodes whether they reach the store, if this one does not.
+func (d *Detour) suspect() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := clock.Now()
+	if d.peers == nil || d.via != nil || d.trying || now < d.tryAgain || now-d.answered < quietLeast {
+		return
+	}
+	d.trying = true
+	go d.try()
+}
+
+// try looks for another node that reaches the store and begins to go through it.
+func (d *Detour) try() {
+	if d.probeDirect() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.trying, d.answered = false, clock.Now()
+		return
+	}
+	d.mu.Lock()
+	peers := d.peers
+	quietSince := d.answered
+	d.mu.Unlock()
+	for _, peer := range candidates(peers(), d.config.Zone) {
+		found := &client{address: peer.PeerAddress, dial: d.config.Dial}
+		if !d.reaches(found) {
+			found.close()
+			continue
+		}
+		if d.turn(found, peer.Name, quietSince) {
+			d.probe(found)
+		}
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trying = false
+	d.tryAgain = clock.Now() + d.tryPause
+	d.tryPause = min(2*d.tryPause, tryMost)
+}
+
+// candidates returns the nodes to ask: those of the own zone first, of these the
+// largest, equal ones by chance.
+func candidates(peers []presence.Node, zone string) []presence.Node {
+	peers = slices.DeleteFunc(slices.Clone(peers), func(n presence.Node) bool { return n.PeerAddress == "" })
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	slices.SortStableFunc(peers, func(a, b presence.Node) int {
+		if near := a.Zone == zone; near != (b.Zone == zone) {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.Cores, a.Cores)
+	})
+	return peers[:min(len(peers), triedNodes)]
+}
+
+// reaches tells whether the store answers through another node.
+func (d *Detour) reaches(via *client) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeMost+dialMost)
+	defer cancel()
+	got, err := via.call(ctx, request{Operation: opList, Table: probeTable, Limit: 1})
+	return err == nil && got.Outcome == outcomeOK
+}
+
+// turn begins to go through another node, unless the store has answered meanwhile.
+func (d *Detour) turn(via *client, name string, quietSince clock.Millis) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trying = false
+	if d.answered != quietSince {
+		via.close()
+		return false
+	}
+	d.via, d.viaNode, d.refusals, d.tryPause = via, name, 0, tryLeast
+	for cancel := range d.calls {
+		(*cancel)(errTurned)
+	}
+	d.config.Log.Warn(eventlog.StoreDetour, eventlog.Fields{"via": name, "quiet_ms": int64(clock.Now() - quietSince), "calls_ended": len(d.calls)})
+	return true
+}
+
+// leave ends the way through another node.
+func (d *Detour) leave(via *client, cause string) {
+	d.mu.Lock()
+	if d.via != via {
+		d.mu.Unlock()
+		return
+	}
+	d.config.Log.Info(eventlog.StoreDirect, eventlog.Fields{"via": d.viaNode, eventlog.Cause: cause})
+	d.via, d.viaNode = nil, ""
+	d.mu.Unlock()
+	via.close()
+	d.suspect()
+}
+
+// probe reads directly while the node goes through another, until the store answers
+// this node again.
+func (d *Detour) probe(via *client) {
+	for good := 0; good < probesGood; {
+		time.Sleep(probeEvery)
+		d.mu.Lock()
+		current := d.via == via
+		d.mu.Unlock()
+		if !current {
+			return
+		}
+		if !d.probeDirect() {
+			good = 0
+			continue
+		}
+		good++
+	}
+	d.mu.Lock()
+	d.answered = clock.Now()
+	d.mu.Unlock()
+	d.leave(via, "the store answers this node again")
+}
+
+// probeDirect tells whether the store answers a small read of this node's own.
+func (d *Detour) probeDirect() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeMost)
+	defer cancel()
+	_, err := d.config.Store.List(ctx, probeTable, "", "", "", 1)
+	return rowstore.Answered(err)
+}
--- /dev/null
+++ b/internal/storerelay/server.go
@@ -0,0 +1,109 @@
+package storerelay
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+const (
+	// requestMost and answerMost bound a line, in bytes: what the store takes in a
+	// transaction and tells in one answer, encoded.
+	requestMost = 4 << 20
+	answerMost  = 16 << 20
+	// servedMost is how many calls of others a node makes at once.
+	servedMost = 64
+	// idleMost is how long a connection without a call stays open.
+	idleMost = 10 * time.Second
+	// writeMost bounds the time in which the other node takes an answer.
+	writeMost = 2 * time.Second
+)
+
+// Serve answers other nodes on a listener until it is closed.
+func (d *Detour) Serve(listener net.Listener) error {
+	slots := make(chan struct{}, servedMost)
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return err
+		}
+		go d.serveConnection(connection, slots)
+	}
+}
+
+func (d *Detour) serveConnection(connection net.Conn, slots chan struct{}) {
+	defer func() { _ = connection.Close() }()
+	lines := bufio.NewScanner(connection)
+	lines.Buffer(nil, requestMost)
+	for {
+		if connection.SetReadDeadline(time.Now().Add(idleMost)) != nil || !lines.Scan() {
+			return
+		}
+		var asked request
+		if err := json.Unmarshal(lines.Bytes(), &asked); err != nil {
+			d.config.Log.Warn(eventlog.StoreRelayed, eventlog.Fields{"peer": connection.RemoteAddr().String(), eventlog.Cause: err.Error()})
+			return
+		}
+		line, err := json.Marshal(d.serveCall(asked, slots))
+		if err != nil {
+			panic("storerelay: an answer cannot be encoded: " + err.Error())
+		}
+		if connection.SetWriteDeadline(time.Now().Add(writeMost)) != nil {
+			return
+		}
+		if _, err := connection.Write(append(line, '\n')); err != nil {
+			return
+		}
+	}
+}
+
+// serveCall makes a call for another node, by this node's own way alone.
+func (d *Detour) serveCall(asked request, slots chan struct{}) answer {
+	if !d.works() {
+		return answer{Outcome: outcomeRefused, Cause: "this node does not reach the store either"}
+	}
+	select {
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
+	default:
+		return answer{Outcome: outcomeRefused, Cause: "too many calls for other nodes"}
+	}
+	return d.makeCall(context.Background(), asked)
+}
+
+// makeCall makes a call by this node's own way to the store, whose answers and
+// failures it takes note of.
+func (d *Detour) makeCall(ctx context.Context, asked request) answer {
+	var result answer
+	err := d.direct(ctx, time.Duration(asked.WaitMillis)*time.Millisecond, func(ctx context.Context) error {
+		var snapshot rowstore.Snapshot
+		var err error
+		switch {
+		case asked.Operation == opCommit && asked.Transaction != nil:
+			result.Revision, err = d.config.Store.Commit(ctx, *asked.Transaction)
+			return err
+		case asked.Operation == opList:
+			snapshot, err = d.config.Store.List(ctx, asked.Table, asked.Partition, asked.From, asked.To, asked.Limit)
+		case asked.Operation == opWatch:
+			snapshot, err = d.config.Store.Watch(ctx, asked.Table, asked.After, time.Duration(asked.WaitMillis)*time.Millisecond)
+		default:
+			return rowstore.ErrInvalid
+		}
+		result = answer{Rows: snapshot.Rows, More: snapshot.More, Revision: snapshot.Revision}
+		return err
+	})
+	if err != nil {
+		return answerOf(err)
+	}
+	result.Outcome = outcomeOK
+	return result
+}
