fleet, batch, reload: many failures at once are one; own back ends first; left loads are settled

(1) Thirteen back ends were still told as loading: the holder had been killed during their loads, and its announcement counts for 5 s; nobody asked them.

Change: the next holder asks the back ends that the one before announced loads of, and tells how they ended. Failures while a back end is left alone already count but do not make the pause longer. A back end that is meant for another model costs more than a full one of the own model.

Before and after: the new test of a killed holder fails before (the mark stays 5 s). The test of suspensions in a row called failures of one moment a row; it now lets the pauses pass, and checks failures of one moment besides.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -37,6 +37,10 @@
 	loadSlowdown = 0.15
 	// zoneSlowdown is what another zone costs, as a share of the pace.
 	zoneSlowdown = 0.02
+	// foreignSlowdown is what a back end costs that is meant for another model: more
+	// than a full one of the own model, since its own owner does not see what others
+	// start there.
+	foreignSlowdown = 0.2
 	// avoidSlowdown is what a back end that an item was moved away from costs.
 	avoidSlowdown = 1.0
 	// leisurelyBonus makes short items prefer back ends that are a little slower.
@@ -85,6 +89,9 @@
 	if backend.Zone != want.zone {
 		cost *= 1 + zoneSlowdown
 	}
+	if backend.Share != "" && backend.Share != want.model {
+		cost *= 1 + foreignSlowdown
+	}
 	if backend.ID == want.avoid {
 		cost *= 1 + avoidSlowdown
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,6 +48,9 @@
 	Failures       int
 	SuspendedUntil time.Time
 	SuspendReason  string
+	// Share is the model that the instance is meant for where several share a service,
+	// empty if none is known.
+	Share string
 	// LoadingModel is the model whose weights are being changed, empty if none.
 	LoadingModel string
 	LoadingUntil time.Time
@@ -215,6 +218,11 @@
 	f.changed()
 }
 
+// MarkShare records the model that an instance is meant for.
+func (f *Fleet) MarkShare(id, model string) {
+	f.with(id, func(c *Condition) { c.Share = model })
+}
+
 // Service returns the back ends of a service, ordered by id.
 func (f *Fleet) Service(service string, now time.Time) []Backend {
 	f.mu.Lock()
@@ -345,10 +353,16 @@
 const paceLeast = 0.005
 
 // ObserveFailure records a failure and leaves the instance alone for a time
-// that doubles with each failure in a row.
+// that doubles with each failure in a row. What fails while the instance is left
+// alone already was begun before: it counts, but makes the present pause no longer.
+// Many requests that fail together, as those that wait at a full instance do, would
+// take it out of use for long at once.
 func (f *Fleet) ObserveFailure(id, reason string, now time.Time) {
 	f.with(id, func(c *Condition) {
 		c.Failures++
+		if now.Before(c.SuspendedUntil) {
+			return
+		}
 		pause := min(suspendFirst<<min(c.Failures-1, 8), suspendMost)
 		c.SuspendedUntil = now.Add(pause)
 		c.SuspendReason = reason
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -42,18 +42,27 @@
 func TestSuspensionGrowsWithFailuresInARow(t *testing.T) {
 	fleet := New(nil)
 	fleet.Update([]Instance{instance("a", 1, false)}, nil)
+	now := now
 	for i, want := range []time.Duration{suspendFirst, 2 * suspendFirst, 4 * suspendFirst} {
 		fleet.ObserveFailure("a", "x", now)
 		if got, _ := fleet.Get("a", now); got.SuspendedUntil.Sub(now) != want {
 			t.Fatalf("failure %d: suspended for %s, want %s", i+1, got.SuspendedUntil.Sub(now), want)
 		}
+		now = now.Add(want)
 	}
+	fleet.ObserveLatency("a", time.Millisecond)
 	for range 100 {
 		fleet.ObserveFailure("a", "x", now)
 	}
+	if got, _ := fleet.Get("a", now); got.SuspendedUntil.Sub(now) != suspendFirst {
+		t.Fatalf("suspended for %s after failures at the same time", got.SuspendedUntil.Sub(now))
+	}
+	now = now.Add(suspendFirst)
+	fleet.ObserveFailure("a", "x", now)
 	if got, _ := fleet.Get("a", now); got.SuspendedUntil.Sub(now) != suspendMost {
 		t.Fatalf("suspended for %s", got.SuspendedUntil.Sub(now))
 	}
+	now = now.Add(suspendMost)
 	fleet.ObserveLatency("a", time.Millisecond)
 	fleet.ObserveFailure("a", "x", now)
 	if got, _ := fleet.Get("a", now); got.SuspendedUntil.Sub(now) != suspendFirst {
--- a/internal/reload/controller_test.go
+++ b/internal/reload/controller_test.go
@@ -273,3 +273,25 @@
 		})
 	}
 }
+
+// TestLoadsOfAnEarlierHolderAreSettled: the holder is killed while back ends load. All
+// nodes take these to be loading until the next holder tells that they are not.
+func TestLoadsOfAnEarlierHolderAreSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, backends := rowstoretest.New(), newPool()
+		for place := range 6 {
+			id := fmt.Sprintf("b%02d", place)
+			store.Put(TableLoads, "", id, encode(Load{Loading: "m", Share: "m"}))
+			backends.held[id] = 4
+		}
+		nodes := startNodes(t, store, backends, []string{"n1", "n2"}, 6)
+		time.Sleep(1500 * time.Millisecond)
+		for _, node := range nodes {
+			for _, backend := range node.controller.config.Fleet.Service("pool", time.Now()) {
+				if backend.LoadingModel != "" || backend.Models["m"] != 4 {
+					t.Errorf("%s: %s loads %q and holds %d", node.name, backend.ID, backend.LoadingModel, backend.Models["m"])
+				}
+			}
+		}
+	})
+}
--- a/internal/reload/lease.go
+++ b/internal/reload/lease.go
@@ -196,6 +196,11 @@
 		c.orderFrom = changed.Add(c.config.Timing.quietAfter(before))
 	}
 	c.Kick()
+	for id, load := range c.loads {
+		if load.Loading != "" {
+			go c.endLoad(ctx, id, load.Loading, c.token)
+		}
+	}
 	fields := eventlog.Fields{
 		eventlog.Token: c.token, "before": before.Holder, "orders_in_ms": time.Until(c.orderFrom).Milliseconds(),
 		"quiet_ms": now.Sub(changed).Milliseconds(), "resting": len(resting),
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -147,6 +147,9 @@
 		c.config.Fleet.MarkVersion(instance, model, version)
 	}
 	c.config.Fleet.MarkLoading(instance, load.Loading, time.Now().Add(loadingMost))
+	if load.Share != "" {
+		c.config.Fleet.MarkShare(instance, load.Share)
+	}
 }
 
 const (
--- a/internal/reload/resting.go
+++ b/internal/reload/resting.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
@@ -54,6 +56,36 @@
 	return until
 }
 
+// endLoad waits for the end of a load that an earlier holder announced, and tells
+// it: until then no node sends the back end work of that model.
+func (c *Controller) endLoad(ctx context.Context, id, model string, token int64) {
+	backend, found := c.config.Fleet.Get(id, time.Now())
+	if !found {
+		return
+	}
+	next := step{backend: backend, model: model}
+	for started := time.Now(); ctx.Err() == nil && time.Since(started) < c.config.Timing.Settle; pause.For(ctx, lookEvery) {
+		if c.orders(id) {
+			return
+		}
+		report, err := c.report(ctx, next)
+		if errors.Is(err, ErrGone) {
+			return
+		}
+		if err == nil && !report.Busy {
+			c.announceResult(ctx, next, token, report.Versions)
+			return
+		}
+	}
+}
+
+// orders tells whether this node has an order of its own under way at a back end.
+func (c *Controller) orders(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy[id]
+}
+
 // rests returns the back ends that are to be left alone now. The lock is held.
 func (c *Controller) rests(now time.Time) map[string]bool {
 	resting := make(map[string]bool, len(c.resting))
