storerelay: a reset of the connection is a reason to ask other nodes too

Change: any end of a call that shows no answer of the store is a reason to probe and to ask; 256 calls of others at once in place of 64 (one node refused some).

The new row of the test fails before.

--- a/internal/storerelay/detour.go
+++ b/internal/storerelay/detour.go
@@ -171,7 +171,7 @@
 		d.answered = clock.Now()
 	}
 	d.mu.Unlock()
-	if errors.Is(err, rowstore.ErrRefused) {
+	if !rowstore.Answered(err) && ctx.Err() == nil {
 		d.suspect()
 	}
 	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(bounded), errTurned) {
--- a/internal/storerelay/detour_test.go
+++ b/internal/storerelay/detour_test.go
@@ -43,6 +43,8 @@
 	switch manner {
 	case "refused":
 		return rowstore.ErrRefused
+	case "reset":
+		return rowstore.ErrUnknown
 	case "silent":
 		bounded, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 		defer cancel()
@@ -164,7 +166,7 @@
 // TestANodeTurnedAwayGoesThroughAnother turns one node away in different manners and
 // expects that its calls succeed again within a second, and directly afterwards.
 func TestANodeTurnedAwayGoesThroughAnother(t *testing.T) {
-	for _, manner := range []string{"refused", "silent"} {
+	for _, manner := range []string{"refused", "reset", "silent"} {
 		t.Run(manner, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t, 4)
--- a/internal/storerelay/server.go
+++ b/internal/storerelay/server.go
@@ -17,8 +17,9 @@
 	// transaction and tells in one answer, encoded.
 	requestMost = 4 << 20
 	answerMost  = 16 << 20
-	// servedMost is how many calls of others a node makes at once.
-	servedMost = 64
+	// servedMost is how many calls of others a node makes at once: some thirty nodes
+	// with their watches open.
+	servedMost = 256
 	// idleMost is how long a connection without a call stays open.
 	idleMost = 10 * time.Second
 	// writeMost bounds the time in which the other node takes an answer.
