--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -21,6 +21,9 @@
 	holdTail clock.Millis = 2000
 	// holdSlack is added to the time at which the last item should end at the latest.
 	holdSlack clock.Millis = 200
+	// holdEnd is how long results wait for the end of all items at most: what was held
+	// back for holdMost when that end came within holdTail, and some delay besides.
+	holdEnd = holdTail + 2*holdMost + holdSlack
 	// readEvery is within which time a caller that was answered reads again: half a
 	// second, and what the read and a commit take.
 	readEvery clock.Millis = 650
@@ -108,18 +111,18 @@
 	if held > pageBytes || end > readEvery && held+j.runningBytes() > pageBytes {
 		return 0
 	}
-	return min(end+holdSlack, j.finished[0].at+holdTail+holdMost-clock.At(now))
+	return min(end+holdSlack, j.finished[0].at+holdEnd-clock.At(now))
 }
 
 // dueLeft returns how long it is until results are due. Once they are so late that
 // no result earns more for being read early, they may be held back again.
 func (j *ownedJob) dueLeft(route *routetable.Route, now time.Time) clock.Millis {
 	if route == nil || route.ResultDue == 0 {
-		return holdTail + holdMost
+		return holdEnd
 	}
 	left := clock.Of(route.ResultDue - j.head.age(now))
 	if left < -dueGrace {
-		return holdTail + holdMost
+		return holdEnd
 	}
 	return left
 }
