--- a/bench/regression.sh
+++ b/bench/regression.sh
@@ -32,7 +32,7 @@
 	done | awk '
 		/^(quiet|trouble|scale)-[0-9]+ +[0-9]+\/[0-9]+ / { worth += $4; days++ }
 		/^GATE/ { gates++; if ($2 == "passed") passed++ }
-		END { printf "%.3f %s\n", days ? worth / days : 0, gates > 0 && gates == passed ? "passed" : "failed" }'
+		END { printf("%.3f %s\n", days ? worth / days : 0, (gates > 0 && gates == passed) ? "passed" : "failed") }'
 }
 
 # before prints the committed mean of a deployment, nothing if there is none.
