--- a/bench/regression.sh
+++ b/bench/regression.sh
@@ -46,7 +46,7 @@
 	read -r mean gate < <(play "$site")
 	old=$(before "$name")
 	verdict=$(awk -v mean="$mean" -v old="${old:-0}" -v most="$drop_most" -v gate="$gate" \
-		'BEGIN { print gate == "passed" && mean >= old - most ? "held" : "LOST" }')
+		'BEGIN { print((gate == "passed" && mean >= old - most) ? "held" : "LOST") }')
 	printf '%-24s mean worth %s, before %s, gate %s: %s\n' "$name" "$mean" "${old:-none}" "$gate" "$verdict"
 	[ "$verdict" = held ] || failed=1
 	played+="$name $mean"$'\n'
