--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -136,6 +137,27 @@
 	return rowstore.NewMeter(store, metrics.StoreCall)
 }
 
+// Limits of calls of duties.
+const (
+	dutyDialLimit = 500 * time.Millisecond
+	dutyIdleLimit = 10 * time.Second
+)
+
+// newMetering returns what this node reports of the tenants' use.
+func newMetering(cfg *settings.Gateway) storenode.Metering {
+	if cfg.DutyAddress == "" || !slices.Contains(cfg.Duties, platform.DutyMetering) {
+		return storenode.Metering{}
+	}
+	dialer := &net.Dialer{Timeout: dutyDialLimit, KeepAlive: -1}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, IdleConnTimeout: dutyIdleLimit, DisableCompression: true,
+	}}
+	return storenode.Metering{
+		Sink: platform.NewDuties(client, cfg.DutyAddress), Window: cfg.UsageWindow, Due: cfg.UsageWithin,
+		CallsPerSecond: cfg.DutyCalls,
+	}
+}
+
 func nodeConfig(cfg *settings.Gateway, store rowstore.Store, log *eventlog.Log, metrics *gatewaymetrics.Metrics) storenode.Config {
 	return storenode.Config{
 		Store: rowstore.NewGuard(rowstore.NewRecall(store)),
@@ -157,12 +179,23 @@
 		KeepJobs:      cfg.KeepJobs,
 		FreshMost:     cfg.ConfigApply,
 		AddressTTL:    cfg.AddressTTL,
+		Metering:      newMetering(cfg),
+		KeysConfirmed: keysConfirmed(cfg),
 
 		ObserveRequest: metrics.Request,
 		ObserveDial:    metrics.Dial,
 	}
 }
 
+// keysConfirmed returns the age of the configuration up to which keys are taken, 0
+// for any.
+func keysConfirmed(cfg *settings.Gateway) time.Duration {
+	if !cfg.StrictRevoke {
+		return 0
+	}
+	return cfg.RevokeWithin
+}
+
 // servers are the node's listeners and what answers on them.
 type servers struct {
 	listeners []net.Listener
@@ -248,5 +281,6 @@
 	for _, server := range servers.running {
 		_ = server.Shutdown(ending)
 	}
+	node.Finish(ending)
 	log.Info(eventlog.Stopped, eventlog.Fields{eventlog.Node: cfg.Name, eventlog.TookMillis: time.Since(started).Milliseconds()})
 }
--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -94,6 +94,22 @@
 	MinVersion int64  `json:"min_version,omitempty"`
 	Desired    int    `json:"desired,omitempty"`
 	Items      []Item `json:"items"`
+	// Tenant goes into the head; it is kept there alone.
+	Tenant string `json:"-"`
+}
+
+// Caller is on whose behalf a call about a job is made.
+type Caller struct {
+	// Tenant holds the caller's key, empty for a caller without one.
+	Tenant string
+	// Anyone is set where the configuration knows no tenants: callers are not told
+	// apart.
+	Anyone bool
+}
+
+// sees tells whether there is a job for a caller: jobs of another tenant are not.
+func (c Caller) sees(head Head) bool {
+	return c.Anyone || head.Tenant == "" || head.Tenant == c.Tenant
 }
 
 // Head is the row that owns a job.
@@ -104,6 +120,10 @@
 	// Pool is what the owner is chosen by; see ownerKey.
 	Pool  string `json:"pool"`
 	Model string `json:"model,omitempty"`
+	// Tenant is on whose behalf the job runs, empty for nobody's. It is the name that
+	// the key stood for when the job was accepted: a key that is taken away later
+	// ends nothing.
+	Tenant string `json:"tenant,omitempty"`
 	// Work is the tokens expected to come out of all items.
 	Work  int `json:"work,omitempty"`
 	Total int `json:"total"`
@@ -161,11 +181,13 @@
 	Unavailable
 	// Uncertain means that it may have been done or be done later.
 	Uncertain
+	// Taken means that the job's id is in use for another tenant's job.
+	Taken
 )
 
 // String returns the status for logs.
 func (s Status) String() string {
-	return [...]string{"ok", "not_found", "unavailable", "uncertain"}[s]
+	return [...]string{"ok", "not_found", "unavailable", "uncertain", "taken"}[s]
 }
 
 func rowID(table, job, suffix string) rowstore.RowID {
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -221,7 +221,7 @@
 // at the latest.
 func (m *Manager) Submit(ctx context.Context, spec *Spec) Status {
 	if state, found := m.snapshot(spec.ID); found && (state.known || state.ended) {
-		return OK
+		return takenBy(state, spec.Tenant)
 	}
 	content := encode(spec)
 	head := m.newHead(spec)
@@ -243,9 +243,17 @@
 	return status
 }
 
+// takenBy returns the status of a submission under the id of a job that is there.
+func takenBy(state jobState, tenant string) Status {
+	if state.known && state.head.Tenant != tenant {
+		return Taken
+	}
+	return OK
+}
+
 func (m *Manager) newHead(spec *Spec) Head {
 	head := Head{
-		Epoch: 1, Model: spec.Model, Pool: m.ownerKeyOf(spec), Total: len(spec.Items),
+		Epoch: 1, Model: spec.Model, Tenant: spec.Tenant, Pool: m.ownerKeyOf(spec), Total: len(spec.Items),
 		Nonce: uuid.NewString()[:8], SubmittedMillis: time.Now().UnixMilli(),
 	}
 	for i := range spec.Items {
@@ -343,7 +351,8 @@
 		if errors.As(err, &conflict) {
 			// It is there: by this call, by another node, or it has ended.
 			m.adoptRows(conflict.Rows)
-			return OK
+			state, _ := m.snapshot(job)
+			return takenBy(state, head.Tenant)
 		}
 		first := !uncertain
 		uncertain = uncertain || errors.Is(err, rowstore.ErrUnknown)
@@ -372,12 +381,22 @@
 }
 
 // End ends a job; repeated calls are OK too. A job that is not there is ended
-// in advance, so that a submission which is still on its way does not run.
-func (m *Manager) End(ctx context.Context, job string) Status {
-	if state, found := m.snapshot(job); found && state.ended {
+// in advance, so that a submission which is still on its way does not run. There is
+// no job of another tenant to end.
+func (m *Manager) End(ctx context.Context, caller Caller, job string) Status {
+	if state, found := m.snapshot(job); found && state.ended && !state.known {
+		return OK
+	}
+	state, status := m.lookUp(ctx, job)
+	switch {
+	case status == Unavailable:
+		return status
+	case status == OK && !caller.sees(state.head):
+		return NotFound
+	case state.ended:
 		return OK
 	}
-	status := m.putRetrying(ctx, rowstore.Transaction{Puts: []rowstore.Row{{RowID: endID(job), Value: []byte("{}")}}})
+	status = m.putRetrying(ctx, rowstore.Transaction{Puts: []rowstore.Row{{RowID: endID(job), Value: []byte("{}")}}})
 	if status != OK {
 		return status
 	}
@@ -420,9 +439,18 @@
 	return state, OK
 }
 
-// Body returns the body of an item.
-func (m *Manager) Body(ctx context.Context, job, item string) ([]byte, Status) {
+// lookUpFor is lookUp for a caller, for whom there are no jobs of other tenants.
+func (m *Manager) lookUpFor(ctx context.Context, caller Caller, job string) (jobState, Status) {
 	state, status := m.lookUp(ctx, job)
+	if status == OK && !caller.sees(state.head) {
+		return jobState{}, NotFound
+	}
+	return state, status
+}
+
+// Body returns the body of an item.
+func (m *Manager) Body(ctx context.Context, caller Caller, job, item string) ([]byte, Status) {
+	state, status := m.lookUpFor(ctx, caller, job)
 	if status != OK {
 		return nil, status
 	}
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -28,8 +28,8 @@
 
 // Results returns the results from a position on. While there are none it waits
 // for one, for wait at most.
-func (m *Manager) Results(ctx context.Context, job string, after int, wait time.Duration) (Page, Status) {
-	state, status := m.lookUp(ctx, job)
+func (m *Manager) Results(ctx context.Context, caller Caller, job string, after int, wait time.Duration) (Page, Status) {
+	state, status := m.lookUpFor(ctx, caller, job)
 	if status != OK {
 		return Page{}, status
 	}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -93,7 +93,7 @@
 	call := &upstream.Call{
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: r.job.spec.Host,
 		Header: header, Body: item.Body, Address: r.backend.Address, Instance: r.backend.ID,
-		Deadline: r.deadline,
+		Tenant: r.job.tenant, Deadline: r.deadline,
 	}
 	if after > 0 {
 		call.Resume, call.ResumeAfter = true, int64(after)
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -52,7 +52,9 @@
 
 // ownedJob is a job that this node runs. The runner's lock guards it.
 type ownedJob struct {
-	id     string
+	id string
+	// tenant is on whose behalf the items run; it never changes.
+	tenant string
 	spec   *Spec
 	items  []itemState
 	order  []int
@@ -203,7 +205,7 @@
 	}
 	jobCtx, cancel := context.WithCancel(ctx)
 	job := &ownedJob{
-		id: id, ctx: jobCtx, cancel: cancel, head: state.head, revision: state.headRevision,
+		id: id, tenant: state.head.Tenant, ctx: jobCtx, cancel: cancel, head: state.head, revision: state.headRevision,
 		wake: make(chan struct{}, 1), opened: time.Now(), committing: make(chan struct{}, 1),
 	}
 	r.mu.Lock()
--- a/internal/batch/scorecall.go
+++ b/internal/batch/scorecall.go
@@ -80,6 +80,15 @@
 	c.runner.kick()
 }
 
+// tenant returns on whose behalf the call is made: that of the job, but for public
+// routes, which tell back ends of no tenant.
+func (c *scoreCall) tenant() string {
+	if c.route.Public {
+		return ""
+	}
+	return c.job.tenant
+}
+
 // scoreAnswerMost bounds the body of an answer that is read, in bytes.
 const scoreAnswerMost = 1 << 20
 
@@ -88,7 +97,7 @@
 	started := time.Now()
 	answer, err := m.config.Client.Do(c.ctx, &upstream.Call{
 		ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body,
-		Address: c.backend.Address, Instance: c.backend.ID, Deadline: started.Add(c.limit.Duration()),
+		Address: c.backend.Address, Instance: c.backend.ID, Tenant: c.tenant(), Deadline: started.Add(c.limit.Duration()),
 	})
 	if err != nil {
 		return fateOfCall(err)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -72,6 +72,12 @@
 	ItemScored   = "item_scored"
 	ScoreFailed  = "score_failed"
 
+	UsageFixed     = "usage_fixed"
+	UsageSent      = "usage_sent"
+	UsageFailed    = "usage_failed"
+	UsageUnwritten = "usage_unwritten"
+	UsageLost      = "usage_lost"
+
 	LinesDropped = "lines_dropped"
 )
 
@@ -104,6 +110,11 @@
 	Node       = "node"
 	Table      = "table"
 	Key        = "key"
+	Tenant     = "tenant"
+	Lease      = "lease"
+	Window     = "window"
+	Outcome    = "outcome"
+	KeyDigest  = "key_digest"
 )
 
 // Fields are the fields of a line.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -41,7 +42,9 @@
 	Header http.Header
 	Body   []byte
 	// Model is the model that has to answer, empty if any.
-	Model    string
+	Model string
+	// Tenant is on whose behalf the request is made, empty for nobody's.
+	Tenant   string
 	Received time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
@@ -67,6 +70,15 @@
 	Attempts int
 	Backend  string
 	Took     time.Duration
+	// Tenant is on whose behalf the request was made.
+	Tenant string
+	// Began is when the first back end that took the request began to run it, as well
+	// as it can be told, zero if none did. Back ends do not tell the moment. It is
+	// taken for the one at which the attempt was sent that an answer came to or, of a
+	// stream, at which its first event came; a request without any answer counts from
+	// the first attempt that may have run. A request that ran at several back ends
+	// counts once.
+	Began time.Time
 }
 
 // Config configures a Forwarder.
@@ -119,6 +131,7 @@
 		report.Outcome = OutcomeLeft
 	}
 	report.Attempts = try.sends
+	report.Tenant, report.Began = request.Tenant, try.beganAt()
 	report.Took = time.Since(request.Received)
 	f.note(request, route, service, report, configVersion)
 	if f.config.Observe != nil {
@@ -141,6 +154,9 @@
 		eventlog.TookMillis: report.Took.Milliseconds(), eventlog.Config: configVersion,
 		eventlog.LeftMillis: time.Until(request.Deadline).Milliseconds(),
 	}
+	if request.Tenant != "" {
+		fields[eventlog.Tenant] = request.Tenant
+	}
 	if report.Cause != "" {
 		fields[eventlog.Cause] = report.Cause
 	}
@@ -167,6 +183,24 @@
 	cause     string
 	// last is the back end that was tried last.
 	last string
+	// answered is when the first attempt was sent that a back end answered, or its first
+	// event came; maybe is that of the first one without an answer that may have run.
+	answered, maybe time.Time
+}
+
+// beganAt returns when the request began to run, zero if it did not.
+func (t *try) beganAt() time.Time {
+	if !t.answered.IsZero() {
+		return t.answered
+	}
+	return t.maybe
+}
+
+// noteBegan records that a back end ran the request from a moment on.
+func (t *try) noteBegan(moment time.Time) {
+	if t.answered.IsZero() || moment.Before(t.answered) {
+		t.answered = moment
+	}
 }
 
 // repeatable tells whether the request may run more than once.
@@ -206,7 +240,7 @@
 	return &upstream.Call{
 		ID: t.request.ID, Method: t.request.Method, Target: t.request.Target, Host: t.request.Host,
 		Header: t.request.Header, Body: t.request.Body,
-		Address: backend.Address, Instance: backend.ID, Deadline: t.limit,
+		Address: backend.Address, Instance: backend.ID, Tenant: t.request.Tenant, Deadline: t.limit,
 		// An idle connection may be closing just now; a request that must not be
 		// repeated could not be sent again after that.
 		Fresh: !t.repeatable(),
@@ -228,6 +262,7 @@
 	defer cancel()
 	results := make(chan attemptResult, t.attemptsMost()+refusalsMost+1)
 	pending := 0
+	var launched time.Time
 	var spare *attemptResult
 	launch := func() bool {
 		backend, found := t.choose(time.Now())
@@ -237,6 +272,9 @@
 		t.sends++
 		t.tried[backend.ID]++
 		t.last = backend.ID
+		if pending == 0 {
+			launched = time.Now()
+		}
 		pending++
 		go func() { results <- t.attempt(attempts, backend) }()
 		return true
@@ -273,6 +311,7 @@
 		case <-ctx.Done():
 			if pending > 0 {
 				t.uncertain = true
+				t.noteUnanswered(launched)
 			}
 			return t.giveUp(w, ctx.Err())
 		}
@@ -285,6 +324,7 @@
 		t.noteFailure(result.backend, result.err)
 		return false
 	}
+	t.noteBegan(result.answer.Sent)
 	if !result.whole {
 		// A long answer: it has to go on now or never.
 		return true
@@ -312,6 +352,7 @@
 		t.forwarder.config.Fleet.ObserveFailure(backend.ID, t.cause, now)
 	default:
 		t.uncertain = true
+		t.noteMaybe(err)
 		t.forwarder.config.Fleet.ObserveFailure(backend.ID, t.cause, now)
 	}
 	t.forwarder.config.Log.Warn(eventlog.AttemptFailed, eventlog.Fields{
@@ -320,6 +361,20 @@
 	})
 }
 
+// noteMaybe records an attempt without an answer that may have run.
+func (t *try) noteMaybe(err error) {
+	var failure *upstream.Error
+	if errors.As(err, &failure) {
+		t.noteUnanswered(failure.Sent)
+	}
+}
+
+func (t *try) noteUnanswered(sent time.Time) {
+	if t.maybe.IsZero() {
+		t.maybe = sent
+	}
+}
+
 // refusedPause is how long a back end that refused a request is passed over.
 const refusedPause = 50 * time.Millisecond
 
@@ -337,7 +392,7 @@
 	content, err := io.ReadAll(io.LimitReader(answer.Body, bufferMost+1))
 	if err != nil {
 		_ = answer.Body.Close()
-		result.err = &upstream.Error{Fate: upstream.Unknown, Cause: err}
+		result.err = &upstream.Error{Fate: upstream.Unknown, Cause: err, Sent: answer.Sent}
 		return result
 	}
 	result.answer, result.content, result.whole = answer, content, len(content) <= bufferMost
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -93,7 +93,7 @@
 	}
 	if err := t.pump(cancel, state, backend, answer); err != nil {
 		if ctx.Err() == nil {
-			t.noteFailure(backend, &upstream.Error{Fate: upstream.Unknown, Cause: err})
+			t.noteFailure(backend, &upstream.Error{Fate: upstream.Unknown, Cause: err, Sent: answer.Sent})
 		}
 		return Report{}, false
 	}
@@ -112,9 +112,10 @@
 		err = errors.New("back end answered " + http.StatusText(answer.Status))
 	}
 	if err != nil {
-		t.noteFailure(backend, &upstream.Error{Fate: upstream.Unknown, Cause: err})
+		t.noteFailure(backend, &upstream.Error{Fate: upstream.Unknown, Cause: err, Sent: answer.Sent})
 		return Report{}, false
 	}
+	t.noteBegan(answer.Sent)
 	if answer.Status >= http.StatusInternalServerError && t.repeatable() && t.maySend() {
 		t.uncertain = true
 		return Report{}, false
@@ -164,6 +165,7 @@
 			watchdog.Reset(silenceMost)
 		}
 		now := time.Now()
+		t.noteBegan(now)
 		t.forwarder.config.Fleet.ObservePace(backend.ID, now.Sub(previous), now)
 		previous = now
 		if _, err := state.writer.Write(event.Raw); err != nil {
--- a/internal/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaymetrics/gatewaymetrics.go
@@ -86,6 +86,12 @@
 		}
 		return 0
 	})
+	gauge("metering_lease_held", "1 while this node reports the tenants' use.", func() float64 {
+		if _, held := node.MeteringHolder(); held {
+			return 1
+		}
+		return 0
+	})
 	gauge("log_lines_dropped", "Log lines that were not written since the start.", func() float64 { return float64(node.Log().Dropped()) })
 }
 
--- a/internal/reload/carryout.go
+++ b/internal/reload/carryout.go
@@ -8,6 +8,7 @@
 
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/pause"
+	"github.com/sliplift/sliplift/internal/rowlease"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
@@ -118,13 +119,12 @@
 	if allowed {
 		c.lastOrder = now
 	}
-	until := c.validUntil
 	c.mu.Unlock()
 	if !allowed {
 		return errors.New("lease no longer allows orders")
 	}
 	limit := now.Add(callLimit)
-	if until.Before(limit) {
+	if _, until, _ := c.lease.Current(); until.Before(limit) {
 		limit = until
 	}
 	bounded, cancel := context.WithDeadline(ctx, limit)
@@ -246,7 +246,7 @@
 	if current {
 		c.loads[id] = load
 	}
-	condition := rowstore.Condition{RowID: termID(), Revision: c.termRevision}
+	condition := rowstore.Condition{RowID: rowlease.TermID(LeaseName), Revision: c.termRevision}
 	c.mu.Unlock()
 	if len(loaded) > 0 || current {
 		c.noteLoad(id, load)
--- a/internal/reload/controller_test.go
+++ b/internal/reload/controller_test.go
@@ -15,6 +15,7 @@
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/fleet"
 	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/rowlease"
 	"github.com/sliplift/sliplift/internal/rowstore"
 	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
 )
@@ -24,55 +25,6 @@
 	testLoad   = 900 * time.Millisecond
 )
 
-// cutStore is one node's way to the store; while it is cut, calls have no effect
-// and no answer.
-type cutStore struct {
-	rowstore.Store
-	mu  sync.Mutex
-	cut bool
-}
-
-func (s *cutStore) setCut(cut bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cut = cut
-}
-
-// reach waits out a call's limit and fails while the store is cut off.
-func (s *cutStore) reach(ctx context.Context) error {
-	s.mu.Lock()
-	cut := s.cut
-	s.mu.Unlock()
-	if !cut {
-		return nil
-	}
-	bounded, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	<-bounded.Done()
-	return rowstore.ErrUnknown
-}
-
-func (s *cutStore) Commit(ctx context.Context, transaction rowstore.Transaction) (int64, error) {
-	if err := s.reach(ctx); err != nil {
-		return 0, err
-	}
-	return s.Store.Commit(ctx, transaction)
-}
-
-func (s *cutStore) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
-	if err := s.reach(ctx); err != nil {
-		return rowstore.Snapshot{}, err
-	}
-	return s.Store.List(ctx, table, partition, from, to, limit)
-}
-
-func (s *cutStore) Watch(ctx context.Context, table string, after int64, wait time.Duration) (rowstore.Snapshot, error) {
-	if err := s.reach(ctx); err != nil {
-		return rowstore.Snapshot{}, err
-	}
-	return s.Store.Watch(ctx, table, after, wait)
-}
-
 // givenOrder is an order as a back end saw it.
 type givenOrder struct {
 	holder string
@@ -147,7 +99,7 @@
 // holderNode is a node that takes part in the lease.
 type holderNode struct {
 	name       string
-	store      *cutStore
+	store      *rowstoretest.Way
 	controller *Controller
 }
 
@@ -161,7 +113,7 @@
 	for i, name := range names {
 		log := eventlog.New(logrus.New(), io.Discard)
 		t.Cleanup(log.Close)
-		way := &cutStore{Store: store}
+		way := rowstoretest.NewWay(store, time.Second)
 		pacing := rowstore.Pacing{Fresh: time.Second, Nodes: func() int { return len(names) }}
 		self := presence.Node{Name: name, Incarnation: 1, State: presence.Ready}
 		registry := presence.New(log, way, self, 0, pacing)
@@ -171,12 +123,13 @@
 				ID: fmt.Sprintf("b%02d", place), Service: "pool", Slots: 4, Models: map[string]int64{"m": 1}, Revision: 1,
 			}}, nil)
 		}
+		leases := rowlease.NewLeases(log, way, pacing)
 		controller := NewController(Config{
 			Store: way, Presence: registry, Fleet: known, Commander: backends, Log: log,
-			Timing: Timing{Settle: testSettle}, Pacing: pacing, Mode: ModeRetain,
+			Timing: rowlease.Timing{Settle: testSettle}, Leases: leases, Pacing: pacing, Mode: ModeRetain,
 			Demand: func() map[string]float64 { return map[string]float64{"m": 1} },
 		})
-		for _, run := range []func(context.Context){registry.View().Run, registry.Run, controller.Run} {
+		for _, run := range []func(context.Context){registry.View().Run, registry.Run, leases.Run, controller.Run} {
 			group.Go(func() { run(ctx) })
 		}
 		nodes[i] = holderNode{name: name, store: way, controller: controller}
@@ -198,7 +151,7 @@
 // holderOf returns the node that holds the lease, nil if none does.
 func holderOf(nodes []holderNode) *holderNode {
 	for i := range nodes {
-		if nodes[i].controller.holds() {
+		if nodes[i].controller.lease.Held() {
 			return &nodes[i]
 		}
 	}
@@ -218,7 +171,7 @@
 			t.Fatal("nobody holds the lease")
 		}
 		cut := time.Now()
-		holder.store.setCut(true)
+		holder.store.Set(rowstoretest.Silenced)
 		time.Sleep(500 * time.Millisecond)
 		nameVersion(nodes, 3)
 		time.Sleep(5 * time.Second)
@@ -255,13 +208,13 @@
 						nameVersion(nodes, version)
 					}
 					if holder := holderOf(nodes); holder != nil && random.IntN(6) == 0 {
-						holder.store.setCut(true)
+						holder.store.Set(rowstoretest.Silenced)
 					}
 					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 					for _, node := range nodes {
-						holders[node.name] = holders[node.name] || node.controller.holds()
+						holders[node.name] = holders[node.name] || node.controller.lease.Held()
 						if random.IntN(3) == 0 {
-							node.store.setCut(false)
+							node.store.Set(rowstoretest.Open)
 						}
 					}
 				}
--- a/internal/reload/doc.go
+++ b/internal/reload/doc.go
@@ -1,12 +1,8 @@
 // Package reload moves the back ends of model services to named versions of
 // the weights. One node at a time gives orders: the holder of the lease.
 //
-// Lease. One row names the holder and its term, which is the fencing token of
-// all its orders: it is written before the first order and rises with each
-// acquisition. The holder renews the row by conditional writes and gives no
-// order later than Validity after it sent the last renewal that succeeded, by
-// its steady clock. A node that sees no change of the row for Validity, through
-// a view that follows the store, takes the lease.
+// Lease. The holder has the lease LeaseName of package rowlease; its token is the
+// fencing token of all orders. No order is sent outside the lease's validity.
 //
 // Two holders. Orders of two holders to one back end must lie the settling time of
 // the back ends apart. Before each order the holder writes a row of TableLoads for
@@ -18,10 +14,8 @@
 // left alone until the old holder's last possible order lies that time back; all
 // others are ordered at once.
 //
-// At a planned stop the holder first ends what it has begun, then writes that it
-// has released the lease and how long it has been quiet; the next holder waits
-// for the rest of the settling time alone. Nodes that were restarted by plan take
-// the lease before others, so that a rolling restart moves it once.
+// At a planned stop the holder first ends what it has begun, then releases the
+// lease.
 //
 // Orders. Each names the incarnation that must take it and the number of orders
 // that the back end must have taken before, so that one which is carried out
@@ -38,41 +32,15 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"time"
 
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
-// Tables of the row store.
-const (
-	// TableLease holds the lease.
-	TableLease = "lease"
-	// TableLoads tells, by back end, what the holder loads and has loaded.
-	TableLoads = "loads"
-)
+// TableLoads tells, by back end, what the holder loads and has loaded.
+const TableLoads = "loads"
 
-const (
-	leaseKey = "orders"
-	termKey  = "term"
-)
-
-// term is the row that changes with the holder alone, and not with renewals.
-type term struct {
-	Holder string `json:"holder"`
-	Term   int64  `json:"term"`
-}
-
-// lease is the lease's row.
-type lease struct {
-	Holder      string `json:"holder"`
-	Incarnation int64  `json:"incarnation"`
-	Term        int64  `json:"term"`
-	Renewal     int64  `json:"renewal"`
-	// Released says that the holder gave the lease up; QuietMillis, how long
-	// before that its last order ended at least, in milliseconds.
-	Released    bool  `json:"released,omitempty"`
-	QuietMillis int64 `json:"quiet_ms,omitempty"`
-}
+// LeaseName is the name of the lease on giving orders.
+const LeaseName = "orders"
 
 // Load is what the holder has done with a back end; the key of its row is the
 // incarnation's id.
@@ -141,10 +109,6 @@
 	Report(ctx context.Context, instance, address string) (Report, error)
 }
 
-func leaseID() rowstore.RowID { return rowstore.RowID{Table: TableLease, Key: leaseKey} }
-
-func termID() rowstore.RowID { return rowstore.RowID{Table: TableLease, Key: termKey} }
-
 func loadID(instance string) rowstore.RowID { return rowstore.RowID{Table: TableLoads, Key: instance} }
 
 func encode(value any) []byte {
@@ -154,28 +118,3 @@
 	}
 	return encoded
 }
-
-// Timing holds the bounds that the lease is built on.
-type Timing struct {
-	// Settle is how long back ends take to tell two holders apart.
-	Settle time.Duration
-}
-
-// Validity is how long a holder may order after a renewal. It is what a lapse of
-// the lease is known after; three renewals fit into it.
-func (t Timing) Validity() time.Duration { return t.Settle / 3 }
-
-// renewEvery is how often the holder renews.
-func (t Timing) renewEvery() time.Duration { return t.Validity() / 3 }
-
-// margin covers the delays of clocks and messages.
-func (t Timing) margin() time.Duration { return t.Settle / 10 }
-
-// quietAfter returns how long after the last change of a holder's row another
-// holder may order.
-func (t Timing) quietAfter(before lease) time.Duration {
-	if before.Released {
-		return t.Settle - time.Duration(before.QuietMillis)*time.Millisecond + t.margin()
-	}
-	return t.Validity() + t.Settle + t.margin()
-}
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -10,6 +10,7 @@
 	"github.com/sliplift/sliplift/internal/fleet"
 	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/rowlease"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
@@ -20,7 +21,9 @@
 	Fleet     *fleet.Fleet
 	Commander Commander
 	Log       *eventlog.Log
-	Timing    Timing
+	Timing    rowlease.Timing
+	// Leases is where the lease on giving orders is.
+	Leases *rowlease.Leases
 	// Pacing says how often the store may be asked.
 	Pacing rowstore.Pacing
 	// Mode says what becomes of runs under way.
@@ -34,27 +37,20 @@
 type Controller struct {
 	config    Config
 	self      presence.Node
-	leaseView *rowstore.View
+	lease     *rowlease.Lease
 	loadsView *rowstore.View
 
-	mu       sync.Mutex
-	named    map[string]int64
-	row      lease
-	revision int64
-	changed  time.Time
-	stopping bool
+	mu    sync.Mutex
+	named map[string]int64
 
-	// Of the holder.
-	held       bool
-	token      int64
-	validUntil time.Time
-	orderFrom  time.Time
+	// Of the holder. token is that of the last term of this node.
+	token     int64
+	orderFrom time.Time
 	// termRevision is the revision of the row that every announcement depends on.
 	termRevision int64
 	// resting holds, by back end, until when it is left alone because the holder
 	// before may have given it an order.
 	resting   map[string]time.Time
-	renewed   time.Time
 	lastOrder time.Time
 	loadTime  time.Duration
 	busy      map[string]bool
@@ -84,8 +80,9 @@
 		parallel: make(map[string]*parallelism),
 		wakes:    make(chan struct{}, 1),
 	}
-	controller.leaseView = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
-		Name: "lease", Table: TableLease, Partitions: []string{""}, Wait: config.Pacing.IdleWait, Pace: config.Pacing.BusyPace, Apply: controller.applyLease,
+	controller.lease = config.Leases.Add(rowlease.Config{
+		Name: LeaseName, Store: config.Store, Presence: config.Presence, Log: config.Log, Timing: config.Timing,
+		Begin: controller.beginTerm,
 	})
 	controller.loadsView = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
 		Name: "loads", Table: TableLoads, Partitions: []string{""}, Wait: config.Pacing.IdleWait, Pace: config.Pacing.BusyPace, Apply: controller.applyLoads,
@@ -115,30 +112,18 @@
 	}
 }
 
-const (
-	// tick is how often the holder looks at the plan without an event.
-	tick = 100 * time.Millisecond
-	// leaseTick is how often a node looks at the lease.
-	leaseTick = 200 * time.Millisecond
-)
+// tick is how often the holder looks at the plan without an event.
+const tick = 100 * time.Millisecond
 
 // Run takes part until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { c.leaseView.Run(ctx) })
 	group.Go(func() { c.loadsView.Run(ctx) })
-	group.Go(func() { pause.Every(ctx, leaseTick, nil, func() { c.leaseStep(ctx) }) })
-	group.Go(func() { pause.EveryWhile(ctx, tick, c.wakes, c.holds, func() { c.giveOrders(ctx) }) })
+	group.Go(func() { pause.EveryWhile(ctx, tick, c.wakes, c.lease.Held, func() { c.giveOrders(ctx) }) })
 	group.Go(func() { pause.Every(ctx, forgetEvery, nil, func() { c.forgetGone(ctx) }) })
 	group.Wait()
 }
 
-func (c *Controller) applyLease(rows []rowstore.Row, _ bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.noteRows(rows)
-}
-
 // loadingMost is how long an announced load keeps others away at most.
 const loadingMost = 5 * time.Second
 
@@ -164,10 +149,13 @@
 // versions again.
 func (c *Controller) forgetGone(ctx context.Context) {
 	now := time.Now()
+	if !c.lease.Held() {
+		return
+	}
 	c.mu.Lock()
 	var transaction rowstore.Transaction
 	for id := range c.loads {
-		if _, found := c.config.Fleet.Get(id, now); c.held && !found && len(transaction.Deletes) < forgetMost {
+		if _, found := c.config.Fleet.Get(id, now); !found && len(transaction.Deletes) < forgetMost {
 			transaction.Deletes = append(transaction.Deletes, loadID(id))
 		}
 	}
@@ -191,13 +179,21 @@
 // Stop gives the lease up: what has been begun, and what the plan wants at once,
 // is ended while ctx allows; then the row says that the lease is released.
 func (c *Controller) Stop(ctx context.Context) {
-	c.mu.Lock()
-	c.stopping = true
-	c.mu.Unlock()
+	c.lease.Withdraw()
 	for c.working(time.Now()) && ctx.Err() == nil {
 		pause.For(ctx, tick)
 	}
-	c.release()
+	c.lease.Release(c.quiet(time.Now()))
+}
+
+// quiet returns how long ago the last order ended at least.
+func (c *Controller) quiet(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.busy) > 0 {
+		return 0
+	}
+	return now.Sub(c.lastOrder)
 }
 
 // working tells whether this node holds the lease and still has orders to end
@@ -206,25 +202,14 @@
 	backends := c.config.Fleet.All(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.held {
+	if !c.lease.Held() {
 		return false
 	}
 	return len(c.busy) > 0 || len(c.plan(backends, now, c.parallelOf)) > 0
 }
 
-// holds tells whether this node holds the lease.
-func (c *Controller) holds() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.held
-}
-
 // Holder returns the lease's holder as this node knows it, for metrics.
-func (c *Controller) Holder() (name string, held bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.row.Holder, c.held
-}
+func (c *Controller) Holder() (name string, held bool) { return c.lease.Holder() }
 
 // giveOrders begins what the plan wants.
 func (c *Controller) giveOrders(ctx context.Context) {
--- a/internal/reload/resting.go
+++ b/internal/reload/resting.go
@@ -8,6 +8,7 @@
 
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/pause"
+	"github.com/sliplift/sliplift/internal/rowlease"
 	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
@@ -22,7 +23,7 @@
 // Timing.Settle apart. Announcements of the holder before cannot change after the
 // lease was taken, see announce, so that a back end without one may be ordered at
 // once. changed is when this node saw the last change of the holder's row.
-func (c *Controller) readResting(ctx context.Context, before lease, changed time.Time) (map[string]time.Time, error) {
+func (c *Controller) readResting(ctx context.Context, before rowlease.State, changed time.Time) (map[string]time.Time, error) {
 	bounded, cancel := context.WithTimeout(ctx, c.config.Timing.Validity())
 	defer cancel()
 	rows, _, err := rowstore.ListAll(bounded, c.config.Store, TableLoads, "", "", "")
@@ -31,12 +32,12 @@
 	}
 	c.applyLoads(rows, false)
 	now := time.Now()
-	latest := changed.Add(c.config.Timing.quietAfter(before))
+	latest := changed.Add(c.config.Timing.QuietAfter(before))
 	resting := make(map[string]time.Time)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, row := range rows {
-		until := c.config.Timing.restUntil(c.loads[row.Key], c.seen[row.Key].at, latest)
+		until := restUntil(c.config.Timing, c.loads[row.Key], c.seen[row.Key].at, latest)
 		if until.After(now) {
 			resting[row.Key] = until
 		}
@@ -47,8 +48,8 @@
 // restUntil returns until when a back end is to be left alone that an earlier
 // holder announced a load of, as it was seen at a time. No order of that holder
 // matters after latest. It is pure.
-func (t Timing) restUntil(announced Load, seen, latest time.Time) time.Time {
-	until := seen.Add(t.Settle + t.margin())
+func restUntil(t rowlease.Timing, announced Load, seen, latest time.Time) time.Time {
+	until := seen.Add(t.Settle + t.Margin())
 	// The order that a load was announced for may be sent until the lease lapses.
 	if announced.Loading != "" || until.After(latest) {
 		return latest
@@ -136,7 +137,7 @@
 	}
 	c.seen[row.Key] = seenLoad{revision: row.Revision, at: now}
 	c.loads[row.Key] = load
-	if load.Share != "" && !c.held {
+	if load.Share != "" && !c.lease.Held() {
 		c.shares[row.Key] = load.Share
 	}
 	return true
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -7,6 +7,8 @@
 	"math"
 	"strings"
 	"time"
+
+	"github.com/sliplift/sliplift/internal/tenant"
 )
 
 // Kind says what may be done with a route's requests.
@@ -51,6 +53,8 @@
 	ResultDue time.Duration
 	// MaxQueue is the time after which an item of a batch job may be given up.
 	MaxQueue time.Duration
+	// Public requests need no key.
+	Public bool
 }
 
 // Service is a set of alike back ends.
@@ -75,6 +79,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Tenants holds the callers' keys; nil, if no request needs one.
+	Tenants *tenant.Set
 
 	byHost map[string][]*Route
 }
--- /dev/null
+++ b/internal/rowlease/lease.go
@@ -0,0 +1,359 @@
+package rowlease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/pause"
+	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/rowstore"
+)
+
+// Hold is a term of this node.
+type Hold struct {
+	// Token is the fencing token.
+	Token int64
+	// TermRevision is the revision of the term's row: the condition for whatever may
+	// only be written in this term.
+	TermRevision int64
+	// Before is the row that the holder before left, zero if there was none, and
+	// Changed, when this node saw its last change.
+	Before  State
+	Changed time.Time
+}
+
+// Config configures a Lease.
+type Config struct {
+	// Name tells the lease from others.
+	Name     string
+	Store    rowstore.Store
+	Presence *presence.Registry
+	Log      *eventlog.Log
+	Timing   Timing
+	// Begin, if set, prepares a term: the lease is written, and counts as held once
+	// Begin returns. What it returns stands in the log's line.
+	Begin func(ctx context.Context, hold Hold) eventlog.Fields
+}
+
+// Lease is this node's part in one lease. It is safe for concurrent use. No call
+// waits for the store while it holds its lock.
+type Lease struct {
+	config Config
+	self   presence.Node
+	view   *rowstore.View
+
+	mu       sync.Mutex
+	row      State
+	revision int64
+	changed  time.Time
+	// withdrawn tells that this node takes the lease no more.
+	withdrawn bool
+
+	// Of the holder.
+	held       bool
+	hold       Hold
+	validUntil time.Time
+	renewed    time.Time
+}
+
+// Leases are the leases that a node takes part in; they share a view.
+type Leases struct {
+	view *rowstore.View
+
+	mu     sync.Mutex
+	byName map[string]*Lease
+}
+
+// NewLeases returns leases over one view of the store.
+func NewLeases(log *eventlog.Log, store rowstore.Store, pacing rowstore.Pacing) *Leases {
+	leases := &Leases{byName: make(map[string]*Lease)}
+	leases.view = rowstore.NewView(log, store, rowstore.ViewConfig{
+		Name: "lease", Table: Table, Partitions: []string{""}, Wait: pacing.IdleWait, Pace: pacing.BusyPace, Apply: leases.apply,
+	})
+	return leases
+}
+
+// Add returns this node's part in a lease; it is called before Run.
+func (s *Leases) Add(config Config) *Lease {
+	lease := &Lease{config: config, self: config.Presence.Self(), view: s.view}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byName[config.Name] = lease
+	return lease
+}
+
+// tick is how often a node looks at its leases.
+const tick = 200 * time.Millisecond
+
+// Run takes part in all leases until ctx ends.
+func (s *Leases) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { s.view.Run(ctx) })
+	s.mu.Lock()
+	for _, lease := range s.byName {
+		group.Go(func() { pause.Every(ctx, tick, nil, func() { lease.step(ctx) }) })
+	}
+	s.mu.Unlock()
+	group.Wait()
+}
+
+func (s *Leases) apply(rows []rowstore.Row, _ bool) {
+	for _, row := range rows {
+		s.mu.Lock()
+		lease := s.byName[row.Key]
+		s.mu.Unlock()
+		if lease != nil {
+			lease.note(row)
+		}
+	}
+}
+
+// note takes the lease's row if it is newer.
+func (l *Lease) note(row rowstore.Row) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if row.Key != l.config.Name || row.Deleted || row.Revision <= l.revision {
+		return
+	}
+	var seen State
+	if err := json.Unmarshal(row.Value, &seen); err != nil {
+		l.config.Log.Warn(eventlog.RowUnreadable, eventlog.Fields{eventlog.Table: Table, eventlog.Key: row.Key, eventlog.Cause: err.Error()})
+		return
+	}
+	l.row, l.revision, l.changed = seen, row.Revision, time.Now()
+	if l.held && (seen.Holder != l.self.Name || seen.Term != l.hold.Token) {
+		l.lose("another holder")
+	}
+}
+
+// lose ends this node's hold. The lock is held.
+func (l *Lease) lose(cause string) {
+	l.held = false
+	l.config.Log.Warn(eventlog.LeaseLost, eventlog.Fields{
+		eventlog.Lease: l.config.Name, eventlog.Token: l.hold.Token, eventlog.Cause: cause, eventlog.Owner: l.row.Holder,
+	})
+}
+
+// Current returns the term of this node and until when it may act, and whether it
+// holds the lease.
+func (l *Lease) Current() (hold Hold, validUntil time.Time, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hold, l.validUntil, l.held
+}
+
+// Valid tells whether this node may act now in the term of a token.
+func (l *Lease) Valid(token int64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held && l.hold.Token == token && now.Before(l.validUntil)
+}
+
+// Held tells whether this node holds the lease.
+func (l *Lease) Held() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
+
+// Holder returns the holder as this node knows it, and whether it is this node.
+func (l *Lease) Holder() (name string, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.row.Holder, l.held
+}
+
+// Abandon ends the hold of a token that a receiver refused: another node has a
+// higher one.
+func (l *Lease) Abandon(token int64, cause string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held && l.hold.Token == token {
+		l.lose(cause)
+	}
+}
+
+// Withdraw keeps this node from taking the lease from now on.
+func (l *Lease) Withdraw() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.withdrawn = true
+}
+
+// releaseLimit bounds the writing of a release.
+const releaseLimit = time.Second
+
+// Release gives the lease up, if this node holds it; quiet is how long ago it last
+// acted.
+func (l *Lease) Release(quiet time.Duration) {
+	l.mu.Lock()
+	l.withdrawn = true
+	if !l.held {
+		l.mu.Unlock()
+		return
+	}
+	l.lose("stopping")
+	next, revision := l.row, l.revision
+	next.Released = true
+	next.QuietMillis = min(quiet, l.config.Timing.Settle).Milliseconds()
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+	defer cancel()
+	if _, err := l.write(ctx, next, revision); err != nil {
+		// The lease lapses instead.
+		l.config.Log.Warn(eventlog.LeaseLost, eventlog.Fields{
+			eventlog.Lease: l.config.Name, eventlog.Token: next.Term, eventlog.Cause: "release not written: " + err.Error(),
+		})
+	}
+}
+
+func (l *Lease) step(ctx context.Context) {
+	now := time.Now()
+	l.mu.Lock()
+	held, due := l.held, now.Sub(l.renewed) >= l.config.Timing.renewEvery()
+	withdrawn := l.withdrawn
+	l.mu.Unlock()
+	switch {
+	case held && due:
+		l.renew(ctx, now)
+	case !held && !withdrawn && l.mayTake(now):
+		l.acquire(ctx, now)
+	}
+}
+
+func (l *Lease) renew(ctx context.Context, now time.Time) {
+	l.mu.Lock()
+	next := l.row
+	next.Renewal++
+	revision, token := l.revision, l.hold.Token
+	l.mu.Unlock()
+	written, err := l.write(ctx, next, revision)
+	var conflict *rowstore.ConflictError
+	if errors.As(err, &conflict) {
+		l.noteConflict(conflict)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !l.held || l.hold.Token != token:
+	case err == nil:
+		l.adopt(next, written, now)
+	case conflict != nil && l.row.Renewal == next.Renewal:
+		// An attempt whose answer was lost has done it; when is not known, so it
+		// extends nothing.
+		l.renewed = time.Time{}
+	}
+}
+
+func (l *Lease) noteConflict(conflict *rowstore.ConflictError) {
+	for _, row := range conflict.Rows {
+		l.note(row)
+	}
+}
+
+// adopt takes a row that this node has written. The lock is held.
+func (l *Lease) adopt(row State, revision int64, sent time.Time) {
+	l.row, l.revision, l.changed = row, revision, time.Now()
+	l.renewed = sent
+	l.validUntil = sent.Add(l.config.Timing.Validity())
+}
+
+// write writes the lease's row, and more rows with it, on the condition that the
+// row is as this node knows it.
+func (l *Lease) write(ctx context.Context, row State, revision int64, more ...rowstore.Row) (int64, error) {
+	bounded, cancel := context.WithTimeout(ctx, l.config.Timing.Validity())
+	defer cancel()
+	id := ID(l.config.Name)
+	return l.config.Store.Commit(bounded, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{RowID: id, Revision: revision}},
+		Puts:       append([]rowstore.Row{{RowID: id, Value: encode(row)}}, more...),
+	})
+}
+
+// takeStagger separates the nodes that could take the lease.
+const takeStagger = 300 * time.Millisecond
+
+// mayTake tells whether the lease is free for this node.
+func (l *Lease) mayTake(now time.Time) bool {
+	status := l.view.Status()
+	if !status.Healthy || !l.config.Presence.View().Status().Healthy {
+		return false
+	}
+	waited := l.freeFor(status.HealthySince, now)
+	if waited < 0 {
+		return false
+	}
+	rank := presence.Place(presence.RankSteady(l.candidates(now), l.config.Name), l.self.Name)
+	return rank >= 0 && waited >= time.Duration(rank)*takeStagger
+}
+
+// candidates returns the nodes that could take the lease: a holder that let it
+// lapse is not waited for, though it may still count as live.
+func (l *Lease) candidates(now time.Time) []presence.Node {
+	l.mu.Lock()
+	holder := l.row.Holder
+	l.mu.Unlock()
+	return slices.DeleteFunc(l.config.Presence.Live(now), func(n presence.Node) bool {
+		return n.Name == holder && n.Name != l.self.Name
+	})
+}
+
+// freeFor returns for how long the lease has been free, negative while it is
+// not, as a view tells that has followed the store since healthySince.
+func (l *Lease) freeFor(healthySince, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.revision == 0 {
+		return now.Sub(healthySince)
+	}
+	quietSince := l.changed
+	if healthySince.After(quietSince) {
+		quietSince = healthySince
+	}
+	free := l.config.Timing.Validity() + l.config.Timing.Margin()
+	if l.row.Holder == l.self.Name || l.row.Released {
+		// Given up, or held by an earlier process of this machine, which cannot act
+		// any more.
+		free = 0
+	}
+	return now.Sub(quietSince) - free
+}
+
+// acquire takes the lease with the next term.
+func (l *Lease) acquire(ctx context.Context, now time.Time) {
+	l.mu.Lock()
+	before, revision, changed := l.row, l.revision, l.changed
+	l.mu.Unlock()
+	next := State{Holder: l.self.Name, Incarnation: l.self.Incarnation, Term: before.Term + 1}
+	holding := rowstore.Row{RowID: TermID(l.config.Name), Value: encode(term{Holder: next.Holder, Term: next.Term})}
+	written, err := l.write(ctx, next, revision, holding)
+	if err != nil {
+		var conflict *rowstore.ConflictError
+		if errors.As(err, &conflict) {
+			l.noteConflict(conflict)
+		}
+		return
+	}
+	hold := Hold{Token: next.Term, TermRevision: written, Before: before, Changed: changed}
+	fields := eventlog.Fields{}
+	if l.config.Begin != nil {
+		fields = l.config.Begin(ctx, hold)
+	}
+	fields[eventlog.Lease], fields[eventlog.Token] = l.config.Name, hold.Token
+	if before.Holder != "" {
+		fields["before"], fields["quiet_ms"] = before.Holder, now.Sub(changed).Milliseconds()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if written < l.revision {
+		return
+	}
+	l.adopt(next, written, now)
+	l.held, l.hold = true, hold
+	l.config.Log.Warn(eventlog.LeaseTaken, fields)
+}
--- a/internal/rowstore/pacing.go
+++ b/internal/rowstore/pacing.go
@@ -56,6 +56,23 @@
 	return time.Duration(calls / (share * p.Limits.ReadsPerSecond) * float64(time.Second))
 }
 
+const (
+	// usageShare is the share of all writes that the nodes' counts of requests may use.
+	usageShare = 0.1
+	// usageLeast is the least time between two writes of a node's counts: what a node
+	// that is killed loses.
+	usageLeast = 300 * time.Millisecond
+)
+
+// UsageInterval returns the least time between two writes of a node's counts.
+func (p Pacing) UsageInterval() time.Duration {
+	if p.Limits.WritesPerSecond <= 0 {
+		return usageLeast
+	}
+	share := float64(p.Nodes()) / (usageShare * p.Limits.WritesPerSecond)
+	return max(usageLeast, time.Duration(share*float64(time.Second)))
+}
+
 // beatShare is the share of all writes that the nodes' beats may use.
 const beatShare = 0.15
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -12,6 +12,8 @@
 	GatewayListening `group:"Listening"`
 	RowStore         `group:"Row store"`
 	GatewayTiming    `group:"Timing"`
+	GatewayTenants   `group:"Tenants"`
+	GatewayDuties    `group:"Duties"`
 	GatewayLog       `group:"Log"`
 }
 
@@ -47,11 +49,27 @@
 
 // GatewayTiming holds how long things take or may take.
 type GatewayTiming struct {
-	ConfigApply time.Duration `long:"config-apply" default:"2s" min:"100ms" max:"1m" description:"time within which a change of the configuration has to be in force"`
-	LeaseSettle time.Duration `long:"lease-settle" default:"3s" min:"100ms" max:"1m" description:"time that has to lie between orders of two lease holders"`
-	StopGrace   time.Duration `long:"stop-grace" default:"8s" min:"1s" max:"10m" description:"time that a planned stop may take"`
-	KeepJobs    time.Duration `long:"keep-jobs" default:"2m" min:"1s" max:"24h" description:"time that a batch job stays readable after it was submitted"`
-	AddressTTL  time.Duration `long:"address-ttl" default:"1s" min:"100ms" max:"1m" description:"time that callers may keep the addresses of nodes"`
+	ConfigApply  time.Duration `long:"config-apply" default:"2s" min:"100ms" max:"1m" description:"time within which a change of the configuration has to be in force"`
+	LeaseSettle  time.Duration `long:"lease-settle" default:"3s" min:"100ms" max:"1m" description:"time that has to lie between orders of two lease holders"`
+	StopGrace    time.Duration `long:"stop-grace" default:"8s" min:"1s" max:"10m" description:"time that a planned stop may take"`
+	ResultSettle time.Duration `long:"result-settle" default:"1s" min:"100ms" max:"1m" description:"time after which every node has to know of a result that was read"`
+	KeepJobs     time.Duration `long:"keep-jobs" default:"2m" min:"1s" max:"24h" description:"time that a batch job stays readable after it was submitted"`
+	AddressTTL   time.Duration `long:"address-ttl" default:"1s" min:"100ms" max:"1m" description:"time that callers may keep the addresses of nodes"`
+}
+
+// GatewayTenants says when callers' keys are taken.
+type GatewayTenants struct {
+	StrictRevoke bool          `long:"strict-revoke" description:"let no keyed request in while the configuration was not confirmed for revoke-within"`
+	RevokeWithin time.Duration `long:"revoke-within" default:"5s" min:"100ms" max:"1h" description:"time within which a key that was taken away must be of no use; counts with strict-revoke"`
+}
+
+// GatewayDuties tells of calls to the platform that one node at a time makes.
+type GatewayDuties struct {
+	DutyAddress string        `long:"duty-address" format:"address" description:"IP:port that takes calls of duties; empty means that there are none"`
+	Duties      []string      `long:"duty" format:"name" value-name:"NAME" description:"a duty that the platform asks for; may be repeated; those that this program does not know are left alone"`
+	DutyCalls   float64       `long:"duty-calls-per-second" default:"10" min:"0.01" max:"1000000" unit:"calls" description:"calls a second that the platform takes from all nodes together"`
+	UsageWindow time.Duration `long:"usage-window" default:"5s" min:"100ms" max:"24h" description:"length of a window of the tenants' use"`
+	UsageWithin time.Duration `long:"usage-within" default:"10s" min:"100ms" max:"24h" description:"time after a window's end within which it has to be reported"`
 }
 
 // GatewayLog says what the log holds.
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -40,6 +40,16 @@
 	}
 }
 
+func TestGatewayDuties(t *testing.T) {
+	loaded, err := loadGateway(t, gatewayFile+"duty-address = 10.0.0.8:80\nduty = metering\nduty = another\nstrict-revoke = true\nusage-window = 5s\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(loaded.Duties) != 2 || loaded.DutyAddress != "10.0.0.8:80" || !loaded.StrictRevoke || loaded.RevokeWithin.Seconds() != 5 {
+		t.Errorf("%+v", loaded)
+	}
+}
+
 func TestGatewayFaults(t *testing.T) {
 	cases := map[string]string{
 		"name = n1\n":                           "", // removed: must be set
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -19,12 +19,15 @@
 	"github.com/sliplift/sliplift/internal/eventlog"
 	"github.com/sliplift/sliplift/internal/fleet"
 	"github.com/sliplift/sliplift/internal/forward"
+	"github.com/sliplift/sliplift/internal/metering"
 	"github.com/sliplift/sliplift/internal/pause"
 	"github.com/sliplift/sliplift/internal/presence"
 	"github.com/sliplift/sliplift/internal/relay"
 	"github.com/sliplift/sliplift/internal/reload"
 	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/rowlease"
 	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/tenant"
 	"github.com/sliplift/sliplift/internal/upstream"
 )
 
@@ -63,18 +66,34 @@
 	// KeepJobs is how long a batch job stays readable.
 	KeepJobs time.Duration
 	// FreshMost is the age of the configuration up to which the node denies a
-	// route that it does not know.
+	// route or a key that it does not know.
 	FreshMost time.Duration
+	// KeysConfirmed is the age of the configuration up to which the node lets known
+	// keys in; 0 sets no limit.
+	KeysConfirmed time.Duration
 	// Dialer may replace the network towards back ends, for tests.
 	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 	// ObserveRequest is told how each live request ended, ObserveDial of each new
 	// connection to a back end; both may be nil.
 	ObserveRequest func(kind routetable.Kind, report forward.Report)
 	ObserveDial    func()
+	// Metering says what is reported of the tenants' use.
+	Metering Metering
 	// AddressTTL is how long callers may keep the addresses they are told.
 	AddressTTL time.Duration
 }
 
+// Metering configures the reports of the tenants' use.
+type Metering struct {
+	// Sink takes the reports; nil if none are wanted.
+	Sink metering.Sink
+	// Window is the length of a window, Due, within which time after its end it has to
+	// be reported.
+	Window, Due time.Duration
+	// CallsPerSecond bounds the calls of all nodes together.
+	CallsPerSecond float64
+}
+
 // Node is a running node. It is safe for concurrent use.
 type Node struct {
 	config     Config
@@ -86,9 +105,13 @@
 	forwarder  *forward.Forwarder
 	relay      *relay.Relay
 	jobs       *batch.Manager
+	leases     *rowlease.Leases
 	controller *reload.Controller
-	operator   *rowstore.View
-	instances  *rowstore.View
+	// counter and reporter are nil where no use is reported.
+	counter   *metering.Counter
+	reporter  *metering.Reporter
+	operator  *rowstore.View
+	instances *rowstore.View
 
 	table         atomic.Pointer[routetable.Table]
 	tableRevision int64
@@ -114,7 +137,7 @@
 	node.client = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, OnDial: config.ObserveDial})
 	node.forwarder = forward.New(forward.Config{
 		Client: node.client, Fleet: node.fleet, Log: config.Log, Zone: config.Self.Zone, VersionField: config.VersionField,
-		Observe: config.ObserveRequest,
+		Observe: node.observe,
 	})
 	node.jobs = batch.NewManager(batch.Config{
 		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client,
@@ -125,11 +148,14 @@
 	node.relay = relay.New(relay.Config{
 		Client: node.peerClient, Peers: node.Peers, InTouch: node.inTouch, Log: config.Log, Zone: config.Self.Zone,
 	})
+	node.leases = rowlease.NewLeases(config.Log, config.Store, pacing)
+	timing := rowlease.Timing{Settle: config.SettleTime}
 	node.controller = reload.NewController(reload.Config{
 		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
-		Log: config.Log, Timing: reload.Timing{Settle: config.SettleTime}, Pacing: pacing, Mode: reload.ModeRetain,
+		Log: config.Log, Timing: timing, Leases: node.leases, Pacing: pacing, Mode: reload.ModeRetain,
 		Demand: node.jobs.Demand,
 	})
+	node.meter(timing)
 	node.operator = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
 		Name: "operator", Table: config.OperatorTable, Partitions: []string{""}, Wait: pacing.FreshWait, Apply: node.applyOperator,
 	})
@@ -140,6 +166,33 @@
 	return node, nil
 }
 
+// meter sets up the counting and reporting of the tenants' use.
+func (n *Node) meter(timing rowlease.Timing) {
+	config := n.config
+	if config.Metering.Sink == nil {
+		return
+	}
+	n.counter = metering.NewCounter(metering.CounterConfig{
+		Store: config.Store, Log: config.Log, Node: config.Self.Name, Incarnation: config.Self.Incarnation,
+		Window: config.Metering.Window, Interval: n.pacing.UsageInterval,
+	})
+	n.reporter = metering.NewReporter(metering.Config{
+		Store: config.Store, Presence: n.presence, Leases: n.leases, Timing: timing, Log: config.Log,
+		Sink: config.Metering.Sink, Now: time.Now, Window: config.Metering.Window, Due: config.Metering.Due,
+		RowBytes: config.Limits.RowBytes, CallsPerSecond: config.Metering.CallsPerSecond,
+	})
+}
+
+// observe takes note of how a live request ended.
+func (n *Node) observe(kind routetable.Kind, report forward.Report) {
+	if n.counter != nil && report.Tenant != "" && !report.Began.IsZero() {
+		n.counter.Count(report.Tenant, report.Began)
+	}
+	if n.config.ObserveRequest != nil {
+		n.config.ObserveRequest(kind, report)
+	}
+}
+
 // relayDial bounds a connection to another node.
 const relayDial = 300 * time.Millisecond
 
@@ -198,7 +251,12 @@
 	group.Go(func() { n.presence.View().Run(ctx) })
 	group.Go(func() { n.beat(ctx) })
 	group.Go(func() { n.jobs.Run(ctx) })
+	group.Go(func() { n.leases.Run(ctx) })
 	group.Go(func() { n.controller.Run(ctx) })
+	if n.counter != nil {
+		group.Go(func() { n.counter.Run(ctx) })
+		group.Go(func() { n.reporter.Run(ctx) })
+	}
 	group.Go(func() { pause.Every(ctx, sweepEvery, nil, n.sweep) })
 	group.Wait()
 }
@@ -340,6 +398,40 @@
 	return Match{Config: table, Denied: fresh}
 }
 
+// Tenant returns on whose behalf a request with a key is made. A request about a
+// route that is not known yet counts as one that is not public.
+func (n *Node) Tenant(key string, route *routetable.Route) (tenant.Tenant, tenant.Verdict) {
+	table := n.table.Load()
+	if table == nil {
+		return tenant.Tenant{}, tenant.Unsure
+	}
+	status := n.operator.Status()
+	age := status.Age(time.Now())
+	known := tenant.Knowledge{
+		MayDeny:  status.Healthy && age <= n.config.FreshMost,
+		MayGrant: n.config.KeysConfirmed <= 0 || age <= n.config.KeysConfirmed,
+	}
+	return table.Tenants.Decide(key, route != nil && route.Public, known)
+}
+
+// KnowsTenants tells whether the configuration tells callers apart.
+func (n *Node) KnowsTenants() bool {
+	table := n.table.Load()
+	return table != nil && table.Tenants != nil
+}
+
+// ConfigKnown tells whether the node has read a configuration.
+func (n *Node) ConfigKnown() bool { return n.table.Load() != nil }
+
+// ConfigVersion returns the version of the configuration in force, 0 if there is
+// none.
+func (n *Node) ConfigVersion() int64 {
+	if table := n.table.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
 // ConfigAge returns when the configuration was last confirmed.
 func (n *Node) ConfigAge() time.Duration { return n.operator.Status().Age(time.Now()) }
 
@@ -376,6 +468,22 @@
 	return n.presence.Addresses(zone, region, time.Now()), n.config.AddressTTL
 }
 
+// Finish writes what a planned stop leaves to be written once the last request has
+// ended.
+func (n *Node) Finish(ctx context.Context) {
+	for n.counter != nil && !n.counter.Flush(ctx) && pause.For(ctx, startRetry) {
+	}
+}
+
+// MeteringHolder returns who reports the tenants' use, as far as this node knows, and
+// whether it is this node.
+func (n *Node) MeteringHolder() (name string, held bool) {
+	if n.reporter == nil {
+		return "", false
+	}
+	return n.reporter.Holder()
+}
+
 // handOverMost bounds the handing over of jobs.
 const handOverMost = 2 * time.Second
 
@@ -385,6 +493,10 @@
 	n.stopping.Store(true)
 	n.presence.SetState(presence.Stopping)
 	var group sync.WaitGroup
+	if n.reporter != nil {
+		n.reporter.Withdraw()
+		group.Go(n.reporter.Release)
+	}
 	group.Go(func() { n.controller.Stop(ctx) })
 	group.Go(func() {
 		bounded, cancel := context.WithTimeout(ctx, handOverMost)
--- a/internal/storerelay/detour_test.go
+++ b/internal/storerelay/detour_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,64 +20,10 @@
 	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
 )
 
-// way is one node's own way to the store, with what goes wrong on it alone.
-type way struct {
-	rowstore.Store
-	mu     sync.Mutex
-	manner string
-	calls  atomic.Int64
-}
-
-func (w *way) set(manner string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.manner = manner
-}
-
-func (w *way) fail(ctx context.Context) error {
-	w.calls.Add(1)
-	w.mu.Lock()
-	manner := w.manner
-	w.mu.Unlock()
-	switch manner {
-	case "refused":
-		return rowstore.ErrRefused
-	case "reset":
-		return rowstore.ErrUnknown
-	case "silent":
-		bounded, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
-		defer cancel()
-		<-bounded.Done()
-		return rowstore.ErrUnknown
-	}
-	return nil
-}
-
-func (w *way) Commit(ctx context.Context, transaction rowstore.Transaction) (int64, error) {
-	if err := w.fail(ctx); err != nil {
-		return 0, err
-	}
-	return w.Store.Commit(ctx, transaction)
-}
-
-func (w *way) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
-	if err := w.fail(ctx); err != nil {
-		return rowstore.Snapshot{}, err
-	}
-	return w.Store.List(ctx, table, partition, from, to, limit)
-}
-
-func (w *way) Watch(ctx context.Context, table string, after int64, wait time.Duration) (rowstore.Snapshot, error) {
-	if err := w.fail(ctx); err != nil {
-		return rowstore.Snapshot{}, err
-	}
-	return w.Store.Watch(ctx, table, after, wait)
-}
-
 type fixture struct {
 	store   *rowstoretest.Store
 	network *memnet.Network
-	ways    []*way
+	ways    []*rowstoretest.Way
 	nodes   []*Detour
 
 	listeners []net.Listener
@@ -92,7 +37,7 @@
 	for i := range count {
 		log := eventlog.New(logrus.New(), io.Discard)
 		t.Cleanup(log.Close)
-		own := &way{Store: f.store}
+		own := rowstoretest.NewWay(f.store, 1500*time.Millisecond)
 		d := New(Config{Store: own, Dial: f.network.Dialer(name(i)), Zone: "z", Log: log})
 		d.SetPeers(func() []presence.Node {
 			var others []presence.Node
@@ -166,20 +111,22 @@
 // TestANodeTurnedAwayGoesThroughAnother turns one node away in different manners and
 // expects that its calls succeed again within a second, and directly afterwards.
 func TestANodeTurnedAwayGoesThroughAnother(t *testing.T) {
-	for _, manner := range []string{"refused", "reset", "silent"} {
-		t.Run(manner, func(t *testing.T) {
+	for name, manner := range map[string]rowstoretest.Manner{
+		"refused": rowstoretest.Refused, "reset": rowstoretest.Reset, "silent": rowstoretest.Silenced,
+	} {
+		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t, 4)
 				ctx, cancel := context.WithTimeout(t.Context(), 12*time.Second)
 				defer cancel()
 				f.work(ctx, f.nodes[1:])
-				time.AfterFunc(2*time.Second, func() { f.ways[0].set(manner) })
+				time.AfterFunc(2*time.Second, func() { f.ways[0].Set(manner) })
 				time.AfterFunc(6*time.Second, func() {
 					if f.nodes[0].Away() == "" {
 						t.Error("calls do not go through another node")
 					}
 				})
-				time.AfterFunc(8*time.Second, func() { f.ways[0].set("") })
+				time.AfterFunc(8*time.Second, func() { f.ways[0].Set(rowstoretest.Open) })
 				if longest := keepCalling(ctx, f.nodes[0]); longest > time.Second {
 					t.Errorf("no commit for %s", longest)
 				}
@@ -196,7 +143,7 @@
 func TestAnotherNodeIsFoundWhenTheFirstFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 4)
-		f.ways[0].set("refused")
+		f.ways[0].Set(rowstoretest.Refused)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		f.work(ctx, f.nodes[1:])
@@ -226,13 +173,13 @@
 		f.work(ctx, f.nodes)
 		time.Sleep(2 * time.Second)
 		for _, w := range f.ways {
-			w.set("refused")
+			w.Set(rowstoretest.Refused)
 		}
 		time.Sleep(1500 * time.Millisecond)
-		before := f.ways[0].calls.Load()
+		before := f.ways[0].Calls()
 		time.Sleep(4 * time.Second)
 		// A caller tries twenty times a second; probes come on top.
-		if made := f.ways[0].calls.Load() - before; made > 90 {
+		if made := f.ways[0].Calls() - before; made > 90 {
 			t.Errorf("%d calls in 4 s", made)
 		}
 		for i, d := range f.nodes {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -57,6 +57,8 @@
 	Address string
 	// Instance is the incarnation that must take the call.
 	Instance string
+	// Tenant is on whose behalf the call is made, empty for nobody's.
+	Tenant string
 	// Deadline is when the back end has to stop work; zero means none.
 	Deadline time.Time
 	// ResumeAfter is the last event that is already there; it counts if Resume.
@@ -99,6 +101,8 @@
 	Cause error
 	// Status is of the answer that said NotRun, if Fate is NotRun.
 	Status int
+	// Sent is when the call was written, zero if Fate is NotSent.
+	Sent time.Time
 	// kept tells that the connection is sound and has been given back.
 	kept bool
 }
@@ -188,7 +192,9 @@
 
 // Answer is an answer that belongs to its call. Body must be closed.
 type Answer struct {
-	Meta   Meta
+	Meta Meta
+	// Sent is when the call was written.
+	Sent   time.Time
 	Status int
 	Header http.Header
 	// Length is the body's length in bytes, -1 if it is not known.
@@ -204,10 +210,13 @@
 		return nil, &Error{Fate: NotSent, Cause: err}
 	}
 	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	sent := time.Now()
 	answer, failure := c.exchange(conn, call, release)
 	if failure == nil {
+		answer.Sent = sent
 		return answer, nil
 	}
+	failure.Sent = sent
 	if !failure.kept {
 		release()
 		_ = conn.Close()
