batch: a node whose view is behind asks the store before it says that there is nothing

Ruled out: a quicker view (the reads of 300 nodes grow with every job's commits). Now a caller that asks beyond what the node knows makes it read the head, and an empty page is given only on a view that is younger than half of result-settle, by the owner, or after a read of the head: one read a held call and job. While the store does not answer, what is known is said as before.

Test: TestNodeWhoseViewIsBehindSaysNothingFalse, views 18 s behind; failed on two nodes of four before.

--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -35,6 +35,8 @@
 	Pacing rowstore.Pacing
 	// Keep is how long a job stays readable after it was submitted.
 	Keep time.Duration
+	// Settle is the time after which every node has to know of a result that was read.
+	Settle time.Duration
 }
 
 // jobState is what a node knows of a job.
@@ -423,6 +425,11 @@
 	if state, found := m.snapshot(job); found && state.known {
 		return state, OK
 	}
+	return m.readHead(ctx, job)
+}
+
+// readHead returns a job's state as the store has it.
+func (m *Manager) readHead(ctx context.Context, job string) (jobState, Status) {
 	prefix := job + "/"
 	snapshot, err := m.config.Store.List(ctx, TableJobs, rowstore.Shard(job), prefix, rowstore.KeyEnd(prefix), 2)
 	if err != nil {
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -34,15 +34,23 @@
 		return Page{}, status
 	}
 	deadline := time.Now().Add(wait)
+	if state.head.Count < after {
+		// The caller has read more than this node knows of.
+		if state, status = m.readHead(ctx, job); status != OK {
+			return Page{}, status
+		}
+	}
 	for state.head.Count <= after && state.head.Count < state.head.Total {
 		left := time.Until(deadline)
-		if left <= 0 || !waitChange(ctx, state.changed, left) {
-			return Page{Total: state.head.Total, Next: after}, OK
-		}
-		var found bool
-		if state, found = m.snapshot(job); !found {
-			return Page{}, Unavailable
+		if left > 0 && waitChange(ctx, state.changed, left) {
+			var found bool
+			if state, found = m.snapshot(job); !found {
+				return Page{}, Unavailable
+			}
+			continue
 		}
+		state = m.confirmed(ctx, state)
+		break
 	}
 	if state.head.Count <= after {
 		return Page{Total: state.head.Total, Next: after}, OK
@@ -56,6 +64,26 @@
 	return Page{Total: state.head.Total, Next: after + len(results), Results: results}, status
 }
 
+// freshShare is the age of a view, as a share of Config.Settle, up to which its word
+// is taken that there is no newer result; the rest of the time is the answer's way.
+const freshShare = 0.5
+
+// confirmed returns the state of a job as it is now, or as this node knows it if the
+// store does not answer: a caller must not be told that there is nothing at a position
+// which was read elsewhere, and views are behind where many nodes share the store's
+// reads.
+func (m *Manager) confirmed(ctx context.Context, state jobState) jobState {
+	status := m.view.Status()
+	owned := state.head.Owner == m.self.Name && m.runner.has(state.id)
+	if owned || status.Healthy && status.Age(time.Now()) <= time.Duration(freshShare*float64(m.config.Settle)) {
+		return state
+	}
+	if read, status := m.readHead(ctx, state.id); status == OK {
+		return read
+	}
+	return state
+}
+
 // moreMost is how long a read waits for a commit that follows at once.
 const moreMost = 300 * time.Millisecond
 
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -65,6 +65,9 @@
 	SettleTime time.Duration
 	// KeepJobs is how long a batch job stays readable.
 	KeepJobs time.Duration
+	// ResultSettle is the time after which every node has to know of a result that
+	// was read.
+	ResultSettle time.Duration
 	// FreshMost is the age of the configuration up to which the node denies a
 	// route or a key that it does not know.
 	FreshMost time.Duration
@@ -142,7 +145,7 @@
 	node.jobs = batch.NewManager(batch.Config{
 		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client,
 		Log: config.Log, Zone: config.Self.Zone, Routes: node.table.Load, VersionField: config.VersionField,
-		Pacing: pacing, Keep: config.KeepJobs,
+		Pacing: pacing, Keep: config.KeepJobs, Settle: config.ResultSettle,
 	})
 	node.peerClient = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, DialTimeout: relayDial})
 	node.relay = relay.New(relay.Config{
