rowlease: what a holder's row says of earlier holders' acts; a release tells of the last act

- A holder that lost the lease again before it had acted left a row that told nothing of the holder before it, so that the next one waited for too little: a release said that it had been quiet for long, and a restart of the same machine waited for nothing.
The row now tells for how long earlier acts are still unclear, at each renewal, and Hold.ClearFrom is from when on all of them lie the settling time back.

--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -79,11 +79,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.token, r.loaded, r.taken = hold.Token, false, make(map[Window]bool)
-	r.from = time.Now()
-	if hold.Before.Holder != "" {
-		r.from = hold.Changed.Add(r.config.Timing.QuietAfter(hold.Before))
-	}
-	return eventlog.Fields{"acts_in_ms": time.Until(r.from).Milliseconds()}
+	r.from = hold.ClearFrom
+	return eventlog.Fields{"acts_in_ms": max(0, time.Until(r.from)).Milliseconds()}
 }
 
 // reportEvery is how often the holder looks for windows to report.
@@ -131,10 +128,11 @@
 
 // Release gives the lease up.
 func (r *Reporter) Release() {
-	r.mu.Lock()
-	quiet := time.Since(r.lastCall)
-	r.mu.Unlock()
-	r.lease.Release(quiet)
+	r.lease.Release(func() time.Duration {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return time.Since(r.lastCall)
+	})
 }
 
 // allowed tells whether this node may act now in the term of a token.
@@ -343,7 +341,14 @@
 func (r *Reporter) send(ctx context.Context, token int64) {
 	for {
 		report, found := r.nextReport()
-		if !found || ctx.Err() != nil || !r.allowed(token) {
+		if !found || ctx.Err() != nil {
+			return
+		}
+		// What Release tells of the last call must not miss this one.
+		r.mu.Lock()
+		r.lastCall = time.Now()
+		r.mu.Unlock()
+		if !r.allowed(token) {
 			return
 		}
 		err := r.call(ctx, token, report)
@@ -383,9 +388,6 @@
 	}
 	bounded, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
-	r.mu.Lock()
-	r.lastCall = time.Now()
-	r.mu.Unlock()
 	return r.config.Sink.Report(bounded, r.config.Presence.Self().Name, token, report)
 }
 
--- a/internal/reload/lease.go
+++ b/internal/reload/lease.go
@@ -13,8 +13,8 @@
 func (c *Controller) beginTerm(ctx context.Context, hold rowlease.Hold) eventlog.Fields {
 	var resting map[string]time.Time
 	var err error
-	if hold.Before.Holder != "" && hold.Before.Holder != c.self.Name {
-		resting, err = c.readResting(ctx, hold.Before, hold.Changed)
+	if hold.ClearFrom.After(time.Now()) {
+		resting, err = c.readResting(ctx, hold.ClearFrom)
 	}
 	fields := eventlog.Fields{"resting": len(resting)}
 	c.mu.Lock()
@@ -23,7 +23,7 @@
 	c.busy, c.taken, c.resting = make(map[string]bool), make(map[string]int64), resting
 	c.orderFrom = time.Now()
 	if err != nil {
-		c.orderFrom = hold.Changed.Add(c.config.Timing.QuietAfter(hold.Before))
+		c.orderFrom = hold.ClearFrom
 		fields[eventlog.Cause] = err.Error()
 	}
 	fields["orders_in_ms"] = time.Until(c.orderFrom).Milliseconds()
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -183,17 +183,17 @@
 	for c.working(time.Now()) && ctx.Err() == nil {
 		pause.For(ctx, tick)
 	}
-	c.lease.Release(c.quiet(time.Now()))
+	c.lease.Release(c.quiet)
 }
 
 // quiet returns how long ago the last order ended at least.
-func (c *Controller) quiet(now time.Time) time.Duration {
+func (c *Controller) quiet() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.busy) > 0 {
 		return 0
 	}
-	return now.Sub(c.lastOrder)
+	return time.Since(c.lastOrder)
 }
 
 // working tells whether this node holds the lease and still has orders to end
--- a/internal/reload/resting.go
+++ b/internal/reload/resting.go
@@ -22,8 +22,8 @@
 // ends are to be left alone: orders of two holders to one back end must lie
 // Timing.Settle apart. Announcements of the holder before cannot change after the
 // lease was taken, see announce, so that a back end without one may be ordered at
-// once. changed is when this node saw the last change of the holder's row.
-func (c *Controller) readResting(ctx context.Context, before rowlease.State, changed time.Time) (map[string]time.Time, error) {
+// once. No order of an earlier holder matters after latest.
+func (c *Controller) readResting(ctx context.Context, latest time.Time) (map[string]time.Time, error) {
 	bounded, cancel := context.WithTimeout(ctx, c.config.Timing.Validity())
 	defer cancel()
 	rows, _, err := rowstore.ListAll(bounded, c.config.Store, TableLoads, "", "", "")
@@ -32,7 +32,6 @@
 	}
 	c.applyLoads(rows, false)
 	now := time.Now()
-	latest := changed.Add(c.config.Timing.QuietAfter(before))
 	resting := make(map[string]time.Time)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/rowlease/doc.go
+++ b/internal/rowlease/doc.go
@@ -14,8 +14,10 @@
 //
 // Turns. What a holder sent may arrive after it lost the lease, where the receiver
 // checks fences, and must not where it does not: the acts of two holders have to lie
-// Timing.Settle apart for receivers that tell holders apart by time. QuietAfter says
-// how long after the last change of a holder's row another one has to wait for that.
+// Timing.Settle apart for receivers that tell holders apart by time. Hold.ClearFrom is
+// from when on the acts of all earlier holders lie that time back. A holder may lose
+// the lease before then, without having acted: so its row tells how much of that time
+// was left when it was written, and a later holder waits for that too.
 //
 // Release. At a planned stop the holder ends its work, then writes that it has
 // released the lease and for how long it has been quiet; the next holder waits for
@@ -43,6 +45,9 @@
 	// before that it last acted at least, in milliseconds.
 	Released    bool  `json:"released,omitempty"`
 	QuietMillis int64 `json:"quiet_ms,omitempty"`
+	// UnclearMillis is how long after the row was written acts of holders before this
+	// one may still lie less than the settling time back, in milliseconds.
+	UnclearMillis int64 `json:"unclear_ms,omitempty"`
 }
 
 // term is the row that changes with the holder alone.
@@ -81,11 +86,21 @@
 // Margin covers the delays of clocks and messages.
 func (t Timing) Margin() time.Duration { return t.Settle / 10 }
 
-// QuietAfter returns how long after the last change of a holder's row another
-// holder may act where the two must lie Settle apart.
-func (t Timing) QuietAfter(before State) time.Duration {
-	if before.Released {
-		return t.Settle - time.Duration(before.QuietMillis)*time.Millisecond + t.Margin()
+// clearAfter returns how long after the last change of a holder's row the acts of that
+// holder, and of those before it, lie Settle back. What an earlier process of the same
+// node did is no act of another holder.
+func (t Timing) clearAfter(before State, sameNode bool) time.Duration {
+	earlier := time.Duration(before.UnclearMillis) * time.Millisecond
+	if earlier > 0 {
+		earlier += t.Margin()
 	}
-	return t.Validity() + t.Settle + t.Margin()
+	switch {
+	case before.Holder == "":
+		return 0
+	case sameNode:
+		return earlier
+	case before.Released:
+		return max(earlier, t.Settle-time.Duration(before.QuietMillis)*time.Millisecond+t.Margin())
+	}
+	return max(earlier, t.Validity()+t.Settle+t.Margin())
 }
--- a/internal/rowlease/lease.go
+++ b/internal/rowlease/lease.go
@@ -21,10 +21,11 @@
 	// TermRevision is the revision of the term's row: the condition for whatever may
 	// only be written in this term.
 	TermRevision int64
-	// Before is the row that the holder before left, zero if there was none, and
-	// Changed, when this node saw its last change.
-	Before  State
-	Changed time.Time
+	// Before is the row that the holder before left, zero if there was none.
+	Before State
+	// ClearFrom is from when on the acts of all earlier holders lie the settling time
+	// back.
+	ClearFrom time.Time
 }
 
 // Config configures a Lease.
@@ -188,9 +189,9 @@
 // releaseLimit bounds the writing of a release.
 const releaseLimit = time.Second
 
-// Release gives the lease up, if this node holds it; quiet is how long ago it last
-// acted.
-func (l *Lease) Release(quiet time.Duration) {
+// Release gives the lease up, if this node holds it. quiet returns how long ago it
+// last acted; it is asked once the node may not act any more.
+func (l *Lease) Release(quiet func() time.Duration) {
 	l.mu.Lock()
 	l.withdrawn = true
 	if !l.held {
@@ -199,9 +200,10 @@
 	}
 	l.lose("stopping")
 	next, revision := l.row, l.revision
-	next.Released = true
-	next.QuietMillis = min(quiet, l.config.Timing.Settle).Milliseconds()
+	next.UnclearMillis = l.unclear(time.Now())
 	l.mu.Unlock()
+	next.Released = true
+	next.QuietMillis = min(quiet(), l.config.Timing.Settle).Milliseconds()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
 	defer cancel()
 	if _, err := l.write(ctx, next, revision); err != nil {
@@ -230,6 +232,7 @@
 	l.mu.Lock()
 	next := l.row
 	next.Renewal++
+	next.UnclearMillis = l.unclear(now)
 	revision, token := l.revision, l.hold.Token
 	l.mu.Unlock()
 	written, err := l.write(ctx, next, revision)
@@ -250,6 +253,12 @@
 	}
 }
 
+// unclear returns how many milliseconds it is until the term is clear of the acts of
+// earlier holders. The lock is held.
+func (l *Lease) unclear(now time.Time) int64 {
+	return max(0, l.hold.ClearFrom.Sub(now)).Milliseconds()
+}
+
 func (l *Lease) noteConflict(conflict *rowstore.ConflictError) {
 	for _, row := range conflict.Rows {
 		l.note(row)
@@ -329,7 +338,11 @@
 	l.mu.Lock()
 	before, revision, changed := l.row, l.revision, l.changed
 	l.mu.Unlock()
-	next := State{Holder: l.self.Name, Incarnation: l.self.Incarnation, Term: before.Term + 1}
+	clearFrom := changed.Add(l.config.Timing.clearAfter(before, before.Holder == l.self.Name))
+	next := State{
+		Holder: l.self.Name, Incarnation: l.self.Incarnation, Term: before.Term + 1,
+		UnclearMillis: max(0, clearFrom.Sub(now)).Milliseconds(),
+	}
 	holding := rowstore.Row{RowID: TermID(l.config.Name), Value: encode(term{Holder: next.Holder, Term: next.Term})}
 	written, err := l.write(ctx, next, revision, holding)
 	if err != nil {
@@ -339,7 +352,7 @@
 		}
 		return
 	}
-	hold := Hold{Token: next.Term, TermRevision: written, Before: before, Changed: changed}
+	hold := Hold{Token: next.Term, TermRevision: written, Before: before, ClearFrom: clearFrom}
 	fields := eventlog.Fields{}
 	if l.config.Begin != nil {
 		fields = l.config.Begin(ctx, hold)
