rowstore: a view whose reads are behind the history that is left reads at a pace

After a loss of the history a view reads the table at once; if reads are behind what is left of the history, the next watch fails at once too, and again. In virtual time that never ends; on a real store it is a storm of reads by every node. A second loss within a second is waited out as any failure is, and the pause grows until a watch goes through.

TestViewReadsAtAPaceWhileReadsAreBehindTheHistory: 2,000 reads in no time before, under 100 in 3 s since.

--- a/internal/rowstore/view.go
+++ b/internal/rowstore/view.go
@@ -15,6 +15,10 @@
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
+	// compactedRest is the time after a loss of the history within which another one is
+	// waited out as any failure is: reads may be behind the history that is left, so
+	// that each watch from what was read fails at once.
+	compactedRest = time.Second
 	// recoverWait is how long a watch stays open that follows a failure.
 	recoverWait = 20 * time.Millisecond
 	// listPage is the number of rows asked for in one read.
@@ -86,13 +90,16 @@
 func (v *View) Run(ctx context.Context) {
 	retry := retryFirst
 	reload, failed := true, false
+	var compacted time.Time
 	for ctx.Err() == nil {
 		started := time.Now()
 		err := v.step(ctx, reload, failed)
 		if err == nil {
 			v.confirm(started, reload)
+			if !reload {
+				retry = retryFirst
+			}
 			reload, failed = false, false
-			retry = retryFirst
 			if v.config.Pace != nil {
 				pause.For(ctx, v.config.Pace()-time.Since(started))
 			}
@@ -105,10 +112,12 @@
 		failed = true
 		// What a failed watch missed is still in the history, unless that is gone.
 		reload = reload || errors.Is(err, ErrCompacted) || errors.Is(err, ErrStale)
-		if !errors.Is(err, ErrCompacted) {
-			pause.For(ctx, retry)
-			retry = min(2*retry, retryMost)
+		if errors.Is(err, ErrCompacted) && time.Since(compacted) > compactedRest {
+			compacted = time.Now()
+			continue
 		}
+		pause.For(ctx, retry)
+		retry = min(2*retry, retryMost)
 	}
 }
 
--- a/internal/rowstore/view_test.go
+++ b/internal/rowstore/view_test.go
@@ -73,8 +73,14 @@
 	lists atomic.Int64
 }
 
+// listsMost is after how many reads a store refuses the rest: a view that reads without
+// a pause would never let time pass in a test.
+const listsMost = 2000
+
 func (s *countingStore) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
-	s.lists.Add(1)
+	if s.lists.Add(1) > listsMost {
+		return rowstore.Snapshot{}, rowstore.ErrRefused
+	}
 	return s.Store.List(ctx, table, partition, from, to, limit)
 }
 
@@ -145,6 +151,24 @@
 	})
 }
 
+// TestViewReadsAtAPaceWhileReadsAreBehindTheHistory: the history is gone up to now, and
+// reads are behind that, so that each watch from what was read fails at once.
+func TestViewReadsAtAPaceWhileReadsAreBehindTheHistory(t *testing.T) {
+	viewTest(t, func(store *countingStore, view *rowstore.View, seen *mirror) {
+		store.Put("t", "", "a", []byte("1"))
+		store.Put("t", "", "a", []byte("2"))
+		store.Compact()
+		store.SetFaults(rowstoretest.Faults{Behind: 1})
+		time.Sleep(3 * time.Second)
+		if lists := store.lists.Load(); lists > 100 {
+			t.Errorf("%d reads of partitions in 3 s", lists)
+		}
+		store.SetFaults(rowstoretest.Faults{})
+		time.Sleep(time.Second)
+		expect(t, seen, "a=2")
+	})
+}
+
 // TestViewGoesOnWhereItWasAfterAFailure lets the store fail for a while: with many
 // nodes, reading all tables anew is more than a store that has just come back takes.
 func TestViewGoesOnWhereItWasAfterAFailure(t *testing.T) {
