batch: runs tell their rank to back ends, so that the long ones are not put back

Change: items expected to be among the longest 15%, or that have made 30 events, go with rank 5 (as requests that name none), the shorter two thirds with 7, others with 6.

--- a/internal/batch/place_test.go
+++ b/internal/batch/place_test.go
@@ -133,3 +133,24 @@
 		}
 	}
 }
+
+// TestPriorityOfRuns: what was expected to be long, or has become so, goes before the
+// rest, and nothing goes before requests that name no rank.
+func TestPriorityOfRuns(t *testing.T) {
+	events := func(count int) text { return text{events: make([][]byte, count)} }
+	for _, test := range []struct {
+		name string
+		item itemState
+		want int
+	}{
+		{"long", itemState{long: true}, priorityLong},
+		{"short", itemState{short: true}, priorityShort},
+		{"neither", itemState{}, priorityMiddle},
+		{"short and yet long", itemState{short: true, text: events(longText)}, priorityLong},
+		{"short so far", itemState{short: true, text: events(longText - 1)}, priorityShort},
+	} {
+		if got := test.item.priority(); got != test.want || got < 5 {
+			t.Errorf("%s: %d, want %d", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -46,6 +46,8 @@
 	endSlot func()
 	// deadline is when the back end has to stop work; zero means none.
 	deadline time.Time
+	// priority is the rank of the run at its back end.
+	priority int
 }
 
 // launch starts a run. The lock is held.
@@ -60,7 +62,7 @@
 	item.runs++
 	started := &run{
 		runner: r, job: job, index: index, route: route, backend: backend, ctx: ctx, cancel: cancel,
-		endSlot: r.manager.config.Fleet.Begin(backend.ID),
+		endSlot: r.manager.config.Fleet.Begin(backend.ID), priority: item.priority(),
 	}
 	if route.MaxQueue > 0 {
 		started.deadline = item.started.Add(max(route.MaxQueue-job.head.age(item.started), time.Second))
@@ -69,6 +71,32 @@
 	go started.serve(after)
 }
 
+// Ranks of runs at their back ends. One that runs out of memory puts the newest of the
+// lowest rank back, which then is silent until there is room, and is read anew. Long
+// items have the rank of requests that name none, so that no other request is put
+// behind them.
+const (
+	priorityLong   = 5
+	priorityMiddle = 6
+	priorityShort  = 7
+)
+
+// longText is from how many events on an item counts as long, whatever was expected of
+// it: twice the length of most.
+const longText = 30
+
+// priority returns the rank of the item's next run: a step waits for its longest
+// items, and what they have made is the most to be read again.
+func (i *itemState) priority() int {
+	switch {
+	case i.long || len(i.text.events) >= longText:
+		return priorityLong
+	case i.short:
+		return priorityShort
+	}
+	return priorityMiddle
+}
+
 func (r *run) item() *Item { return &r.job.spec.Items[r.index] }
 
 // serve runs the item until its end or a failure, and settles what became of it.
@@ -93,7 +121,7 @@
 	call := &upstream.Call{
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: r.job.spec.Host,
 		Header: header, Body: item.Body, Address: r.backend.Address, Instance: r.backend.ID,
-		Tenant: r.job.tenant, Deadline: r.deadline,
+		Tenant: r.job.tenant, Deadline: r.deadline, Priority: r.priority,
 	}
 	if after > 0 {
 		call.Resume, call.ResumeAfter = true, int64(after)
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -47,6 +47,8 @@
 	urgent bool
 	// short items are expected to be among the shorter two thirds of their job.
 	short bool
+	// long items are expected to be among the longest of their job.
+	long  bool
 	score scoreState
 }
 
@@ -324,8 +326,12 @@
 	return order
 }
 
-// shortShare is the share of a job's items that count as short.
-const shortShare = 2.0 / 3
+const (
+	// shortShare is the share of a job's items that count as short.
+	shortShare = 2.0 / 3
+	// longShare is the share of a job's items that count as long.
+	longShare = 0.15
+)
 
 // markShort tells the items that are expected to be short, if the hints tell them
 // from the others. The lock is held.
@@ -334,6 +340,9 @@
 		return
 	}
 	hint := func(place int) int { return j.spec.Items[j.order[place]].LengthHint }
+	for place := range int(longShare * float64(len(j.order))) {
+		j.items[j.order[place]].long = hint(place) > 0
+	}
 	first := int((1 - shortShare) * float64(len(j.order)))
 	for place := first; place < len(j.order); place++ {
 		j.items[j.order[place]].short = hint(place) < hint(0)/2
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -61,6 +61,9 @@
 	Tenant string
 	// Deadline is when the back end has to stop work; zero means none.
 	Deadline time.Time
+	// Priority is the rank among the requests at the back end, 1 the highest to 9; 0
+	// names none, which counts as 5.
+	Priority int
 	// ResumeAfter is the last event that is already there; it counts if Resume.
 	Resume      bool
 	ResumeAfter int64
