batch: items are placed by the memory that back ends have for tokens

Hypothesis (shifted): slots are not what binds. A sampler has 29,534 tokens for 8 slots; an item of 145 events holds over 11,000, so that three long items fill a sampler whose slots are free, and it puts requests back.

Change: the owner counts what its runs hold at each back end (exactly) and what they are expected to come to (the hint, until an item is longer than that). A back end whose memory will be asked for beyond 0.8 counts as slower, up to three times at twice its memory; none begins where 0.9 is held; none is moved to where more is expected than there is. Sizes come from the configuration (kvCacheTokens, stride).

--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -69,8 +69,10 @@
 	Group  string            `json:"group,omitempty"`
 	// Tokens is the prompt plus the most that may come out; LengthHint is a guess
 	// at what will come out, 0 if there is none.
-	Tokens     int `json:"tokens"`
-	LengthHint int `json:"length_hint,omitempty"`
+	Tokens int `json:"tokens"`
+	// PromptTokens is the size of the prompt, 0 if it is not known.
+	PromptTokens int `json:"prompt_tokens,omitempty"`
+	LengthHint   int `json:"length_hint,omitempty"`
 	// Scorer is the call that scores the item's text, nil if it has no score.
 	Scorer *Scorer `json:"scorer,omitempty"`
 }
--- /dev/null
+++ b/internal/batch/memory_test.go
@@ -0,0 +1,99 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/routetable"
+)
+
+// TestPlacementByMemory: each row is a pool of two back ends, alike but for what is held
+// at them, and where an item goes.
+func TestPlacementByMemory(t *testing.T) {
+	const most = 30000
+	holding := func(held, expected int) func(*fleet.Backend) {
+		return func(b *fleet.Backend) { b.Memory = fleet.Memory{Most: most, Held: held, Expected: expected} }
+	}
+	for _, test := range []struct {
+		name   string
+		first  func(*fleet.Backend)
+		second func(*fleet.Backend)
+		want   need
+		pick   string
+	}{
+		{"long items apart", holding(2000, 22000), func(b *fleet.Backend) {
+			holding(8000, 9000)(b)
+			b.InFlight = 2
+		}, need{held: 1024, expected: 11264}, "b"},
+		{"a short one beside long ones", holding(2000, 22000), func(b *fleet.Backend) {
+			holding(8000, 9000)(b)
+			b.InFlight = 3
+		}, need{held: 1024, expected: 1024}, "a"},
+		{"no memory left now", holding(27000, 27000), func(b *fleet.Backend) {
+			holding(1000, 29000)(b)
+			b.Pace = 60 * time.Millisecond
+		}, need{held: 1024, expected: 2048}, "b"},
+		{"no memory anywhere", holding(27000, 27000), holding(26500, 27000), need{held: 1024, expected: 2048}, ""},
+		{"larger than any memory, where nothing runs", holding(1000, 2000), holding(0, 0), need{held: 40960, expected: 40960}, "b"},
+		{"memories that are not known", nil, func(b *fleet.Backend) { b.InFlight = 1 }, need{held: 1 << 30, expected: 1 << 30}, "a"},
+	} {
+		pool := []fleet.Backend{backend("a", test.first), backend("b", test.second)}
+		want := test.want
+		want.model, want.minVersion, want.zone = "m", 3, "z"
+		got := ""
+		if index := pickBackend(pool, want, 40*time.Millisecond, placeNow); index >= 0 {
+			got = pool[index].ID
+		}
+		if got != test.pick {
+			t.Errorf("%s: %q, want %q", test.name, got, test.pick)
+		}
+	}
+}
+
+// TestItemsAreNotMovedIntoACrowd: a faster back end whose memory will not do is no place
+// to go on.
+func TestItemsAreNotMovedIntoACrowd(t *testing.T) {
+	slow := func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond }
+	crowded := func(b *fleet.Backend) { b.Memory = fleet.Memory{Most: 30000, Held: 9000, Expected: 28000} }
+	want := need{model: "m", minVersion: 3, zone: "z", held: 4096, expected: 11264}
+	pool := []fleet.Backend{backend("slow", slow), backend("crowded", crowded)}
+	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeNow); target >= 0 {
+		t.Errorf("moved to %s", pool[target].ID)
+	}
+	pool = append(pool, backend("free", nil))
+	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeNow); target != 2 {
+		t.Errorf("target %d, want 2", target)
+	}
+}
+
+// TestUsageOfRuns: what runs hold is counted exactly, and what they will hold follows the
+// hint until it is belied.
+func TestUsageOfRuns(t *testing.T) {
+	r := newRunner(nil)
+	for range 100 {
+		r.lengths.observe("m", 1000, 10, time.Second)
+	}
+	r.lengths.observe("m", 1000, 140, time.Second)
+	items := []Item{{PromptTokens: 300, LengthHint: 2000}, {PromptTokens: 300, LengthHint: 1000}, {PromptTokens: 300, LengthHint: 1000}, {PromptTokens: 300}}
+	job := &ownedJob{ready: true, spec: &Spec{Model: "m", Items: items}, items: make([]itemState, len(items))}
+	for i, made := range []int{5, 40, 120, 9} {
+		job.items[i] = itemState{phase: phaseRunning, backend: "b", text: text{events: make([][]byte, made)}}
+	}
+	job.items[3].phase = phaseFinished
+	r.jobs["j"] = job
+	used := r.usages()["b"]
+	if used.prompts != 900 || used.events != 165 {
+		t.Errorf("held: %+v", used)
+	}
+	for i, want := range []int{22, 60, 140} {
+		if got := r.expectedEvents(job, i); got < want-2 || got > want+2 {
+			t.Errorf("item %d: %d events expected, want about %d", i, got, want)
+		}
+	}
+	pool := []fleet.Backend{{Instance: fleet.Instance{ID: "b"}}, {Instance: fleet.Instance{ID: "c"}}}
+	fillMemory(pool, routetable.Service{CacheTokens: 30000, EventTokens: 75}, r.usages())
+	if pool[0].Memory.Held != 900+165*75 || pool[1].Memory.Held != 0 || pool[1].Memory.Most != 30000 {
+		t.Errorf("%+v", pool)
+	}
+}
--- a/internal/batch/move.go
+++ b/internal/batch/move.go
@@ -30,7 +30,7 @@
 func (r *runner) moveItem(c candidate, p *pools) {
 	item := &c.job.items[c.index]
 	pool := p.of(c.route, c.index)
-	want := r.needOf(c)
+	want := r.needOf(c, pool)
 	if pool.full[want] {
 		return
 	}
@@ -42,6 +42,7 @@
 	}
 	b := &pool.backends[target]
 	b.InFlight++
+	takeMemory(b, want)
 	item.moved = p.now
 	item.avoid = item.backend
 	item.urgent = true
@@ -72,6 +73,9 @@
 	best := -1
 	for i := range pool {
 		b := &pool[i]
+		if b.Memory.Crowded(want.expected) > 1 {
+			continue
+		}
 		if b.Pace == 0 || now.Sub(b.PaceAt) > paceMemory || float64(from.Pace) < want.moveRatio()*float64(b.Pace) {
 			continue
 		}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -20,6 +20,9 @@
 	// short items are among those that their step does not wait for: they leave the
 	// fastest back ends to others.
 	short bool
+	// held and expected are the tokens that the item holds when it begins and is
+	// expected to hold at its end, 0 where nothing is known of memories.
+	held, expected int
 }
 
 // moveRatio returns how many times slower than the best its back end must be
@@ -66,7 +69,7 @@
 
 // suits tells whether an item may start at a back end now.
 func suits(b *fleet.Backend, want need, now time.Time) bool {
-	return b.Load() < 1 && fits(b, want, now)
+	return b.Load() < 1 && hasMemory(b, want.held) && fits(b, want, now)
 }
 
 // fits tells whether an item may run at a back end once it has room.
@@ -85,7 +88,7 @@
 }
 
 func runCost(backend *fleet.Backend, want need, typical time.Duration, now time.Time) float64 {
-	cost := float64(pace(backend, typical, now)) * (1 + loadSlowdown*backend.Load())
+	cost := float64(pace(backend, typical, now)) * (1 + loadSlowdown*backend.Load()) * memoryCost(backend, want.expected)
 	if backend.Zone != want.zone {
 		cost *= 1 + zoneSlowdown
 	}
--- a/internal/batch/schedule.go
+++ b/internal/batch/schedule.go
@@ -89,11 +89,17 @@
 	fleet    *fleet.Fleet
 	now      time.Time
 	services map[string]*pool
+	// config tells of the services' memories, nil if none is known; used is what the
+	// runs of this node hold, by back end.
+	config *routetable.Table
+	used   map[string]usage
 }
 
 // pool is the back ends of one service.
 type pool struct {
 	backends []fleet.Backend
+	// eventTokens is how many tokens an event of a stream holds.
+	eventTokens int
 	// typical is the least pace that is known; uneven tells that some work at a
 	// pace at which moving is worth while.
 	typical time.Duration
@@ -105,7 +111,10 @@
 }
 
 func (r *runner) newPools(now time.Time) *pools {
-	return &pools{fleet: r.manager.config.Fleet, now: now, services: make(map[string]*pool)}
+	return &pools{
+		fleet: r.manager.config.Fleet, now: now, services: make(map[string]*pool),
+		config: r.manager.config.Routes(), used: r.usages(),
+	}
 }
 
 // of returns the back ends that an item of a route may run at.
@@ -120,6 +129,11 @@
 		return found
 	}
 	found = &pool{backends: p.fleet.Service(service, p.now), full: make(map[need]bool)}
+	if p.config != nil {
+		configured := p.config.Services[service]
+		found.eventTokens = configured.EventTokens
+		fillMemory(found.backends, configured, p.used)
+	}
 	found.typical = typicalPace(found.backends, p.now)
 	for i := range found.backends {
 		b := &found.backends[i]
@@ -132,18 +146,20 @@
 }
 
 // needOf returns what an item wants of a back end.
-func (r *runner) needOf(c candidate) need {
-	return need{
+func (r *runner) needOf(c candidate, pool *pool) need {
+	want := need{
 		model: c.job.spec.Model, minVersion: c.job.spec.MinVersion, zone: r.manager.config.Zone,
 		version: c.job.items[c.index].text.only(c.route.SingleVersion),
 	}
+	want.held, want.expected = r.itemMemory(c.job, c.index, pool.eventTokens)
+	return want
 }
 
 // scheduleItem starts an item if a back end has room that is worth taking.
 func (r *runner) scheduleItem(c candidate, p *pools) {
 	pool := p.of(c.route, c.index)
 	item := &c.job.items[c.index]
-	want := r.needOf(c)
+	want := r.needOf(c, pool)
 	want.avoid = item.avoid
 	want.short = item.short && len(item.text.events) == 0
 	if pool.full[want] {
@@ -165,6 +181,7 @@
 		}
 	}
 	b.InFlight++
+	takeMemory(b, want)
 	item.urgent = false
 	r.launch(c.job, c.index, c.route, *b)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,10 +56,37 @@
 	LoadingUntil time.Time
 }
 
+// Memory is what is known of a back end's memory for tokens, which the requests that
+// it runs share. A back end that runs out of it puts requests back.
+type Memory struct {
+	// Most is the memory, 0 if it is not known.
+	Most int
+	// Held is what this node's requests there hold now, Expected, what they are expected
+	// to hold at their ends.
+	Held, Expected int
+}
+
+// Full returns the share of the memory that is in use once more tokens are held; 0 if
+// the memory is not known.
+func (m Memory) Full(more int) float64 { return m.share(m.Held + more) }
+
+// Crowded returns the share of the memory that will be in use if all ends as expected
+// and more tokens are held at the end; 0 if the memory is not known.
+func (m Memory) Crowded(more int) float64 { return m.share(m.Expected + more) }
+
+func (m Memory) share(tokens int) float64 {
+	if m.Most <= 0 {
+		return 0
+	}
+	return float64(tokens) / float64(m.Most)
+}
+
 // Backend is an instance with its condition, as of one moment.
 type Backend struct {
 	Instance
 	Condition
+	// Memory is left zero by the fleet; who places requests fills it in.
+	Memory Memory
 }
 
 // Suspended tells whether the back end is to be left alone.
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -63,6 +63,10 @@
 	HealthPath     string
 	MaxConnections int
 	Models         []string
+	// CacheTokens is the memory of one back end, in tokens, which the requests that it
+	// runs share; EventTokens is how many tokens an event of a stream holds. 0 is not
+	// known.
+	CacheTokens, EventTokens int
 }
 
 // Limits bound what a caller may send.
