--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -76,6 +76,7 @@
 		checkConfigSpecification(),
 		checkHistorySpecification(),
 		explainSpecification(),
+		soakSpecification(),
 		versionSpecification(),
 	}
 }
--- /dev/null
+++ b/internal/soak/node.go
@@ -0,0 +1,176 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// node is a gateway that runs as a process of its own, again and again.
+type node struct {
+	name, program, directory string
+	caller                   string
+	store, duties            *proxy
+	settings                 string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	starts  int
+	// killed tells that the process was ended on purpose; stopping, that a planned stop
+	// is under way.
+	killed, stopping bool
+	paused           bool
+	// resumed is when the process last went on after a pause.
+	resumed time.Time
+	exits   []string
+}
+
+// freePorts returns ports of the loopback interface that nothing listens on now.
+func freePorts(count int) ([]int, error) {
+	ports := make([]int, count)
+	for i := range ports {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		ports[i] = listener.Addr().(*net.TCPAddr).Port
+	}
+	return ports, nil
+}
+
+// newNode lays a node's settings down; start begins its process.
+func newNode(name, zone, program, directory string, store, duties *proxy) (*node, error) {
+	ports, err := freePorts(4)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{
+		name: name, program: program, directory: directory, store: store, duties: duties,
+		caller: fmt.Sprintf("127.0.0.1:%d", ports[0]), settings: filepath.Join(directory, name+".ini"),
+	}
+	content := fmt.Sprintf(`name = %s
+zone = %s
+region = local
+caller-address = %s
+ready-address = 127.0.0.1:%d
+directory-address = 127.0.0.1:%d
+peer-address = 127.0.0.1:%d
+store-address = %s
+config-apply = %s
+lease-settle = %s
+stop-grace = %s
+duty-address = %s
+duty = metering
+duty-calls-per-second = 50
+usage-window = %s
+usage-within = %s
+`, name, zone, n.caller, ports[1], ports[2], ports[3], store.address(), configApply, settleTime, stopGrace,
+		duties.address(), usageWindow, usageWithin)
+	return n, os.WriteFile(n.settings, []byte(content), 0o600)
+}
+
+// start begins a process of the node.
+func (n *node) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.starts++
+	output, err := os.OpenFile(filepath.Join(n.directory, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	process := exec.Command(n.program, "--config", n.settings)
+	process.Stdout, process.Stderr = output, output
+	if err := process.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	n.process, n.ended, n.killed, n.stopping, n.paused = process, ended, false, false, false
+	go func() {
+		defer close(ended)
+		defer func() { _ = output.Close() }()
+		n.noteEnd(process.Wait())
+	}()
+	return nil
+}
+
+// noteEnd records an end that nobody asked for.
+func (n *node) noteEnd(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.killed && !n.stopping {
+		n.exits = append(n.exits, fmt.Sprintf("%s ended by itself: %v", n.name, err))
+	}
+}
+
+// send sends a signal; the lock is held. An error means that the process has ended.
+func (n *node) send(signal syscall.Signal) {
+	if n.process != nil && n.process.Process != nil {
+		_ = n.process.Process.Signal(signal)
+	}
+}
+
+// kill ends the process at once and waits for its end.
+func (n *node) kill() {
+	n.mu.Lock()
+	n.killed = true
+	n.send(syscall.SIGKILL)
+	ended := n.ended
+	n.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// pause lets the process stand still, resume go on.
+func (n *node) pause() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused = true
+	n.send(syscall.SIGSTOP)
+}
+
+func (n *node) resume() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused, n.resumed = false, time.Now()
+	n.send(syscall.SIGCONT)
+}
+
+// stop asks the process to stop in order and waits for its end, for the grace at most.
+// It tells whether the process ended in time.
+func (n *node) stop() bool {
+	n.mu.Lock()
+	n.stopping = true
+	n.send(syscall.SIGTERM)
+	ended := n.ended
+	n.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(stopGrace):
+		n.kill()
+		return false
+	}
+}
+
+// state returns how often the node was started, and whether a planned stop is under
+// way.
+func (n *node) state() (starts int, stopping, disturbed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.starts, n.stopping, n.killed || n.paused
+}
+
+// excuses tells whether an order of this node may have been held up by a pause.
+func (n *node) excuses(at time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.paused || at.Sub(n.resumed) < thawTime && !n.resumed.IsZero()
+}
