forward: a second attempt waits for the latency of its own route

Two begun runs of a request also make the count of its tenant's use uncertain.

Change: the usual latency is learnt by route.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -94,14 +94,15 @@
 
 // Forwarder passes requests on. It is safe for concurrent use.
 type Forwarder struct {
-	config   Config
-	sequence atomic.Uint64
-	offset   float64
+	config    Config
+	sequence  atomic.Uint64
+	offset    float64
+	latencies latencies
 }
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
-	return &Forwarder{config: config, offset: rand.Float64()}
+	return &Forwarder{config: config, offset: rand.Float64(), latencies: newLatencies()}
 }
 
 const (
@@ -398,7 +399,9 @@
 	result.answer, result.content, result.whole = answer, content, len(content) <= bufferMost
 	if result.whole {
 		_ = answer.Body.Close()
-		t.forwarder.config.Fleet.ObserveLatency(backend.ID, time.Since(started))
+		took := time.Since(started)
+		t.forwarder.config.Fleet.ObserveLatency(backend.ID, took)
+		t.forwarder.latencies.observe(t.route.Name, took)
 	}
 	return result
 }
@@ -420,12 +423,7 @@
 
 // hedgeDelay returns after which time a second attempt is sent beside the first.
 func (t *try) hedgeDelay() time.Duration {
-	usual := time.Duration(0)
-	for _, backend := range t.forwarder.config.Fleet.Service(t.service, time.Now()) {
-		if backend.Latency > 0 && (usual == 0 || backend.Latency < usual) {
-			usual = backend.Latency
-		}
-	}
+	usual := t.forwarder.latencies.usual(t.route.Name)
 	most := time.Duration(hedgeTarget * float64(t.route.Target))
 	if usual == 0 || most == 0 {
 		return max(most, hedgeLeast)
