reload: a version is loaded on as many back ends as a model's jobs can use

Change: each half holds the back ends that two open jobs of the widest kind seen lately need, half of their slots used; those beyond are left as they are, and move up when others go.

--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -289,6 +289,21 @@
 	return demand
 }
 
+// Widths returns the most items that one of the jobs of each model submitted lately
+// has.
+func (m *Manager) Widths() map[string]int {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	widths := make(map[string]int)
+	for _, state := range m.jobs {
+		if state.known && now.Sub(state.seen) < demandWindow {
+			widths[state.head.Model] = max(widths[state.head.Model], state.head.Total)
+		}
+	}
+	return widths
+}
+
 // placement returns the node that should own jobs of a pool. Nodes that nothing
 // but an old row speaks for are passed over: a job at one that is gone waits until
 // that is noticed.
--- a/internal/reload/plan.go
+++ b/internal/reload/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sort"
 
@@ -28,6 +29,9 @@
 	// busy holds the back ends that an order is under way at, resting those that are
 	// left alone for the time being.
 	busy, resting map[string]bool
+	// widths maps a model to the most items that one of its jobs had lately; a model that
+	// is missing needs all of its back ends.
+	widths map[string]int
 	// parallel tells how many of a service, which has a number of back ends, may load
 	// at once.
 	parallel func(service string, backends int) int
@@ -37,7 +41,9 @@
 //
 // A back end with place p among those of its model, ordered by id, belongs to
 // half p mod 2. A version v goes to half v mod 2; the other half is only brought
-// up to v - 1, the oldest version that a new step takes.
+// up to v - 1, the oldest version that a new step takes. Where a model has more back
+// ends than its jobs can use, those with the highest places are left as they are: they
+// move up, and load, when others go.
 func plan(in planInput) []step {
 	places, members, loading := census(in.backends, in.shares, in.busy)
 	var steps []step
@@ -48,6 +54,9 @@
 		model := in.shares[backend.ID]
 		held, holds := backend.Models[model]
 		newest := in.named[model]
+		if places[backend.ID] >= halves*needed(in.widths[model], backend.Slots) {
+			continue
+		}
 		if holds && held < newest && due(held, newest, places[backend.ID]) {
 			steps = append(steps, step{backend: backend, model: model, version: newest})
 		}
@@ -64,6 +73,25 @@
 	return allowed
 }
 
+const (
+	// halves is how many halves of a model's back ends take turns in loading.
+	halves = 2
+	// jobsOpen is how many jobs of a model are open at a time: trainers ask ahead.
+	jobsOpen = 2
+	// fill is the share of its slots up to which a back end that is kept new should be
+	// used: a full one is slower, and one of three may be lost.
+	fill = 0.5
+)
+
+// needed returns how many back ends with so many slots one half of a model's should
+// have for jobs of a width; without a known width, more than there are.
+func needed(width, slots int) int {
+	if width <= 0 || slots <= 0 {
+		return math.MaxInt / halves
+	}
+	return int(math.Ceil(jobsOpen * float64(width) / (fill * float64(slots))))
+}
+
 // census returns each back end's place among those of its model, how many a
 // service has, and how many of these are loading.
 func census(backends []fleet.Backend, shares map[string]string, busy map[string]bool) (places, members, loading map[string]int) {
--- a/internal/reload/plan_test.go
+++ b/internal/reload/plan_test.go
@@ -15,12 +15,13 @@
 //
 //	named MODEL VERSION
 //	demand MODEL WORK
+//	width MODEL ITEMS
 //	ID MODEL=VERSION... [busy] [resting] [draining] [for:MODEL]
 func TestPlan(t *testing.T) {
 	datadriven.RunTest(t, "testdata/plan", func(t *testing.T, data *datadriven.TestData) string {
 		named, before := make(map[string]int64), make(map[string]string)
 		busy, resting := make(map[string]bool), make(map[string]bool)
-		demand := make(map[string]float64)
+		demand, widths := make(map[string]float64), make(map[string]int)
 		var backends []fleet.Backend
 		for line := range strings.Lines(data.Input) {
 			words := strings.Fields(line)
@@ -28,6 +29,10 @@
 				demand[words[1]] = float64(number(t, words[2]))
 				continue
 			}
+			if words[0] == "width" {
+				widths[words[1]] = int(number(t, words[2]))
+				continue
+			}
 			if words[0] == "named" {
 				named[words[1]] = number(t, words[2])
 				continue
@@ -37,7 +42,7 @@
 		var out strings.Builder
 		shares := assignShares(backends, named, demand, before)
 		for _, next := range plan(planInput{
-			backends: backends, named: named, shares: shares, busy: busy, resting: resting,
+			backends: backends, named: named, shares: shares, busy: busy, resting: resting, widths: widths,
 			parallel: func(string, int) int { return 2 },
 		}) {
 			fmt.Fprintf(&out, "%s loads %s %d\n", next.backend.ID, next.model, next.version)
@@ -55,7 +60,7 @@
 }
 
 func readBackend(t *testing.T, words []string, busy, resting map[string]bool, before map[string]string) fleet.Backend {
-	backend := fleet.Backend{Instance: fleet.Instance{ID: words[0], Service: "pool", Models: make(map[string]int64)}}
+	backend := fleet.Backend{Instance: fleet.Instance{ID: words[0], Service: "pool", Slots: 4, Models: make(map[string]int64)}}
 	for _, word := range words[1:] {
 		model, version, found := strings.Cut(word, "=")
 		switch {
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -30,6 +30,8 @@
 	Mode Mode
 	// Demand returns the work asked of each model lately, in any one unit.
 	Demand func() map[string]float64
+	// Widths returns the most items that one job of each model had lately.
+	Widths func() map[string]int
 }
 
 // Controller takes part in the lease and gives orders while it holds it. It is
@@ -61,6 +63,8 @@
 	seen map[string]seenLoad
 	// shares says which model each back end is for, as the last holder left it.
 	shares map[string]string
+	// widths is what Config.Widths returned last.
+	widths map[string]int
 	// parallel finds, by service, how many load at once.
 	parallel map[string]*parallelism
 }
@@ -221,11 +225,13 @@
 		return
 	}
 	backends, demand := c.config.Fleet.All(now), c.config.Demand()
+	widths := c.config.Widths()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.mayOrder(now) {
 		return
 	}
+	c.widths = widths
 	c.shares = assignShares(backends, c.named, demand, c.shares)
 	for _, next := range c.plan(backends, now, c.parallelOf) {
 		c.busy[next.backend.ID] = true
@@ -237,7 +243,7 @@
 // plan returns the orders to be given next. The lock is held.
 func (c *Controller) plan(backends []fleet.Backend, now time.Time, parallel func(service string, backends int) int) []step {
 	return plan(planInput{
-		backends: backends, named: c.named, shares: c.shares, busy: c.busy, resting: c.rests(now), parallel: parallel,
+		backends: backends, named: c.named, shares: c.shares, busy: c.busy, resting: c.rests(now), parallel: parallel, widths: c.widths,
 	})
 }
 
--- a/internal/storenode/storenode.go
+++ b/internal/storenode/storenode.go
@@ -156,7 +156,7 @@
 	node.controller = reload.NewController(reload.Config{
 		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
 		Log: config.Log, Timing: timing, Leases: node.leases, Pacing: pacing, Mode: reload.ModeRetain,
-		Demand: node.jobs.Demand,
+		Demand: node.jobs.Demand, Widths: node.jobs.Widths,
 	})
 	node.meter(timing)
 	node.operator = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
