batch: a moved item starts where it was moved to; none is moved to a back end that failed

Change: a slot is kept at the target until the run before has ended, and the item starts there; a back end that failed last is no target, and counts as half slower for all but short items, which try it out.

--- a/internal/batch/memory.go
+++ b/internal/batch/memory.go
@@ -31,6 +31,8 @@
 // usage is what runs at a back end hold.
 type usage struct {
 	prompts, events, expectedEvents int
+	// reserved is the slots that are kept free for items which are being moved there.
+	reserved int
 }
 
 // tokens returns the tokens held now and those expected at the ends.
@@ -47,6 +49,11 @@
 		}
 		for i := range job.items {
 			item := &job.items[i]
+			if item.target != "" && (item.phase == phaseRunning || item.phase == phaseWaiting) {
+				u := found[item.target]
+				u.reserved++
+				found[item.target] = u
+			}
 			if item.phase != phaseRunning {
 				continue
 			}
--- a/internal/batch/memory_test.go
+++ b/internal/batch/memory_test.go
@@ -61,7 +61,11 @@
 	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeNow); target >= 0 {
 		t.Errorf("moved to %s", pool[target].ID)
 	}
-	pool = append(pool, backend("free", nil))
+	pool = append(pool, backend("failed", func(b *fleet.Backend) { b.Failures = 1 }))
+	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeNow); target >= 0 {
+		t.Errorf("moved to %s", pool[target].ID)
+	}
+	pool[2] = backend("free", nil)
 	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeNow); target != 2 {
 		t.Errorf("target %d, want 2", target)
 	}
@@ -97,3 +101,19 @@
 		t.Errorf("%+v", pool)
 	}
 }
+
+// TestMovedItemKeepsItsPlace: a slot is kept free at the back end that an item is being
+// moved to, and the item starts there though another waits for longer.
+func TestMovedItemKeepsItsPlace(t *testing.T) {
+	r := newRunner(nil)
+	job := &ownedJob{ready: true, spec: &Spec{Model: "m", Items: make([]Item, 2)}, items: make([]itemState, 2)}
+	job.items[0] = itemState{phase: phaseRunning, backend: "slow", target: "fast"}
+	r.jobs["j"] = job
+	if used := r.usages()["fast"]; used.reserved != 1 {
+		t.Errorf("%d slots are kept free", used.reserved)
+	}
+	fast := backend("fast", func(b *fleet.Backend) { b.InFlight = 4 })
+	if suits(&fast, need{model: "m"}, placeNow) {
+		t.Error("another item starts in the place that is kept")
+	}
+}
--- a/internal/batch/move.go
+++ b/internal/batch/move.go
@@ -45,6 +45,7 @@
 	takeMemory(b, want)
 	item.moved = p.now
 	item.avoid = item.backend
+	item.target = b.ID
 	item.urgent = true
 	r.manager.config.Log.Info(eventlog.ItemMoved, eventlog.Fields{
 		eventlog.Job: c.job.id, eventlog.Item: c.job.spec.Items[c.index].ID, eventlog.Backend: item.backend,
@@ -56,7 +57,8 @@
 // moveTarget returns the index of a back end that is so much faster than the
 // one that runs an item that moving it is worth while, or -1. The one that runs it
 // must be slow beside the typical pace of the pool too: against the best alone,
-// items would follow each wrong measurement. It is pure.
+// items would follow each wrong measurement. One that failed last has to show first
+// that it is there. It is pure.
 func moveTarget(pool []fleet.Backend, current string, want need, typical time.Duration, now time.Time) int {
 	var from *fleet.Backend
 	for i := range pool {
@@ -73,7 +75,7 @@
 	best := -1
 	for i := range pool {
 		b := &pool[i]
-		if b.Memory.Crowded(want.expected) > 1 {
+		if b.Memory.Crowded(want.expected) > 1 || b.Failures > 0 {
 			continue
 		}
 		if b.Pace == 0 || now.Sub(b.PaceAt) > paceMemory || float64(from.Pace) < want.moveRatio()*float64(b.Pace) {
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -46,6 +46,8 @@
 	foreignSlowdown = 0.2
 	// avoidSlowdown is what a back end that an item was moved away from costs.
 	avoidSlowdown = 1.0
+	// failedSlowdown is what a back end costs that failed last: short items try it out.
+	failedSlowdown = 0.5
 	// leisurelyBonus makes short items prefer back ends that are a little slower.
 	leisurelyBonus = 0.5
 )
@@ -98,6 +100,9 @@
 	if backend.ID == want.avoid {
 		cost *= 1 + avoidSlowdown
 	}
+	if backend.Failures > 0 && !want.short {
+		cost *= 1 + failedSlowdown
+	}
 	if want.short && leisurely(pace(backend, typical, now), typical) {
 		cost *= leisurelyBonus
 	}
--- a/internal/batch/place_test.go
+++ b/internal/batch/place_test.go
@@ -43,6 +43,8 @@
 		{"avoided only if there is another", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.InFlight = 3 })}, need{model: "m", zone: "z", avoid: "a"}, "b"},
 		{"short items leave the fastest to others", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 52 * time.Millisecond })}, need{model: "m", zone: "z", short: true}, "b"},
 		{"short items shun slow ones too", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond })}, need{model: "m", zone: "z", short: true}, "a"},
+		{"one that failed is tried out by short items", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Failures = 1 }), backend("b", func(b *fleet.Backend) { b.InFlight = 2 })}, need{model: "m", zone: "z", short: true}, "a"},
+		{"one that failed, for others", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Failures = 1 }), backend("b", func(b *fleet.Backend) { b.InFlight = 2 })}, want, "b"},
 		{"meant for the model first", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Share = "other" }), backend("b", func(b *fleet.Backend) { b.Share, b.InFlight = "m", 3 })}, want, "b"},
 		{"meant for another model but alone", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Share = "other" })}, want, "a"},
 		{"avoided but alone", []fleet.Backend{backend("a", nil)}, need{model: "m", avoid: "a"}, "a"},
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -55,6 +55,7 @@
 	ctx, cancel := context.WithCancelCause(job.ctx)
 	item := &job.items[index]
 	item.phase, item.backend, item.cancel, item.started = phaseRunning, backend.ID, cancel, time.Now()
+	item.target = ""
 	if item.runs == 0 {
 		item.firstStart = item.started
 		item.waited = item.started.Sub(job.opened)
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -43,6 +43,9 @@
 	savedWhole bool
 	moved      time.Time
 	avoid      string
+	// target is the back end that the item is being moved to, empty if it is not; a slot
+	// is kept free there until the run before has ended.
+	target string
 	// urgent items, which were moved, go before all that wait.
 	urgent bool
 	// short items are expected to be among the shorter two thirds of their job.
--- a/internal/batch/schedule.go
+++ b/internal/batch/schedule.go
@@ -134,6 +134,9 @@
 		found.eventTokens = configured.EventTokens
 		fillMemory(found.backends, configured, p.used)
 	}
+	for i := range found.backends {
+		found.backends[i].InFlight += p.used[found.backends[i].ID].reserved
+	}
 	found.typical = typicalPace(found.backends, p.now)
 	for i := range found.backends {
 		b := &found.backends[i]
@@ -162,6 +165,9 @@
 	want := r.needOf(c, pool)
 	want.avoid = item.avoid
 	want.short = item.short && len(item.text.events) == 0
+	if r.goToTarget(c, pool, want, p.now) {
+		return
+	}
 	if pool.full[want] {
 		return
 	}
@@ -186,6 +192,27 @@
 	r.launch(c.job, c.index, c.route, *b)
 }
 
+// goToTarget starts an item that was moved at the back end that it was moved to, and
+// tells whether it did. If that will not do any more, the item goes where others go.
+func (r *runner) goToTarget(c candidate, pool *pool, want need, now time.Time) bool {
+	item := &c.job.items[c.index]
+	place := slices.IndexFunc(pool.backends, func(b fleet.Backend) bool { return b.ID == item.target })
+	item.target = ""
+	if place < 0 {
+		return false
+	}
+	b := &pool.backends[place]
+	b.InFlight--
+	if !suits(b, want, now) {
+		return false
+	}
+	b.InFlight++
+	takeMemory(b, want)
+	item.urgent = false
+	r.launch(c.job, c.index, c.route, *b)
+	return true
+}
+
 // worthStarting tells whether an item of expected events should start at a slow
 // back end now rather than wait for a fast one. It is pure.
 func worthStarting(events float64, slow, fast, wait time.Duration) bool {
