--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// Denied takes a call about an accepted job, made with a key of its tenant, that a node
+// answered as if there were no such job or key.
+func (j *Judge) Denied(node, job string, status int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.breach("%s: %d for %s, which was accepted", node, status, job)
+}
+
 // Whole judges an accepted job at the end, when all of its items have to be listed.
 func (j *Judge) Whole(job string, items []string) {
 	j.mu.Lock()
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -179,6 +179,9 @@
 	defer cancel()
 	answer := send(bounded, n, http.MethodGet, fmt.Sprintf("/v1/lots/%s?afterRev=%d", j.id, after), "look", tenantKey(j.tenant, 1), nil)
 	l.system.judge.Count(fmt.Sprintf("read %d", answer.status))
+	if answer.status >= http.StatusBadRequest && answer.status < http.StatusInternalServerError {
+		l.system.judge.Denied(n.name, j.id, answer.status)
+	}
 	var page wirePage
 	if answer.status != http.StatusOK || json.Unmarshal([]byte(answer.body), &page) != nil {
 		return 0
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,7 @@
 		orders  []standin.Order
 		usage   map[int64]standin.Usage
 		taken   []string
+		denied  int
 	}
 	for _, test := range []struct {
 		name   string
@@ -45,6 +46,7 @@
 		{"nothing", func(*seen) {}, ""},
 		{"another result at a position", func(s *seen) { s.again = []Result{{ID: item, State: "dead"}} }, "position 0"},
 		{"an item at two positions", func(s *seen) { s.results = append(s.results, whole) }, "stands at"},
+		{"a job denied", func(s *seen) { s.denied = 401 }, "401 for job-1"},
 		{"an item lost", func(s *seen) { s.results, s.again = nil, nil }, "not listed"},
 		{"a text that is cut", func(s *seen) {
 			cut := whole
@@ -80,6 +82,9 @@
 		judge.Read("n1", "job-1", 0, s.results)
 		judge.Read("n2", "job-1", 0, s.again)
 		judge.Answered("unsafe-1", s.answer)
+		if s.denied != 0 {
+			judge.Denied("n1", "job-1", s.denied)
+		}
 		judge.Whole("job-1", []string{item})
 		judge.Orders("engine-1", s.orders, settleTime, func(standin.Order) bool { return false })
 		judge.Runs(s.runs, map[string]string{item: "tenant-1"})
