--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -87,6 +87,8 @@
 	}
 	process := exec.Command(n.program, "--config", n.settings)
 	process.Stdout, process.Stderr = output, output
+	// A soak that crashes leaves no process behind.
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -462,7 +462,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	time.Sleep(max(0, min(usageWithin, time.Until(deadline))))
+	sleepUntil(ctx, time.Now().Add(max(0, min(usageWithin, time.Until(deadline)))))
 }
 
 // verdict judges what was seen.
