rowstore, storenode: nodes follow closely only the tables that they make use of

Change (ways weighed: (b) few readers that pass changes on, left for its own design; (c) who needs which table): the registry is followed at a pace that falls with the nodes, never slower than a view whose freshness counts; heads of jobs closely by nodes that run jobs or hold a read, loads by nodes that run jobs or give the orders, the lease by the first eight in rank; the others at a third of that pace. A view that is wanted ends its pause. TestAllNodesTogetherKeepWithinTheReads, TestKickEndsThePause.

--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -35,6 +35,8 @@
 	Pacing rowstore.Pacing
 	// Keep is how long a job stays readable after it was submitted.
 	Keep time.Duration
+	// OnWork is told that this node begins to run jobs after it ran none; it may be nil.
+	OnWork func()
 	// Settle is the time after which every node has to know of a result that was read.
 	Settle time.Duration
 }
@@ -68,6 +70,8 @@
 	jobs     map[string]*jobState
 	stopping bool
 	base     context.Context
+	// held counts the reads that are held until there is a result.
+	held int
 }
 
 // NewManager returns a manager; Run has to be called.
@@ -84,12 +88,38 @@
 		Table:      TableJobs,
 		Partitions: rowstore.AllShards(),
 		Wait:       config.Pacing.IdleWait,
-		Pace:       config.Pacing.BusyPace,
+		Pace:       func() time.Duration { return config.Pacing.InterestPace(manager.interested()) },
 		Apply:      manager.apply,
 	})
 	return manager
 }
 
+// OwnsJobs tells whether this node runs jobs.
+func (m *Manager) OwnsJobs() bool { return !m.runner.idle() }
+
+// interested tells whether this node makes use of the newest heads: it runs jobs, or
+// callers wait for results.
+func (m *Manager) interested() bool {
+	m.mu.Lock()
+	held := m.held
+	m.mu.Unlock()
+	return held > 0 || m.OwnsJobs()
+}
+
+// hold counts a read that is held, and follows the heads closely from now on; the
+// function returned ends it.
+func (m *Manager) hold() func() {
+	m.mu.Lock()
+	m.held++
+	m.mu.Unlock()
+	m.view.Kick()
+	return func() {
+		m.mu.Lock()
+		m.held--
+		m.mu.Unlock()
+	}
+}
+
 // View returns the view of the jobs' heads.
 func (m *Manager) View() *rowstore.View { return m.view }
 
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -34,6 +34,9 @@
 		return Page{}, status
 	}
 	deadline := time.Now().Add(wait)
+	if state.head.Count <= after && wait > 0 {
+		defer m.hold()()
+	}
 	if state.head.Count < after {
 		// The caller has read more than this node knows of.
 		if state, status = m.readHead(ctx, job); status != OK {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -220,7 +220,11 @@
 		return
 	}
 	r.jobs[id] = job
+	first := len(r.jobs) == 1
 	r.mu.Unlock()
+	if first && r.manager.config.OnWork != nil {
+		r.manager.config.OnWork()
+	}
 	go r.load(job)
 }
 
--- a/internal/reload/controller_test.go
+++ b/internal/reload/controller_test.go
@@ -128,7 +128,7 @@
 			Store: way, Presence: registry, Fleet: known, Commander: backends, Log: log,
 			Timing: rowlease.Timing{Settle: testSettle}, Leases: leases, Pacing: pacing, Mode: ModeRetain,
 			Demand: func() map[string]float64 { return map[string]float64{"m": 1} },
-			Widths: func() map[string]int { return nil },
+			Widths: func() map[string]int { return nil }, Interested: func() bool { return true },
 		})
 		for _, run := range []func(context.Context){registry.View().Run, registry.Run, leases.Run, controller.Run} {
 			group.Go(func() { run(ctx) })
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -30,6 +30,8 @@
 	Mode Mode
 	// Demand returns the work asked of each model lately, in any one unit.
 	Demand func() map[string]float64
+	// Interested tells whether this node makes use of what is loaded where.
+	Interested func() bool
 	// Widths returns the most items that one job of each model had lately.
 	Widths func() map[string]int
 }
@@ -89,7 +91,10 @@
 		Begin: controller.beginTerm,
 	})
 	controller.loadsView = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
-		Name: "loads", Table: TableLoads, Partitions: []string{""}, Wait: config.Pacing.IdleWait, Pace: config.Pacing.BusyPace, Apply: controller.applyLoads,
+		Name: "loads", Table: TableLoads, Partitions: []string{""}, Wait: config.Pacing.IdleWait, Apply: controller.applyLoads,
+		Pace: func() time.Duration {
+			return config.Pacing.InterestPace(controller.lease.Held() || config.Interested())
+		},
 	})
 	return controller
 }
@@ -116,6 +121,9 @@
 	}
 }
 
+// Wanted tells that this node has begun to make use of what is loaded where.
+func (c *Controller) Wanted() { c.loadsView.Kick() }
+
 // tick is how often the holder looks at the plan without an event.
 const tick = 100 * time.Millisecond
 
--- a/internal/rowlease/lease.go
+++ b/internal/rowlease/lease.go
@@ -74,7 +74,13 @@
 func NewLeases(log *eventlog.Log, store rowstore.Store, pacing rowstore.Pacing) *Leases {
 	leases := &Leases{byName: make(map[string]*Lease)}
 	leases.view = rowstore.NewView(log, store, rowstore.ViewConfig{
-		Name: "lease", Table: Table, Partitions: []string{""}, Wait: pacing.IdleWait, Pace: pacing.BusyPace, Apply: leases.apply,
+		Name: "lease", Table: Table, Partitions: []string{""}, Wait: pacing.IdleWait, Apply: leases.apply,
+		Pace: func() time.Duration {
+			if leases.candidate() {
+				return pacing.BusyPace()
+			}
+			return pacing.InterestPace(false)
+		},
 	})
 	return leases
 }
@@ -88,6 +94,23 @@
 	return lease
 }
 
+// followers is how many of the nodes that could take a lease follow it closely: the
+// first in rank. The others take it only if all of these are gone.
+const followers = 8
+
+// candidate tells whether this node is among the first that would take one of the
+// leases, or holds one.
+func (s *Leases) candidate() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, lease := range s.byName {
+		if lease.Held() || lease.rank(time.Now()) < followers {
+			return true
+		}
+	}
+	return false
+}
+
 // tick is how often a node looks at its leases.
 const tick = 200 * time.Millisecond
 
@@ -297,10 +320,16 @@
 	if waited < 0 {
 		return false
 	}
-	rank := presence.Place(presence.RankSteady(l.candidates(now), l.config.Name), l.self.Name)
+	rank := l.rank(now)
 	return rank >= 0 && waited >= time.Duration(rank)*takeStagger
 }
 
+// rank returns this node's place among those that could take the lease, -1 if it could
+// not.
+func (l *Lease) rank(now time.Time) int {
+	return presence.Place(presence.RankSteady(l.candidates(now), l.config.Name), l.self.Name)
+}
+
 // candidates returns the nodes that could take the lease: a holder that let it
 // lapse is not waited for, though it may still count as live.
 func (l *Lease) candidates(now time.Time) []presence.Node {
--- a/internal/rowstore/pacing.go
+++ b/internal/rowstore/pacing.go
@@ -46,6 +46,33 @@
 // often.
 func (p Pacing) BusyPace() time.Duration { return p.interval(busyWatches, busyShare) }
 
+const (
+	// idlePaces is how many times rarer than BusyPace a node follows a table that it
+	// makes no use of just now.
+	idlePaces = 3
+	// keenLeast is the least time between two answers of a watch of a table that a node
+	// makes use of; few nodes do at a time.
+	keenLeast = 100 * time.Millisecond
+	// registryShare is the share of the reads that watches of the registry of back ends
+	// may use while it changes all the time.
+	registryShare = 0.3
+)
+
+// InterestPace returns the least time between two answers of a watch of a table that
+// few nodes make use of at a time, by whether this one does.
+func (p Pacing) InterestPace(interested bool) time.Duration {
+	if interested {
+		return min(p.BusyPace(), keenLeast)
+	}
+	return idlePaces * p.BusyPace()
+}
+
+// RegistryPace returns the least time between two answers of a watch of the registry
+// of back ends: every node needs it, and it has to be fresh.
+func (p Pacing) RegistryPace() time.Duration {
+	return min(max(p.interval(1, registryShare), min(p.BusyPace(), p.FreshWait()/4)), p.FreshWait())
+}
+
 // interval returns how often each of a node's watches may be answered if they
 // have a share of all reads.
 func (p Pacing) interval(watches int, share float64) time.Duration {
--- a/internal/rowstore/pacing_test.go
+++ b/internal/rowstore/pacing_test.go
@@ -36,3 +36,22 @@
 		t.Error("a store without a limit sets a pace")
 	}
 }
+
+// TestAllNodesTogetherKeepWithinTheReads: every table changes all the time, and a few
+// nodes follow what only they make use of. From some tens of nodes on, all watches
+// together stay within four fifths of what the store takes.
+func TestAllNodesTogetherKeepWithinTheReads(t *testing.T) {
+	const reads, keen = 2000, 12
+	perSecond := func(pace time.Duration) float64 { return 1 / pace.Seconds() }
+	for _, nodes := range []int{100, 300, 1000} {
+		p := Pacing{Limits: Limits{ReadsPerSecond: reads}, Fresh: 3 * time.Second, Nodes: func() int { return nodes }}
+		all := float64(nodes) * (perSecond(p.FreshWait()) + perSecond(p.RegistryPace()) + perSecond(p.BusyPace()))
+		all += 3 * (keen*perSecond(p.InterestPace(true)) + float64(nodes-keen)*perSecond(p.InterestPace(false)))
+		if all > 0.8*reads+3*keen*perSecond(p.InterestPace(true)) {
+			t.Errorf("%d nodes: %.0f reads a second of %d", nodes, all, reads)
+		}
+		if p.RegistryPace() > p.FreshWait() {
+			t.Errorf("%d nodes: the registry is %s behind", nodes, p.RegistryPace())
+		}
+	}
+}
--- a/internal/rowstore/view.go
+++ b/internal/rowstore/view.go
@@ -55,11 +55,34 @@
 	healthy   bool
 	onLoaded  chan struct{}
 	recovered time.Time
+	wakes     chan struct{}
 }
 
 // NewView returns a view that Run keeps up to date.
 func NewView(log *eventlog.Log, store Store, config ViewConfig) *View {
-	return &View{config: config, store: store, log: log, onLoaded: make(chan struct{})}
+	return &View{config: config, store: store, log: log, onLoaded: make(chan struct{}), wakes: make(chan struct{}, 1)}
+}
+
+// Kick ends a pause between two watches: what the view holds is wanted now.
+func (v *View) Kick() {
+	select {
+	case v.wakes <- struct{}{}:
+	default:
+	}
+}
+
+// rest waits for a while, until Kick or the end of ctx.
+func (v *View) rest(ctx context.Context, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-v.wakes:
+	}
 }
 
 // Loaded is closed once the view has been read whole for the first time.
@@ -101,7 +124,7 @@
 			}
 			reload, failed = false, false
 			if v.config.Pace != nil {
-				pause.For(ctx, v.config.Pace()-time.Since(started))
+				v.rest(ctx, v.config.Pace()-time.Since(started))
 			}
 			continue
 		}
--- a/internal/rowstore/view_test.go
+++ b/internal/rowstore/view_test.go
@@ -242,3 +242,23 @@
 		}
 	}
 }
+
+// TestKickEndsThePause: a view that follows a table at a slow pace is up to date as soon
+// as it is wanted.
+func TestKickEndsThePause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, seen := rowstoretest.New(), &mirror{rows: make(map[string]string)}
+		view := rowstore.NewView(nil, store, rowstore.ViewConfig{
+			Name: "t", Table: "t", Partitions: []string{""}, Wait: func() time.Duration { return time.Second },
+			Pace: func() time.Duration { return time.Minute }, Apply: seen.apply,
+		})
+		go view.Run(t.Context())
+		time.Sleep(time.Second)
+		store.Put("t", "", "a", []byte("1"))
+		time.Sleep(10 * time.Second)
+		expect(t, seen, "")
+		view.Kick()
+		time.Sleep(time.Millisecond)
+		expect(t, seen, "a=1")
+	})
+}
