--- a/internal/batch/schedule.go
+++ b/internal/batch/schedule.go
@@ -14,6 +14,9 @@
 	job   *ownedJob
 	index int
 	route *routetable.Route
+	// priority goes before rank, 0 the highest: that of the job's tenant or, if it has
+	// none, of the route.
+	priority int
 	// rank orders candidates, the highest first.
 	rank   float64
 	moving bool
@@ -53,9 +56,13 @@
 const urgentRank = 1e12
 
 func (r *runner) appendCandidates(list []candidate, job *ownedJob, route *routetable.Route, p *pools) []candidate {
+	priority := route.Priority
+	if p.config != nil {
+		priority = p.config.Tenants.Named(job.tenant).Rank(route.Priority)
+	}
 	for _, index := range job.order {
 		item := &job.items[index]
-		c := candidate{job: job, index: index, route: route, rank: float64(job.spec.Items[index].LengthHint)}
+		c := candidate{job: job, index: index, route: route, priority: priority, rank: float64(job.spec.Items[index].LengthHint)}
 		switch item.phase {
 		case phaseWaiting:
 			if item.urgent {
@@ -76,10 +83,11 @@
 	return list
 }
 
-// sortCandidates orders candidates by rank, equals by the age of their jobs.
+// sortCandidates orders candidates by priority, then by rank, equals by the age of their
+// jobs.
 func sortCandidates(list []candidate) {
 	slices.SortStableFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.job.head.SubmittedMillis, b.job.head.SubmittedMillis))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(b.rank, a.rank), cmp.Compare(a.job.head.SubmittedMillis, b.job.head.SubmittedMillis))
 	})
 }
 
--- a/internal/batch/schedule_test.go
+++ b/internal/batch/schedule_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/tenant"
+	"github.com/sliplift/sliplift/internal/routetable"
 )
 
 func TestWorthStarting(t *testing.T) {
@@ -70,6 +72,32 @@
 	}
 }
 
+// TestPriorityGoesBeforeLength: the rank of the job's tenant, or that of its route where
+// the tenant has none, goes before what is expected of its items.
+func TestPriorityGoesBeforeLength(t *testing.T) {
+	r := newRunner(nil)
+	table := routetable.New(1, nil, nil, routetable.Limits{})
+	table.Tenants = tenant.NewSet([]tenant.Entry{
+		{Tenant: tenant.Tenant{Name: "first", Priority: 0, Ranked: true}}, {Tenant: tenant.Tenant{Name: "unranked"}},
+		{Tenant: tenant.Tenant{Name: "last", Priority: 9, Ranked: true}},
+	})
+	p := &pools{services: make(map[string]*pool), config: table}
+	var list []candidate
+	for _, name := range []string{"last", "unranked", "first", "gone"} {
+		job := &ownedJob{tenant: name, spec: &Spec{Items: []Item{{LengthHint: 100}}}, items: make([]itemState, 1), order: []int{0}}
+		if name == "first" {
+			job.spec.Items[0].LengthHint = 1
+		}
+		list = r.appendCandidates(list, job, &routetable.Route{Priority: 3}, p)
+	}
+	sortCandidates(list)
+	for i, want := range []string{"first", "unranked", "gone", "last"} {
+		if list[i].job.tenant != want {
+			t.Errorf("place %d: %s, want %s", i, list[i].job.tenant, want)
+		}
+	}
+}
+
 func TestMarkShort(t *testing.T) {
 	marked := func(hints ...int) string {
 		spec := &Spec{}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -124,9 +124,14 @@
 	return story
 }
 
+// namingFields are the fields by whose values lines are asked for.
+var namingFields = []string{
+	eventlog.Request, eventlog.Job, eventlog.Item, eventlog.Backend, eventlog.KeyDigest, eventlog.Window, eventlog.Lease, eventlog.Tenant,
+}
+
 // mentions tells as what a line names an id.
 func mentions(line Line, id string) string {
-	for _, field := range []string{eventlog.Request, eventlog.Job, eventlog.Item, eventlog.Backend} {
+	for _, field := range namingFields {
 		if line.text(field) == id {
 			return field
 		}
@@ -138,7 +143,7 @@
 var surrounding = map[string]bool{
 	eventlog.Started: true, eventlog.Stopping: true, eventlog.Stopped: true,
 	eventlog.ViewLost: true, eventlog.ViewRegained: true, eventlog.NodeLapsed: true,
-	eventlog.LeaseTaken: true, eventlog.LeaseLost: true, eventlog.LinesDropped: true, eventlog.ConfigApplied: true,
+	eventlog.LeaseTaken: true, eventlog.LeaseLost: true, eventlog.UsageUnwritten: true, eventlog.LinesDropped: true, eventlog.ConfigApplied: true,
 }
 
 func (s *Story) around(lines []Line) {
@@ -196,6 +201,9 @@
 	case eventlog.Request:
 		ends := s.count(eventlog.RequestAnswered, eventlog.RequestRefused, eventlog.RequestFailed, eventlog.RequestLeft)
 		miss(ends == 0, "no line tells how the request ended: its node died, or the line was dropped")
+	case eventlog.Window:
+		miss(s.count(eventlog.UsageFixed) == 0, "no node says that it summed the window: nobody held the lease, or several were summed at once under an earlier one")
+		miss(s.count(eventlog.UsageSent) == 0, "no node says that the platform took the window's report")
 	case eventlog.Job:
 		accepted := s.count(eventlog.JobAccepted)
 		miss(accepted == 0, "no node says that it accepted the job")
--- a/internal/metering/counter.go
+++ b/internal/metering/counter.go
@@ -188,7 +188,7 @@
 		}
 		if held.dirty {
 			c.config.Log.Warn(eventlog.UsageLost, eventlog.Fields{
-				eventlog.Window: window, eventlog.Count: held.counts.total(), eventlog.Cause: "not written for too long",
+				eventlog.Window: window.String(), eventlog.Count: held.counts.total(), eventlog.Cause: "not written for too long",
 			})
 		}
 		delete(c.windows, window)
--- a/internal/metering/doc.go
+++ b/internal/metering/doc.go
@@ -60,6 +60,9 @@
 	return Window(moment.UnixNano() / int64(length))
 }
 
+// String returns the window as logs name it.
+func (w Window) String() string { return strconv.FormatInt(int64(w), 10) }
+
 // end returns the end of a window.
 func (w Window) end(length time.Duration) time.Time { return time.Unix(0, (int64(w)+1)*int64(length)) }
 
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -298,7 +298,7 @@
 		}
 	}
 	r.config.Log.Info(eventlog.UsageFixed, eventlog.Fields{
-		eventlog.Window: first, "windows": row.Next - first, eventlog.Count: total, "pending": len(row.Pending), eventlog.Token: token,
+		eventlog.Window: first.String(), "windows": int64(row.Next - first), eventlog.Count: total, "pending": len(row.Pending), eventlog.Token: token,
 		"since_end_ms": r.config.Now().Sub(first.end(r.config.Window)).Milliseconds(),
 	})
 	if late > 0 {
@@ -394,7 +394,7 @@
 func (r *Reporter) noteSent(report Report, token int64, err error) {
 	age := r.config.Now().Sub(report.Window.end(r.config.Window))
 	fields := eventlog.Fields{
-		eventlog.Window: report.Window, eventlog.Token: token, eventlog.Count: report.Counts.total(),
+		eventlog.Window: report.Window.String(), eventlog.Token: token, eventlog.Count: report.Counts.total(),
 		"tenants": len(report.Counts), "since_end_ms": age.Milliseconds(), "late": age > r.config.Due,
 	}
 	if err != nil {
