--- a/internal/batch/schedule_test.go
+++ b/internal/batch/schedule_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/tenant"
 	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/tenant"
 )
 
 func TestWorthStarting(t *testing.T) {
