--- a/cmd/sliplift-emulator/main.go
+++ b/cmd/sliplift-emulator/main.go
@@ -10,9 +10,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sliplift/sliplift/internal/daemon"
 	"github.com/sliplift/sliplift/internal/emulator"
 	"github.com/sliplift/sliplift/internal/history"
+	"github.com/sliplift/sliplift/internal/meshnode/daemon"
 	"github.com/sliplift/sliplift/internal/settings"
 )
 
--- a/cmd/slipliftd/main.go
+++ b/cmd/slipliftd/main.go
@@ -11,9 +11,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs/v2"
 
-	"github.com/sliplift/sliplift/internal/daemon"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/node"
+	"github.com/sliplift/sliplift/internal/meshnode/daemon"
+	"github.com/sliplift/sliplift/internal/meshnode/node"
 	"github.com/sliplift/sliplift/internal/settings"
 )
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 const examples = "../../examples"
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -12,7 +12,7 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/load"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 	"github.com/sliplift/sliplift/internal/telemetry"
 )
 
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -10,8 +10,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
 	"github.com/sliplift/sliplift/internal/migrate"
-	"github.com/sliplift/sliplift/internal/operator"
 )
 
 // planCommand groups the planned operations.
--- a/internal/cli/plan_test.go
+++ b/internal/cli/plan_test.go
@@ -11,10 +11,10 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/operator/catalog"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/operator/catalog"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // newOperatorPort serves a configuration with one engine of the pool chat at
--- a/internal/cli/query.go
+++ b/internal/cli/query.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
 )
 
 // nodeFlags name the node whose operator port is asked.
--- a/internal/cli/shell.go
+++ b/internal/cli/shell.go
@@ -6,9 +6,9 @@
 	"os"
 	"path/filepath"
 
-	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/operator/shell"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/operator/shell"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // shellHistoryFile is where the shell keeps its lines, under the operator's
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -10,13 +10,13 @@
 
 	"github.com/zeebo/errs/v2"
 
-	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/emulator"
-	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/node"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/node"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 	"github.com/sliplift/sliplift/internal/settings"
-	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // ErrUnknownNode says that no node of that name runs.
--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -7,12 +7,12 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/emulator"
 	"github.com/sliplift/sliplift/internal/emulator/application"
 	"github.com/sliplift/sliplift/internal/emulator/engine"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/node"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/node"
 	"github.com/sliplift/sliplift/internal/settings"
 )
 
--- a/internal/cluster/network.go
+++ b/internal/cluster/network.go
@@ -4,8 +4,8 @@
 	"net"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/memnet"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
 )
 
 // Network is what a cluster runs over.
--- a/internal/cluster/stop_test.go
+++ b/internal/cluster/stop_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/memnet"
-	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // TestPlannedStopAnswersOperators proves that a statement which waits when its
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,10 +15,10 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/load"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 // Names of the pools that the demo creates.
--- a/internal/demo/operator.go
+++ b/internal/demo/operator.go
@@ -11,11 +11,11 @@
 	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/query"
 )
 
 // operatorUser makes changes in the operators' language and records those that
--- a/internal/emulator/accessors.go
+++ b/internal/emulator/accessors.go
@@ -12,7 +12,7 @@
 	"github.com/sliplift/sliplift/internal/emulator/scoring"
 	"github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/emulator/weight"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 // Engine returns the engine of that name, nil if there is none.
--- a/internal/emulator/application/application.go
+++ b/internal/emulator/application/application.go
@@ -27,7 +27,7 @@
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/emulator/server"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // Config describes an instance.
--- a/internal/emulator/application/application_test.go
+++ b/internal/emulator/application/application_test.go
@@ -14,9 +14,9 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/application"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
-	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/memnet"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
 )
 
 const address = "booking-1:1"
--- a/internal/emulator/control.go
+++ b/internal/emulator/control.go
@@ -5,7 +5,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // FaultList is the answer to GET /v1/faults on the control port.
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -26,7 +26,7 @@
 	"github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/emulator/weight"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 // ErrConfig is returned by Start for a configuration that makes no sense.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -21,10 +21,10 @@
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/emulator/scoring"
 	"github.com/sliplift/sliplift/internal/emulator/weight"
-	client "github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/memnet"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	client "github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 func logger() logrus.FieldLogger {
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -30,7 +30,7 @@
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/emulator/server"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 // Dependencies are what an engine needs of its surroundings.
--- a/internal/emulator/engine/fixture_test.go
+++ b/internal/emulator/engine/fixture_test.go
@@ -19,10 +19,10 @@
 	"github.com/sliplift/sliplift/internal/emulator/engine"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/emulator/weight"
-	client "github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/httpjson"
 	"github.com/sliplift/sliplift/internal/memnet"
+	client "github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // recorder is a history.Sink that keeps the events.
--- a/internal/emulator/engine/handlers.go
+++ b/internal/emulator/engine/handlers.go
@@ -8,7 +8,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/batch"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
--- a/internal/emulator/server/backend.go
+++ b/internal/emulator/server/backend.go
@@ -6,7 +6,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // BackendCalls lets the faults of an engine or application strike the calls
--- a/internal/emulator/server/server.go
+++ b/internal/emulator/server/server.go
@@ -17,8 +17,8 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
-	"github.com/sliplift/sliplift/internal/httpjson"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 // ListenFunc opens a listener on an address (host:port).
--- a/internal/emulator/table/handler.go
+++ b/internal/emulator/table/handler.go
@@ -6,7 +6,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/server"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // Handler returns the HTTP interface of the service.
--- a/internal/emulator/table/table_test.go
+++ b/internal/emulator/table/table_test.go
@@ -18,8 +18,8 @@
 	"github.com/sliplift/sliplift/internal/emulator/server"
 	"github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/memnet"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 	"github.com/sliplift/sliplift/internal/steptest"
-	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // fixture is a table with a limit of one call a second and bursts of 4.
--- a/internal/experiment/application.go
+++ b/internal/experiment/application.go
@@ -5,7 +5,7 @@
 	"math/rand"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 )
 
 // applications is the pool of application instances and the requests to them.
--- a/internal/experiment/request.go
+++ b/internal/experiment/request.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/meshnode/rollout"
 )
 
 // request is a sample attempt or a live request on its way through its streams.
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -6,12 +6,12 @@
 	"slices"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/backend"
-	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/emulator/batch"
-	"github.com/sliplift/sliplift/internal/limits"
-	"github.com/sliplift/sliplift/internal/rollout"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/backend"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/limits"
+	"github.com/sliplift/sliplift/internal/meshnode/rollout"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 	"github.com/sliplift/sliplift/internal/settings"
 )
 
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/rollout"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/rollout"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/weights"
 	"github.com/sliplift/sliplift/internal/settings"
-	"github.com/sliplift/sliplift/internal/weights"
 )
 
 const (
--- a/internal/experiment/step.go
+++ b/internal/experiment/step.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/meshnode/rollout"
 	"github.com/sliplift/sliplift/internal/settings"
 )
 
--- a/internal/experiment/step_plan.go
+++ b/internal/experiment/step_plan.go
@@ -1,6 +1,6 @@
 package experiment
 
-import "github.com/sliplift/sliplift/internal/rollout"
+import "github.com/sliplift/sliplift/internal/meshnode/rollout"
 
 // demand is what the step tells other owners.
 func (p *step) demand() rollout.StepDemand {
--- a/internal/experiment/trainer.go
+++ b/internal/experiment/trainer.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/meshnode/rollout"
 	"github.com/sliplift/sliplift/internal/settings"
 )
 
--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/sliplift/sliplift/internal/emulator/batch"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 	"github.com/sliplift/sliplift/internal/settings"
 )
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -18,7 +18,7 @@
 	"strings"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 )
 
 // lineMost bounds a line, in bytes.
--- a/internal/explain/steps.go
+++ b/internal/explain/steps.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/clock"
-	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 )
 
 // Step tells where the time of one batch job went. All spans count from its
--- a/internal/faulttest/network.go
+++ b/internal/faulttest/network.go
@@ -10,8 +10,8 @@
 	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/cluster"
-	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/memnet"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
 )
 
 // errDead is what a killed host gets for every call.
--- a/internal/faulttest/operators.go
+++ b/internal/faulttest/operators.go
@@ -10,10 +10,10 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/cluster"
-	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 const (
--- a/internal/faulttest/switches.go
+++ b/internal/faulttest/switches.go
@@ -7,7 +7,7 @@
 
 	"github.com/zeebo/errs/v2"
 
-	"github.com/sliplift/sliplift/internal/node"
+	"github.com/sliplift/sliplift/internal/meshnode/node"
 )
 
 // switches are the mechanisms that a story can do without, by name.
--- a/internal/faulttest/trigger.go
+++ b/internal/faulttest/trigger.go
@@ -7,7 +7,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/meshnode/rollout"
 )
 
 // actionKind names what a host does, as far as stories want to know it.
--- a/internal/faulttest/users.go
+++ b/internal/faulttest/users.go
@@ -11,9 +11,9 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/cluster"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/httpjson"
 	"github.com/sliplift/sliplift/internal/load"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // StepConfig says what a trainer asks for.
--- a/internal/faulttest/world.go
+++ b/internal/faulttest/world.go
@@ -15,10 +15,10 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/cluster"
 	"github.com/sliplift/sliplift/internal/emulator"
-	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/load"
-	"github.com/sliplift/sliplift/internal/node"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/node"
 	"github.com/sliplift/sliplift/internal/settings"
 )
 
--- a/internal/batch/checkpoint.go
+++ b/internal/gatewaynode/batch/checkpoint.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 const (
--- a/internal/batch/checkpoint_test.go
+++ b/internal/gatewaynode/batch/checkpoint_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
-	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 )
 
 // checkpointed returns a job of items that have made so many events each, run by a
--- a/internal/batch/commit.go
+++ b/internal/gatewaynode/batch/commit.go
@@ -5,11 +5,11 @@
 	"errors"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/clock"
-	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/routetable"
-	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
 const (
--- a/internal/batch/decide_test.go
+++ b/internal/gatewaynode/batch/decide_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 )
 
 func TestDecide(t *testing.T) {
--- a/internal/batch/doc.go
+++ b/internal/gatewaynode/batch/doc.go
@@ -49,7 +49,7 @@
 	"strings"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // Tables of the row store.
--- a/internal/batch/groups_test.go
+++ b/internal/gatewaynode/batch/groups_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/clock"
-	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
 func TestHoldLeft(t *testing.T) {
--- a/internal/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -9,13 +9,13 @@
 
 	"github.com/google/uuid"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/presence"
-	"github.com/sliplift/sliplift/internal/routetable"
-	"github.com/sliplift/sliplift/internal/rowstore"
-	"github.com/sliplift/sliplift/internal/upstream"
 )
 
 // Config configures a Manager.
--- a/internal/batch/memory.go
+++ b/internal/gatewaynode/batch/memory.go
@@ -1,8 +1,8 @@
 package batch
 
 import (
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
 // Placement by memory. The requests that a back end runs share its memory for tokens:
--- a/internal/batch/memory_test.go
+++ b/internal/gatewaynode/batch/memory_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
 // TestPlacementByMemory: each row is a pool of two back ends, alike but for what is held
--- a/internal/batch/move.go
+++ b/internal/gatewaynode/batch/move.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 // Conditions under which a run is moved to a faster back end.
--- a/internal/batch/open.go
+++ b/internal/gatewaynode/batch/open.go
@@ -7,7 +7,7 @@
 	"maps"
 	"sync"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // stored is what the store holds of a job.
--- a/internal/batch/owner.go
+++ b/internal/gatewaynode/batch/owner.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/presence"
-	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
 // takeOverStagger separates the nodes that could take a job over: the first in
--- a/internal/batch/pace.go
+++ b/internal/gatewaynode/batch/pace.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 const (
--- a/internal/batch/place.go
+++ b/internal/gatewaynode/batch/place.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 // need is what an item wants of a back end.
--- a/internal/batch/place_test.go
+++ b/internal/gatewaynode/batch/place_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 var placeNow = time.Unix(1000, 0)
--- a/internal/batch/results.go
+++ b/internal/gatewaynode/batch/results.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // Page is a part of a job's results.
--- a/internal/batch/results_test.go
+++ b/internal/gatewaynode/batch/results_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // TestReadsWaitForTheRest: a read that a part of the finished results would answer
--- a/internal/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -8,11 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/eventstream"
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/routetable"
-	"github.com/sliplift/sliplift/internal/upstream"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventstream"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 // Causes for which this node itself ends a run.
--- a/internal/batch/runner.go
+++ b/internal/gatewaynode/batch/runner.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/clock"
-	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/routetable"
 )
 
 type phase int
--- a/internal/batch/schedule.go
+++ b/internal/gatewaynode/batch/schedule.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
 // candidate is an item that could be started, or be moved to a faster back end.
--- a/internal/batch/schedule_test.go
+++ b/internal/gatewaynode/batch/schedule_test.go
@@ -4,9 +4,9 @@
 	"testing"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/routetable"
-	"github.com/sliplift/sliplift/internal/tenant"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/tenant"
 )
 
 func TestWorthStarting(t *testing.T) {
--- a/internal/batch/score.go
+++ b/internal/gatewaynode/batch/score.go
@@ -5,9 +5,9 @@
 	"slices"
 	"strings"
 
-	"github.com/sliplift/sliplift/internal/clock"
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
 // scoreState is how far the scoring of an item's whole text is.
--- a/internal/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -7,11 +7,11 @@
 	"net/http"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/clock"
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/routetable"
-	"github.com/sliplift/sliplift/internal/upstream"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 // scoreFate is what became of a call to a scoring service. It is one of scored,
--- a/internal/batch/scoreplace.go
+++ b/internal/gatewaynode/batch/scoreplace.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/sliplift/sliplift/internal/clock"
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
 // Bounds of the calls to scoring services.
--- a/internal/batch/scoreplace_test.go
+++ b/internal/gatewaynode/batch/scoreplace_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/clock"
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/routetable"
-	"github.com/sliplift/sliplift/internal/rowstore"
-	"github.com/sliplift/sliplift/internal/upstream"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 func scoringBackend(id, zone string, running int, latency time.Duration) fleet.Backend {
--- a/internal/batch/text_test.go
+++ b/internal/gatewaynode/batch/text_test.go
@@ -5,7 +5,7 @@
 	"reflect"
 	"testing"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 func made(versions ...int64) text {
--- a/internal/clock/clock_test.go
+++ b/internal/gatewaynode/clock/clock_test.go
@@ -5,7 +5,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 )
 
 func TestNowFollowsTheSteadyClock(t *testing.T) {
--- a/internal/forward/choose.go
+++ b/internal/gatewaynode/forward/choose.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 // Want says what a request needs of a back end.
--- a/internal/forward/choose_test.go
+++ b/internal/gatewaynode/forward/choose_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 var chooseNow = time.Unix(1000, 0)
--- a/internal/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -26,10 +26,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/routetable"
-	"github.com/sliplift/sliplift/internal/upstream"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 // Request is a caller's request as it was read.
--- a/internal/forward/latency_test.go
+++ b/internal/gatewaynode/forward/latency_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
 // TestSecondAttemptWaitsForTheRoutesOwnLatency: answers of a route that take no time say
--- a/internal/forward/stream.go
+++ b/internal/gatewaynode/forward/stream.go
@@ -8,10 +8,10 @@
 	"strings"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/eventstream"
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/upstream"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventstream"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 // errSilent says that a back end sent no event for too long.
--- a/internal/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -10,9 +10,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"github.com/sliplift/sliplift/internal/forward"
-	"github.com/sliplift/sliplift/internal/routetable"
-	"github.com/sliplift/sliplift/internal/storenode"
+	"github.com/sliplift/sliplift/internal/gatewaynode/forward"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/storenode"
 )
 
 const namespace = "sliplift"
--- a/internal/gatewaymetrics/gatewaymetrics_test.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/forward"
-	"github.com/sliplift/sliplift/internal/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/forward"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
 func TestFiguresAreServed(t *testing.T) {
--- a/internal/metering/doc.go
+++ b/internal/gatewaynode/metering/doc.go
@@ -34,7 +34,7 @@
 	"strings"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // Tables of the row store.
--- a/internal/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -17,8 +17,8 @@
 	"sync"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // Table is the table of the rows, partitioned by rowstore.Shard of the name.
--- a/internal/presence/presence_test.go
+++ b/internal/gatewaynode/presence/presence_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/rowstore"
-	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 )
 
 type member struct {
--- a/internal/relay/relay.go
+++ b/internal/gatewaynode/relay/relay.go
@@ -16,9 +16,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/presence"
-	"github.com/sliplift/sliplift/internal/upstream"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 // Config configures a Relay.
--- a/internal/relay/relay_test.go
+++ b/internal/gatewaynode/relay/relay_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/sliplift/sliplift/internal/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 )
 
 func TestOrder(t *testing.T) {
--- a/internal/reload/carryout.go
+++ b/internal/gatewaynode/reload/carryout.go
@@ -6,10 +6,10 @@
 	"maps"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowlease"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/rowlease"
-	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
 const (
--- a/internal/reload/controller_test.go
+++ b/internal/gatewaynode/reload/controller_test.go
@@ -12,12 +12,12 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/fleet"
-	"github.com/sliplift/sliplift/internal/presence"
-	"github.com/sliplift/sliplift/internal/rowlease"
-	"github.com/sliplift/sliplift/internal/rowstore"
-	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowlease"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 )
 
 const (
--- a/internal/reload/doc.go
+++ b/internal/gatewaynode/reload/doc.go
@@ -33,7 +33,7 @@
 	"encoding/json"
 	"errors"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // TableLoads tells, by back end, what the holder loads and has loaded.
--- a/internal/reload/lease.go
+++ b/internal/gatewaynode/reload/lease.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/rowlease"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowlease"
 )
 
 // beginTerm prepares a term of this node: it reads which back ends the holder before
--- a/internal/reload/plan.go
+++ b/internal/gatewaynode/reload/plan.go
@@ -7,7 +7,7 @@
 	"slices"
 	"sort"
 
-	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 // step is an order that the plan wants given.
--- a/internal/reload/plan_test.go
+++ b/internal/gatewaynode/reload/plan_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"github.com/sliplift/sliplift/internal/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 // TestPlan reads back ends and named versions and prints the loads planned.
--- a/internal/reload/resting.go
+++ b/internal/gatewaynode/reload/resting.go
@@ -6,10 +6,10 @@
 	"errors"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowlease"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/rowlease"
-	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
 // seenLoad is when this node saw a revision of a row of TableLoads.
--- a/internal/routetable/routetable.go
+++ b/internal/gatewaynode/routetable/routetable.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/tenant"
+	"github.com/sliplift/sliplift/internal/gatewaynode/tenant"
 )
 
 // Kind says what may be done with a route's requests.
--- a/internal/rowlease/doc.go
+++ b/internal/gatewaynode/rowlease/doc.go
@@ -29,7 +29,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // Table is the table of the leases' rows.
--- a/internal/rowstore/recall.go
+++ b/internal/gatewaynode/rowstore/recall.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 )
 
 // Recall is a Store that notices when a store which has been silent answers again,
--- a/internal/rowstore/recall_test.go
+++ b/internal/gatewaynode/rowstore/recall_test.go
@@ -7,8 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
-	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 )
 
 // TestCallsSentIntoASilenceEndWhenTheStoreIsBack lets calls begin shortly before
--- a/internal/rowstore/rowstoretest/store.go
+++ b/internal/gatewaynode/rowstore/rowstoretest/store.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/rowstore"
 )
 
 // Faults are what goes wrong at present.
--- a/internal/rowstore/rowstoretest/way.go
+++ b/internal/gatewaynode/rowstore/rowstoretest/way.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // Manner is how a node's own way to the store fails.
--- a/internal/rowstore/view.go
+++ b/internal/gatewaynode/rowstore/view.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/pause"
 )
 
--- a/internal/rowstore/view_test.go
+++ b/internal/gatewaynode/rowstore/view_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
-	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 )
 
 // mirror is what a view's Apply makes of a table.
--- a/internal/storerelay/client.go
+++ b/internal/gatewaynode/storerelay/client.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // DialFunc connects to another node.
--- a/internal/storerelay/detour.go
+++ b/internal/gatewaynode/storerelay/detour.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/clock"
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/presence"
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // Config configures a Detour.
--- a/internal/storerelay/doc.go
+++ b/internal/gatewaynode/storerelay/doc.go
@@ -22,7 +22,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // operation names a call of rowstore.Store.
--- a/internal/storerelay/server.go
+++ b/internal/gatewaynode/storerelay/server.go
@@ -8,8 +8,8 @@
 	"net"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/eventlog"
-	"github.com/sliplift/sliplift/internal/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 const (
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -15,7 +15,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // Checksum returns the xxhash64 of text as 16 hexadecimal digits, leading zeros
--- a/internal/load/direct.go
+++ b/internal/load/direct.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
 )
 
 // directNode is the name under which direct requests reach a back end.
--- a/internal/load/history_test.go
+++ b/internal/load/history_test.go
@@ -15,18 +15,18 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/backend"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/dispatch"
 	"github.com/sliplift/sliplift/internal/emulator/application"
 	emulator "github.com/sliplift/sliplift/internal/emulator/engine"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	"github.com/sliplift/sliplift/internal/emulator/weight"
-	"github.com/sliplift/sliplift/internal/engine"
-	"github.com/sliplift/sliplift/internal/gateway"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/load"
 	"github.com/sliplift/sliplift/internal/memnet"
+	"github.com/sliplift/sliplift/internal/meshnode/backend"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/dispatch"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/gateway"
 )
 
 const (
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/httpjson"
 	"github.com/sliplift/sliplift/internal/memnet"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // script answers the requests to two nodes and a weight store with its lines,
--- a/internal/load/nodes.go
+++ b/internal/load/nodes.go
@@ -13,9 +13,9 @@
 	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // Node is a node that a client may call.
--- a/internal/load/trainer.go
+++ b/internal/load/trainer.go
@@ -16,7 +16,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 // TrainerConfig says what a Trainer asks for.
--- a/internal/backend/poll.go
+++ b/internal/meshnode/backend/poll.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 	"github.com/sliplift/sliplift/internal/pause"
 )
 
--- a/internal/backend/set.go
+++ b/internal/meshnode/backend/set.go
@@ -8,8 +8,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 )
 
 // LoadClient reads the load report of the back end at address.
--- a/internal/backend/set_test.go
+++ b/internal/meshnode/backend/set_test.go
@@ -15,7 +15,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 	"github.com/sliplift/sliplift/internal/steptest"
 )
 
--- a/internal/backend/subset.go
+++ b/internal/meshnode/backend/subset.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 )
 
 // Subset returns the size back ends of a pool that the node uses, in the order
--- a/internal/claim/claimant.go
+++ b/internal/meshnode/claim/claimant.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 )
 
 // claimReserved runs the round of a reserved key.
--- a/internal/claim/dispatcher/claimer.go
+++ b/internal/meshnode/claim/dispatcher/claimer.go
@@ -6,8 +6,8 @@
 	"context"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/claim"
-	"github.com/sliplift/sliplift/internal/dispatch"
+	"github.com/sliplift/sliplift/internal/meshnode/claim"
+	"github.com/sliplift/sliplift/internal/meshnode/dispatch"
 )
 
 // Claimer implements dispatch.Claimer.
--- a/internal/claim/message.go
+++ b/internal/meshnode/claim/message.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 )
 
 // Kinds of the messages between nodes.
--- a/internal/claim/service.go
+++ b/internal/meshnode/claim/service.go
@@ -8,8 +8,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/peer"
 )
 
 // ViewSource tells the member list that is in force.
--- a/internal/claim/service_test.go
+++ b/internal/meshnode/claim/service_test.go
@@ -15,7 +15,7 @@
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	emulated "github.com/sliplift/sliplift/internal/emulator/table"
 	"github.com/sliplift/sliplift/internal/memnet"
-	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 )
 
 // firstRun is a Registrar with a fixed answer.
--- a/internal/claim/stop.go
+++ b/internal/meshnode/claim/stop.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 )
 
 const (
--- a/internal/configlog/service.go
+++ b/internal/meshnode/configlog/service.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 )
 
 // Defaults of Config.
--- a/internal/configlog/service_test.go
+++ b/internal/meshnode/configlog/service_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 	"github.com/sliplift/sliplift/internal/steptest"
 )
 
--- a/internal/control/controller.go
+++ b/internal/meshnode/control/controller.go
@@ -8,9 +8,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/drain"
-	"github.com/sliplift/sliplift/internal/weights"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/drain"
+	"github.com/sliplift/sliplift/internal/meshnode/weights"
 )
 
 // Lessor tells which shards this node holds.
--- a/internal/control/controller_test.go
+++ b/internal/meshnode/control/controller_test.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // fakeBackends are back ends that load a version at once and keep the fence.
--- a/internal/control/reports.go
+++ b/internal/meshnode/control/reports.go
@@ -11,8 +11,8 @@
 
 	"github.com/zeebo/errs/v2"
 
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/weights"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/weights"
 )
 
 // ErrLeaseLost is returned for an order whose shard this node no longer holds.
--- a/internal/control/shard.go
+++ b/internal/meshnode/control/shard.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // Shard is the part of a pool that one lease covers.
--- a/internal/dispatch/attempt.go
+++ b/internal/meshnode/dispatch/attempt.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/backend"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/engine"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/backend"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 )
 
 // attempt is one sending of a request to one back end.
--- a/internal/dispatch/claim.go
+++ b/internal/meshnode/dispatch/claim.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/limits"
+	"github.com/sliplift/sliplift/internal/meshnode/limits"
 )
 
 // runClaimed runs a request that is not repeatable under a claim of its key.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/meshnode/dispatch/dispatch_test.go
@@ -16,11 +16,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/backend"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/memnet"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/backend"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 	"github.com/sliplift/sliplift/internal/steptest"
 )
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/meshnode/dispatch/dispatcher.go
@@ -9,8 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/limits"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/limits"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 )
 
 // Config holds the settings of a Dispatcher.
--- a/internal/dispatch/execution.go
+++ b/internal/meshnode/dispatch/execution.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/engine"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 )
 
 // execution is one request on its way through its attempts. It belongs to the
--- a/internal/dispatch/fake_test.go
+++ b/internal/meshnode/dispatch/fake_test.go
@@ -17,8 +17,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/httpjson"
 	"github.com/sliplift/sliplift/internal/memnet"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // callLog records what reached the back ends and the claimer, what was done in
--- a/internal/dispatch/finish.go
+++ b/internal/meshnode/dispatch/finish.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 )
 
 // complete returns the result of a request whose last attempt completed.
--- a/internal/dispatch/hedge.go
+++ b/internal/meshnode/dispatch/hedge.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
 )
 
 // round runs the first attempt, and a hedge beside it where the settings ask
--- a/internal/dispatch/move.go
+++ b/internal/meshnode/dispatch/move.go
@@ -6,7 +6,7 @@
 	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // ErrNotRunning tags a Move of a request that has no stream to move.
--- a/internal/dispatch/trace.go
+++ b/internal/meshnode/dispatch/trace.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/engine"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 )
 
 // Trace tells where a request ran and why there.
--- a/internal/dispatch/types.go
+++ b/internal/meshnode/dispatch/types.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/backend"
-	"github.com/sliplift/sliplift/internal/engine"
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/backend"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 )
 
 // Request is one request to a pool.
--- a/internal/drain/drain.go
+++ b/internal/meshnode/drain/drain.go
@@ -12,7 +12,7 @@
 
 import (
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // Reason says why a back end takes no new work.
--- a/internal/drain/drain_test.go
+++ b/internal/meshnode/drain/drain_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 func TestOrders(t *testing.T) {
--- a/internal/engine/client.go
+++ b/internal/meshnode/engine/client.go
@@ -15,7 +15,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 const (
--- a/internal/engine/control.go
+++ b/internal/meshnode/engine/control.go
@@ -6,7 +6,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // Load returns the back end's load report.
--- a/internal/gateway/bench_test.go
+++ b/internal/meshnode/gateway/bench_test.go
@@ -17,10 +17,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/backend"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/dispatch"
-	"github.com/sliplift/sliplift/internal/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/backend"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/dispatch"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
 )
 
 const (
--- a/internal/gateway/config.go
+++ b/internal/meshnode/gateway/config.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/httpjson"
-	"github.com/sliplift/sliplift/internal/limits"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/limits"
 )
 
 // Defaults of Config.
--- a/internal/gateway/fuzz_test.go
+++ b/internal/meshnode/gateway/fuzz_test.go
@@ -15,7 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/dispatch"
+	"github.com/sliplift/sliplift/internal/meshnode/dispatch"
 )
 
 // reachedLive completes every request and keeps the last.
--- a/internal/gateway/gateway_test.go
+++ b/internal/meshnode/gateway/gateway_test.go
@@ -20,8 +20,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/dispatch"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/dispatch"
 )
 
 // fakeLive answers by the prompt; "slow" takes a second.
--- a/internal/gateway/live.go
+++ b/internal/meshnode/gateway/live.go
@@ -10,9 +10,9 @@
 	"github.com/google/uuid"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/dispatch"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/dispatch"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 const (
--- a/internal/gateway/middleware.go
+++ b/internal/meshnode/gateway/middleware.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // record is what one request leaves in the log and the metrics. Pool is set
--- a/internal/gateway/server.go
+++ b/internal/meshnode/gateway/server.go
@@ -13,9 +13,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/dispatch"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/dispatch"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // LiveService runs live requests; *dispatch.Dispatcher implements it.
--- a/internal/gateway/trainer.go
+++ b/internal/meshnode/gateway/trainer.go
@@ -7,8 +7,8 @@
 	"strconv"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 func (s *Server) servePost(w http.ResponseWriter, r *http.Request, entry *record) answer {
--- a/internal/machinewatch/message.go
+++ b/internal/meshnode/machinewatch/message.go
@@ -1,6 +1,6 @@
 package machinewatch
 
-import "github.com/sliplift/sliplift/internal/peer"
+import "github.com/sliplift/sliplift/internal/meshnode/peer"
 
 // Kinds of the messages between nodes.
 const (
--- a/internal/machinewatch/spread.go
+++ b/internal/meshnode/machinewatch/spread.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // readIfReader reads the list if this node is one of its readers.
--- a/internal/machinewatch/watcher.go
+++ b/internal/meshnode/machinewatch/watcher.go
@@ -12,8 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 )
 
 // Defaults of Config.
--- a/internal/machinewatch/watcher_test.go
+++ b/internal/meshnode/machinewatch/watcher_test.go
@@ -12,9 +12,9 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/memnet"
-	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 )
 
 // world is the platform's list, and the membership that all nodes share.
--- a/internal/membership/message.go
+++ b/internal/meshnode/membership/message.go
@@ -1,6 +1,6 @@
 package membership
 
-import "github.com/sliplift/sliplift/internal/peer"
+import "github.com/sliplift/sliplift/internal/meshnode/peer"
 
 // Kinds of messages between members.
 const (
--- a/internal/membership/service.go
+++ b/internal/meshnode/membership/service.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 )
 
 const (
--- a/internal/membership/service_test.go
+++ b/internal/meshnode/membership/service_test.go
@@ -11,7 +11,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/memnet"
-	"github.com/sliplift/sliplift/internal/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
 )
 
 type testNode struct {
--- a/internal/node/config.go
+++ b/internal/meshnode/node/config.go
@@ -6,15 +6,15 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sliplift/sliplift/internal/claim"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/dispatch"
-	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/lease"
-	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/meshnode/claim"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/dispatch"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/lease"
+	"github.com/sliplift/sliplift/internal/meshnode/rollout"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 	"github.com/sliplift/sliplift/internal/settings"
-	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // Config is what a Node is made of.
--- a/internal/node/follow.go
+++ b/internal/meshnode/node/follow.go
@@ -4,10 +4,10 @@
 	"context"
 	"strconv"
 
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/control"
-	"github.com/sliplift/sliplift/internal/lease"
-	"github.com/sliplift/sliplift/internal/roster"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/control"
+	"github.com/sliplift/sliplift/internal/meshnode/lease"
+	"github.com/sliplift/sliplift/internal/meshnode/roster"
 )
 
 // followConfiguration hands each revision to the parts that work by it.
--- a/internal/node/members.go
+++ b/internal/meshnode/node/members.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/claim"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/lease"
-	"github.com/sliplift/sliplift/internal/membership"
-	"github.com/sliplift/sliplift/internal/operator/catalog"
-	"github.com/sliplift/sliplift/internal/roster"
+	"github.com/sliplift/sliplift/internal/meshnode/claim"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/lease"
+	"github.com/sliplift/sliplift/internal/meshnode/membership"
+	"github.com/sliplift/sliplift/internal/meshnode/operator/catalog"
+	"github.com/sliplift/sliplift/internal/meshnode/roster"
 )
 
 // configMembers gives the configuration log its view of the membership.
--- a/internal/node/metrics.go
+++ b/internal/meshnode/node/metrics.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/sliplift/sliplift/internal/membership"
+	"github.com/sliplift/sliplift/internal/meshnode/membership"
 )
 
 const metricsNamespace = "sliplift"
--- a/internal/node/sources.go
+++ b/internal/meshnode/node/sources.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/control"
-	"github.com/sliplift/sliplift/internal/dispatch"
-	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/operator/catalog"
-	"github.com/sliplift/sliplift/internal/query"
-	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/control"
+	"github.com/sliplift/sliplift/internal/meshnode/dispatch"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/operator/catalog"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
+	"github.com/sliplift/sliplift/internal/meshnode/rollout"
 	"github.com/sliplift/sliplift/internal/telemetry"
 )
 
--- a/internal/node/steps.go
+++ b/internal/meshnode/node/steps.go
@@ -8,10 +8,10 @@
 	"github.com/google/uuid"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/dispatch"
-	"github.com/sliplift/sliplift/internal/gateway"
-	"github.com/sliplift/sliplift/internal/rollout"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/dispatch"
+	"github.com/sliplift/sliplift/internal/meshnode/gateway"
+	"github.com/sliplift/sliplift/internal/meshnode/rollout"
 )
 
 // sampleRunner runs samples through the dispatcher.
--- a/internal/operator/catalog/backends.go
+++ b/internal/meshnode/operator/catalog/backends.go
@@ -5,8 +5,8 @@
 	"strings"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // sortedPools returns the pools by name.
--- a/internal/operator/catalog/catalog.go
+++ b/internal/meshnode/operator/catalog/catalog.go
@@ -9,9 +9,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/peer"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // Config sets up a Catalog.
--- a/internal/operator/catalog/catalog_test.go
+++ b/internal/meshnode/operator/catalog/catalog_test.go
@@ -14,9 +14,9 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/peer"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // fakeNetwork joins catalogs without a transport. An address without a handler
--- a/internal/operator/catalog/cluster.go
+++ b/internal/meshnode/operator/catalog/cluster.go
@@ -6,8 +6,8 @@
 	"slices"
 	"strings"
 
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 func buildNodes(table *query.Table, v view) {
--- a/internal/operator/catalog/gather.go
+++ b/internal/meshnode/operator/catalog/gather.go
@@ -10,8 +10,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs/v2"
 
-	"github.com/sliplift/sliplift/internal/peer"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/peer"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // KindShow asks a node for what it knows at first hand.
--- a/internal/operator/catalog/snapshot.go
+++ b/internal/meshnode/operator/catalog/snapshot.go
@@ -18,7 +18,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // MemberState is how this node sees another.
--- a/internal/operator/client.go
+++ b/internal/meshnode/operator/client.go
@@ -11,7 +11,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // errorBodyLimit bounds what is read of an error's body, in bytes.
--- a/internal/operator/message.go
+++ b/internal/meshnode/operator/message.go
@@ -20,7 +20,7 @@
 
 	"github.com/zeebo/errs/v2"
 
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // Delivery says how results come.
--- a/internal/operator/operator_test.go
+++ b/internal/meshnode/operator/operator_test.go
@@ -17,9 +17,9 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/memnet"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // fakeExecutor answers questions with an empty table and accepts changes, save
--- a/internal/operator/run.go
+++ b/internal/meshnode/operator/run.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // ExitCode is the exit code of a program that ran a query.
--- a/internal/operator/server.go
+++ b/internal/meshnode/operator/server.go
@@ -13,8 +13,8 @@
 	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/httpjson"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 const (
--- a/internal/operator/shell/complete.go
+++ b/internal/meshnode/operator/shell/complete.go
@@ -8,8 +8,8 @@
 	"time"
 	"unicode"
 
-	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // completer implements readline.AutoCompleter.
--- a/internal/operator/shell/shell.go
+++ b/internal/meshnode/operator/shell/shell.go
@@ -18,8 +18,8 @@
 	"github.com/chzyer/readline"
 	"github.com/zeebo/errs/v2"
 
-	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 const (
--- a/internal/operator/shell/shell_test.go
+++ b/internal/meshnode/operator/shell/shell_test.go
@@ -12,8 +12,8 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // fakeExecutor knows two pools, and has no answer on leases.
--- a/internal/query/ast.go
+++ b/internal/meshnode/query/ast.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // Statement is one of Show, ShowChange, ExplainRequest and Change. String
--- a/internal/query/build.go
+++ b/internal/meshnode/query/build.go
@@ -9,7 +9,7 @@
 	"github.com/alecthomas/participle/v2/lexer"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // Bounds of what statements may hold. They keep one text from occupying a node.
--- a/internal/query/execute.go
+++ b/internal/meshnode/query/execute.go
@@ -13,7 +13,7 @@
 	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // Catalog answers what is running where. An error means that the question could
--- a/internal/query/execute_test.go
+++ b/internal/meshnode/query/execute_test.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // The product's configuration service is what the executor asks.
--- a/internal/query/manual_test.go
+++ b/internal/meshnode/query/manual_test.go
@@ -9,7 +9,7 @@
 )
 
 // manualPath is the operators' manual of the language.
-const manualPath = "../../docs/LANGUAGE.md"
+const manualPath = "../../../docs/LANGUAGE.md"
 
 var manualSample = regexp.MustCompile("(?s)```(sql|text)\n(.*?)```")
 
--- a/internal/query/operation.go
+++ b/internal/meshnode/query/operation.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // operationOf returns the operation of the configuration log that the action
--- a/internal/query/parse_test.go
+++ b/internal/meshnode/query/parse_test.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // testSettings stand for the settings of the product.
--- a/internal/query/print.go
+++ b/internal/meshnode/query/print.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 var identOnly = regexp.MustCompile(`^` + identPattern + `$`)
--- a/internal/query/render.go
+++ b/internal/meshnode/query/render.go
@@ -8,7 +8,7 @@
 	"unicode"
 	"unicode/utf8"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // Output is a way to show results.
--- a/internal/query/result.go
+++ b/internal/meshnode/query/result.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // Result is the answer to one statement: exactly one of Table, Change and
--- a/internal/rollout/acquire.go
+++ b/internal/meshnode/rollout/acquire.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 // acquireTimeout bounds a takeover.
--- a/internal/rollout/fake_test.go
+++ b/internal/meshnode/rollout/fake_test.go
@@ -15,8 +15,8 @@
 	"github.com/sliplift/sliplift/internal/api"
 	"github.com/sliplift/sliplift/internal/emulator/fault"
 	emulated "github.com/sliplift/sliplift/internal/emulator/table"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // moment names a point of a call at which a fault may strike.
--- a/internal/rollout/post.go
+++ b/internal/meshnode/rollout/post.go
@@ -14,7 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 // postTimeout bounds a Post, createTimeout the writes that it began.
--- a/internal/rollout/service.go
+++ b/internal/meshnode/rollout/service.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 // Config configures a Service. Zero durations and counts take the defaults of
--- a/internal/rollout/service_test.go
+++ b/internal/meshnode/rollout/service_test.go
@@ -15,7 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 const (
--- a/internal/rollout/store.go
+++ b/internal/meshnode/rollout/store.go
@@ -10,8 +10,8 @@
 	"github.com/google/uuid"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/storeclient"
 )
 
 // store makes the platform's calls definite: it repeats what is uncertain or
--- a/internal/roster/memory.go
+++ b/internal/meshnode/roster/memory.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // maxGap is the time between two looks beyond which the process was paused, so
--- a/internal/roster/propose.go
+++ b/internal/meshnode/roster/propose.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // Propose returns the change that the list needs now, if any. rules must be
--- a/internal/roster/propose_test.go
+++ b/internal/meshnode/roster/propose_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 var storyStart = time.Unix(0, 0)
--- a/internal/roster/rules.go
+++ b/internal/meshnode/roster/rules.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/claim"
+	"github.com/sliplift/sliplift/internal/meshnode/claim"
 )
 
 // Defaults of Rules.
--- a/internal/roster/service.go
+++ b/internal/meshnode/roster/service.go
@@ -7,8 +7,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/membership"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/membership"
 )
 
 // LeaseShard is the lease whose holder changes the list.
--- a/internal/roster/service_test.go
+++ b/internal/meshnode/roster/service_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/sirupsen/logrus/hooks/test"
 
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/membership"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/membership"
 )
 
 // fakeCluster is the configuration, the lease and the membership of one node.
--- a/internal/roster/sight.go
+++ b/internal/meshnode/roster/sight.go
@@ -4,8 +4,8 @@
 	"slices"
 	"strings"
 
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/membership"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/membership"
 )
 
 // Status is what the roster takes from a member's state.
--- a/internal/roster/view.go
+++ b/internal/meshnode/roster/view.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/sliplift/sliplift/internal/claim"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/claim"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // View returns the configuration's list in the form that package claim takes.
--- a/internal/routing/snapshot.go
+++ b/internal/meshnode/routing/snapshot.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // assumedCapacity stands in for the capacity of a back end that has not
--- a/internal/storeclient/client.go
+++ b/internal/meshnode/storeclient/client.go
@@ -10,7 +10,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // Addresses names the platform's services as host:port.
--- a/internal/storeclient/client_test.go
+++ b/internal/meshnode/storeclient/client_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
 // TestFailuresAreSortedIntoDefiniteAndUncertain holds the promise on which
--- a/internal/migrate/change.go
+++ b/internal/migrate/change.go
@@ -10,10 +10,10 @@
 	"github.com/google/uuid"
 	"github.com/zeebo/errs/v2"
 
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/query"
 )
 
 // Errors that end a run.
--- a/internal/migrate/read.go
+++ b/internal/migrate/read.go
@@ -9,10 +9,10 @@
 	"github.com/google/uuid"
 	"github.com/zeebo/errs/v2"
 
-	"github.com/sliplift/sliplift/internal/configlog"
-	"github.com/sliplift/sliplift/internal/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/query"
 )
 
 // ErrNoAnswer says that a question was not answered; nothing was changed by it.
--- a/internal/migrate/run.go
+++ b/internal/migrate/run.go
@@ -8,9 +8,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 	"github.com/sliplift/sliplift/internal/pause"
-	"github.com/sliplift/sliplift/internal/query"
 )
 
 // Defaults of Config that a command line shows.
--- a/internal/migrate/snapshot.go
+++ b/internal/migrate/snapshot.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/api"
-	"github.com/sliplift/sliplift/internal/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
 )
 
 // Snapshot is what is known of a pool at one moment. It is a value: planning
--- a/internal/processtest/system_test.go
+++ b/internal/processtest/system_test.go
@@ -17,12 +17,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/emulator/fault"
-	"github.com/sliplift/sliplift/internal/engine"
 	"github.com/sliplift/sliplift/internal/history"
-	"github.com/sliplift/sliplift/internal/httpjson"
 	"github.com/sliplift/sliplift/internal/load"
-	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/storeclient"
+	"github.com/sliplift/sliplift/internal/meshnode/engine"
+	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/storeclient"
 )
 
 // Sizes of the system under test.
--- a/internal/processtest/users_test.go
+++ b/internal/processtest/users_test.go
@@ -9,11 +9,11 @@
 
 	"github.com/google/uuid"
 
-	"github.com/sliplift/sliplift/internal/configlog"
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/load"
-	"github.com/sliplift/sliplift/internal/operator"
-	"github.com/sliplift/sliplift/internal/query"
+	"github.com/sliplift/sliplift/internal/meshnode/configlog"
+	"github.com/sliplift/sliplift/internal/meshnode/operator"
+	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
 // Names of the users.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/sliplift/sliplift/internal/routing"
+	"github.com/sliplift/sliplift/internal/meshnode/routing"
 )
 
 // TestLoad runs the story in testdata: each case is a file, flags, and either
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"github.com/sliplift/sliplift/internal/rowstore/rowstoretest"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 	"github.com/sliplift/sliplift/platform/standin"
 )
 
