--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -85,7 +85,7 @@
 		Table:      TableJobs,
 		Partitions: rowstore.AllShards(),
 		Wait:       config.Pacing.IdleWait,
-		Rest:       config.Pacing.IdleRest,
+		Rest:       manager.rest,
 		Pace:       func() time.Duration { return config.Pacing.InterestPace(manager.interested()) },
 		Apply:      manager.apply,
 	})
@@ -104,6 +104,15 @@
 	return held > 0 || m.OwnsJobs()
 }
 
+// rest returns the most time between a failure of the view and the next try: nodes that
+// run jobs, or would take over those of others, are not to be late.
+func (m *Manager) rest() time.Duration {
+	if m.interested() || m.config.Presence.SelfCapable() {
+		return 0
+	}
+	return m.config.Pacing.IdleRest()
+}
+
 // hold counts a read that is held, and follows the heads closely from now on; the
 // function returned ends it.
 func (m *Manager) hold() func() {
--- a/internal/gatewaynode/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -61,6 +61,9 @@
 	// after which a node is lapsed that has not beaten since the process began:
 	// nothing but an old row speaks for it.
 	unprovenBeats = 0.9
+	// unprovenRest bounds the pause after a failure of the view: without the other nodes,
+	// nobody goes on with the work of those that are gone.
+	unprovenRest = 800 * time.Millisecond
 	// forgetBeats is after how many beats a lapsed row is removed.
 	forgetBeats = 60
 )
@@ -106,7 +109,7 @@
 		Table:      Table,
 		Partitions: rowstore.AllShards(),
 		Wait:       pacing.IdleWait,
-		Rest:       pacing.IdleRest,
+		Rest:       func() time.Duration { return min(pacing.IdleRest(), unprovenRest) },
 		Pace:       func() time.Duration { return max(beatLeast/4, pacing.BusyPace()) },
 		Apply:      registry.apply,
 	})
@@ -360,6 +363,18 @@
 	})
 }
 
+// SelfCapable tells whether this node is capable of work that one node does for all,
+// beside the others that it knows.
+func (r *Registry) SelfCapable() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	most := r.self.Cores
+	for _, held := range r.nodes {
+		most = max(most, held.node.Cores)
+	}
+	return !r.self.small(most)
+}
+
 // Self returns the node's own row.
 func (r *Registry) Self() Node {
 	r.mu.Lock()
--- a/internal/gatewaynode/reload/reload.go
+++ b/internal/gatewaynode/reload/reload.go
@@ -94,7 +94,7 @@
 		Begin: controller.beginTerm,
 	})
 	controller.loadsView = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
-		Name: "loads", Table: TableLoads, Partitions: []string{""}, Wait: config.Pacing.IdleWait, Rest: config.Pacing.IdleRest, Apply: controller.applyLoads,
+		Name: "loads", Table: TableLoads, Partitions: []string{""}, Wait: config.Pacing.IdleWait, Apply: controller.applyLoads,
 		Pace: func() time.Duration {
 			return config.Pacing.InterestPace(controller.lease.Held() || config.Interested())
 		},
--- a/internal/gatewaynode/rowlease/lease.go
+++ b/internal/gatewaynode/rowlease/lease.go
@@ -74,7 +74,13 @@
 func NewLeases(log *eventlog.Log, store rowstore.Store, pacing rowstore.Pacing) *Leases {
 	leases := &Leases{byName: make(map[string]*Lease)}
 	leases.view = rowstore.NewView(log, store, rowstore.ViewConfig{
-		Name: "lease", Table: Table, Partitions: []string{""}, Wait: pacing.IdleWait, Rest: pacing.IdleRest, Apply: leases.apply,
+		Name: "lease", Table: Table, Partitions: []string{""}, Wait: pacing.IdleWait, Apply: leases.apply,
+		Rest: func() time.Duration {
+			if leases.candidate() {
+				return 0
+			}
+			return pacing.IdleRest()
+		},
 		Pace: func() time.Duration {
 			if leases.candidate() {
 				return pacing.BusyPace()
