--- a/internal/gatewaynode/presence/presence_test.go
+++ b/internal/gatewaynode/presence/presence_test.go
@@ -240,3 +240,26 @@
 		t.Errorf("only %d of %d nodes are ever told", len(seen), len(all))
 	}
 }
+
+// TestNodesThatOthersWaitForAreCapable: a node knows whether it is among those that work
+// for all goes to first; alone, it is.
+func TestNodesThatOthersWaitForAreCapable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		small := testNode("a", 1)
+		small.Cores = 0.2
+		a := join(store, small)
+		defer a.stop()
+		if !a.registry.SelfCapable() {
+			t.Error("a node that knows no other is not capable")
+		}
+		large := testNode("b", 1)
+		large.Cores = 0.8
+		b := join(store, large)
+		defer b.stop()
+		time.Sleep(2 * time.Second)
+		if a.registry.SelfCapable() || !b.registry.SelfCapable() {
+			t.Errorf("small node capable: %v, large one: %v", a.registry.SelfCapable(), b.registry.SelfCapable())
+		}
+	})
+}
