--- a/internal/gatewaynode/metering/doc.go
+++ b/internal/gatewaynode/metering/doc.go
@@ -104,6 +104,8 @@
 var (
 	// ErrFenced says that a holder with a higher token has reported.
 	ErrFenced = errors.New("metering: token is too low")
+	// ErrRejected says that the report will never be taken.
+	ErrRejected = errors.New("metering: report rejected")
 	// ErrBusy says that the receiver takes no more calls just now; nothing was done.
 	ErrBusy = errors.New("metering: too many calls")
 )
--- a/internal/gatewaynode/metering/metering_test.go
+++ b/internal/gatewaynode/metering/metering_test.go
@@ -35,8 +35,10 @@
 	taken   map[Window]Counts
 	late    map[Window]time.Duration
 	acts    []act
-	// fault says what becomes of a call: "", "silent", "busy", "lose" or "late".
-	fault string
+	// fault says what becomes of a call: "", "silent", "busy", "lose", "late", or "reject"
+	// for the window rejected.
+	fault    string
+	rejected Window
 }
 
 // act is a call as it came.
@@ -67,6 +69,10 @@
 		return ctx.Err()
 	case "busy":
 		return ErrBusy
+	case "reject":
+		if report.Window == s.rejected {
+			return ErrRejected
+		}
 	case "late":
 		time.AfterFunc(4*time.Second, func() { _ = s.take(holder, token, report) })
 		<-ctx.Done()
@@ -325,6 +331,21 @@
 	s.sink.set("")
 }
 
+// TestRejectedReportHoldsNothingUp: a report that the platform will never take is given
+// up, and those after it are sent.
+func TestRejectedReportHoldsNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(6 * time.Second)
+		s.sink.set("reject")
+		s.sink.rejected = windowAt(time.Now(), testWindow) + 1
+		s.serve(24 * time.Second)
+		time.Sleep(12 * time.Second)
+		delete(s.truth, s.sink.rejected)
+		s.checkExact(0, 0)
+	})
+}
+
 // TestUseUnderFaultsByChance cuts nodes off, kills and restarts them and disturbs store
 // and platform by chance; whatever happens, no window leaves with two counts, no two
 // holders share a token, and nothing is reported that did not begin.
--- a/internal/gatewaynode/metering/reporter.go
+++ b/internal/gatewaynode/metering/reporter.go
@@ -357,7 +357,7 @@
 			r.lease.Abandon(token, "a higher fencing token was used")
 			return
 		}
-		if err != nil {
+		if err != nil && !errors.Is(err, ErrRejected) {
 			pause.For(ctx, retryPause)
 			return
 		}
@@ -397,13 +397,21 @@
 		eventlog.Window: report.Window.String(), eventlog.Token: token, eventlog.Count: report.Counts.total(),
 		"tenants": len(report.Counts), "since_end_ms": age.Milliseconds(), "late": age > r.config.Due,
 	}
-	if err != nil {
+	rejected := errors.Is(err, ErrRejected)
+	if err == nil || rejected {
+		// One that is never taken must not keep those after it waiting.
+		r.mu.Lock()
+		r.taken[report.Window] = true
+		r.mu.Unlock()
+	}
+	switch {
+	case err == nil:
+		r.config.Log.Info(eventlog.UsageSent, fields)
+	case rejected:
+		fields[eventlog.Cause] = err.Error()
+		r.config.Log.Warn(eventlog.UsageLost, fields)
+	default:
 		fields[eventlog.Cause] = err.Error()
 		r.config.Log.Warn(eventlog.UsageFailed, fields)
-		return
 	}
-	r.mu.Lock()
-	r.taken[report.Window] = true
-	r.mu.Unlock()
-	r.config.Log.Info(eventlog.UsageSent, fields)
 }
