--- a/internal/gatewaynode/batch/doc.go
+++ b/internal/gatewaynode/batch/doc.go
@@ -37,6 +37,9 @@
 //     versions and score are one row. A text that waits for its score is stored
 //     like that of an unfinished item, and is not made again.
 //
+//   - A job belongs to the tenant that its head names. For the callers of other tenants it
+//     is not there, and its items run for that tenant whatever they say themselves.
+//
 // Owner. The node that accepts a job assigns it to the node that is first for
 // the job's service by rendezvous hashing (see ownerKey), so that one node knows
 // all work of a service: it keeps connections, balances, and continues texts of
--- a/internal/gatewaynode/batch/memory.go
+++ b/internal/gatewaynode/batch/memory.go
@@ -11,6 +11,8 @@
 // silent until there is room, and are read anew. The owner knows the tokens of its own
 // runs exactly, and what they are expected to come to.
 
+// The shares below were set before they were measured, and measured together: rounds 1
+// and 2 of docs/design/shifted.md.
 const (
 	// memoryFree is the share of the memory up to which what is expected to be held
 	// costs nothing.
--- a/internal/gatewaynode/reload/doc.go
+++ b/internal/gatewaynode/reload/doc.go
@@ -25,7 +25,8 @@
 // Policy. Steps accept the newest version and the one before. So each version is
 // loaded on one half of the back ends, the halves taking turns: while one half
 // loads, the other serves. Where several models share a service, each has a share
-// of the back ends of its own.
+// of the back ends of its own. Of a share that is larger than the jobs of its model can
+// use, a part is kept new and the rest left as it is.
 package reload
 
 import (
