--- a/internal/gatewaynode/storenode/access.go
+++ b/internal/gatewaynode/storenode/access.go
@@ -16,6 +16,20 @@
 	Denied bool
 }
 
+// Match looks the route of a request up.
+func (n *Node) Match(host, path string) Match {
+	table := n.table.Load()
+	if table == nil {
+		return Match{}
+	}
+	if route := table.Match(host, path); route != nil {
+		return Match{Route: route, Config: table}
+	}
+	status := n.operator.Status()
+	fresh := status.Healthy && status.Age(time.Now()) <= n.config.FreshMost
+	return Match{Config: table, Denied: fresh}
+}
+
 // Tenant returns on whose behalf a request with a key is made. A request about a
 // route that is not known yet counts as one that is not public.
 func (n *Node) Tenant(key string, route *routetable.Route) (tenant.Tenant, tenant.Verdict) {
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -263,20 +263,6 @@
 // Stopping tells whether a planned stop has begun.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
 
-// Match looks the route of a request up.
-func (n *Node) Match(host, path string) Match {
-	table := n.table.Load()
-	if table == nil {
-		return Match{}
-	}
-	if route := table.Match(host, path); route != nil {
-		return Match{Route: route, Config: table}
-	}
-	status := n.operator.Status()
-	fresh := status.Healthy && status.Age(time.Now()) <= n.config.FreshMost
-	return Match{Config: table, Denied: fresh}
-}
-
 // Suspended returns the number of back ends that the node leaves alone.
 func (n *Node) Suspended() int {
 	now := time.Now()
