storenode: a node whose views are as old as their pace allows is in touch

Touch is now judged by the configuration's view (1.5 s) and, if the node makes use of the jobs, by the age that their view may have.

With it: a view that reads a table whole goes on at the partition that the store refused; nodes that are not capable follow the heads of jobs only once they make use of them.

--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -69,6 +69,8 @@
 	base     context.Context
 	// held counts the reads that are held until there is a result.
 	held int
+	// wanted is told of the first use of the view.
+	wanted chan struct{}
 }
 
 // NewManager returns a manager; Run has to be called.
@@ -78,6 +80,7 @@
 		self:   config.Presence.Self(),
 		jobs:   make(map[string]*jobState),
 		specs:  newSpecCache(),
+		wanted: make(chan struct{}, 1),
 	}
 	manager.runner = newRunner(manager)
 	manager.view = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
@@ -104,10 +107,32 @@
 	return held > 0 || m.OwnsJobs()
 }
 
+// lookForUse is how often a node looks whether it should follow the heads.
+const lookForUse = 200 * time.Millisecond
+
+// follow follows the heads from when on this node makes use of them, or is among those
+// that take jobs over: hundreds of nodes that start together had better not all read
+// them.
+func (m *Manager) follow(ctx context.Context) {
+	for !m.interested() && !m.config.Presence.SelfCapable(time.Now()) {
+		timer := time.NewTimer(lookForUse)
+		select {
+		case <-ctx.Done():
+		case <-m.wanted:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	m.view.Run(ctx)
+}
+
 // rest returns the most time between a failure of the view and the next try: nodes that
 // run jobs, or would take over those of others, are not to be late.
 func (m *Manager) rest() time.Duration {
-	if m.interested() || m.config.Presence.SelfCapable() {
+	if m.interested() || m.config.Presence.SelfCapable(time.Now()) {
 		return 0
 	}
 	return m.config.Pacing.IdleRest()
@@ -119,6 +144,10 @@
 	m.mu.Lock()
 	m.held++
 	m.mu.Unlock()
+	select {
+	case m.wanted <- struct{}{}:
+	default:
+	}
 	m.view.Kick()
 	return func() {
 		m.mu.Lock()
@@ -143,7 +172,7 @@
 	m.base = ctx
 	m.mu.Unlock()
 	var group sync.WaitGroup
-	group.Go(func() { m.view.Run(ctx) })
+	group.Go(func() { m.follow(ctx) })
 	group.Go(func() { m.runner.run(ctx) })
 	group.Go(func() {
 		pause.Every(ctx, reconcileEvery, nil, func() {
--- a/internal/gatewaynode/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -364,15 +364,14 @@
 }
 
 // SelfCapable tells whether this node is capable of work that one node does for all,
-// beside the others that it knows.
-func (r *Registry) SelfCapable() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	most := r.self.Cores
-	for _, held := range r.nodes {
-		most = max(most, held.node.Cores)
+// beside the others that are live.
+func (r *Registry) SelfCapable(now time.Time) bool {
+	self := r.Self()
+	most := self.Cores
+	for _, node := range r.Live(now) {
+		most = max(most, node.Cores)
 	}
-	return !r.self.small(most)
+	return !self.small(most)
 }
 
 // Self returns the node's own row.
--- a/internal/gatewaynode/rowstore/view.go
+++ b/internal/gatewaynode/rowstore/view.go
@@ -193,7 +193,7 @@
 	var all []Row
 	oldest := int64(-1)
 	for _, partition := range v.config.Partitions {
-		rows, revision, err := ListAll(ctx, v.store, v.config.Table, partition, "", "")
+		rows, revision, err := v.listPartition(ctx, partition)
 		if err != nil {
 			return err
 		}
@@ -210,6 +210,24 @@
 	return nil
 }
 
+// listTries bounds how often a partition is read that the store refuses.
+const listTries = 12
+
+// listPartition reads a partition, again if the store refuses it: what was read of the
+// others would have to be read anew, by each of the nodes that are refused together.
+func (v *View) listPartition(ctx context.Context, partition string) ([]Row, int64, error) {
+	retry := retryFirst
+	for try := 1; ; try++ {
+		rows, revision, err := ListAll(ctx, v.store, v.config.Table, partition, "", "")
+		if !errors.Is(err, ErrRefused) || try == listTries {
+			return rows, revision, err
+		}
+		v.lose(err)
+		pause.For(ctx, jitter(retry))
+		retry = min(2*retry, v.restMost())
+	}
+}
+
 // ListAll reads all rows of a partition with keys in [from, to), page by page,
 // and returns them with the revision of the first page.
 func ListAll(ctx context.Context, store Store, table, partition, from, to string) ([]Row, int64, error) {
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -171,8 +171,18 @@
 
 // inTouch tells whether the node follows what becomes of the batch jobs.
 func (n *Node) inTouch() bool {
-	status := n.jobs.View().Status()
-	return status.Healthy && status.Age(time.Now()) < n.pacing.IdleWait()+n.pacing.BusyPace()+touchSlack
+	return inTouch(n.operator.Status(), n.jobs.View().Status(), n.pacing, time.Now())
+}
+
+// inTouch judges by the view of the configuration, which shows soonest whether the store
+// answers, and by that of the jobs, once the node makes use of it: the store may be
+// silent for some tables alone. Neither is younger than its watches and pauses allow. It
+// is pure.
+func inTouch(operator, jobs rowstore.Status, pacing rowstore.Pacing, now time.Time) bool {
+	if !operator.Healthy || operator.Age(now) > pacing.FreshWait()+touchSlack {
+		return false
+	}
+	return !jobs.Loaded || jobs.Healthy && jobs.Age(now) <= pacing.IdleWait()+pacing.InterestPace(false)+touchSlack
 }
 
 // Relay returns what passes calls about batch jobs on while the node is out of touch
