--- a/internal/gatewaynode/metering/metering_test.go
+++ b/internal/gatewaynode/metering/metering_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,7 +60,7 @@
 
 func (s *sink) Report(ctx context.Context, holder string, token int64, report Report) error {
 	s.mu.Lock()
-	fault := s.fault
+	fault, rejected := s.fault, s.rejected
 	s.acts = append(s.acts, act{holder, time.Now()})
 	s.mu.Unlock()
 	report.Counts = maps.Clone(report.Counts)
@@ -70,7 +71,7 @@
 	case "busy":
 		return ErrBusy
 	case "reject":
-		if report.Window == s.rejected {
+		if report.Window == rejected {
 			return ErrRejected
 		}
 	case "late":
@@ -129,7 +130,7 @@
 	counter  *Counter
 	reporter *Reporter
 	kill     func()
-	killed   bool
+	killed   atomic.Bool
 }
 
 // system is some meters over one store and one sink.
@@ -174,7 +175,7 @@
 		group.Go(func() { run(ctx) })
 	}
 	m.kill = sync.OnceFunc(func() {
-		m.killed = true
+		m.killed.Store(true)
 		cancel()
 		group.Wait()
 		log.Close()
@@ -198,7 +199,7 @@
 func (s *system) serve(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(70 * time.Millisecond) {
 		node := int(time.Now().UnixMilli()/70) % len(s.meters)
-		if s.meters[node].killed {
+		if s.meters[node].killed.Load() {
 			continue
 		}
 		s.request(node, fmt.Sprintf("t%d", time.Now().UnixMilli()/70%5))
@@ -337,11 +338,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem(t, 3)
 		time.Sleep(6 * time.Second)
-		s.sink.set("reject")
-		s.sink.rejected = windowAt(time.Now(), testWindow) + 1
+		lost := windowAt(time.Now(), testWindow) + 1
+		s.sink.mu.Lock()
+		s.sink.fault, s.sink.rejected = "reject", lost
+		s.sink.mu.Unlock()
 		s.serve(24 * time.Second)
 		time.Sleep(12 * time.Second)
-		delete(s.truth, s.sink.rejected)
+		delete(s.truth, lost)
 		s.checkExact(0, 0)
 	})
 }
