presence, storerelay, rowstore: few nodes keep the jobs; overload is no reason to go through others

Change: jobs are owned and taken over by keepers, 48 nodes at most, the capable ones first; only these read the jobs' table at their start. A node asks others after eight of its turns without an answer (1.2 s there, 0.25 s as before up to 60 nodes at 2,000 reads). Watches of the registry use 0.15 of the reads.

TestKeepersAreFewAndCapable, TestQuietTimeFollowsTheTurns.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -74,6 +74,7 @@
 	}
 	detour := storerelay.New(storerelay.Config{
 		Store: newStore(cfg, metrics), Dial: (&net.Dialer{KeepAlive: -1}).DialContext, Zone: cfg.Zone, Log: log,
+		ReadsPerSecond: cfg.StoreReads,
 	})
 	node, err := storenode.New(ctx, nodeConfig(cfg, detour, log, metrics))
 	if err != nil {
--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -114,7 +114,7 @@
 // that take jobs over: hundreds of nodes that start together had better not all read
 // them.
 func (m *Manager) follow(ctx context.Context) {
-	for !m.interested() && !m.config.Presence.SelfCapable(time.Now()) {
+	for !m.interested() && !m.config.Presence.SelfKeeps(time.Now()) {
 		timer := time.NewTimer(lookForUse)
 		select {
 		case <-ctx.Done():
@@ -132,7 +132,7 @@
 // rest returns the most time between a failure of the view and the next try: nodes that
 // run jobs, or would take over those of others, are not to be late.
 func (m *Manager) rest() time.Duration {
-	if m.interested() || m.config.Presence.SelfCapable(time.Now()) {
+	if m.interested() || m.config.Presence.SelfKeeps(time.Now()) {
 		return 0
 	}
 	return m.config.Pacing.IdleRest()
--- a/internal/gatewaynode/batch/owner.go
+++ b/internal/gatewaynode/batch/owner.go
@@ -60,7 +60,7 @@
 	}
 	var tasks []task
 	m.mu.Lock()
-	live := sync.OnceValue(func() []presence.Node { return m.config.Presence.Live(now) })
+	keepers := sync.OnceValue(func() []presence.Node { return presence.Keepers(m.config.Presence.Live(now)) })
 	for id, state := range m.jobs {
 		current := situation{
 			known: state.known, taking: state.taking, stopping: m.stopping,
@@ -69,7 +69,7 @@
 			running:  m.runner.has(id),
 		}
 		if current.known && !current.finished && !current.mine {
-			m.judgeOwner(state, &current, live, now)
+			m.judgeOwner(state, &current, keepers, now)
 		}
 		act := decide(current)
 		if act == actTakeOver {
@@ -85,7 +85,7 @@
 	}
 }
 
-func (m *Manager) judgeOwner(state *jobState, current *situation, live func() []presence.Node, now time.Time) {
+func (m *Manager) judgeOwner(state *jobState, current *situation, keepers func() []presence.Node, now time.Time) {
 	current.owner = m.config.Presence.Liveness(state.head.Owner, state.head.Incarnation, now)
 	if current.owner != presence.Gone {
 		state.orphaned = time.Time{}
@@ -95,7 +95,7 @@
 		state.orphaned = now
 	}
 	current.orphanedFor = now.Sub(state.orphaned)
-	current.rank = presence.Place(presence.Rank(live(), state.head.Pool), m.self.Name)
+	current.rank = presence.Place(presence.Rank(keepers(), state.head.Pool), m.self.Name)
 }
 
 func (m *Manager) act(ctx context.Context, id string, act action) {
@@ -226,7 +226,7 @@
 		}
 	}
 	m.mu.Unlock()
-	if old == "" || presence.Place(presence.Rank(m.config.Presence.Live(now), old), m.self.Name) != 0 {
+	if old == "" || presence.Place(presence.Rank(presence.Keepers(m.config.Presence.Live(now)), old), m.self.Name) != 0 {
 		return
 	}
 	for _, table := range []string{TableResults, TableSpecs, TablePartials, TableJobs} {
--- a/internal/gatewaynode/batch/submit.go
+++ b/internal/gatewaynode/batch/submit.go
@@ -81,11 +81,11 @@
 // but an old row speaks for are passed over: a job at one that is gone waits until
 // that is noticed.
 func (m *Manager) placement(pool string, now time.Time) presence.Node {
-	live := m.config.Presence.Proven(now)
-	if len(live) == 0 {
+	keepers := presence.Keepers(m.config.Presence.Proven(now))
+	if len(keepers) == 0 {
 		return m.self
 	}
-	return presence.Rank(live, pool)[0]
+	return presence.Rank(keepers, pool)[0]
 }
 
 // writeEarlyParts writes the parts that do not fit the transaction of the head,
--- a/internal/gatewaynode/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -363,15 +363,9 @@
 	})
 }
 
-// SelfCapable tells whether this node is capable of work that one node does for all,
-// beside the others that are live.
-func (r *Registry) SelfCapable(now time.Time) bool {
-	self := r.Self()
-	most := self.Cores
-	for _, node := range r.Live(now) {
-		most = max(most, node.Cores)
-	}
-	return !self.small(most)
+// SelfKeeps tells whether this node is among the keepers of the live nodes.
+func (r *Registry) SelfKeeps(now time.Time) bool {
+	return Place(Keepers(r.Live(now)), r.Self().Name) >= 0
 }
 
 // Self returns the node's own row.
--- a/internal/gatewaynode/presence/presence_test.go
+++ b/internal/gatewaynode/presence/presence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -241,25 +242,40 @@
 	}
 }
 
-// TestNodesThatOthersWaitForAreCapable: a node knows whether it is among those that work
-// for all goes to first; alone, it is.
-func TestNodesThatOthersWaitForAreCapable(t *testing.T) {
+// TestKeepersAreFewAndCapable: of many nodes a fixed number keeps the jobs, the capable
+// ones first; of few, all do. The loss of some moves others up and none out.
+func TestKeepersAreFewAndCapable(t *testing.T) {
+	list := nodes(300)
+	for i := range list {
+		list[i].Cores = 0.2
+		if i%10 == 0 {
+			list[i].Cores = 0.8
+		}
+	}
+	keepers := Keepers(list)
+	if len(keepers) != keepersMost || Capable(keepers) != 30 {
+		t.Fatalf("%d keepers, %d of them capable", len(keepers), Capable(keepers))
+	}
+	lost := keepers[0].Name
+	rest := slices.DeleteFunc(slices.Clone(list), func(n Node) bool { return n.Name == lost })
+	after := Keepers(rest)
+	for _, keeper := range keepers[1:] {
+		if Place(after, keeper.Name) < 0 {
+			t.Errorf("%s keeps no more", keeper.Name)
+		}
+	}
+	if few := nodes(10); len(Keepers(few)) != 10 {
+		t.Errorf("%d keepers of 10 nodes", len(Keepers(few)))
+	}
+}
+
+// TestSelfKeeps: a node alone keeps the jobs.
+func TestSelfKeeps(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := rowstoretest.New()
-		small := testNode("a", 1)
-		small.Cores = 0.2
-		a := join(store, small)
+		a := join(rowstoretest.New(), testNode("a", 1))
 		defer a.stop()
-		if !a.registry.SelfCapable(time.Now()) {
-			t.Error("a node that knows no other is not capable")
-		}
-		large := testNode("b", 1)
-		large.Cores = 0.8
-		b := join(store, large)
-		defer b.stop()
-		time.Sleep(2 * time.Second)
-		if a.registry.SelfCapable(time.Now()) || !b.registry.SelfCapable(time.Now()) {
-			t.Errorf("small node capable: %v, large one: %v", a.registry.SelfCapable(time.Now()), b.registry.SelfCapable(time.Now()))
+		if !a.registry.SelfKeeps(time.Now()) {
+			t.Error("a node alone keeps nothing")
 		}
 	})
 }
--- a/internal/gatewaynode/presence/rank.go
+++ b/internal/gatewaynode/presence/rank.go
@@ -62,6 +62,21 @@
 	return count
 }
 
+const (
+	// keepersMost is how many nodes keep the jobs of all: enough for several zones to be
+	// lost, and few enough to read their table at once when all nodes start.
+	keepersMost = 48
+	// keepersKey is what keepers are ranked by.
+	keepersKey = "keepers"
+)
+
+// Keepers returns those of the nodes, the capable ones first, that own jobs and take
+// them over. Nodes agree on them wherever they know the same nodes.
+func Keepers(nodes []Node) []Node {
+	ranked := Rank(nodes, keepersKey)
+	return ranked[:min(len(ranked), keepersMost)]
+}
+
 // Place returns a node's place in a rank, -1 if it is not there.
 func Place(ranked []Node, name string) int {
 	return slices.IndexFunc(ranked, func(n Node) bool { return n.Name == name })
--- a/internal/gatewaynode/rowstore/pacing.go
+++ b/internal/gatewaynode/rowstore/pacing.go
@@ -58,8 +58,9 @@
 	// makes use of; few nodes do at a time.
 	keenLeast = 100 * time.Millisecond
 	// registryShare is the share of the reads that watches of the registry of back ends
-	// may use while it changes all the time.
-	registryShare = 0.3
+	// may use while it changes all the time. With 0.3, all watches of 300 nodes used 1,280
+	// of 2,000 reads a second, and what is left for nodes that start was too little.
+	registryShare = 0.15
 )
 
 // InterestPace returns the least time between two answers of a watch of a table that
--- a/internal/gatewaynode/storerelay/detour.go
+++ b/internal/gatewaynode/storerelay/detour.go
@@ -23,6 +23,9 @@
 	Dial  DialFunc
 	Zone  string
 	Log   *eventlog.Log
+	// ReadsPerSecond is what the store takes from all nodes together, 0 if there is no
+	// bound.
+	ReadsPerSecond float64
 }
 
 const (
@@ -32,6 +35,10 @@
 	// quietLeast is how long nothing may have been answered for another node to be
 	// asked: a store that is slow or busy still answers now and then.
 	quietLeast clock.Millis = 250
+	// quietTurns is how many times longer than its turn takes a node has to be without
+	// an answer: where hundreds of nodes share what the store takes, each has an answer
+	// rarely while all ask, and calls through others only add to that.
+	quietTurns = 8
 	// worksWithin is the age of the last answer up to which calls of others are made.
 	worksWithin clock.Millis = 1000
 	// tryLeast and tryMost bound the pause after other nodes were asked in vain; it
@@ -185,13 +192,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := clock.Now()
-	if d.peers == nil || d.via != nil || d.trying || now < d.tryAgain || now-d.answered < quietLeast {
+	if d.peers == nil || d.via != nil || d.trying || now < d.tryAgain || now-d.answered < quietTime(len(d.peers())+1, d.config.ReadsPerSecond) {
 		return
 	}
 	d.trying = true
 	go d.try()
 }
 
+// quietTime returns how long nothing may have been answered, of so many nodes, for
+// another one to be asked. It is pure.
+func quietTime(nodes int, readsPerSecond float64) clock.Millis {
+	if readsPerSecond <= 0 {
+		return quietLeast
+	}
+	const millisPerSecond = 1000
+	return max(quietLeast, clock.Millis(quietTurns*float64(nodes)/readsPerSecond*millisPerSecond))
+}
+
 // try looks for another node that reaches the store and begins to go through it.
 func (d *Detour) try() {
 	if d.probeDirect() {
--- a/internal/gatewaynode/storerelay/detour_test.go
+++ b/internal/gatewaynode/storerelay/detour_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
@@ -231,3 +232,17 @@
 		t.Errorf("another error became %v", err)
 	}
 }
+
+// TestQuietTimeFollowsTheTurns: the more nodes share the store, the longer one of them may
+// go without an answer before it asks others.
+func TestQuietTimeFollowsTheTurns(t *testing.T) {
+	for _, test := range []struct {
+		nodes int
+		reads float64
+		want  clock.Millis
+	}{{10, 2000, quietLeast}, {81, 6000, quietLeast}, {300, 2000, 1200}, {300, 0, quietLeast}} {
+		if got := quietTime(test.nodes, test.reads); got != test.want {
+			t.Errorf("%d nodes, %v reads: %d ms, want %d", test.nodes, test.reads, got, test.want)
+		}
+	}
+}
