batch, reload: the node that gives orders knows the jobs; soak: ports that nothing else takes

A node near that lease follows the jobs, and gives no order before it has read them. TestNoOrdersBeforeTheJobsAreKnown.

Its ports lay where connections take theirs, so that one may have taken its port while it was down (its log is gone; said from now on with the end). Ports are chosen below that range now.

--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -34,6 +34,9 @@
 	Keep time.Duration
 	// OnWork is told that this node begins to run jobs after it ran none; it may be nil.
 	OnWork func()
+	// Orders tells whether this node gives the orders to back ends, or is near to it: what
+	// it orders follows the jobs. It may be nil.
+	Orders func() bool
 	// Settle is the time after which every node has to know of a result that was read.
 	Settle time.Duration
 }
@@ -98,15 +101,18 @@
 // OwnsJobs tells whether this node runs jobs.
 func (m *Manager) OwnsJobs() bool { return !m.runner.idle() }
 
-// interested tells whether this node makes use of the newest heads: it runs jobs, or
-// callers wait for results.
+// interested tells whether this node makes use of the newest heads: it runs jobs,
+// callers wait for results, or it gives orders by them.
 func (m *Manager) interested() bool {
 	m.mu.Lock()
 	held := m.held
 	m.mu.Unlock()
-	return held > 0 || m.OwnsJobs()
+	return held > 0 || m.OwnsJobs() || m.config.Orders != nil && m.config.Orders()
 }
 
+// Known tells whether the jobs have been read.
+func (m *Manager) Known() bool { return m.view.Status().Loaded }
+
 // lookForUse is how often a node looks whether it should follow the heads.
 const lookForUse = 200 * time.Millisecond
 
--- a/internal/gatewaynode/reload/controller_test.go
+++ b/internal/gatewaynode/reload/controller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,6 +130,7 @@
 			Timing: rowlease.Timing{Settle: testSettle}, Leases: leases, Pacing: pacing, Mode: ModeRetain,
 			Demand: func() map[string]float64 { return map[string]float64{"m": 1} },
 			Widths: func() map[string]int { return nil }, Interested: func() bool { return true },
+			JobsKnown: func() bool { return jobsKnown.Load() },
 		})
 		for _, run := range []func(context.Context){registry.View().Run, registry.Run, leases.Run, controller.Run} {
 			group.Go(func() { run(ctx) })
@@ -149,6 +151,34 @@
 	}
 }
 
+// jobsKnown tells the nodes of a test that they know the jobs.
+var jobsKnown = func() *atomic.Bool {
+	known := &atomic.Bool{}
+	known.Store(true)
+	return known
+}()
+
+// TestNoOrdersBeforeTheJobsAreKnown: a holder that does not know the jobs would load a
+// version on all back ends.
+func TestNoOrdersBeforeTheJobsAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		jobsKnown.Store(false)
+		defer jobsKnown.Store(true)
+		backends := newPool()
+		nodes := startNodes(t, rowstoretest.New(), backends, []string{"n1", "n2"}, 6)
+		nameVersion(nodes, 2)
+		time.Sleep(5 * time.Second)
+		if holder := holderOf(nodes); holder == nil || !backends.firstOrder(holder.name, time.Time{}).IsZero() {
+			t.Fatalf("holder %v ordered without knowing the jobs", holder)
+		}
+		jobsKnown.Store(true)
+		time.Sleep(2 * time.Second)
+		if first := backends.firstOrder(holderOf(nodes).name, time.Time{}); first.IsZero() {
+			t.Error("no order though the jobs are known")
+		}
+	})
+}
+
 // holderOf returns the node that holds the lease, nil if none does.
 func holderOf(nodes []holderNode) *holderNode {
 	for i := range nodes {
--- a/internal/gatewaynode/reload/reload.go
+++ b/internal/gatewaynode/reload/reload.go
@@ -30,6 +30,8 @@
 	Mode Mode
 	// Demand returns the work asked of each model lately, in any one unit.
 	Demand func() map[string]float64
+	// JobsKnown tells whether Demand and Widths know of the jobs that there are.
+	JobsKnown func() bool
 	// Interested tells whether this node makes use of what is loaded where.
 	Interested func() bool
 	// Widths returns the most items that one job of each model had lately.
@@ -124,6 +126,9 @@
 	}
 }
 
+// Near tells whether this node gives the orders, or is among the first that would.
+func (c *Controller) Near() bool { return c.lease.Near() }
+
 // Wanted tells that this node has begun to make use of what is loaded where.
 func (c *Controller) Wanted() {
 	select {
@@ -260,7 +265,7 @@
 	c.mu.Lock()
 	allowed := c.mayOrder(now)
 	c.mu.Unlock()
-	if !allowed || !c.loadsView.Status().Loaded {
+	if !allowed || !c.loadsView.Status().Loaded || !c.config.JobsKnown() {
 		return
 	}
 	backends, demand := c.config.Fleet.All(now), c.config.Demand()
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -134,7 +134,7 @@
 		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client,
 		Log: config.Log, Zone: config.Self.Zone, Routes: node.table.Load, VersionField: config.VersionField,
 		Pacing: pacing, Keep: config.KeepJobs, Settle: config.ResultSettle,
-		OnWork: func() { node.controller.Wanted() },
+		OnWork: func() { node.controller.Wanted() }, Orders: func() bool { return node.controller.Near() },
 	})
 	node.peerClient = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, DialTimeout: relayDial})
 	node.relay = relay.New(relay.Config{
@@ -145,7 +145,7 @@
 	node.controller = reload.NewController(reload.Config{
 		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
 		Log: config.Log, Timing: timing, Leases: node.leases, Pacing: pacing, Mode: reload.ModeRetain,
-		Demand: node.jobs.Demand, Widths: node.jobs.Widths, Interested: node.jobs.OwnsJobs,
+		Demand: node.jobs.Demand, Widths: node.jobs.Widths, JobsKnown: node.jobs.Known, Interested: node.jobs.OwnsJobs,
 	})
 	node.meter(timing)
 	node.operator = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -31,18 +34,43 @@
 	exits   []string
 }
 
+// Ports of nodes lie below those that connections take by themselves: while a node is
+// down, nothing else may take its port.
+const (
+	portsFirst = 10000
+	portsCount = 20000
+	portTries  = 100
+)
+
 // freePorts returns ports of the loopback interface that nothing listens on now.
 func freePorts(count int) ([]int, error) {
-	ports := make([]int, count)
-	for i := range ports {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var ports []int
+	for range portTries {
+		if len(ports) == count {
+			return ports, nil
+		}
+		port := portsFirst + rand.IntN(portsCount)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
 		}
+		// Held until all are chosen, so that none is chosen twice.
 		defer func() { _ = listener.Close() }()
-		ports[i] = listener.Addr().(*net.TCPAddr).Port
+		ports = append(ports, port)
+	}
+	return nil, errNoPorts
+}
+
+var errNoPorts = errors.New("soak: no free ports")
+
+// lastLine returns the last line of a node's log.
+func (n *node) lastLine() string {
+	content, err := os.ReadFile(filepath.Join(n.directory, n.name+".log"))
+	if err != nil {
+		return err.Error()
 	}
-	return ports, nil
+	lines := strings.Split(strings.TrimSpace(string(content)), "\n")
+	return lines[len(lines)-1]
 }
 
 // newNode lays a node's settings down; start begins its process.
@@ -107,7 +135,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.killed && !n.stopping {
-		n.exits = append(n.exits, fmt.Sprintf("%s ended by itself: %v", n.name, err))
+		n.exits = append(n.exits, fmt.Sprintf("%s ended by itself: %v: %s", n.name, err, n.lastLine()))
 	}
 }
 
