--- a/internal/gatewaynode/rowlease/lease_test.go
+++ b/internal/gatewaynode/rowlease/lease_test.go
@@ -180,11 +180,13 @@
 				time.Sleep(8 * time.Second)
 				s.check()
 				next := time.Time{}
+				s.mu.Lock()
 				for _, a := range s.acts {
 					if a.holder != first.name && next.IsZero() {
 						next = a.at
 					}
 				}
+				s.mu.Unlock()
 				if next.IsZero() || next.Sub(fault) > test.most {
 					t.Errorf("another node acted %s after the fault", next.Sub(fault))
 				}
