rowstore, batch, reload: one wait until a view is needed

Cause: read over once more, the change held some things twice. batch and reload each had the same loop and channel that wait until a table is needed; Counter.Count and Counter.Run wrote out wake and pause.For; two write intervals of Pacing were one formula; rowlease computed the unclear time in two places and kept Hold.Before, which nobody reads.

Change: View.RunOnceNeeded serves both, woken by Kick, with a test of its own; the rest calls the piece that was there. One difference: a Kick that ends the wait is used up by it, where it also cut the first pause after the first read (100 ms at most).

Measured: gofmt, vet, staticcheck clean; tests of gatewaynode and platform pass.

--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -72,8 +72,6 @@
 	base     context.Context
 	// held counts the reads that are held until there is a result.
 	held int
-	// wanted is told of the first use of the view.
-	wanted chan struct{}
 }
 
 // NewManager returns a manager; Run has to be called.
@@ -83,7 +81,6 @@
 		self:   config.Presence.Self(),
 		jobs:   make(map[string]*jobState),
 		specs:  newSpecCache(),
-		wanted: make(chan struct{}, 1),
 	}
 	manager.runner = newRunner(manager)
 	manager.view = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
@@ -113,32 +110,16 @@
 // Known tells whether the jobs have been read.
 func (m *Manager) Known() bool { return m.view.Status().Loaded }
 
-// lookForUse is how often a node looks whether it should follow the heads.
-const lookForUse = 200 * time.Millisecond
-
-// follow follows the heads from when on this node makes use of them, or is among those
-// that take jobs over: hundreds of nodes that start together had better not all read
-// them.
-func (m *Manager) follow(ctx context.Context) {
-	for !m.interested() && !m.config.Presence.SelfKeeps(time.Now()) {
-		timer := time.NewTimer(lookForUse)
-		select {
-		case <-ctx.Done():
-		case <-m.wanted:
-		case <-timer.C:
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
-			return
-		}
-	}
-	m.view.Run(ctx)
+// needed tells whether this node makes use of the heads, or is among those that take
+// jobs over.
+func (m *Manager) needed() bool {
+	return m.interested() || m.config.Presence.SelfKeeps(time.Now())
 }
 
 // rest returns the most time between a failure of the view and the next try: nodes that
 // run jobs, or would take over those of others, are not to be late.
 func (m *Manager) rest() time.Duration {
-	if m.interested() || m.config.Presence.SelfKeeps(time.Now()) {
+	if m.needed() {
 		return 0
 	}
 	return m.config.Pacing.IdleRest()
@@ -150,10 +131,6 @@
 	m.mu.Lock()
 	m.held++
 	m.mu.Unlock()
-	select {
-	case m.wanted <- struct{}{}:
-	default:
-	}
 	m.view.Kick()
 	return func() {
 		m.mu.Lock()
@@ -178,7 +155,7 @@
 	m.base = ctx
 	m.mu.Unlock()
 	var group sync.WaitGroup
-	group.Go(func() { m.follow(ctx) })
+	group.Go(func() { m.view.RunOnceNeeded(ctx, m.needed) })
 	group.Go(func() { m.runner.run(ctx) })
 	group.Go(func() {
 		pause.Every(ctx, reconcileEvery, nil, func() {
--- a/internal/gatewaynode/metering/counter.go
+++ b/internal/gatewaynode/metering/counter.go
@@ -10,6 +10,7 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
+	"github.com/sliplift/sliplift/internal/pause"
 )
 
 // CounterConfig configures a Counter.
@@ -60,10 +61,7 @@
 	held.counts[tenant]++
 	held.dirty = true
 	c.mu.Unlock()
-	select {
-	case c.wakes <- struct{}{}:
-	default:
-	}
+	c.wake()
 }
 
 // Run writes what is counted until ctx ends. A node that counts nothing sleeps.
@@ -74,12 +72,8 @@
 			return
 		case <-c.wakes:
 		}
-		timer := time.NewTimer(c.config.Interval())
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, c.config.Interval()) {
 			return
-		case <-timer.C:
 		}
 		if !c.Flush(ctx) {
 			c.wake()
--- a/internal/gatewaynode/reload/reload.go
+++ b/internal/gatewaynode/reload/reload.go
@@ -62,9 +62,7 @@
 	busy      map[string]bool
 	taken     map[string]int64
 	wakes     chan struct{}
-	// wanted is told of the first use of the loads.
-	wanted chan struct{}
-	loads  map[string]Load
+	loads     map[string]Load
 	// seen tells by back end when its row of loads was seen to change.
 	seen map[string]seenLoad
 	// shares says which model each back end is for, as the last holder left it.
@@ -89,7 +87,6 @@
 
 		parallel: make(map[string]*parallelism),
 		wakes:    make(chan struct{}, 1),
-		wanted:   make(chan struct{}, 1),
 	}
 	controller.lease = config.Leases.Add(rowlease.Config{
 		Name: LeaseName, Store: config.Store, Presence: config.Presence, Log: config.Log, Timing: config.Timing,
@@ -130,35 +127,10 @@
 func (c *Controller) Near() bool { return c.lease.Near() }
 
 // Wanted tells that this node has begun to make use of what is loaded where.
-func (c *Controller) Wanted() {
-	select {
-	case c.wanted <- struct{}{}:
-	default:
-	}
-	c.loadsView.Kick()
-}
-
-// lookForUse is how often a node looks whether it should follow the loads.
-const lookForUse = 200 * time.Millisecond
+func (c *Controller) Wanted() { c.loadsView.Kick() }
 
-// followLoads follows the loads from when on this node makes use of them, or could take
-// the lease: a table of thousands of back ends is read whole at first, which hundreds of
-// nodes that start together had better not all do.
-func (c *Controller) followLoads(ctx context.Context) {
-	for !c.config.Interested() && !c.lease.Near() {
-		timer := time.NewTimer(lookForUse)
-		select {
-		case <-ctx.Done():
-		case <-c.wanted:
-		case <-timer.C:
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
-			return
-		}
-	}
-	c.loadsView.Run(ctx)
-}
+// needsLoads tells whether this node makes use of the loads, or could take the lease.
+func (c *Controller) needsLoads() bool { return c.config.Interested() || c.lease.Near() }
 
 // tick is how often the holder looks at the plan without an event.
 const tick = 100 * time.Millisecond
@@ -166,7 +138,7 @@
 // Run takes part until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { c.followLoads(ctx) })
+	group.Go(func() { c.loadsView.RunOnceNeeded(ctx, c.needsLoads) })
 	group.Go(func() { pause.EveryWhile(ctx, tick, c.wakes, c.lease.Held, func() { c.giveOrders(ctx) }) })
 	group.Go(func() { pause.Every(ctx, forgetEvery, nil, func() { c.forgetGone(ctx) }) })
 	group.Wait()
--- a/internal/gatewaynode/rowlease/lease.go
+++ b/internal/gatewaynode/rowlease/lease.go
@@ -21,8 +21,6 @@
 	// TermRevision is the revision of the term's row: the condition for whatever may
 	// only be written in this term.
 	TermRevision int64
-	// Before is the row that the holder before left, zero if there was none.
-	Before State
 	// ClearFrom is from when on the acts of all earlier holders lie the settling time
 	// back.
 	ClearFrom time.Time
@@ -232,7 +230,7 @@
 	}
 	l.lose("stopping")
 	next, revision := l.row, l.revision
-	next.UnclearMillis = l.unclear(time.Now())
+	next.UnclearMillis = unclear(l.hold.ClearFrom, time.Now())
 	l.mu.Unlock()
 	next.Released = true
 	next.QuietMillis = min(quiet(), l.config.Timing.Settle).Milliseconds()
@@ -264,7 +262,7 @@
 	l.mu.Lock()
 	next := l.row
 	next.Renewal++
-	next.UnclearMillis = l.unclear(now)
+	next.UnclearMillis = unclear(l.hold.ClearFrom, now)
 	revision, token := l.revision, l.hold.Token
 	l.mu.Unlock()
 	written, err := l.write(ctx, next, revision)
@@ -285,10 +283,10 @@
 	}
 }
 
-// unclear returns how many milliseconds it is until the term is clear of the acts of
-// earlier holders. The lock is held.
-func (l *Lease) unclear(now time.Time) int64 {
-	return max(0, l.hold.ClearFrom.Sub(now)).Milliseconds()
+// unclear returns how many milliseconds it is until a term is clear of the acts of
+// earlier holders.
+func unclear(clearFrom, now time.Time) int64 {
+	return max(0, clearFrom.Sub(now)).Milliseconds()
 }
 
 func (l *Lease) noteConflict(conflict *rowstore.ConflictError) {
@@ -379,7 +377,7 @@
 	clearFrom := changed.Add(l.config.Timing.clearAfter(before, before.Holder == l.self.Name))
 	next := State{
 		Holder: l.self.Name, Incarnation: l.self.Incarnation, Term: before.Term + 1,
-		UnclearMillis: max(0, clearFrom.Sub(now)).Milliseconds(),
+		UnclearMillis: unclear(clearFrom, now),
 	}
 	holding := rowstore.Row{RowID: TermID(l.config.Name), Value: encode(term{Holder: next.Holder, Term: next.Term})}
 	written, err := l.write(ctx, next, revision, holding)
@@ -390,7 +388,7 @@
 		}
 		return
 	}
-	hold := Hold{Token: next.Term, TermRevision: written, Before: before, ClearFrom: clearFrom}
+	hold := Hold{Token: next.Term, TermRevision: written, ClearFrom: clearFrom}
 	fields := eventlog.Fields{}
 	if l.config.Begin != nil {
 		fields = l.config.Begin(ctx, hold)
--- a/internal/gatewaynode/rowstore/pacing.go
+++ b/internal/gatewaynode/rowstore/pacing.go
@@ -39,7 +39,7 @@
 
 // IdleWait returns how long a watch stays open that is there for changes alone.
 func (p Pacing) IdleWait() time.Duration {
-	return max(p.FreshWait(), p.interval(idleWatches, idleShare))
+	return max(p.FreshWait(), p.IdleRest())
 }
 
 // IdleRest returns the most time between a failure and the next try of a view that can
@@ -98,11 +98,7 @@
 
 // UsageInterval returns the least time between two writes of a node's counts.
 func (p Pacing) UsageInterval() time.Duration {
-	if p.Limits.WritesPerSecond <= 0 {
-		return usageLeast
-	}
-	share := float64(p.Nodes()) / (usageShare * p.Limits.WritesPerSecond)
-	return max(usageLeast, time.Duration(share*float64(time.Second)))
+	return max(usageLeast, p.writeInterval(p.Nodes(), usageShare))
 }
 
 // beatShare is the share of all writes that the nodes' beats may use.
@@ -110,9 +106,13 @@
 
 // BeatInterval returns the least time between two beats of a node if there are
 // so many nodes.
-func (p Pacing) BeatInterval(nodes int) time.Duration {
+func (p Pacing) BeatInterval(nodes int) time.Duration { return p.writeInterval(nodes, beatShare) }
+
+// writeInterval returns how often each of the nodes may write if together they have a
+// share of all writes.
+func (p Pacing) writeInterval(nodes int, share float64) time.Duration {
 	if p.Limits.WritesPerSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(nodes) / (beatShare * p.Limits.WritesPerSecond) * float64(time.Second))
+	return time.Duration(float64(nodes) / (share * p.Limits.WritesPerSecond) * float64(time.Second))
 }
--- a/internal/gatewaynode/rowstore/view.go
+++ b/internal/gatewaynode/rowstore/view.go
@@ -22,6 +22,8 @@
 	compactedRest = time.Second
 	// recoverWait is how long a watch stays open that follows a failure.
 	recoverWait = 20 * time.Millisecond
+	// lookForUse is how often RunOnceNeeded looks whether the view is needed.
+	lookForUse = 200 * time.Millisecond
 	// listPage is the number of rows asked for in one read.
 	listPage = 500
 )
@@ -68,7 +70,8 @@
 	return &View{config: config, store: store, log: log, onLoaded: make(chan struct{}), wakes: make(chan struct{}, 1)}
 }
 
-// Kick ends a pause between two watches: what the view holds is wanted now.
+// Kick ends a pause between two watches, and the one of RunOnceNeeded: what the view
+// holds is wanted now.
 func (v *View) Kick() {
 	select {
 	case v.wakes <- struct{}{}:
@@ -114,6 +117,16 @@
 // Age returns how long ago the store last confirmed the view.
 func (s Status) Age(now time.Time) time.Duration { return now.Sub(s.Confirmed) }
 
+// RunOnceNeeded is Run from the moment on at which needed tells so for the first time:
+// a table is read whole at first, which hundreds of nodes that start together had better
+// not all do.
+func (v *View) RunOnceNeeded(ctx context.Context, needed func() bool) {
+	for ctx.Err() == nil && !needed() {
+		v.rest(ctx, lookForUse)
+	}
+	v.Run(ctx)
+}
+
 // Run keeps the view up to date until ctx ends.
 func (v *View) Run(ctx context.Context) {
 	retry := retryFirst
--- a/internal/gatewaynode/rowstore/view_test.go
+++ b/internal/gatewaynode/rowstore/view_test.go
@@ -262,3 +262,34 @@
 		expect(t, seen, "a=1")
 	})
 }
+
+func TestViewIsReadOnceItIsNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &countingStore{Store: rowstoretest.New()}
+		view := rowstore.NewView(nil, store, rowstore.ViewConfig{
+			Name: "t", Table: "t", Partitions: []string{""}, Wait: func() time.Duration { return time.Second },
+			Apply: func([]rowstore.Row, bool) {},
+		})
+		var needed atomic.Bool
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			view.RunOnceNeeded(ctx, needed.Load)
+		}()
+		time.Sleep(time.Minute + time.Millisecond)
+		view.Kick()
+		synctest.Wait()
+		if lists := store.lists.Load(); lists != 0 {
+			t.Errorf("a view that nobody needs was read %d times", lists)
+		}
+		needed.Store(true)
+		view.Kick()
+		synctest.Wait()
+		if lists := store.lists.Load(); lists != 1 {
+			t.Errorf("the view was read %d times at once after it was needed, want 1", lists)
+		}
+		cancel()
+		<-done
+	})
+}
