place, evacuation, coldstart, eligibility: who may get a request, as one decision

Nothing asks the gate yet, so behaviour is unchanged; tests of the new packages, upstream, settings and platform pass.

--- /dev/null
+++ b/internal/gatewaynode/eligibility/eligibility.go
@@ -0,0 +1,132 @@
+// Package eligibility decides which back ends may get a request. It is the one place
+// that does: live requests, second attempts, streams that go on elsewhere, items of batch
+// jobs, calls to scoring services and orders to back ends all ask it, when a back end is
+// chosen and once more at the moment of sending.
+//
+// # Invariants
+//
+//   - The decision is a pure function of a back end, a request and a World, which is what
+//     the node believes as of one moment.
+//   - What may not be sent is a matter of this package; which of the back ends that may get
+//     a request is the best is a matter of who chooses.
+//   - A call leaves the process only after Gate.Admit let it through, on a connection that
+//     stands: between the choice and the sending a process may have been frozen, or have
+//     waited for a connection.
+package eligibility
+
+import (
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
+)
+
+// Request is what decides on the side of a request.
+type Request struct {
+	// Regions are those that may serve it: of its route and its tenant, both bind.
+	Regions place.Regions
+	// Model is the model that has to answer, empty if any; MinVersion, the oldest version
+	// of its weights that may; Version, if above 0, the only one.
+	Model               string
+	MinVersion, Version int64
+	// Weights tells that the versions count: the back end must be known to hold them, and
+	// to be at rest.
+	Weights bool
+	// Patient requests rather wait than go where it is not known whether they may: they
+	// belong to jobs, which are kept whatever becomes of this node.
+	Patient bool
+}
+
+// World is what a node believes, as of one moment.
+type World struct {
+	Now time.Time
+	// Zones tells the region of each zone.
+	Zones place.Map
+	// Evacuations are those in force. Age is how long ago the store confirmed them last;
+	// up to AgeMost patient requests may rely on them, 0 sets no limit.
+	Evacuations  evacuation.Set
+	Age, AgeMost time.Duration
+	// Turns returns how many requests this node may send to a cold back end now; nil
+	// stands for any number.
+	Turns func(backend *fleet.Backend) int
+}
+
+// Decide returns why a back end may not get a request, nil if it may. It is pure.
+func (w *World) Decide(b *fleet.Backend, r Request) Reason {
+	if reason := w.standing(b, r); reason != nil {
+		return reason
+	}
+	if reason := holds(b, r); reason != nil {
+		return reason
+	}
+	if left := b.ColdUntil.Sub(w.Now); left > 0 && w.Turns != nil && w.Turns(b) <= 0 {
+		return Cold{Left: left}
+	}
+	return nil
+}
+
+// May tells whether a back end may get a request.
+func (w *World) May(b *fleet.Backend, r Request) bool { return w.Decide(b, r) == nil }
+
+// standing judges what holds for a back end whatever it has loaded.
+func (w *World) standing(b *fleet.Backend, r Request) Reason {
+	if b.Draining {
+		return Draining{}
+	}
+	if e, evacuated := w.Evacuations[b.Zone]; evacuated {
+		return Evacuated{Zone: b.Zone, For: w.Now.Sub(e.Since)}
+	}
+	if region := w.Zones.Region(b.Zone); !r.Regions.Has(region) {
+		return OtherRegion{Region: region, Allowed: r.Regions.String()}
+	}
+	if r.Patient && w.AgeMost > 0 && w.Age > w.AgeMost {
+		return BeliefsOld{Age: w.Age}
+	}
+	return nil
+}
+
+// holds judges the back end's weights.
+func holds(b *fleet.Backend, r Request) Reason {
+	if r.Model == "" {
+		return nil
+	}
+	version, known := b.Models[r.Model]
+	switch {
+	case !known && (r.Weights || len(b.Models) > 0):
+		return NoModel{}
+	case !r.Weights:
+		return nil
+	case version < r.MinVersion, r.Version != 0 && version != r.Version:
+		return OtherWeights{Version: version}
+	case b.LoadingModel == r.Model:
+		return Loading{}
+	}
+	return nil
+}
+
+// Survey says how the back ends of a service stand to a request.
+type Survey struct {
+	Eligible int
+	// Reasons counts the others by the label of the reason.
+	Reasons map[string]int
+	// Warm is the least time after which one that is cold no longer is, 0 if none is.
+	Warm time.Duration
+}
+
+// Survey counts how back ends stand to a request. It is pure.
+func (w *World) Survey(backends []fleet.Backend, r Request) Survey {
+	survey := Survey{Reasons: make(map[string]int)}
+	for i := range backends {
+		reason := w.Decide(&backends[i], r)
+		if reason == nil {
+			survey.Eligible++
+			continue
+		}
+		survey.Reasons[reason.Label()]++
+		if cold, is := reason.(Cold); is && (survey.Warm == 0 || cold.Left < survey.Warm) {
+			survey.Warm = cold.Left
+		}
+	}
+	return survey
+}
--- /dev/null
+++ b/internal/gatewaynode/eligibility/eligibility_test.go
@@ -0,0 +1,127 @@
+package eligibility
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
+)
+
+var now = time.Unix(1000, 0)
+
+func backend(change func(*fleet.Backend)) fleet.Backend {
+	b := fleet.Backend{Instance: fleet.Instance{ID: "b", Service: "s", Zone: "n1", Slots: 4, Models: map[string]int64{"m": 3}}}
+	if change != nil {
+		change(&b)
+	}
+	return b
+}
+
+func TestDecide(t *testing.T) {
+	zones := place.NewMap(map[string]string{"n1": "north", "s1": "south"})
+	evacuated := evacuation.Set{"n1": {Zone: "n1", Since: now.Add(-time.Second)}}
+	cold := func(b *fleet.Backend) { b.ColdUntil = now.Add(2 * time.Second) }
+	cases := []struct {
+		name    string
+		change  func(*fleet.Backend)
+		world   World
+		request Request
+		want    Reason
+	}{
+		{"nothing against it", nil, World{}, Request{Model: "m", Weights: true, MinVersion: 3}, nil},
+		{"leaving", func(b *fleet.Backend) { b.Draining = true }, World{}, Request{}, Draining{}},
+		{"evacuated", nil, World{Evacuations: evacuated}, Request{}, Evacuated{Zone: "n1", For: time.Second}},
+		{"another zone is evacuated", func(b *fleet.Backend) { b.Zone = "s1" }, World{Evacuations: evacuated}, Request{}, nil},
+		{"own region", nil, World{}, Request{Regions: place.NewRegions("north")}, nil},
+		{"another region", nil, World{}, Request{Regions: place.NewRegions("south")}, OtherRegion{Region: "north", Allowed: "south"}},
+		{"region not known", func(b *fleet.Backend) { b.Zone = "x" }, World{}, Request{Regions: place.NewRegions("north")}, OtherRegion{Allowed: "north"}},
+		{"no region is left", nil, World{}, Request{Regions: place.NewRegions("north").And(place.NewRegions("south"))}, OtherRegion{Region: "north"}},
+		{"old beliefs, patient", nil, World{Age: 6 * time.Second, AgeMost: 5 * time.Second}, Request{Patient: true}, BeliefsOld{Age: 6 * time.Second}},
+		{"old beliefs, a caller waits", nil, World{Age: 6 * time.Second, AgeMost: 5 * time.Second}, Request{}, nil},
+		{"old beliefs, no limit", nil, World{Age: 6 * time.Second}, Request{Patient: true}, nil},
+		{"another model", nil, World{}, Request{Model: "n"}, NoModel{}},
+		{"no models known, a plain service", func(b *fleet.Backend) { b.Models = nil }, World{}, Request{Model: "n"}, nil},
+		{"no models known, weights count", func(b *fleet.Backend) { b.Models = nil }, World{}, Request{Model: "n", Weights: true}, NoModel{}},
+		{"weights too old", nil, World{}, Request{Model: "m", Weights: true, MinVersion: 4}, OtherWeights{Version: 3}},
+		{"not the only weights", nil, World{}, Request{Model: "m", Weights: true, Version: 2}, OtherWeights{Version: 3}},
+		{"loading", func(b *fleet.Backend) { b.LoadingModel = "m" }, World{}, Request{Model: "m", Weights: true}, Loading{}},
+		{"loading another model", func(b *fleet.Backend) { b.LoadingModel = "n" }, World{}, Request{Model: "m", Weights: true}, nil},
+		{"cold, a turn left", cold, World{Turns: func(*fleet.Backend) int { return 1 }}, Request{}, nil},
+		{"cold, no turn left", cold, World{Turns: func(*fleet.Backend) int { return 0 }}, Request{}, Cold{Left: 2 * time.Second}},
+		{"warm again", func(b *fleet.Backend) { b.ColdUntil = now }, World{Turns: func(*fleet.Backend) int { return 0 }}, Request{}, nil},
+	}
+	for _, test := range cases {
+		b := backend(test.change)
+		test.world.Now, test.world.Zones = now, zones
+		if got := test.world.Decide(&b, test.request); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+func TestSurvey(t *testing.T) {
+	backends := []fleet.Backend{
+		backend(nil),
+		backend(func(b *fleet.Backend) { b.Draining = true }),
+		backend(func(b *fleet.Backend) { b.ColdUntil = now.Add(2 * time.Second) }),
+		backend(func(b *fleet.Backend) { b.ColdUntil = now.Add(time.Second) }),
+	}
+	world := World{Now: now, Turns: func(*fleet.Backend) int { return 0 }}
+	survey := world.Survey(backends, Request{})
+	if survey.Eligible != 1 || survey.Reasons["draining"] != 1 || survey.Reasons["cold"] != 2 || survey.Warm != time.Second {
+		t.Errorf("%+v", survey)
+	}
+}
+
+func newTestGate(share int, age time.Duration) (*Gate, *fleet.Fleet, *evacuation.Book) {
+	backends, book := fleet.New(nil), evacuation.NewBook()
+	gate := NewGate(Config{
+		Fleet: backends, Evacuations: book, AgeMost: 5 * time.Second,
+		Age:   func(time.Time) time.Duration { return age },
+		Share: func(*fleet.Backend, time.Time) int { return share },
+	})
+	return gate, backends, book
+}
+
+func labelOf(err error) string {
+	var withheld *Error
+	if errors.As(err, &withheld) {
+		return withheld.Reason.Label()
+	}
+	return ""
+}
+
+// TestAdmitDecidesAnew: what has changed since a back end was chosen counts.
+func TestAdmitDecidesAnew(t *testing.T) {
+	gate, backends, book := newTestGate(1, 0)
+	if got := labelOf(gate.Admit("b", Request{})); got != "gone" {
+		t.Errorf("a back end that is not there: %q", got)
+	}
+	backends.Update([]fleet.Instance{{ID: "b", Zone: "n1", Revision: 1}}, nil)
+	if err := gate.Admit("b", Request{}); err != nil {
+		t.Error(err)
+	}
+	book.Update([]evacuation.Row{{Zone: "n1", Revision: 2}}, false, time.Now())
+	if got := labelOf(gate.Admit("b", Request{})); got != "evacuated" {
+		t.Errorf("after an evacuation: %q", got)
+	}
+	book.Update([]evacuation.Row{{Zone: "n1", Revision: 3, Removed: true}}, false, time.Now())
+	if err := gate.Admit("b", Request{}); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestAdmitTakesTurns: two calls that were chosen for the same turn do not both go out.
+func TestAdmitTakesTurns(t *testing.T) {
+	gate, backends, _ := newTestGate(1, 0)
+	backends.Update([]fleet.Instance{{ID: "b", Revision: 1, Cold: time.Minute}}, nil)
+	if err := gate.Admit("b", Request{}); err != nil {
+		t.Error(err)
+	}
+	if got := labelOf(gate.Admit("b", Request{})); got != "cold" {
+		t.Errorf("second call: %q", got)
+	}
+}
--- a/internal/gatewaynode/fleet/fleet.go
+++ b/internal/gatewaynode/fleet/fleet.go
@@ -24,7 +24,7 @@
 	Draining bool
 	// Models maps a model to the version of its weights.
 	Models map[string]int64
-	// Cold is how much longer it stays slow, from Seen on.
+	// Cold is how much longer it stays cold from the entry's writing on.
 	Cold time.Duration
 	// Revision is the store's revision of the entry.
 	Revision int64
@@ -54,6 +54,9 @@
 	// LoadingModel is the model whose weights are being changed, empty if none.
 	LoadingModel string
 	LoadingUntil time.Time
+	// ColdUntil is until when the back end is taken to be cold: slow, and unable to bear
+	// what a warm one does.
+	ColdUntil time.Time
 }
 
 // Memory is what is known of a back end's memory for tokens, which the requests that
@@ -196,10 +199,20 @@
 		f.instances[instance.ID] = held
 		f.enlist(held, instance)
 	}
+	if newer := instance.Revision > held.instance.Revision; newer && instance.Cold > 0 {
+		held.condition.ColdUntil = later(held.condition.ColdUntil, time.Now().Add(instance.Cold))
+	}
 	held.instance = instance
 	held.merge()
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // enlist puts an entry into its service's list. The lock is held.
 func (f *Fleet) enlist(e *entry, instance Instance) {
 	list := f.services[instance.Service]
@@ -245,6 +258,12 @@
 	f.changed()
 }
 
+// MarkCold records that an instance may be cold until a time. What is known to be cold
+// for longer stays so.
+func (f *Fleet) MarkCold(id string, until time.Time) {
+	f.with(id, func(c *Condition) { c.ColdUntil = later(c.ColdUntil, until) })
+}
+
 // MarkShare records the model that an instance is meant for.
 func (f *Fleet) MarkShare(id, model string) {
 	f.with(id, func(c *Condition) { c.Share = model })
--- a/internal/gatewaynode/routetable/routetable.go
+++ b/internal/gatewaynode/routetable/routetable.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/tenant"
 )
 
@@ -55,6 +56,8 @@
 	MaxQueue time.Duration
 	// Public requests need no key.
 	Public bool
+	// Regions are those that may serve, cache and keep the route's requests.
+	Regions place.Regions
 }
 
 // Service is a set of alike back ends.
@@ -67,6 +70,10 @@
 	// runs share; EventTokens is how many tokens an event of a stream holds. 0 is not
 	// known.
 	CacheTokens, EventTokens int
+	// ColdStart is how long a back end is cold after it was started during traffic, and
+	// ColdPerSecond how many requests a second it bears meanwhile; 0 sets no bound.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Limits bound what a caller may send.
@@ -123,6 +130,16 @@
 	return best
 }
 
+// RegionsOf returns where a tenant's requests on a route may be served: in the regions of
+// both. A route that is nil, and a tenant that is not known, allow every region.
+func (t *Table) RegionsOf(route *Route, name string) place.Regions {
+	var regions place.Regions
+	if route != nil {
+		regions = route.Regions
+	}
+	return regions.And(t.Tenants.Named(name).Regions)
+}
+
 // ByName returns the route of that name, or nil.
 func (t *Table) ByName(name string) *Route {
 	for i := range t.Routes {
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -31,16 +31,18 @@
 )
 
 // OperatorRow is what a row of the operator says: a configuration, or the
-// newest version of a model, or nothing known.
+// newest version of a model, or that a zone is evacuated, or nothing known.
 type OperatorRow struct {
 	Table   *routetable.Table
 	Model   string
 	Version int64
+	// Evacuated is the zone that is evacuated while the row is there.
+	Evacuated string
 }
 
 // Translator reads rows that others write.
 type Translator interface {
-	// Operator reads a row of the operator's table.
+	// Operator reads a row of the operator's table; of a removed one, what its key says.
 	Operator(row rowstore.Row) (OperatorRow, error)
 	// Instance reads a row of the registry of back ends.
 	Instance(row rowstore.Row) (fleet.Instance, error)
--- a/internal/gatewaynode/tenant/tenant.go
+++ b/internal/gatewaynode/tenant/tenant.go
@@ -8,6 +8,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 )
 
 // Tenant is a customer of the system. The zero Tenant stands for requests that are
@@ -18,6 +20,8 @@
 	// that of the route if Ranked.
 	Priority int
 	Ranked   bool
+	// Regions are those that may serve, cache and keep the tenant's requests.
+	Regions place.Regions
 }
 
 // Rank returns the priority of the tenant's requests on a route of a priority.
--- a/internal/gatewaynode/upstream/idle.go
+++ b/internal/gatewaynode/upstream/idle.go
@@ -43,6 +43,14 @@
 	conn.keep = keepAlive(response.Header.Get("Keep-Alive"))
 	conn.parked = time.Now()
 	conn.used = true
+	c.keep(conn)
+}
+
+// keep makes a sound connection that no call is under way on an idle one.
+func (c *Client) keep(conn *connection) {
+	if conn.parked.IsZero() {
+		conn.parked = time.Now()
+	}
 	c.mu.Lock()
 	c.idle[conn.key] = append(c.idle[conn.key], conn)
 	c.mu.Unlock()
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -69,6 +69,9 @@
 	Fresh bool
 	// Unnumbered calls have no id, and their answers need not carry one.
 	Unnumbered bool
+	// Admit is asked on a connection that stands, at the moment of sending; an error
+	// keeps the call back. It may be nil only at a client that does not ask for it.
+	Admit func() error
 }
 
 // Meta is what the head of an answer says, translated.
@@ -104,6 +107,9 @@
 	Status int
 	// Sent is when the call was written, zero if Fate is NotSent.
 	Sent time.Time
+	// Withheld tells that Call.Admit kept the call back: that says nothing of the back
+	// end.
+	Withheld bool
 	// kept tells that the connection is sound and has been given back.
 	kept bool
 }
@@ -123,6 +129,12 @@
 	return Unknown
 }
 
+// Withheld tells whether an error of Do says that the call was kept back by its own node.
+func Withheld(err error) bool {
+	var failure *Error
+	return errors.As(err, &failure) && failure.Withheld
+}
+
 // Causes of failures.
 var (
 	// ErrSurplus says that only answers of other requests came.
@@ -143,6 +155,8 @@
 	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnDial is told of each new connection; it may be nil.
 	OnDial func()
+	// MustAdmit tells that a call without Call.Admit is a broken invariant.
+	MustAdmit bool
 }
 
 const (
@@ -210,6 +224,10 @@
 	if err != nil {
 		return nil, &Error{Fate: NotSent, Cause: err}
 	}
+	if err := c.admit(call); err != nil {
+		c.keep(conn)
+		return nil, &Error{Fate: NotSent, Cause: err, Withheld: true}
+	}
 	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	sent := time.Now()
 	answer, failure := c.exchange(conn, call, release)
@@ -228,6 +246,17 @@
 	return nil, failure
 }
 
+// admit asks whether a call may leave the process now.
+func (c *Client) admit(call *Call) error {
+	if call.Admit != nil {
+		return call.Admit()
+	}
+	if c.config.MustAdmit {
+		panic("upstream: a call to a back end that nobody decided on: " + call.Method + " " + call.Target)
+	}
+	return nil
+}
+
 func (c *Client) exchange(conn *connection, call *Call, release func() bool) (*Answer, *Error) {
 	head := c.head(call)
 	written, err := send(conn, head, call.Body)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // GatewayProgram is the name of the node whose state is all in a row store.
 const GatewayProgram = "sliplift-gateway"
@@ -14,6 +17,7 @@
 	GatewayTiming    `group:"Timing"`
 	GatewayTenants   `group:"Tenants"`
 	GatewayDuties    `group:"Duties"`
+	GatewayPlaces    `group:"Places"`
 	GatewayLog       `group:"Log"`
 }
 
@@ -72,6 +76,39 @@
 	UsageWithin time.Duration `long:"usage-within" default:"10s" min:"100ms" max:"24h" description:"time after a window's end within which it has to be reported"`
 }
 
+// GatewayPlaces tells of zones and regions, and of back ends that are to get less or
+// nothing.
+type GatewayPlaces struct {
+	ZoneRegions    []string      `long:"zone-region" value-name:"ZONE=REGION" description:"the region that a zone belongs to; may be repeated, one for each zone"`
+	EvacuateWithin time.Duration `long:"evacuate-within" default:"5s" min:"100ms" max:"1h" description:"time within which the back ends of an evacuated zone must get nothing more"`
+	ColdOverage    float64       `long:"cold-overage" default:"1.5" min:"1" max:"100" description:"times the configured rate that a cold back end may get in a second"`
+	ColdSlack      float64       `long:"cold-slack" default:"5" min:"0" max:"1000000" unit:"requests" description:"requests beyond that which a cold back end may get in a second"`
+}
+
+// Regions returns the region of each zone.
+func (p GatewayPlaces) Regions() map[string]string {
+	regions := make(map[string]string, len(p.ZoneRegions))
+	for _, entry := range p.ZoneRegions {
+		zone, region, _ := strings.Cut(entry, "=")
+		regions[zone] = region
+	}
+	return regions
+}
+
+// zoneRegionFaults checks that each entry names a zone and a region, and each zone once.
+func (p GatewayPlaces) zoneRegionFaults() Faults {
+	var faults Faults
+	seen := make(map[string]bool, len(p.ZoneRegions))
+	for _, entry := range p.ZoneRegions {
+		zone, region, found := strings.Cut(entry, "=")
+		if !found || zone == "" || region == "" || seen[zone] {
+			faults = append(faults, Fault{Key: "zone-region", Value: entry, Allowed: "must be ZONE=REGION, with each zone once"})
+		}
+		seen[zone] = true
+	}
+	return faults
+}
+
 // GatewayLog says what the log holds.
 type GatewayLog struct {
 	LogLevel  string `long:"log-level" default:"info" choice:"error" choice:"warning" choice:"info" choice:"debug" description:"least level of entries"`
@@ -90,6 +127,7 @@
 		{"metrics-address", g.MetricsAddress},
 	})
 	faults = append(faults, unreachable("caller-address", g.CallerAddress)...)
+	faults = append(faults, g.zoneRegionFaults()...)
 	if callerHolds*g.AddressTTL >= g.StopGrace {
 		faults = append(faults, Fault{Key: "address-ttl", Value: g.AddressTTL.String(), Allowed: "three of it must be less than stop-grace, so that callers hear of a stop"})
 	}
