--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/gatewaymetrics"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 	"github.com/sliplift/sliplift/internal/gatewaynode/reload"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
@@ -166,10 +167,12 @@
 			RowBytes: cfg.StoreRowBytes, TransactionRows: transactionRows,
 			WritesPerSecond: cfg.StoreWrites, ReadsPerSecond: cfg.StoreReads,
 		},
-		Translator:   platform.Translator{},
-		NewCommander: func(client *upstream.Client) reload.Commander { return platform.NewCommander(client) },
-		Codec:        platform.Codec{},
-		Log:          log,
+		Translator: platform.Translator{},
+		NewCommander: func(client *upstream.Client, admit func(string) error) reload.Commander {
+			return platform.NewCommander(client, admit)
+		},
+		Codec: platform.Codec{},
+		Log:   log,
 		Self: presence.Node{
 			Name: cfg.Name, Address: cfg.CallerAddress, PeerAddress: cfg.PeerAddress, Zone: cfg.Zone, Region: cfg.Region, Cores: cfg.CPUShare * cfg.Cores,
 		},
@@ -183,6 +186,10 @@
 		AddressTTL:    cfg.AddressTTL,
 		Metering:      newMetering(cfg),
 		KeysConfirmed: keysConfirmed(cfg),
+		Eligibility: storenode.Eligibility{
+			Zones: place.NewMap(cfg.Regions()), EvacuateWithin: cfg.EvacuateWithin,
+			ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack, ObserveWithheld: metrics.Withheld,
+		},
 
 		ObserveRequest: metrics.Request,
 		ObserveDial:    metrics.Dial,
--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
@@ -22,8 +23,10 @@
 	Presence *presence.Registry
 	Fleet    *fleet.Fleet
 	Client   *upstream.Client
-	Log      *eventlog.Log
-	Zone     string
+	// Gate decides which back ends may get a request.
+	Gate *eligibility.Gate
+	Log  *eventlog.Log
+	Zone string
 	// Routes returns the configuration in force, nil while there is none.
 	Routes func() *routetable.Table
 	// VersionField names the stream field that tells the weight version.
--- a/internal/gatewaynode/batch/memory_test.go
+++ b/internal/gatewaynode/batch/memory_test.go
@@ -40,9 +40,9 @@
 	} {
 		pool := []fleet.Backend{backend("a", test.first), backend("b", test.second)}
 		want := test.want
-		want.model, want.minVersion, want.zone = "m", 3, "z"
+		want.Request, want.zone = weightsOf("m", 3), "z"
 		got := ""
-		if index := pickBackend(pool, want, 40*time.Millisecond, placeNow); index >= 0 {
+		if index := pickBackend(pool, want, 40*time.Millisecond, placeWorld); index >= 0 {
 			got = pool[index].ID
 		}
 		if got != test.pick {
@@ -56,17 +56,17 @@
 func TestItemsAreNotMovedIntoACrowd(t *testing.T) {
 	slow := func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond }
 	crowded := func(b *fleet.Backend) { b.Memory = fleet.Memory{Most: 30000, Held: 9000, Expected: 28000} }
-	want := need{model: "m", minVersion: 3, zone: "z", held: 4096, expected: 11264}
+	want := need{Request: weightsOf("m", 3), zone: "z", held: 4096, expected: 11264}
 	pool := []fleet.Backend{backend("slow", slow), backend("crowded", crowded)}
-	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeNow); target >= 0 {
+	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeWorld); target >= 0 {
 		t.Errorf("moved to %s", pool[target].ID)
 	}
 	pool = append(pool, backend("failed", func(b *fleet.Backend) { b.Failures = 1 }))
-	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeNow); target >= 0 {
+	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeWorld); target >= 0 {
 		t.Errorf("moved to %s", pool[target].ID)
 	}
 	pool[2] = backend("free", nil)
-	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeNow); target != 2 {
+	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeWorld); target != 2 {
 		t.Errorf("target %d, want 2", target)
 	}
 }
@@ -113,7 +113,7 @@
 		t.Errorf("%d slots are kept free", used.reserved)
 	}
 	fast := backend("fast", func(b *fleet.Backend) { b.InFlight = 4 })
-	if suits(&fast, need{model: "m"}, placeNow) {
+	if suits(&fast, need{Request: weightsOf("m", 0)}, placeWorld) {
 		t.Error("another item starts in the place that is kept")
 	}
 }
--- a/internal/gatewaynode/batch/move.go
+++ b/internal/gatewaynode/batch/move.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
@@ -36,12 +37,12 @@
 	}
 	moving := want
 	moving.ran = p.now.Sub(item.firstStart)
-	target := moveTarget(pool.backends, item.backend, moving, pool.typical, p.now)
+	target := moveTarget(pool.backends, item.backend, moving, pool.typical, p.world)
 	if target < 0 {
 		return
 	}
 	b := &pool.backends[target]
-	b.InFlight++
+	p.give(b)
 	takeMemory(b, want)
 	item.moved = p.now
 	item.avoid = item.backend
@@ -59,7 +60,8 @@
 // must be slow beside the typical pace of the pool too: against the best alone,
 // items would follow each wrong measurement. One that failed last has to show first
 // that it is there. It is pure.
-func moveTarget(pool []fleet.Backend, current string, want need, typical time.Duration, now time.Time) int {
+func moveTarget(pool []fleet.Backend, current string, want need, typical time.Duration, world *eligibility.World) int {
+	now := world.Now
 	var from *fleet.Backend
 	for i := range pool {
 		if pool[i].ID == current {
@@ -75,13 +77,13 @@
 	best := -1
 	for i := range pool {
 		b := &pool[i]
-		if b.Memory.Crowded(want.expected) > 1 || b.Failures > 0 {
+		if b.Memory.Crowded(want.expected) > 1 || b.Failures > 0 || b.Cold(now) {
 			continue
 		}
 		if b.Pace == 0 || now.Sub(b.PaceAt) > paceMemory || float64(from.Pace) < want.moveRatio()*float64(b.Pace) {
 			continue
 		}
-		if (best < 0 || b.Pace < pool[best].Pace) && suits(b, want, now) {
+		if (best < 0 || b.Pace < pool[best].Pace) && suits(b, want, world) {
 			best = i
 		}
 	}
--- a/internal/gatewaynode/batch/ownerkey.go
+++ b/internal/gatewaynode/batch/ownerkey.go
@@ -23,5 +23,28 @@
 	}
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(job))
-	return fmt.Sprintf("%s/%d", service, hash.Sum32()%uint32(shards))
+	return shardKey(service, int(hash.Sum32()%uint32(shards)))
+}
+
+func shardKey(service string, shard int) string { return fmt.Sprintf("%s/%d", service, shard) }
+
+// OwnerKeys returns all keys that jobs of a service with some slots and models may be
+// assigned by, ordered. It is pure.
+func OwnerKeys(service string, models []string, slots int) []string {
+	shards := (slots + ownerSlots - 1) / ownerSlots
+	if shards <= 1 {
+		return []string{service}
+	}
+	if shards <= len(models) {
+		keys := make([]string, 0, len(models))
+		for _, model := range models {
+			keys = append(keys, service+"/"+model)
+		}
+		return keys
+	}
+	keys := make([]string, 0, shards)
+	for shard := range shards {
+		keys = append(keys, shardKey(service, shard))
+	}
+	return keys
 }
--- a/internal/gatewaynode/batch/place.go
+++ b/internal/gatewaynode/batch/place.go
@@ -3,16 +3,15 @@
 import (
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 // need is what an item wants of a back end.
 type need struct {
-	model      string
-	minVersion int64
-	// version, if above 0, is the only version that will do.
-	version int64
-	zone    string
+	// Request decides which back ends may get the item.
+	eligibility.Request
+	zone string
 	// avoid is a back end to be used only if there is no other.
 	avoid string
 	// ran is for how long the item has been running.
@@ -48,20 +47,23 @@
 	avoidSlowdown = 1.0
 	// failedSlowdown is what a back end costs that failed last: short items try it out.
 	failedSlowdown = 0.5
+	// coldSlowdown is what a cold back end costs: the few requests that it bears are used
+	// where no warm one has room.
+	coldSlowdown = 4.0
 	// leisurelyBonus makes short items prefer back ends that are a little slower.
 	leisurelyBonus = 0.5
 )
 
 // pickBackend returns the index of the back end that is expected to run the
 // item fastest and has room, or -1; typical is the pool's typicalPace. It is pure.
-func pickBackend(pool []fleet.Backend, want need, typical time.Duration, now time.Time) int {
+func pickBackend(pool []fleet.Backend, want need, typical time.Duration, world *eligibility.World) int {
 	best := -1
 	var bestCost float64
 	for i := range pool {
-		if !suits(&pool[i], want, now) {
+		if !suits(&pool[i], want, world) {
 			continue
 		}
-		cost := runCost(&pool[i], want, typical, now)
+		cost := runCost(&pool[i], want, typical, world.Now)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -70,23 +72,13 @@
 }
 
 // suits tells whether an item may start at a back end now.
-func suits(b *fleet.Backend, want need, now time.Time) bool {
-	return b.Load() < 1 && hasMemory(b, want.held) && fits(b, want, now)
+func suits(b *fleet.Backend, want need, world *eligibility.World) bool {
+	return b.Load() < 1 && hasMemory(b, want.held) && fits(b, want, world)
 }
 
 // fits tells whether an item may run at a back end once it has room.
-func fits(b *fleet.Backend, want need, now time.Time) bool {
-	if b.Draining || b.Suspended(now) {
-		return false
-	}
-	version, holds := b.Models[want.model]
-	if want.model == "" {
-		return true
-	}
-	if !holds || version < want.minVersion || b.LoadingModel == want.model {
-		return false
-	}
-	return want.version == 0 || version == want.version
+func fits(b *fleet.Backend, want need, world *eligibility.World) bool {
+	return !b.Suspended(world.Now) && world.May(b, want.Request)
 }
 
 func runCost(backend *fleet.Backend, want need, typical time.Duration, now time.Time) float64 {
@@ -94,7 +86,7 @@
 	if backend.Zone != want.zone {
 		cost *= 1 + zoneSlowdown
 	}
-	if backend.Share != "" && backend.Share != want.model {
+	if backend.Share != "" && backend.Share != want.Model {
 		cost *= 1 + foreignSlowdown
 	}
 	if backend.ID == want.avoid {
@@ -103,6 +95,9 @@
 	if backend.Failures > 0 && !want.short {
 		cost *= 1 + failedSlowdown
 	}
+	if backend.Cold(now) {
+		cost *= 1 + coldSlowdown
+	}
 	if want.short && leisurely(pace(backend, typical, now), typical) {
 		cost *= leisurelyBonus
 	}
--- a/internal/gatewaynode/batch/place_test.go
+++ b/internal/gatewaynode/batch/place_test.go
@@ -4,11 +4,19 @@
 	"testing"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 var placeNow = time.Unix(1000, 0)
 
+var placeWorld = &eligibility.World{Now: placeNow}
+
+// weightsOf returns a request for a model's weights of a version or a newer one.
+func weightsOf(model string, version int64) eligibility.Request {
+	return eligibility.Request{Model: model, MinVersion: version, Weights: true}
+}
+
 func backend(id string, change func(*fleet.Backend)) fleet.Backend {
 	b := fleet.Backend{Instance: fleet.Instance{ID: id, Zone: "z", Slots: 4, Models: map[string]int64{"m": 3}}}
 	b.Pace, b.PaceAt = 40*time.Millisecond, placeNow
@@ -19,7 +27,7 @@
 }
 
 func TestPickBackend(t *testing.T) {
-	want := need{model: "m", minVersion: 3, zone: "z"}
+	want := need{Request: weightsOf("m", 3), zone: "z"}
 	cases := []struct {
 		name string
 		pool []fleet.Backend
@@ -36,22 +44,22 @@
 		{"suspended", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.SuspendedUntil = placeNow.Add(time.Second) })}, want, ""},
 		{"version too old", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Models = map[string]int64{"m": 2} })}, want, ""},
 		{"newer version will do", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Models = map[string]int64{"m": 9} })}, want, "a"},
-		{"another version than the text so far", []fleet.Backend{backend("a", nil)}, need{model: "m", version: 4}, ""},
+		{"another version than the text so far", []fleet.Backend{backend("a", nil)}, need{Request: eligibility.Request{Model: "m", Version: 4, Weights: true}}, ""},
 		{"changes its weights", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.LoadingModel = "m" })}, want, ""},
 		{"changes weights of another model", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.LoadingModel = "other" })}, want, "a"},
 		{"own zone first", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Zone = "y" }), backend("b", nil)}, want, "b"},
-		{"avoided only if there is another", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.InFlight = 3 })}, need{model: "m", zone: "z", avoid: "a"}, "b"},
-		{"short items leave the fastest to others", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 52 * time.Millisecond })}, need{model: "m", zone: "z", short: true}, "b"},
-		{"short items shun slow ones too", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond })}, need{model: "m", zone: "z", short: true}, "a"},
-		{"one that failed is tried out by short items", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Failures = 1 }), backend("b", func(b *fleet.Backend) { b.InFlight = 2 })}, need{model: "m", zone: "z", short: true}, "a"},
+		{"avoided only if there is another", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.InFlight = 3 })}, need{Request: weightsOf("m", 0), zone: "z", avoid: "a"}, "b"},
+		{"short items leave the fastest to others", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 52 * time.Millisecond })}, need{Request: weightsOf("m", 0), zone: "z", short: true}, "b"},
+		{"short items shun slow ones too", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond })}, need{Request: weightsOf("m", 0), zone: "z", short: true}, "a"},
+		{"one that failed is tried out by short items", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Failures = 1 }), backend("b", func(b *fleet.Backend) { b.InFlight = 2 })}, need{Request: weightsOf("m", 0), zone: "z", short: true}, "a"},
 		{"one that failed, for others", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Failures = 1 }), backend("b", func(b *fleet.Backend) { b.InFlight = 2 })}, want, "b"},
 		{"meant for the model first", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Share = "other" }), backend("b", func(b *fleet.Backend) { b.Share, b.InFlight = "m", 3 })}, want, "b"},
 		{"meant for another model but alone", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Share = "other" })}, want, "a"},
-		{"avoided but alone", []fleet.Backend{backend("a", nil)}, need{model: "m", avoid: "a"}, "a"},
+		{"avoided but alone", []fleet.Backend{backend("a", nil)}, need{Request: weightsOf("m", 0), avoid: "a"}, "a"},
 	}
 	for _, test := range cases {
 		got := ""
-		if index := pickBackend(test.pool, test.want, typicalPace(test.pool, placeNow), placeNow); index >= 0 {
+		if index := pickBackend(test.pool, test.want, typicalPace(test.pool, placeNow), placeWorld); index >= 0 {
 			got = test.pool[index].ID
 		}
 		if got != test.pick {
@@ -62,12 +70,12 @@
 
 func TestLongRunsAreMovedForLess(t *testing.T) {
 	pool := []fleet.Backend{backend("slow", func(b *fleet.Backend) { b.Pace = 52 * time.Millisecond }), backend("fast", nil)}
-	want := need{model: "m", minVersion: 3}
-	if got := moveTarget(pool, "slow", want, typicalPace(pool, placeNow), placeNow); got >= 0 {
+	want := need{Request: weightsOf("m", 3)}
+	if got := moveTarget(pool, "slow", want, typicalPace(pool, placeNow), placeWorld); got >= 0 {
 		t.Error("a short run was moved for a third")
 	}
 	want.ran = longRun + time.Second
-	if got := moveTarget(pool, "slow", want, typicalPace(pool, placeNow), placeNow); got != 1 {
+	if got := moveTarget(pool, "slow", want, typicalPace(pool, placeNow), placeWorld); got != 1 {
 		t.Error("a long run was left on a back end that is a third slower")
 	}
 }
@@ -89,7 +97,7 @@
 	}
 	for _, test := range cases {
 		got := ""
-		if index := moveTarget(test.pool, "slow", need{model: "m", minVersion: 3}, typicalPace(test.pool, placeNow), placeNow); index >= 0 {
+		if index := moveTarget(test.pool, "slow", need{Request: weightsOf("m", 3)}, typicalPace(test.pool, placeNow), placeWorld); index >= 0 {
 			got = test.pool[index].ID
 		}
 		if got != test.move {
@@ -105,12 +113,12 @@
 	for _, id := range []string{"a", "b", "c", "d", "e"} {
 		pool = append(pool, backend(id, nil))
 	}
-	want := need{model: "m", minVersion: 3, ran: longRun + time.Second}
-	if got := moveTarget(pool, "a", want, typicalPace(pool, placeNow), placeNow); got >= 0 {
+	want := need{Request: weightsOf("m", 3), ran: longRun + time.Second}
+	if got := moveTarget(pool, "a", want, typicalPace(pool, placeNow), placeWorld); got >= 0 {
 		t.Errorf("a run at the usual pace was moved to %s", pool[got].ID)
 	}
 	pool[1].Pace = 120 * time.Millisecond
-	if got := moveTarget(pool, "a", want, typicalPace(pool, placeNow), placeNow); got < 0 {
+	if got := moveTarget(pool, "a", want, typicalPace(pool, placeNow), placeWorld); got < 0 {
 		t.Error("a run at a slow back end was left there")
 	}
 }
--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventstream"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
@@ -41,6 +42,8 @@
 	index   int
 	route   *routetable.Route
 	backend fleet.Backend
+	// request decides which back ends may get the item.
+	request eligibility.Request
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	endSlot func()
@@ -64,6 +67,7 @@
 	started := &run{
 		runner: r, job: job, index: index, route: route, backend: backend, ctx: ctx, cancel: cancel,
 		endSlot: r.manager.config.Fleet.Begin(backend.ID), priority: item.priority(),
+		request: r.requestOf(job, index, route),
 	}
 	if route.MaxQueue > 0 {
 		started.deadline = item.started.Add(max(route.MaxQueue-job.head.age(item.started), time.Second))
@@ -123,6 +127,7 @@
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: r.job.spec.Host,
 		Header: header, Body: item.Body, Address: r.backend.Address, Instance: r.backend.ID,
 		Tenant: r.job.tenant, Deadline: r.deadline, Priority: r.priority,
+		Admit: func() error { return r.runner.manager.config.Gate.Admit(r.backend.ID, r.request) },
 	}
 	if after > 0 {
 		call.Resume, call.ResumeAfter = true, int64(after)
@@ -280,6 +285,10 @@
 		r.textWhole(run.job, run.index)
 		return
 	}
+	if upstream.Withheld(err) {
+		r.withhold(run, err)
+		return
+	}
 	r.blame(run, err)
 	switch {
 	case errors.Is(err, errUndoable):
@@ -303,6 +312,16 @@
 	}
 }
 
+// withhold takes note of a run that this node kept back itself: that says nothing of the
+// back end, and is no run. The item waits for another. The lock is held.
+func (r *runner) withhold(run *run, err error) {
+	item := &run.job.items[run.index]
+	item.runs--
+	r.manager.config.Log.Info(eventlog.ItemWithheld, eventlog.Fields{
+		eventlog.Job: run.job.id, eventlog.Item: run.item().ID, eventlog.Backend: run.backend.ID, eventlog.Cause: err.Error(),
+	})
+}
+
 // pauses for a back end that a run ended badly at.
 const (
 	refusedPause = 300 * time.Millisecond
--- a/internal/gatewaynode/batch/schedule.go
+++ b/internal/gatewaynode/batch/schedule.go
@@ -5,7 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/coldstart"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
@@ -101,6 +104,9 @@
 	// runs of this node hold, by back end.
 	config *routetable.Table
 	used   map[string]usage
+	// world is what the round decides by; given counts what it gives to each back end.
+	world *eligibility.World
+	given map[string]int
 }
 
 // pool is the back ends of one service.
@@ -119,10 +125,30 @@
 }
 
 func (r *runner) newPools(now time.Time) *pools {
-	return &pools{
+	p := &pools{
 		fleet: r.manager.config.Fleet, now: now, services: make(map[string]*pool),
 		config: r.manager.config.Routes(), used: r.usages(),
+		world: r.manager.config.Gate.World(now), given: make(map[string]int),
 	}
+	p.world.Turns = p.turnsLeft(p.world.Turns)
+	return p
+}
+
+// turnsLeft returns turns less what the round has given out.
+func (p *pools) turnsLeft(turns func(*fleet.Backend) int) func(*fleet.Backend) int {
+	return func(b *fleet.Backend) int {
+		left := turns(b)
+		if left == coldstart.Unbounded {
+			return left
+		}
+		return left - p.given[b.ID]
+	}
+}
+
+// give counts a request that the round gives to a back end.
+func (p *pools) give(b *fleet.Backend) {
+	b.InFlight++
+	p.given[b.ID]++
 }
 
 // of returns the back ends that an item of a route may run at.
@@ -158,14 +184,29 @@
 
 // needOf returns what an item wants of a back end.
 func (r *runner) needOf(c candidate, pool *pool) need {
-	want := need{
-		model: c.job.spec.Model, minVersion: c.job.spec.MinVersion, zone: r.manager.config.Zone,
-		version: c.job.items[c.index].text.only(c.route.SingleVersion),
-	}
+	want := need{Request: r.requestOf(c.job, c.index, c.route), zone: r.manager.config.Zone}
 	want.held, want.expected = r.itemMemory(c.job, c.index, pool.eventTokens)
 	return want
 }
 
+// requestOf returns what decides which back ends may get an item. The lock is held.
+func (r *runner) requestOf(job *ownedJob, index int, route *routetable.Route) eligibility.Request {
+	return eligibility.Request{
+		Regions: r.regions(route, job.tenant), Patient: true,
+		Model: job.spec.Model, Weights: true, MinVersion: job.spec.MinVersion,
+		Version: job.items[index].text.only(route.SingleVersion),
+	}
+}
+
+// regions returns where a tenant's requests on a route may be served.
+func (r *runner) regions(route *routetable.Route, tenant string) place.Regions {
+	table := r.manager.config.Routes()
+	if table == nil {
+		return route.Regions
+	}
+	return table.RegionsOf(route, tenant)
+}
+
 // scheduleItem starts an item if a back end has room that is worth taking.
 func (r *runner) scheduleItem(c candidate, p *pools) {
 	pool := p.of(c.route, c.index)
@@ -173,13 +214,13 @@
 	want := r.needOf(c, pool)
 	want.avoid = item.avoid
 	want.short = item.short && len(item.text.events) == 0
-	if r.goToTarget(c, pool, want, p.now) {
+	if r.goToTarget(c, pool, want, p) {
 		return
 	}
 	if pool.full[want] {
 		return
 	}
-	place := pickBackend(pool.backends, want, pool.typical, p.now)
+	place := pickBackend(pool.backends, want, pool.typical, p.world)
 	if place < 0 {
 		pool.full[want] = true
 		return
@@ -188,13 +229,13 @@
 	slow := pace(b, pool.typical, p.now)
 	if float64(slow) > moveRatio*float64(pool.typical) {
 		events := r.lengths.expected(c.job.spec.Items[c.index].LengthHint) - float64(len(item.text.events))
-		slots := fastSlots(pool.backends, want, pool.typical, p.now)
+		slots := fastSlots(pool.backends, want, pool.typical, p.world)
 		if !worthStarting(events, slow, pool.typical, r.lengths.wait(pool.passed, slots)) {
 			pool.passed++
 			return
 		}
 	}
-	b.InFlight++
+	p.give(b)
 	takeMemory(b, want)
 	item.urgent = false
 	r.launch(c.job, c.index, c.route, *b)
@@ -202,7 +243,7 @@
 
 // goToTarget starts an item that was moved at the back end that it was moved to, and
 // tells whether it did. If that will not do any more, the item goes where others go.
-func (r *runner) goToTarget(c candidate, pool *pool, want need, now time.Time) bool {
+func (r *runner) goToTarget(c candidate, pool *pool, want need, p *pools) bool {
 	item := &c.job.items[c.index]
 	place := slices.IndexFunc(pool.backends, func(b fleet.Backend) bool { return b.ID == item.target })
 	item.target = ""
@@ -211,10 +252,10 @@
 	}
 	b := &pool.backends[place]
 	b.InFlight--
-	if !suits(b, want, now) {
+	if !suits(b, want, p.world) {
 		return false
 	}
-	b.InFlight++
+	p.give(b)
 	takeMemory(b, want)
 	item.urgent = false
 	r.launch(c.job, c.index, c.route, *b)
@@ -229,11 +270,11 @@
 
 // fastSlots returns the slots of the back ends that an item may run at, now or
 // once one is free, which are not slow. It is pure.
-func fastSlots(backends []fleet.Backend, want need, typical time.Duration, now time.Time) int {
+func fastSlots(backends []fleet.Backend, want need, typical time.Duration, world *eligibility.World) int {
 	slots := 0
 	for i := range backends {
 		b := &backends[i]
-		if fits(b, want, now) && float64(pace(b, typical, now)) <= moveRatio*float64(typical) {
+		if fits(b, want, world) && float64(pace(b, typical, world.Now)) <= moveRatio*float64(typical) {
 			slots += b.Slots
 		}
 	}
--- a/internal/gatewaynode/batch/schedule_test.go
+++ b/internal/gatewaynode/batch/schedule_test.go
@@ -35,8 +35,8 @@
 		backend("slow", func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond }),
 		backend("old", func(b *fleet.Backend) { b.Models = map[string]int64{"m": 1} }),
 	}
-	want := need{model: "m", minVersion: 3}
-	if got := fastSlots(pool, want, typicalPace(pool, placeNow), placeNow); got != 8 {
+	want := need{Request: weightsOf("m", 3)}
+	if got := fastSlots(pool, want, typicalPace(pool, placeNow), placeWorld); got != 8 {
 		t.Errorf("%d slots, want 8: full ones count, slow and old ones do not", got)
 	}
 }
--- a/internal/gatewaynode/batch/score.go
+++ b/internal/gatewaynode/batch/score.go
@@ -6,8 +6,10 @@
 	"strings"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 // scoreState is how far the scoring of an item's whole text is.
@@ -98,7 +100,8 @@
 		return
 	}
 	pool := p.service(route.Pick(uint64(index+state.sends), 0)).backends
-	want := scorerWant{zone: r.manager.config.Zone}
+	request := r.scoreRequest(job, route)
+	want := scorerWant{Request: request, zone: r.manager.config.Zone}
 	if len(state.calls) > 0 {
 		first := state.calls[0]
 		if now-first.sent < secondAfter(pool, route) || !r.seconds.left() {
@@ -106,7 +109,7 @@
 		}
 		want.avoid = first.backend.ID
 	}
-	place := pickScorer(pool, want, p.now)
+	place := pickScorer(pool, want, p.world)
 	if place < 0 {
 		return
 	}
@@ -115,8 +118,18 @@
 	} else {
 		r.seconds.add()
 	}
-	pool[place].InFlight++
-	r.call(job, index, route, pool[place], now)
+	p.give(&pool[place])
+	r.call(job, index, route, pool[place], now, request)
+}
+
+// scoreRequest returns what decides which back ends may get a call to the scoring service
+// of a route: of a public one, no tenant is told.
+func (r *runner) scoreRequest(job *ownedJob, route *routetable.Route) eligibility.Request {
+	regions := route.Regions
+	if !route.Public {
+		regions = r.regions(route, job.tenant)
+	}
+	return eligibility.Request{Regions: regions, Patient: true}
 }
 
 // settleScore takes what became of a call. The lock is held while it decides.
@@ -126,6 +139,9 @@
 	item := &c.job.items[c.index]
 	item.score.remove(c)
 	c.blame(fate)
+	if upstream.Withheld(errorOf(fate)) {
+		item.score.sends--
+	}
 	if item.phase != phaseScoring || c.job.ctx.Err() != nil || c.job.suspended {
 		return
 	}
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
@@ -49,6 +50,8 @@
 	index   int
 	route   *routetable.Route
 	backend fleet.Backend
+	// request decides which back ends may get the call.
+	request eligibility.Request
 	sent    clock.Millis
 	limit   clock.Millis
 	ctx     context.Context
@@ -59,12 +62,12 @@
 func (c *scoreCall) scorer() *Scorer { return c.job.spec.Items[c.index].Scorer }
 
 // call sends a call. The lock is held.
-func (r *runner) call(job *ownedJob, index int, route *routetable.Route, backend fleet.Backend, now clock.Millis) {
+func (r *runner) call(job *ownedJob, index int, route *routetable.Route, backend fleet.Backend, now clock.Millis, request eligibility.Request) {
 	state := &job.items[index].score
 	limit := scoreLimit(&backend, route, state.cuts)
 	ctx, cancel := context.WithTimeout(job.ctx, limit.Duration())
 	c := &scoreCall{
-		runner: r, job: job, index: index, route: route, backend: backend, sent: now, limit: limit,
+		runner: r, job: job, index: index, route: route, backend: backend, sent: now, limit: limit, request: request,
 		ctx: ctx, cancel: cancel, endSlot: r.manager.config.Fleet.Begin(backend.ID),
 	}
 	state.sends++
@@ -98,6 +101,7 @@
 	answer, err := m.config.Client.Do(c.ctx, &upstream.Call{
 		ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body,
 		Address: c.backend.Address, Instance: c.backend.ID, Tenant: c.tenant(), Deadline: started.Add(c.limit.Duration()),
+		Admit: func() error { return m.config.Gate.Admit(c.backend.ID, c.request) },
 	})
 	if err != nil {
 		return fateOfCall(err)
@@ -124,6 +128,14 @@
 	}
 }
 
+// errorOf returns why a call was not run, nil if it was.
+func errorOf(fate scoreFate) error {
+	if f, is := fate.(scoreNotRun); is {
+		return f.err
+	}
+	return nil
+}
+
 // fateOfAnswer judges the head of a whole answer. It is pure.
 func fateOfAnswer(status int, meta upstream.Meta) scoreFate {
 	switch {
@@ -145,6 +157,9 @@
 	switch f := fate.(type) {
 	case scored, scoreFailed, scoreUnusable:
 	case scoreNotRun:
+		if upstream.Withheld(f.err) {
+			return
+		}
 		if upstream.FateOf(f.err) == upstream.NotSent {
 			backends.ObserveFailure(c.backend.ID, f.cause(), now)
 			return
--- a/internal/gatewaynode/batch/scoreplace.go
+++ b/internal/gatewaynode/batch/scoreplace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
@@ -37,6 +38,8 @@
 
 // scorerWant is what a call wants of a back end.
 type scorerWant struct {
+	// Request decides which back ends may get the call.
+	eligibility.Request
 	zone string
 	// avoid is the back end of the call beside which a second one is sent.
 	avoid string
@@ -44,15 +47,15 @@
 
 // pickScorer returns the index of the back end that a call goes to, or -1 if none
 // has a slot beyond those that live requests keep. It is pure.
-func pickScorer(pool []fleet.Backend, want scorerWant, now time.Time) int {
+func pickScorer(pool []fleet.Backend, want scorerWant, world *eligibility.World) int {
 	best := -1
 	var bestCost float64
 	for i := range pool {
 		b := &pool[i]
-		if b.Draining || b.ID == want.avoid || b.Suspended(now) || !hasRoom(b) {
+		if b.ID == want.avoid || b.Suspended(world.Now) || !hasRoom(b) || !world.May(b, want.Request) {
 			continue
 		}
-		cost := scorerCost(b, want)
+		cost := scorerCost(b, want, world.Now)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -60,11 +63,14 @@
 	return best
 }
 
-func scorerCost(b *fleet.Backend, want scorerWant) float64 {
+func scorerCost(b *fleet.Backend, want scorerWant, now time.Time) float64 {
 	cost := float64(scoreLatency(b)) * (1 + b.Load())
 	if b.Zone != want.zone {
 		cost *= 1 + scoreZoneCost
 	}
+	if b.Cold(now) {
+		cost *= 1 + coldSlowdown
+	}
 	return cost
 }
 
--- a/internal/gatewaynode/batch/scoreplace_test.go
+++ b/internal/gatewaynode/batch/scoreplace_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
@@ -44,7 +45,7 @@
 		{"slow", []fleet.Backend{scoringBackend("near", "z1", 0, 100*ms), far}, scorerWant{zone: "z1"}, "far"},
 	}
 	for _, test := range cases {
-		place := pickScorer(test.pool, test.want, now)
+		place := pickScorer(test.pool, test.want, &eligibility.World{Now: now})
 		got := ""
 		if place >= 0 {
 			got = test.pool[place].ID
--- a/internal/gatewaynode/coldstart/coldstart.go
+++ b/internal/gatewaynode/coldstart/coldstart.go
@@ -17,10 +17,14 @@
 package coldstart
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
+// Unbounded is the share of a back end that nothing is bounded of.
+const Unbounded = math.MaxInt
+
 // Limits are what a cold back end of a service may get. The zero Limits bound nothing.
 type Limits struct {
 	// PerSecond is how many requests a second it bears, from the configuration; 0 sets
@@ -86,6 +90,9 @@
 func (t *Turns) Room(backend string, share int, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if share == Unbounded {
+		return Unbounded
+	}
 	return max(share-len(t.recent(backend, now)), 0)
 }
 
@@ -94,6 +101,9 @@
 func (t *Turns) Take(backend string, share int, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if share == Unbounded {
+		return true
+	}
 	recent := t.recent(backend, now)
 	if len(recent) >= share {
 		return false
@@ -109,6 +119,8 @@
 	defer t.mu.Unlock()
 	recent := t.recent(backend, now)
 	switch {
+	case share == Unbounded:
+		return now
 	case share <= 0:
 		return time.Time{}
 	case len(recent) < share:
--- a/internal/gatewaynode/eligibility/eligibility.go
+++ b/internal/gatewaynode/eligibility/eligibility.go
@@ -17,6 +17,7 @@
 import (
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/coldstart"
 	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
@@ -36,6 +37,9 @@
 	// Patient requests rather wait than go where it is not known whether they may: they
 	// belong to jobs, which are kept whatever becomes of this node.
 	Patient bool
+	// Warm requests can wait until a back end that is cold no longer is, and leave what
+	// it bears to others.
+	Warm bool
 }
 
 // World is what a node believes, as of one moment.
@@ -47,9 +51,12 @@
 	// up to AgeMost patient requests may rely on them, 0 sets no limit.
 	Evacuations  evacuation.Set
 	Age, AgeMost time.Duration
-	// Turns returns how many requests this node may send to a cold back end now; nil
-	// stands for any number.
+	// Turns returns how many requests this node may send to a cold back end now,
+	// coldstart.Unbounded where nothing bounds them; nil stands for that everywhere.
 	Turns func(backend *fleet.Backend) int
+	// NextTurn returns after which time this node may send one more to a cold back end, 0
+	// if it cannot tell; nil stands for that everywhere.
+	NextTurn func(backend *fleet.Backend) time.Duration
 }
 
 // Decide returns why a back end may not get a request, nil if it may. It is pure.
@@ -60,15 +67,25 @@
 	if reason := holds(b, r); reason != nil {
 		return reason
 	}
-	if left := b.ColdUntil.Sub(w.Now); left > 0 && w.Turns != nil && w.Turns(b) <= 0 {
-		return Cold{Left: left}
-	}
-	return nil
+	return w.cold(b, r)
 }
 
 // May tells whether a back end may get a request.
 func (w *World) May(b *fleet.Backend, r Request) bool { return w.Decide(b, r) == nil }
 
+// cold judges whether a cold back end may get the request besides what it gets.
+func (w *World) cold(b *fleet.Backend, r Request) Reason {
+	left := b.ColdUntil.Sub(w.Now)
+	if left <= 0 || w.Turns == nil {
+		return nil
+	}
+	turns := w.Turns(b)
+	if turns == coldstart.Unbounded || turns > 0 && !r.Warm {
+		return nil
+	}
+	return Cold{Left: left}
+}
+
 // standing judges what holds for a back end whatever it has loaded.
 func (w *World) standing(b *fleet.Backend, r Request) Reason {
 	if b.Draining {
@@ -110,7 +127,8 @@
 	Eligible int
 	// Reasons counts the others by the label of the reason.
 	Reasons map[string]int
-	// Warm is the least time after which one that is cold no longer is, 0 if none is.
+	// Warm is the least time after which one that is cold no longer is, or may get one
+	// more; 0 if none is cold.
 	Warm time.Duration
 }
 
@@ -124,9 +142,26 @@
 			continue
 		}
 		survey.Reasons[reason.Label()]++
-		if cold, is := reason.(Cold); is && (survey.Warm == 0 || cold.Left < survey.Warm) {
-			survey.Warm = cold.Left
+		if cold, is := reason.(Cold); is {
+			survey.noteRoom(w.roomAfter(&backends[i], cold))
 		}
 	}
 	return survey
 }
+
+// roomAfter returns after which time a cold back end may get a request.
+func (w *World) roomAfter(b *fleet.Backend, cold Cold) time.Duration {
+	if w.NextTurn == nil {
+		return cold.Left
+	}
+	if next := w.NextTurn(b); next > 0 {
+		return min(next, cold.Left)
+	}
+	return cold.Left
+}
+
+func (s *Survey) noteRoom(after time.Duration) {
+	if s.Warm == 0 || after < s.Warm {
+		s.Warm = after
+	}
+}
--- a/internal/gatewaynode/eligibility/gate.go
+++ b/internal/gatewaynode/eligibility/gate.go
@@ -18,7 +18,8 @@
 	// age up to which patient requests may rely on them, 0 for any.
 	Age     func(now time.Time) time.Duration
 	AgeMost time.Duration
-	// Share returns how many requests in a second this node may send to a cold back end.
+	// Share returns how many requests in a second this node may send to a cold back end,
+	// coldstart.Unbounded where nothing bounds them.
 	Share func(backend *fleet.Backend, now time.Time) int
 	// Observe is told of each call that was withheld at the moment of sending, by label
 	// of the reason; it may be nil.
@@ -40,10 +41,21 @@
 	return &World{
 		Now: now, Zones: g.config.Zones, Evacuations: g.config.Evacuations.InForce(),
 		Age: g.config.Age(now), AgeMost: g.config.AgeMost,
-		Turns: func(b *fleet.Backend) int { return g.turns.Room(b.ID, g.config.Share(b, now), now) },
+		Turns:    func(b *fleet.Backend) int { return g.turns.Room(b.ID, g.config.Share(b, now), now) },
+		NextTurn: func(b *fleet.Backend) time.Duration { return g.nextTurn(b, now) },
 	}
 }
 
+// nextTurn returns after which time this node may send one more to a cold back end, 0 if
+// it has no share.
+func (g *Gate) nextTurn(b *fleet.Backend, now time.Time) time.Duration {
+	next := g.turns.Next(b.ID, g.config.Share(b, now), now)
+	if next.IsZero() {
+		return 0
+	}
+	return next.Sub(now)
+}
+
 // Admit lets a call through to a back end, whose turn it takes if that is cold, or
 // returns an *Error. It is asked at the moment of sending.
 func (g *Gate) Admit(backend string, r Request) error {
--- a/internal/gatewaynode/eventlog/eventlog.go
+++ b/internal/gatewaynode/eventlog/eventlog.go
@@ -34,6 +34,9 @@
 	NodesRead       = "nodes_read"
 	NodeSeen        = "node_seen"
 	NodeLapsed      = "node_lapsed"
+	EvacuationBegun = "evacuation_begun"
+	EvacuationEnded = "evacuation_ended"
+	BackendsCold    = "backends_cold"
 	LeaseTaken      = "lease_taken"
 	LeaseLost       = "lease_lost"
 	OrderSent       = "order_sent"
@@ -51,6 +54,7 @@
 	RequestFailed   = "request_failed"
 	RequestLeft     = "request_left"
 	AttemptFailed   = "attempt_failed"
+	AttemptWithheld = "attempt_withheld"
 	StreamResumed   = "stream_resumed"
 	CallRelayed     = "call_relayed"
 
@@ -69,6 +73,7 @@
 	ItemDead     = "item_dead"
 	ItemBroken   = "item_run_broken"
 	ItemMoved    = "item_moved"
+	ItemWithheld = "item_withheld"
 	ItemScored   = "item_scored"
 	ScoreFailed  = "score_failed"
 
@@ -115,6 +120,8 @@
 	Window     = "window"
 	Outcome    = "outcome"
 	KeyDigest  = "key_digest"
+	Reasons    = "reasons"
+	Zone       = "zone"
 )
 
 // Fields are the fields of a line.
--- a/internal/gatewaynode/fleet/fleet.go
+++ b/internal/gatewaynode/fleet/fleet.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -92,6 +93,9 @@
 	Memory Memory
 }
 
+// Cold tells whether the back end is taken to be cold.
+func (b Backend) Cold(now time.Time) bool { return b.ColdUntil.After(now) }
+
 // Suspended tells whether the back end is to be left alone.
 func (b Backend) Suspended(now time.Time) bool { return now.Before(b.SuspendedUntil) }
 
@@ -296,6 +300,19 @@
 	return slots, len(held)
 }
 
+// Models returns the models that the back ends of a service hold, ordered.
+func (f *Fleet) Models(service string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := make(map[string]bool)
+	for _, e := range f.services[service] {
+		for model := range e.instance.Models {
+			held[model] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(held))
+}
+
 // All returns all back ends, ordered by id.
 func (f *Fleet) All(now time.Time) []Backend {
 	f.mu.Lock()
--- a/internal/gatewaynode/forward/answer.go
+++ b/internal/gatewaynode/forward/answer.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 )
 
 // pass gives a back end's answer to the caller.
@@ -74,8 +76,13 @@
 
 // refuse promises that the request has not run and says when to come back.
 func (t *try) refuse(w http.ResponseWriter, cause string) Report {
-	Fail(w, http.StatusServiceUnavailable, t.retryAfter(cause, time.Now()))
-	return Report{Outcome: OutcomeRefused, Status: http.StatusServiceUnavailable, Cause: cause}
+	now := time.Now()
+	survey := t.survey(now)
+	if survey.Eligible == 0 {
+		cause = causeNoBackend
+	}
+	Fail(w, http.StatusServiceUnavailable, t.retryAfter(cause, survey, now))
+	return Report{Outcome: OutcomeRefused, Status: http.StatusServiceUnavailable, Cause: cause, Reasons: survey.Reasons}
 }
 
 const (
@@ -90,10 +97,14 @@
 	retryAbsent = 0.33
 )
 
-// causeNoBackend is why a request is refused for which no back end is known.
+// causeNoBackend is why a request is refused that no back end may get, or for which none
+// is known.
 const causeNoBackend = "no back end"
 
-func (t *try) retryAfter(cause string, now time.Time) time.Duration {
+func (t *try) retryAfter(cause string, survey eligibility.Survey, now time.Time) time.Duration {
+	if cause == causeNoBackend && survey.Warm > 0 {
+		return max(survey.Warm, retryLeast)
+	}
 	if cause == causeNoBackend {
 		return max(time.Duration(retryAbsent*float64(t.request.Deadline.Sub(now))), retryLeast)
 	}
--- a/internal/gatewaynode/forward/choose.go
+++ b/internal/gatewaynode/forward/choose.go
@@ -6,13 +6,15 @@
 	"strings"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 // Want says what a request needs of a back end.
 type Want struct {
-	Zone  string
-	Model string
+	Zone string
+	// Request decides which back ends may get it.
+	Request eligibility.Request
 	// Tried counts the attempts of this request at each back end.
 	Tried map[string]int
 }
@@ -22,33 +24,29 @@
 	zoneCost = 2 * time.Millisecond
 	// usualLatency stands for a latency that nothing is known of.
 	usualLatency = 20 * time.Millisecond
+	// coldSlowdown is how many times slower a cold back end is taken to be: as slow as a
+	// warm one whose slots are all taken, so that it is used once those are.
+	coldSlowdown = 4
 )
 
-// Choose returns the back end that is expected to answer first: not draining,
-// holding the model, tried least by this request, not suspended unless all are.
-func Choose(backends []fleet.Backend, want Want, now time.Time) (fleet.Backend, bool) {
+// Choose returns the back end that is expected to answer first of those that may get
+// the request: tried least by it, not suspended unless all are.
+func Choose(backends []fleet.Backend, want Want, world *eligibility.World) (fleet.Backend, bool) {
 	var best fleet.Backend
 	found := false
-	for _, candidate := range backends {
-		if candidate.Draining || !holdsModel(candidate, want.Model) {
+	for i := range backends {
+		if !world.May(&backends[i], want.Request) {
 			continue
 		}
-		if !found || better(candidate, best, want, now) {
-			best, found = candidate, true
+		if !found || better(backends[i], best, want, world) {
+			best, found = backends[i], true
 		}
 	}
 	return best, found
 }
 
-func holdsModel(backend fleet.Backend, model string) bool {
-	if model == "" || len(backend.Models) == 0 {
-		return true
-	}
-	_, holds := backend.Models[model]
-	return holds
-}
-
-func better(a, b fleet.Backend, want Want, now time.Time) bool {
+func better(a, b fleet.Backend, want Want, world *eligibility.World) bool {
+	now := world.Now
 	if want.Tried[a.ID] != want.Tried[b.ID] {
 		return want.Tried[a.ID] < want.Tried[b.ID]
 	}
@@ -58,12 +56,12 @@
 	if a.Suspended(now) {
 		return a.SuspendedUntil.Before(b.SuspendedUntil)
 	}
-	return expected(a, want.Zone) < expected(b, want.Zone)
+	return expected(a, want.Zone, now) < expected(b, want.Zone, now)
 }
 
 // expected estimates the time of an answer: the usual latency, stretched by the
 // load in work and more by what waits for a slot.
-func expected(backend fleet.Backend, zone string) time.Duration {
+func expected(backend fleet.Backend, zone string, now time.Time) time.Duration {
 	latency := backend.Latency
 	if latency == 0 {
 		latency = usualLatency
@@ -73,6 +71,9 @@
 	if backend.Load() >= 1 {
 		estimate *= 2
 	}
+	if backend.Cold(now) {
+		estimate *= coldSlowdown
+	}
 	if backend.Zone != zone {
 		estimate += zoneCost
 	}
--- a/internal/gatewaynode/forward/choose_test.go
+++ b/internal/gatewaynode/forward/choose_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
@@ -23,6 +24,8 @@
 	return func(b *fleet.Backend) { b.SuspendedUntil = chooseNow.Add(d) }
 }
 
+func cold(b *fleet.Backend) { b.ColdUntil = chooseNow.Add(time.Second) }
+
 func TestChoose(t *testing.T) {
 	cases := []struct {
 		name string
@@ -39,10 +42,12 @@
 		{"the one that is suspended for the shortest", []fleet.Backend{candidate("a", suspended(2*time.Second)), candidate("b", suspended(time.Second))}, Want{}, "b"},
 		{"not the one that was tried", []fleet.Backend{candidate("a", nil), candidate("b", suspended(time.Second))}, Want{Tried: map[string]int{"a": 1}}, "b"},
 		{"tried if there is no other", []fleet.Backend{candidate("a", nil)}, Want{Tried: map[string]int{"a": 1}}, "a"},
-		{"holds the model", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Models = map[string]int64{"n": 1} }), candidate("b", func(b *fleet.Backend) { b.Models = map[string]int64{"m": 1} })}, Want{Model: "m"}, "b"},
+		{"a warm one rather than a cold one", []fleet.Backend{candidate("a", cold), candidate("b", func(b *fleet.Backend) { b.Latency = 60 * time.Millisecond })}, Want{}, "b"},
+		{"a cold one if the warm ones are full", []fleet.Backend{candidate("a", cold), candidate("b", func(b *fleet.Backend) { b.InFlight, b.Waiting = 4, 2 })}, Want{}, "a"},
+		{"holds the model", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Models = map[string]int64{"n": 1} }), candidate("b", func(b *fleet.Backend) { b.Models = map[string]int64{"m": 1} })}, Want{Request: eligibility.Request{Model: "m"}}, "b"},
 	}
 	for _, test := range cases {
-		got, found := Choose(test.pool, test.want, chooseNow)
+		got, found := Choose(test.pool, test.want, &eligibility.World{Now: chooseNow})
 		if found != (test.pick != "") || got.ID != test.pick {
 			t.Errorf("%s: %q, want %q", test.name, got.ID, test.pick)
 		}
--- /dev/null
+++ b/internal/gatewaynode/forward/eligible.go
@@ -0,0 +1,30 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+)
+
+// wants returns what decides which back ends may get the request.
+func (t *try) wants() eligibility.Request {
+	return eligibility.Request{Regions: t.request.Regions, Model: t.request.Model}
+}
+
+// noteWithheld takes note of an attempt that this node kept back: that says nothing of
+// the back end, and is no attempt.
+func (t *try) noteWithheld(backend fleet.Backend, err error) {
+	t.sends--
+	t.withheld++
+	t.tried[backend.ID]--
+	t.forwarder.config.Log.Info(eventlog.AttemptWithheld, eventlog.Fields{
+		eventlog.Request: t.request.ID, eventlog.Backend: backend.ID, eventlog.Cause: err.Error(),
+	})
+}
+
+// survey says how the back ends stand to the request.
+func (t *try) survey(now time.Time) eligibility.Survey {
+	return t.forwarder.config.Gate.World(now).Survey(t.forwarder.config.Fleet.Service(t.service, now), t.wants())
+}
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -24,8 +24,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
@@ -42,7 +44,9 @@
 	// Model is the model that has to answer, empty if any.
 	Model string
 	// Tenant is on whose behalf the request is made, empty for nobody's.
-	Tenant   string
+	Tenant string
+	// Regions are those that may serve it.
+	Regions  place.Regions
 	Received time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
@@ -70,6 +74,9 @@
 	Took     time.Duration
 	// Tenant is on whose behalf the request was made.
 	Tenant string
+	// Reasons counts, of a refused request, the back ends that may not get it by the label
+	// of the reason.
+	Reasons map[string]int
 	// Began is when the first back end that took the request began to run it, as well
 	// as it can be told, zero if none did. Back ends do not tell the moment. It is
 	// taken for the one at which the attempt was sent that an answer came to or, of a
@@ -81,8 +88,10 @@
 
 // Config configures a Forwarder.
 type Config struct {
-	Client       *upstream.Client
-	Fleet        *fleet.Fleet
+	Client *upstream.Client
+	Fleet  *fleet.Fleet
+	// Gate decides which back ends may get a request.
+	Gate         *eligibility.Gate
 	Log          *eventlog.Log
 	Zone         string
 	VersionField string
@@ -108,6 +117,9 @@
 	bufferMost = 1 << 20
 	// refusalsMost bounds the refusals by back ends that one request survives.
 	refusalsMost = 6
+	// withheldMost bounds the attempts of one request that were kept back since what was
+	// believed changed, or others took the turn, between the choice and the sending.
+	withheldMost = 8
 )
 
 // Serve answers the request on w. The end of ctx means that the caller left.
@@ -159,6 +171,9 @@
 	if report.Cause != "" {
 		fields[eventlog.Cause] = report.Cause
 	}
+	if len(report.Reasons) > 0 {
+		fields[eventlog.Reasons] = report.Reasons
+	}
 	if report.Outcome == OutcomeAnswered {
 		f.config.Log.Info(event, fields)
 		return
@@ -175,8 +190,10 @@
 	limit     time.Time
 
 	// sends counts attempts that may have run; refusals those that did not.
-	sends     int
-	refusals  int
+	sends    int
+	refusals int
+	// withheld counts attempts that this node kept back itself.
+	withheld  int
 	uncertain bool
 	tried     map[string]int
 	cause     string
@@ -219,7 +236,7 @@
 
 // maySend tells whether one more attempt is allowed.
 func (t *try) maySend() bool {
-	if t.sends >= t.attemptsMost() || t.refusals >= refusalsMost {
+	if t.sends >= t.attemptsMost() || t.refusals >= refusalsMost || t.withheld >= withheldMost {
 		return false
 	}
 	return !t.uncertain || t.repeatable()
@@ -228,10 +245,10 @@
 // choose returns the back end for the next attempt.
 func (t *try) choose(now time.Time) (fleet.Backend, bool) {
 	return Choose(t.forwarder.config.Fleet.Service(t.service, now), Want{
-		Zone:  t.forwarder.config.Zone,
-		Model: t.request.Model,
-		Tried: t.tried,
-	}, now)
+		Zone:    t.forwarder.config.Zone,
+		Request: t.wants(),
+		Tried:   t.tried,
+	}, t.forwarder.config.Gate.World(now))
 }
 
 // call returns the call of an attempt.
@@ -240,6 +257,7 @@
 		ID: t.request.ID, Method: t.request.Method, Target: t.request.Target, Host: t.request.Host,
 		Header: t.request.Header, Body: t.request.Body,
 		Address: backend.Address, Instance: backend.ID, Tenant: t.request.Tenant, Deadline: t.limit,
+		Admit: func() error { return t.forwarder.config.Gate.Admit(backend.ID, t.wants()) },
 		// An idle connection may be closing just now; a request that must not be
 		// repeated could not be sent again after that.
 		Fresh: !t.repeatable(),
@@ -247,6 +265,10 @@
 }
 
 func (t *try) noteFailure(backend fleet.Backend, err error) {
+	if upstream.Withheld(err) {
+		t.noteWithheld(backend, err)
+		return
+	}
 	fate := upstream.FateOf(err)
 	t.cause = err.Error()
 	now := time.Now()
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -28,6 +28,7 @@
 	attempts prometheus.Counter
 	dials    prometheus.Counter
 	calls    *prometheus.HistogramVec
+	withheld *prometheus.CounterVec
 }
 
 // New returns metrics that nothing has been counted in.
@@ -48,7 +49,10 @@
 	m.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "store_call_seconds", Help: "Calls to the row store by call and outcome.", Buckets: latencyBuckets,
 	}, []string{"call", "outcome"})
-	m.registry.MustRegister(m.events, m.requests, m.attempts, m.dials, m.calls)
+	m.withheld = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "calls_withheld_total", Help: "Calls that were kept back at the moment of sending, by why the back end may not get them.",
+	}, []string{"reason"})
+	m.registry.MustRegister(m.events, m.requests, m.attempts, m.dials, m.calls, m.withheld)
 	return m
 }
 
@@ -61,6 +65,9 @@
 	m.attempts.Add(float64(report.Attempts))
 }
 
+// Withheld counts a call that was kept back at the moment of sending.
+func (m *Metrics) Withheld(reason string) { m.withheld.WithLabelValues(reason).Inc() }
+
 // Dial counts a new connection to a back end.
 func (m *Metrics) Dial() { m.dials.Inc() }
 
@@ -80,6 +87,10 @@
 	gauge("items_running", "Items of batch jobs that run at back ends.", func() float64 { _, items := node.Jobs().Work(); return float64(items) })
 	gauge("texts_waiting", "Whole texts of batch jobs that wait for their score.", func() float64 { return float64(node.Jobs().WaitingForScore()) })
 	gauge("backends_suspended", "Back ends that this node leaves alone for a while.", func() float64 { return float64(node.Suspended()) })
+	gauge("evacuations", "Zones whose back ends are to get nothing.", func() float64 { return float64(len(node.Evacuations())) })
+	gauge("evacuation_age_seconds", "Time for which this node has known the oldest evacuation in force, 0 if there is none.", func() float64 { return node.EvacuationAge().Seconds() })
+	gauge("evacuations_confirmed_age_seconds", "Time since the evacuations were certain to be known whole.", func() float64 { return node.EvacuationsProvenAge().Seconds() })
+	gauge("backends_cold", "Back ends that are taken to be cold.", func() float64 { return float64(node.ColdBackends()) })
 	gauge("lease_held", "1 while this node gives orders to back ends.", func() float64 {
 		if _, held := node.Holder(); held {
 			return 1
--- a/internal/gatewaynode/reload/carryout.go
+++ b/internal/gatewaynode/reload/carryout.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowlease"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
@@ -137,6 +138,9 @@
 		Instance: next.backend.ID, Address: next.backend.Address, Model: next.model, Version: next.version,
 		Taken: taken, Holder: c.self.Name, Token: token, Mode: c.config.Mode,
 	})
+	if withheld(err) {
+		return err
+	}
 	if err != nil && (errors.Is(err, ErrFenced) || errors.Is(err, ErrMismatch) || errors.Is(err, ErrGone) || errors.Is(err, ErrRejected)) {
 		c.forgetTaken(next.backend.ID)
 		return err
@@ -152,6 +156,23 @@
 	return nil
 }
 
+// withheld tells whether an error says that this node kept a call back itself.
+func withheld(err error) bool {
+	var kept *eligibility.Error
+	return errors.As(err, &kept)
+}
+
+// lost tells whether an error says that a back end is no longer asked what became of an
+// order. One that has turned cold is asked again once it is warm.
+func lost(err error) bool {
+	var kept *eligibility.Error
+	if !errors.As(err, &kept) {
+		return false
+	}
+	_, cold := kept.Reason.(eligibility.Cold)
+	return !cold
+}
+
 // unansweredMost is how long an order without an answer is waited for: it may
 // be carried out late. After that it is given again, under the same condition.
 const unansweredMost = 2500 * time.Millisecond
@@ -163,7 +184,7 @@
 	pause.For(ctx, first)
 	for ctx.Err() == nil && time.Since(started) < loadMost {
 		report, err := c.report(ctx, next)
-		if errors.Is(err, ErrGone) {
+		if errors.Is(err, ErrGone) || lost(err) {
 			return err
 		}
 		if err == nil && report.Versions[next.model] >= next.version {
--- a/internal/gatewaynode/reload/plan.go
+++ b/internal/gatewaynode/reload/plan.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
@@ -22,6 +23,8 @@
 // planInput is what orders are planned from.
 type planInput struct {
 	backends []fleet.Backend
+	// world is what is decided by which of them may get an order.
+	world *eligibility.World
 	// named maps a model to its newest version.
 	named map[string]int64
 	// shares says which model each back end is for.
@@ -45,10 +48,11 @@
 // ends than its jobs can use, those with the highest places are left as they are: they
 // move up, and load, when others go.
 func plan(in planInput) []step {
-	places, members, loading := census(in.backends, in.shares, in.busy)
+	usable := usable(in.backends, in.world)
+	places, members, loading := census(usable, in.shares, in.busy)
 	var steps []step
-	for _, backend := range in.backends {
-		if in.busy[backend.ID] || in.resting[backend.ID] || backend.Draining {
+	for _, backend := range usable {
+		if in.busy[backend.ID] || in.resting[backend.ID] || !in.world.May(&backend, Wants) {
 			continue
 		}
 		model := in.shares[backend.ID]
@@ -73,6 +77,23 @@
 	return allowed
 }
 
+// Wants is what decides which back ends may get an order or be asked for a report: those
+// that are cold can wait for both.
+var Wants = eligibility.Request{Warm: true}
+
+// usable returns the back ends that are counted on: versions are loaded on those alone,
+// and each model's halves are made of them. Ones that are evacuated are not, for as long
+// as that lasts; ones that are leaving are until they are gone, since they are replaced.
+func usable(backends []fleet.Backend, world *eligibility.World) []fleet.Backend {
+	found := make([]fleet.Backend, 0, len(backends))
+	for i := range backends {
+		if !world.Evacuations.Has(backends[i].Zone) {
+			found = append(found, backends[i])
+		}
+	}
+	return found
+}
+
 const (
 	// halves is how many halves of a model's back ends take turns in loading.
 	halves = 2
--- a/internal/gatewaynode/reload/plan_test.go
+++ b/internal/gatewaynode/reload/plan_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
@@ -42,7 +43,7 @@
 		var out strings.Builder
 		shares := assignShares(backends, named, demand, before)
 		for _, next := range plan(planInput{
-			backends: backends, named: named, shares: shares, busy: busy, resting: resting, widths: widths,
+			backends: backends, world: &eligibility.World{}, named: named, shares: shares, busy: busy, resting: resting, widths: widths,
 			parallel: func(string, int) int { return 2 },
 		}) {
 			fmt.Fprintf(&out, "%s loads %s %d\n", next.backend.ID, next.model, next.version)
--- a/internal/gatewaynode/reload/reload.go
+++ b/internal/gatewaynode/reload/reload.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
@@ -20,8 +21,10 @@
 	Presence  *presence.Registry
 	Fleet     *fleet.Fleet
 	Commander Commander
-	Log       *eventlog.Log
-	Timing    rowlease.Timing
+	// World returns what the node believes of back ends now.
+	World  func(now time.Time) *eligibility.World
+	Log    *eventlog.Log
+	Timing rowlease.Timing
 	// Leases is where the lease on giving orders is.
 	Leases *rowlease.Leases
 	// Pacing says how often the store may be asked.
@@ -248,7 +251,7 @@
 		return
 	}
 	c.widths = widths
-	c.shares = assignShares(backends, c.named, demand, c.shares)
+	c.shares = assignShares(usable(backends, c.config.World(now)), c.named, demand, c.shares)
 	for _, next := range c.plan(backends, now, c.parallelOf) {
 		c.busy[next.backend.ID] = true
 		next.atOnce = len(c.busy)
@@ -259,7 +262,7 @@
 // plan returns the orders to be given next. The lock is held.
 func (c *Controller) plan(backends []fleet.Backend, now time.Time, parallel func(service string, backends int) int) []step {
 	return plan(planInput{
-		backends: backends, named: c.named, shares: c.shares, busy: c.busy, resting: c.rests(now), parallel: parallel, widths: c.widths,
+		backends: backends, world: c.config.World(now), named: c.named, shares: c.shares, busy: c.busy, resting: c.rests(now), parallel: parallel, widths: c.widths,
 	})
 }
 
--- a/internal/gatewaynode/reload/resting.go
+++ b/internal/gatewaynode/reload/resting.go
@@ -69,7 +69,7 @@
 			return
 		}
 		report, err := c.report(ctx, next)
-		if errors.Is(err, ErrGone) {
+		if errors.Is(err, ErrGone) || lost(err) {
 			return
 		}
 		if err == nil && !report.Busy {
--- a/internal/gatewaynode/rowstore/view.go
+++ b/internal/gatewaynode/rowstore/view.go
@@ -58,6 +58,7 @@
 	mu        sync.Mutex
 	revision  int64
 	confirmed time.Time
+	proven    time.Time
 	loaded    bool
 	healthy   bool
 	onLoaded  chan struct{}
@@ -102,14 +103,18 @@
 func (v *View) Status() Status {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return Status{Loaded: v.loaded, Healthy: v.healthy, Confirmed: v.confirmed, HealthySince: v.recovered, Revision: v.revision}
+	return Status{Loaded: v.loaded, Healthy: v.healthy, Confirmed: v.confirmed, Proven: v.proven, HealthySince: v.recovered, Revision: v.revision}
 }
 
 // Status is the freshness of a view.
 type Status struct {
-	Loaded       bool
-	Healthy      bool
-	Confirmed    time.Time
+	Loaded    bool
+	Healthy   bool
+	Confirmed time.Time
+	// Proven is the moment as of which the view certainly holds all that was written: when
+	// the last call that succeeded began. A process that was frozen reads an answer long
+	// after it was given.
+	Proven       time.Time
 	HealthySince time.Time
 	Revision     int64
 }
@@ -117,6 +122,9 @@
 // Age returns how long ago the store last confirmed the view.
 func (s Status) Age(now time.Time) time.Duration { return now.Sub(s.Confirmed) }
 
+// ProvenAge returns how long ago the view was certain to hold all that was written.
+func (s Status) ProvenAge(now time.Time) time.Duration { return now.Sub(s.Proven) }
+
 // RunOnceNeeded is Run from the moment on at which needed tells so for the first time:
 // a table is read whole at first, which hundreds of nodes that start together had better
 // not all do.
@@ -277,6 +285,7 @@
 func (v *View) confirm(started time.Time, listed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.proven = started
 	if listed {
 		// A read proves the state as of its start at the earliest.
 		v.confirmed = started
--- a/internal/gatewaynode/storenode/apply.go
+++ b/internal/gatewaynode/storenode/apply.go
@@ -9,8 +9,10 @@
 )
 
 // applyOperator takes rows of the operator. Newer rows only: the view drops
-// reads that are behind, and a configuration never goes back.
-func (n *Node) applyOperator(rows []rowstore.Row, _ bool) {
+// reads that are behind, and a configuration never goes back. Evacuations come first: a
+// node that knows a configuration serves.
+func (n *Node) applyOperator(rows []rowstore.Row, complete bool) {
+	n.applyEvacuations(rows, complete)
 	for _, row := range rows {
 		if row.Deleted {
 			continue
--- /dev/null
+++ b/internal/gatewaynode/storenode/coldshares.go
@@ -0,0 +1,148 @@
+package storenode
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/batch"
+	"github.com/sliplift/sliplift/internal/gatewaynode/coldstart"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+)
+
+// sharesFor is how long the share of a cold back end is kept: it is asked for each item
+// that could go there, and membership changes in beats.
+const sharesFor = 500 * time.Millisecond
+
+// coldShares says how many requests this node may send to each cold back end. It is safe
+// for concurrent use.
+type coldShares struct {
+	node *Node
+
+	mu   sync.Mutex
+	kept map[string]keptShare
+}
+
+type keptShare struct {
+	share int
+	until time.Time
+}
+
+func newColdShares(node *Node) *coldShares {
+	return &coldShares{node: node, kept: make(map[string]keptShare)}
+}
+
+// of returns the share of a back end, coldstart.Unbounded where nothing is bounded.
+func (s *coldShares) of(b *fleet.Backend, now time.Time) int {
+	limits := s.node.limits(b.Service)
+	if !limits.Bounds() {
+		return coldstart.Unbounded
+	}
+	if !s.node.presence.Counted(now) {
+		return 0
+	}
+	s.mu.Lock()
+	held, found := s.kept[b.ID]
+	s.mu.Unlock()
+	if found && now.Before(held.until) {
+		return held.share
+	}
+	held = keptShare{share: s.work(b, limits, now), until: now.Add(sharesFor)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, other := range s.kept {
+		if !now.Before(other.until) {
+			delete(s.kept, id)
+		}
+	}
+	s.kept[b.ID] = held
+	return held.share
+}
+
+// work returns the share by the node's place among those that may send.
+func (s *coldShares) work(b *fleet.Backend, limits coldstart.Limits, now time.Time) int {
+	live := s.node.presence.Live(now)
+	owners := ownersFirst(live, s.node.ownerKeys(b.Service))
+	place := rankFor(live, owners, b.ID, s.node.config.Self.Name)
+	return coldstart.Share(limits, place, len(owners))
+}
+
+// ownersFirst returns the names of the nodes that own jobs by the keys, the order of keys
+// kept. It is pure.
+func ownersFirst(live []presence.Node, keys []string) []string {
+	keepers := presence.Keepers(live)
+	if len(keepers) == 0 {
+		return nil
+	}
+	var owners []string
+	seen := make(map[string]bool)
+	for _, key := range keys {
+		name := presence.Rank(keepers, key)[0].Name
+		if !seen[name] {
+			seen[name] = true
+			owners = append(owners, name)
+		}
+	}
+	return owners
+}
+
+// rankFor returns the place of a node among those that may send to a back end: the owners
+// first, the others by rendezvous hashing with its id; -1 if the node is not live. It is
+// pure.
+func rankFor(live []presence.Node, owners []string, backend, self string) int {
+	before := make(map[string]bool, len(owners))
+	for place, name := range owners {
+		if name == self {
+			return place
+		}
+		before[name] = true
+	}
+	place := len(owners)
+	for _, n := range presence.Rank(live, backend) {
+		switch {
+		case n.Name == self:
+			return place
+		case !before[n.Name]:
+			place++
+		}
+	}
+	return -1
+}
+
+// ownerKeys returns the keys that jobs whose work goes to a service are owned by: those
+// of the service itself if jobs run there, or else, since items are scored there, those
+// of all services that jobs run at.
+func (n *Node) ownerKeys(service string) []string {
+	table := n.table.Load()
+	if table == nil {
+		return nil
+	}
+	services := jobServices(table)
+	if slices.Contains(services, service) {
+		services = []string{service}
+	}
+	var keys []string
+	for _, name := range services {
+		slots, _ := n.fleet.Slots(name)
+		keys = append(keys, batch.OwnerKeys(name, n.fleet.Models(name), slots)...)
+	}
+	return keys
+}
+
+// jobServices returns the services that batch jobs run at, ordered.
+func jobServices(table *routetable.Table) []string {
+	services := make(map[string]bool)
+	for i := range table.Routes {
+		route := &table.Routes[i]
+		if route.Kind != routetable.KindBatch {
+			continue
+		}
+		for _, split := range route.Splits {
+			services[split.Service] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(services))
+}
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/batch"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
+	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/forward"
@@ -53,8 +55,9 @@
 	Store      rowstore.Store
 	Limits     rowstore.Limits
 	Translator Translator
-	// NewCommander returns the commander of back ends over a client.
-	NewCommander func(client *upstream.Client) reload.Commander
+	// NewCommander returns the commander of back ends over a client; it calls none that
+	// admit keeps it from.
+	NewCommander func(client *upstream.Client, admit func(backend string) error) reload.Commander
 	Codec        upstream.Codec
 	Log          *eventlog.Log
 	// Self is this node; its incarnation is set by New.
@@ -85,21 +88,28 @@
 	Metering Metering
 	// AddressTTL is how long callers may keep the addresses they are told.
 	AddressTTL time.Duration
+	// Eligibility says which back ends may get what.
+	Eligibility Eligibility
 }
 
 // Node is a running node. It is safe for concurrent use.
 type Node struct {
-	config     Config
-	pacing     rowstore.Pacing
-	presence   *presence.Registry
-	fleet      *fleet.Fleet
-	client     *upstream.Client
-	peerClient *upstream.Client
-	forwarder  *forward.Forwarder
-	relay      *relay.Relay
-	jobs       *batch.Manager
-	leases     *rowlease.Leases
-	controller *reload.Controller
+	config   Config
+	pacing   rowstore.Pacing
+	presence *presence.Registry
+	fleet    *fleet.Fleet
+	// evacuations and gate say which back ends may get a request, shares what cold ones
+	// may.
+	evacuations *evacuation.Book
+	gate        *eligibility.Gate
+	shares      *coldShares
+	client      *upstream.Client
+	peerClient  *upstream.Client
+	forwarder   *forward.Forwarder
+	relay       *relay.Relay
+	jobs        *batch.Manager
+	leases      *rowlease.Leases
+	controller  *reload.Controller
 	// counter and reporter are nil where no use is reported.
 	counter   *metering.Counter
 	reporter  *metering.Reporter
@@ -127,13 +137,16 @@
 	node.pacing = pacing
 	node.presence = presence.New(config.Log, config.Store, config.Self, began, pacing)
 	node.fleet = fleet.New(node.kick)
-	node.client = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, OnDial: config.ObserveDial})
+	node.decideBy()
+	node.client = upstream.NewClient(upstream.Config{
+		Codec: config.Codec, Dialer: config.Dialer, OnDial: config.ObserveDial, MustAdmit: true,
+	})
 	node.forwarder = forward.New(forward.Config{
-		Client: node.client, Fleet: node.fleet, Log: config.Log, Zone: config.Self.Zone, VersionField: config.VersionField,
+		Client: node.client, Fleet: node.fleet, Gate: node.gate, Log: config.Log, Zone: config.Self.Zone, VersionField: config.VersionField,
 		Observe: node.observe,
 	})
 	node.jobs = batch.NewManager(batch.Config{
-		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client,
+		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client, Gate: node.gate,
 		Log: config.Log, Zone: config.Self.Zone, Routes: node.table.Load, VersionField: config.VersionField,
 		Pacing: pacing, Keep: config.KeepJobs, Settle: config.ResultSettle,
 		OnWork: func() { node.controller.Wanted() }, Orders: func() bool { return node.controller.Near() },
@@ -145,8 +158,9 @@
 	node.leases = rowlease.NewLeases(config.Log, config.Store, pacing)
 	timing := rowlease.Timing{Settle: config.SettleTime}
 	node.controller = reload.NewController(reload.Config{
-		Store: config.Store, Presence: node.presence, Fleet: node.fleet, Commander: config.NewCommander(node.client),
-		Log: config.Log, Timing: timing, Leases: node.leases, Pacing: pacing, Mode: reload.ModeRetain,
+		Store: config.Store, Presence: node.presence, Fleet: node.fleet, World: node.gate.World,
+		Commander: config.NewCommander(node.client, func(backend string) error { return node.gate.Admit(backend, reload.Wants) }),
+		Log:       config.Log, Timing: timing, Leases: node.leases, Pacing: pacing, Mode: reload.ModeRetain,
 		Demand: node.jobs.Demand, Widths: node.jobs.Widths, JobsKnown: node.jobs.Known, Interested: node.jobs.OwnsJobs,
 	})
 	node.meter(timing)
