eligibility: evacuations and cold back ends under failure; lines that tell of them

Change: loads and shares of models count on the back ends that are not evacuated alone, and shares come back to where they were when an evacuation ends. Shares of one of a cold back end go to nodes by plain rendezvous hashing: ranked by what nodes are capable of, 38 of 59 nodes had a share of one of 17 cold back ends, now 51 (87 nodes: 52, now 63; 330 nodes and 61 back ends: 191, now 246). Lines: evacuation_begun and _ended, backend_cold, backends_cold, job_held with the reasons counted, attempt_withheld and item_withheld with the reason; explain tells them.

Ruled out: a rule of its own for a store that is down for everybody.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -144,6 +144,7 @@
 	eventlog.Started: true, eventlog.Stopping: true, eventlog.Stopped: true,
 	eventlog.ViewLost: true, eventlog.ViewRegained: true, eventlog.NodeLapsed: true,
 	eventlog.LeaseTaken: true, eventlog.LeaseLost: true, eventlog.UsageUnwritten: true, eventlog.LinesDropped: true, eventlog.ConfigApplied: true,
+	eventlog.EvacuationBegun: true, eventlog.EvacuationEnded: true, eventlog.BackendsCold: true,
 }
 
 func (s *Story) around(lines []Line) {
@@ -164,7 +165,7 @@
 
 // backendEvents are events that concern all work of a back end.
 var backendEvents = map[string]bool{
-	eventlog.BackendChanged: true, eventlog.BackendGone: true, eventlog.OrderSent: true, eventlog.OrderSettled: true,
+	eventlog.BackendCold: true, eventlog.BackendChanged: true, eventlog.BackendGone: true, eventlog.OrderSent: true, eventlog.OrderSettled: true,
 }
 
 // involved returns the nodes, back ends and models that the own lines name.
@@ -212,6 +213,8 @@
 	case eventlog.Item:
 		miss(s.count(eventlog.ItemDone, eventlog.ItemDead) == 0, "the item neither completed nor died: its job ended first, or it waited")
 		failed := s.count(eventlog.ScoreFailed) > 0 && s.count(eventlog.ItemScored, eventlog.ItemDead) == 0
+		held := s.count(eventlog.JobHeld) > 0 && s.count(eventlog.ItemDone, eventlog.ItemDead) == 0
+		miss(held, "no back end might get the item: the reasons count the back ends")
 		miss(failed, "the text is whole and no call brought its score: the job ended first, or the scoring service is at fault")
 	}
 	for _, line := range lines {
--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -318,7 +318,8 @@
 	item := &run.job.items[run.index]
 	item.runs--
 	r.manager.config.Log.Info(eventlog.ItemWithheld, eventlog.Fields{
-		eventlog.Job: run.job.id, eventlog.Item: run.item().ID, eventlog.Backend: run.backend.ID, eventlog.Cause: err.Error(),
+		eventlog.Job: run.job.id, eventlog.Item: run.item().ID, eventlog.Backend: run.backend.ID,
+		eventlog.Reason: eligibility.LabelOf(err), eventlog.Cause: err.Error(),
 	})
 }
 
--- a/internal/gatewaynode/batch/runner.go
+++ b/internal/gatewaynode/batch/runner.go
@@ -67,6 +67,8 @@
 	suspended     bool
 	checkpointing bool
 	opened        time.Time
+	// heldSaid is when the log last told why no back end may get items of the job.
+	heldSaid time.Time
 
 	head      Head
 	revision  int64
--- a/internal/gatewaynode/batch/schedule.go
+++ b/internal/gatewaynode/batch/schedule.go
@@ -223,6 +223,7 @@
 	place := pickBackend(pool.backends, want, pool.typical, p.world)
 	if place < 0 {
 		pool.full[want] = true
+		r.noteHeld(c, pool, want, p)
 		return
 	}
 	b := &pool.backends[place]
--- a/internal/gatewaynode/eligibility/eligibility_test.go
+++ b/internal/gatewaynode/eligibility/eligibility_test.go
@@ -1,8 +1,9 @@
 package eligibility
 
 import (
-	"errors"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
@@ -86,18 +87,10 @@
 	return gate, backends, book
 }
 
-func labelOf(err error) string {
-	var withheld *Error
-	if errors.As(err, &withheld) {
-		return withheld.Reason.Label()
-	}
-	return ""
-}
-
 // TestAdmitDecidesAnew: what has changed since a back end was chosen counts.
 func TestAdmitDecidesAnew(t *testing.T) {
 	gate, backends, book := newTestGate(1, 0)
-	if got := labelOf(gate.Admit("b", Request{})); got != "gone" {
+	if got := LabelOf(gate.Admit("b", Request{})); got != "gone" {
 		t.Errorf("a back end that is not there: %q", got)
 	}
 	backends.Update([]fleet.Instance{{ID: "b", Zone: "n1", Revision: 1}}, nil)
@@ -105,7 +98,7 @@
 		t.Error(err)
 	}
 	book.Update([]evacuation.Row{{Zone: "n1", Revision: 2}}, false, time.Now())
-	if got := labelOf(gate.Admit("b", Request{})); got != "evacuated" {
+	if got := LabelOf(gate.Admit("b", Request{})); got != "evacuated" {
 		t.Errorf("after an evacuation: %q", got)
 	}
 	book.Update([]evacuation.Row{{Zone: "n1", Revision: 3, Removed: true}}, false, time.Now())
@@ -121,7 +114,28 @@
 	if err := gate.Admit("b", Request{}); err != nil {
 		t.Error(err)
 	}
-	if got := labelOf(gate.Admit("b", Request{})); got != "cold" {
+	if got := LabelOf(gate.Admit("b", Request{})); got != "cold" {
 		t.Errorf("second call: %q", got)
 	}
 }
+
+// TestFrozenSenderKeepsToItsShare: calls that were chosen while the process stood still
+// all ask when it wakes, and no more go out than its share.
+func TestFrozenSenderKeepsToItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate, backends, _ := newTestGate(3, 0)
+		backends.Update([]fleet.Instance{{ID: "b", Revision: 1, Cold: time.Minute}}, nil)
+		var sent atomic.Int64
+		for range 50 {
+			time.AfterFunc(5*time.Second, func() {
+				if gate.Admit("b", Request{}) == nil {
+					sent.Add(1)
+				}
+			})
+		}
+		time.Sleep(6 * time.Second)
+		if sent.Load() != 3 {
+			t.Errorf("%d sent", sent.Load())
+		}
+	})
+}
--- a/internal/gatewaynode/eligibility/reason.go
+++ b/internal/gatewaynode/eligibility/reason.go
@@ -1,6 +1,7 @@
 package eligibility
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -116,5 +117,14 @@
 // Error is a Reason as an error: a call was not sent since its back end may not get it.
 type Error struct{ Reason Reason }
 
+// LabelOf returns the label of the reason that an error tells, empty if it tells none.
+func LabelOf(err error) string {
+	var withheld *Error
+	if errors.As(err, &withheld) {
+		return withheld.Reason.Label()
+	}
+	return ""
+}
+
 // Error implements error.
 func (e *Error) Error() string { return "back end may not get it: " + e.Reason.String() }
--- a/internal/gatewaynode/eventlog/eventlog.go
+++ b/internal/gatewaynode/eventlog/eventlog.go
@@ -37,6 +37,7 @@
 	EvacuationBegun = "evacuation_begun"
 	EvacuationEnded = "evacuation_ended"
 	BackendsCold    = "backends_cold"
+	BackendCold     = "backend_cold"
 	LeaseTaken      = "lease_taken"
 	LeaseLost       = "lease_lost"
 	OrderSent       = "order_sent"
@@ -67,6 +68,7 @@
 	JobHanded    = "job_handed_over"
 	JobEnded     = "job_ended"
 	JobComplete  = "job_complete"
+	JobHeld      = "job_held"
 	JobRead      = "job_read"
 	JobReadFail  = "job_read_failed"
 	ItemDone     = "item_completed"
@@ -121,6 +123,7 @@
 	Outcome    = "outcome"
 	KeyDigest  = "key_digest"
 	Reasons    = "reasons"
+	Reason     = "reason"
 	Zone       = "zone"
 )
 
--- a/internal/gatewaynode/forward/eligible.go
+++ b/internal/gatewaynode/forward/eligible.go
@@ -20,7 +20,7 @@
 	t.withheld++
 	t.tried[backend.ID]--
 	t.forwarder.config.Log.Info(eventlog.AttemptWithheld, eventlog.Fields{
-		eventlog.Request: t.request.ID, eventlog.Backend: backend.ID, eventlog.Cause: err.Error(),
+		eventlog.Request: t.request.ID, eventlog.Backend: backend.ID, eventlog.Reason: eligibility.LabelOf(err), eventlog.Cause: err.Error(),
 	})
 }
 
--- a/internal/gatewaynode/presence/rank.go
+++ b/internal/gatewaynode/presence/rank.go
@@ -20,7 +20,7 @@
 	weights := make(map[string]uint64, len(nodes))
 	most := 0.0
 	for _, n := range nodes {
-		weights[n.Name] = xxhash.Sum64String(key + "\x00" + n.Name)
+		weights[n.Name] = weight(key, n.Name)
 		most = max(most, n.Cores)
 	}
 	slices.SortFunc(ranked, func(a, b Node) int {
@@ -35,6 +35,21 @@
 	return ranked
 }
 
+// Among returns a node's place for a key among others by rendezvous hashing alone,
+// whatever they are capable of: small shares of many keys fall to all nodes alike.
+func Among(nodes []Node, key, name string) int {
+	own := weight(key, name)
+	place := 0
+	for _, n := range nodes {
+		if n.Name != name && weight(key, n.Name) > own {
+			place++
+		}
+	}
+	return place
+}
+
+func weight(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
+
 // small tells whether a node is not capable beside the largest one, which has
 // most cores.
 func (n Node) small(most float64) bool { return n.Cores < capableShare*most }
--- a/internal/gatewaynode/reload/plan.go
+++ b/internal/gatewaynode/reload/plan.go
@@ -77,23 +77,6 @@
 	return allowed
 }
 
-// Wants is what decides which back ends may get an order or be asked for a report: those
-// that are cold can wait for both.
-var Wants = eligibility.Request{Warm: true}
-
-// usable returns the back ends that are counted on: versions are loaded on those alone,
-// and each model's halves are made of them. Ones that are evacuated are not, for as long
-// as that lasts; ones that are leaving are until they are gone, since they are replaced.
-func usable(backends []fleet.Backend, world *eligibility.World) []fleet.Backend {
-	found := make([]fleet.Backend, 0, len(backends))
-	for i := range backends {
-		if !world.Evacuations.Has(backends[i].Zone) {
-			found = append(found, backends[i])
-		}
-	}
-	return found
-}
-
 const (
 	// halves is how many halves of a model's back ends take turns in loading.
 	halves = 2
--- a/internal/gatewaynode/reload/reload.go
+++ b/internal/gatewaynode/reload/reload.go
@@ -70,6 +70,7 @@
 	seen map[string]seenLoad
 	// shares says which model each back end is for, as the last holder left it.
 	shares map[string]string
+	homes  homes
 	// widths is what Config.Widths returned last.
 	widths map[string]int
 	// parallel finds, by service, how many load at once.
@@ -251,7 +252,10 @@
 		return
 	}
 	c.widths = widths
-	c.shares = assignShares(usable(backends, c.config.World(now)), c.named, demand, c.shares)
+	counted := usable(backends, c.config.World(now))
+	away := len(backends) - len(counted)
+	before := c.homes.before(c.shares, away)
+	c.shares = c.homes.note(assignShares(counted, c.named, demand, before), before, backends, away)
 	for _, next := range c.plan(backends, now, c.parallelOf) {
 		c.busy[next.backend.ID] = true
 		next.atOnce = len(c.busy)
--- a/internal/gatewaynode/storenode/coldshares.go
+++ b/internal/gatewaynode/storenode/coldshares.go
@@ -93,23 +93,14 @@
 // first, the others by rendezvous hashing with its id; -1 if the node is not live. It is
 // pure.
 func rankFor(live []presence.Node, owners []string, backend, self string) int {
-	before := make(map[string]bool, len(owners))
-	for place, name := range owners {
-		if name == self {
-			return place
-		}
-		before[name] = true
+	if place := slices.Index(owners, self); place >= 0 {
+		return place
 	}
-	place := len(owners)
-	for _, n := range presence.Rank(live, backend) {
-		switch {
-		case n.Name == self:
-			return place
-		case !before[n.Name]:
-			place++
-		}
+	if presence.Place(live, self) < 0 {
+		return -1
 	}
-	return -1
+	others := slices.DeleteFunc(slices.Clone(live), func(n presence.Node) bool { return slices.Contains(owners, n.Name) })
+	return len(owners) + presence.Among(others, backend, self)
 }
 
 // ownerKeys returns the keys that jobs whose work goes to a service are owned by: those
--- /dev/null
+++ b/internal/gatewaynode/storenode/coldshares_test.go
@@ -0,0 +1,99 @@
+package storenode
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/coldstart"
+	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+)
+
+func nodesNamed(count int) []presence.Node {
+	nodes := make([]presence.Node, count)
+	for i := range nodes {
+		nodes[i] = presence.Node{Name: fmt.Sprintf("n%03d", i), Cores: 0.8}
+		if i%3 == 0 {
+			nodes[i].Cores = 0.192
+		}
+	}
+	return nodes
+}
+
+func without(nodes []presence.Node, names ...string) []presence.Node {
+	var left []presence.Node
+	for _, n := range nodes {
+		gone := false
+		for _, name := range names {
+			gone = gone || n.Name == name
+		}
+		if !gone {
+			left = append(left, n)
+		}
+	}
+	return left
+}
+
+// shareOf returns what a node may send to a back end by the nodes and owners that it
+// knows.
+func shareOf(limits coldstart.Limits, known []presence.Node, owners []string, backend, self string) int {
+	return coldstart.Share(limits, rankFor(known, owners, backend, self), len(owners))
+}
+
+// TestSharesOfNodesThatKnowOthers: while membership changes, some nodes know it as it was
+// and some as it is. Each row changes it once or a few times; whoever knows what, all
+// shares together stay within the bound.
+func TestSharesOfNodesThatKnowOthers(t *testing.T) {
+	limits := coldstart.Limits{PerSecond: 16, Overage: 1.5, Slack: 5}
+	few := coldstart.Limits{PerSecond: 2, Overage: 1.5, Slack: 5}
+	keys := []string{"pool/a", "pool/b", "pool/c"}
+	for _, size := range []int{3, 59, 87, 330} {
+		all := nodesNamed(size)
+		owners := ownersFirst(all, keys)
+		views := map[string][]presence.Node{
+			"the same nodes":        all,
+			"an owner is gone":      without(all, owners[0]),
+			"another node is gone":  without(all, all[len(all)/2].Name),
+			"all owners are gone":   without(all, owners...),
+			"a node is yet to come": append(nodesNamed(size), presence.Node{Name: "new", Cores: 0.8}),
+		}
+		for name, changed := range views {
+			changedOwners := ownersFirst(changed, keys)
+			for _, l := range []coldstart.Limits{limits, few} {
+				for _, backend := range []string{"b1", "b2"} {
+					most := 0
+					for _, n := range append(slices.Clone(all), presence.Node{Name: "new", Cores: 0.8}) {
+						before, after := shareOf(l, all, owners, backend, n.Name), shareOf(l, changed, changedOwners, backend, n.Name)
+						most += max(before, after)
+					}
+					if most > l.Bound() {
+						t.Errorf("%d nodes, %s, %s: %d of %d", size, name, backend, most, l.Bound())
+					}
+				}
+			}
+		}
+	}
+}
+
+// TestSharesReachManyBackends: with shares of one, most nodes may send to some back end of
+// a service, so that a service which is cold as a whole can be used from most nodes.
+func TestSharesReachManyBackends(t *testing.T) {
+	limits := coldstart.Limits{PerSecond: 16, Overage: 1.5, Slack: 5}
+	for _, test := range []struct{ nodes, backends, served int }{{59, 17, 50}, {87, 17, 60}, {330, 61, 230}} {
+		all := nodesNamed(test.nodes)
+		owners := ownersFirst(all, []string{"pool"})
+		served := 0
+		for _, n := range all {
+			for b := range test.backends {
+				if shareOf(limits, all, owners, fmt.Sprint("b", b), n.Name) > 0 {
+					served++
+					break
+				}
+			}
+		}
+		t.Logf("%d nodes, %d back ends: %d nodes have a share of one", test.nodes, test.backends, served)
+		if served < test.served {
+			t.Errorf("%d nodes, %d back ends: %d nodes have a share of one, want %d", test.nodes, test.backends, served, test.served)
+		}
+	}
+}
