--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -47,6 +47,8 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	endSlot func()
+	// asked tells that the run waits for a connection no longer.
+	asked func()
 	// deadline is when the back end has to stop work; zero means none.
 	deadline time.Time
 	// priority is the rank of the run at its back end.
@@ -67,7 +69,7 @@
 	started := &run{
 		runner: r, job: job, index: index, route: route, backend: backend, ctx: ctx, cancel: cancel,
 		endSlot: r.manager.config.Fleet.Begin(backend.ID), priority: item.priority(),
-		request: r.requestOf(job, index, route),
+		request: r.requestOf(job, index, route), asked: r.unsent.begin(backend.ID),
 	}
 	if route.MaxQueue > 0 {
 		started.deadline = item.started.Add(max(route.MaxQueue-job.head.age(item.started), time.Second))
@@ -102,6 +104,12 @@
 	return priorityMiddle
 }
 
+// admit asks at the moment of sending whether the back end may get the item.
+func (r *run) admit() error {
+	defer r.asked()
+	return r.runner.manager.config.Gate.Admit(r.backend.ID, r.request)
+}
+
 func (r *run) item() *Item { return &r.job.spec.Items[r.index] }
 
 // serve runs the item until its end or a failure, and settles what became of it.
@@ -109,6 +117,7 @@
 	err := r.stream(after)
 	cause := context.Cause(r.ctx)
 	r.cancel(nil)
+	r.asked()
 	r.endSlot()
 	if err != nil && cause != nil {
 		err = cause
@@ -127,7 +136,7 @@
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: r.job.spec.Host,
 		Header: header, Body: item.Body, Address: r.backend.Address, Instance: r.backend.ID,
 		Tenant: r.job.tenant, Deadline: r.deadline, Priority: r.priority,
-		Admit: func() error { return r.runner.manager.config.Gate.Admit(r.backend.ID, r.request) },
+		Admit: r.admit,
 	}
 	if after > 0 {
 		call.Resume, call.ResumeAfter = true, int64(after)
--- a/internal/gatewaynode/batch/runner.go
+++ b/internal/gatewaynode/batch/runner.go
@@ -103,10 +103,14 @@
 	// seconds bounds second calls of scoring services beside slow ones.
 	seconds secondCalls
 	lengths lengths
+	unsent  *unsent
 }
 
 func newRunner(manager *Manager) *runner {
-	return &runner{manager: manager, jobs: make(map[string]*ownedJob), kept: newKeptTexts(), wakes: make(chan struct{}, 1)}
+	return &runner{
+		manager: manager, jobs: make(map[string]*ownedJob), kept: newKeptTexts(), wakes: make(chan struct{}, 1),
+		unsent: newUnsent(),
+	}
 }
 
 func (r *runner) kick() {
--- a/internal/gatewaynode/batch/schedule.go
+++ b/internal/gatewaynode/batch/schedule.go
@@ -104,7 +104,8 @@
 	// runs of this node hold, by back end.
 	config *routetable.Table
 	used   map[string]usage
-	// world is what the round decides by; given counts what it gives to each back end.
+	// world is what the round decides by; given counts what it and those before it gave to
+	// each back end and what has not taken its turn there yet.
 	world *eligibility.World
 	given map[string]int
 }
@@ -128,13 +129,13 @@
 	p := &pools{
 		fleet: r.manager.config.Fleet, now: now, services: make(map[string]*pool),
 		config: r.manager.config.Routes(), used: r.usages(),
-		world: r.manager.config.Gate.World(now), given: make(map[string]int),
+		world: r.manager.config.Gate.World(now), given: r.unsent.snapshot(),
 	}
 	p.world.Turns = p.turnsLeft(p.world.Turns)
 	return p
 }
 
-// turnsLeft returns turns less what the round has given out.
+// turnsLeft returns turns less what was given out.
 func (p *pools) turnsLeft(turns func(*fleet.Backend) int) func(*fleet.Backend) int {
 	return func(b *fleet.Backend) int {
 		left := turns(b)
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -57,6 +57,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	endSlot func()
+	// asked tells that the call waits for a connection no longer.
+	asked func()
 }
 
 func (c *scoreCall) scorer() *Scorer { return c.job.spec.Items[c.index].Scorer }
@@ -67,7 +69,7 @@
 	limit := scoreLimit(&backend, route, state.cuts)
 	ctx, cancel := context.WithTimeout(job.ctx, limit.Duration())
 	c := &scoreCall{
-		runner: r, job: job, index: index, route: route, backend: backend, sent: now, limit: limit, request: request,
+		runner: r, job: job, index: index, route: route, backend: backend, sent: now, limit: limit, request: request, asked: r.unsent.begin(backend.ID),
 		ctx: ctx, cancel: cancel, endSlot: r.manager.config.Fleet.Begin(backend.ID),
 	}
 	state.sends++
@@ -77,12 +79,19 @@
 
 func (c *scoreCall) serve() {
 	fate := c.send()
+	c.asked()
 	c.endSlot()
 	c.runner.settleScore(c, fate)
 	c.cancel()
 	c.runner.kick()
 }
 
+// admit asks at the moment of sending whether the back end may get the call.
+func (c *scoreCall) admit() error {
+	defer c.asked()
+	return c.runner.manager.config.Gate.Admit(c.backend.ID, c.request)
+}
+
 // tenant returns on whose behalf the call is made: that of the job, but for public
 // routes, which tell back ends of no tenant.
 func (c *scoreCall) tenant() string {
@@ -101,7 +110,7 @@
 	answer, err := m.config.Client.Do(c.ctx, &upstream.Call{
 		ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body,
 		Address: c.backend.Address, Instance: c.backend.ID, Tenant: c.tenant(), Deadline: started.Add(c.limit.Duration()),
-		Admit: func() error { return m.config.Gate.Admit(c.backend.ID, c.request) },
+		Admit: c.admit,
 	})
 	if err != nil {
 		return fateOfCall(err)
--- a/internal/gatewaynode/presence/presence_test.go
+++ b/internal/gatewaynode/presence/presence_test.go
@@ -21,7 +21,7 @@
 	stop     func()
 }
 
-func join(store *rowstoretest.Store, node Node) member {
+func join(store rowstore.Store, node Node) member {
 	log := eventlog.New(logrus.New(), io.Discard)
 	_, began, err := Last(context.Background(), store, node.Name)
 	if err != nil {
@@ -137,6 +137,37 @@
 	})
 }
 
+// TestNodeCutOffCountsItselfOutFirst: a node that the store leaves without answers no
+// longer relies on the others counting it well before one of them does not.
+func TestNodeCutOffCountsItselfOutFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		way := rowstoretest.NewWay(store, time.Second)
+		a, b := join(way, testNode("a", 1)), join(store, testNode("b", 1))
+		defer a.stop()
+		defer b.stop()
+		time.Sleep(3 * time.Second)
+		if !a.registry.Counted(time.Now()) {
+			t.Fatal("not counted while all is well")
+		}
+		way.Set(rowstoretest.Silenced)
+		cut := time.Now()
+		var out, gone time.Duration
+		for gone == 0 && time.Since(cut) < 10*time.Second {
+			time.Sleep(20 * time.Millisecond)
+			if out == 0 && !a.registry.Counted(time.Now()) {
+				out = time.Since(cut)
+			}
+			if b.registry.Liveness("a", 1, time.Now()) == Gone {
+				gone = time.Since(cut)
+			}
+		}
+		if out == 0 || gone == 0 || out >= gone-a.registry.beat(2)/2 {
+			t.Errorf("counts itself out after %s, others after %s", out, gone)
+		}
+	})
+}
+
 func TestSucceedRaisesTheIncarnation(t *testing.T) {
 	now := time.UnixMicro(500)
 	for _, test := range []struct {
