--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -188,7 +188,7 @@
 		KeysConfirmed: keysConfirmed(cfg),
 		Eligibility: storenode.Eligibility{
 			Zones: place.NewMap(cfg.Regions()), EvacuateWithin: cfg.EvacuateWithin,
-			ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack, ObserveWithheld: metrics.Withheld,
+			ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack, ObserveWithheld: metrics.Withheld, ObserveColdTurn: metrics.ColdTurn,
 		},
 
 		ObserveRequest: metrics.Request,
--- a/internal/gatewaynode/eligibility/gate.go
+++ b/internal/gatewaynode/eligibility/gate.go
@@ -22,8 +22,10 @@
 	// coldstart.Unbounded where nothing bounds them.
 	Share func(backend *fleet.Backend, now time.Time) int
 	// Observe is told of each call that was withheld at the moment of sending, by label
-	// of the reason; it may be nil.
-	Observe func(label string)
+	// of the reason; ObserveTurn of each that went to a cold back end of a service. Both
+	// may be nil.
+	Observe     func(label string)
+	ObserveTurn func(service string)
 }
 
 // Gate holds what eligibility is decided from, and lets calls through to back ends. It
@@ -79,9 +81,19 @@
 	if reason := world.Decide(&b, r); reason != nil {
 		return reason
 	}
-	left := b.ColdUntil.Sub(now)
-	if left > 0 && !g.turns.Take(b.ID, g.config.Share(&b, now), now) {
+	if left := b.ColdUntil.Sub(now); left > 0 {
+		return g.takeTurn(&b, left, now)
+	}
+	return nil
+}
+
+// takeTurn takes a turn at a cold back end.
+func (g *Gate) takeTurn(b *fleet.Backend, left time.Duration, now time.Time) Reason {
+	if !g.turns.Take(b.ID, g.config.Share(b, now), now) {
 		return Cold{Left: left}
 	}
+	if g.config.ObserveTurn != nil {
+		g.config.ObserveTurn(b.Service)
+	}
 	return nil
 }
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -29,6 +29,8 @@
 	dials    prometheus.Counter
 	calls    *prometheus.HistogramVec
 	withheld *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	cold     *prometheus.CounterVec
 }
 
 // New returns metrics that nothing has been counted in.
@@ -52,7 +54,13 @@
 	m.withheld = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "calls_withheld_total", Help: "Calls that were kept back at the moment of sending, by why the back end may not get them.",
 	}, []string{"reason"})
-	m.registry.MustRegister(m.events, m.requests, m.attempts, m.dials, m.calls, m.withheld)
+	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "requests_ineligible_total", Help: "Refused live requests, by each reason for which back ends might not get them.",
+	}, []string{"reason"})
+	m.cold = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "cold_turns_total", Help: "Calls that went to cold back ends, by service.",
+	}, []string{"service"})
+	m.registry.MustRegister(m.events, m.requests, m.attempts, m.dials, m.calls, m.withheld, m.refused, m.cold)
 	return m
 }
 
@@ -63,11 +71,17 @@
 func (m *Metrics) Request(kind routetable.Kind, report forward.Report) {
 	m.requests.WithLabelValues(string(kind), string(report.Outcome)).Observe(report.Took.Seconds())
 	m.attempts.Add(float64(report.Attempts))
+	for reason := range report.Reasons {
+		m.refused.WithLabelValues(reason).Inc()
+	}
 }
 
 // Withheld counts a call that was kept back at the moment of sending.
 func (m *Metrics) Withheld(reason string) { m.withheld.WithLabelValues(reason).Inc() }
 
+// ColdTurn counts a call that went to a cold back end.
+func (m *Metrics) ColdTurn(service string) { m.cold.WithLabelValues(service).Inc() }
+
 // Dial counts a new connection to a back end.
 func (m *Metrics) Dial() { m.dials.Inc() }
 
--- a/internal/gatewaynode/storenode/coldshares.go
+++ b/internal/gatewaynode/storenode/coldshares.go
@@ -13,8 +13,8 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
-// sharesFor is how long the share of a cold back end is kept: it is asked for each item
-// that could go there, and membership changes in beats.
+// sharesFor is how long shares are kept: they are asked for with each item that could go
+// to a cold back end, and membership changes in beats.
 const sharesFor = 500 * time.Millisecond
 
 // coldShares says how many requests this node may send to each cold back end. It is safe
@@ -23,51 +23,53 @@
 	node *Node
 
 	mu   sync.Mutex
-	kept map[string]keptShare
+	kept ranks
 }
 
-type keptShare struct {
-	share int
-	until time.Time
+// ranks is what shares are worked out from, as of one moment, and those that were.
+type ranks struct {
+	until  time.Time
+	live   []presence.Node
+	owners map[string][]string
+	shares map[string]int
 }
 
-func newColdShares(node *Node) *coldShares {
-	return &coldShares{node: node, kept: make(map[string]keptShare)}
-}
+func newColdShares(node *Node) *coldShares { return &coldShares{node: node} }
 
 // of returns the share of a back end, coldstart.Unbounded where nothing is bounded.
 func (s *coldShares) of(b *fleet.Backend, now time.Time) int {
 	limits := s.node.limits(b.Service)
-	if !limits.Bounds() {
+	switch {
+	case !limits.Bounds():
 		return coldstart.Unbounded
-	}
-	if !s.node.presence.Counted(now) {
+	case !s.node.presence.Counted(now):
 		return 0
 	}
 	s.mu.Lock()
-	held, found := s.kept[b.ID]
-	s.mu.Unlock()
-	if found && now.Before(held.until) {
-		return held.share
-	}
-	held = keptShare{share: s.work(b, limits, now), until: now.Add(sharesFor)}
-	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, other := range s.kept {
-		if !now.Before(other.until) {
-			delete(s.kept, id)
+	if !now.Before(s.kept.until) {
+		s.kept = ranks{
+			until: now.Add(sharesFor), live: s.node.presence.Live(now),
+			owners: make(map[string][]string), shares: make(map[string]int),
 		}
 	}
-	s.kept[b.ID] = held
-	return held.share
+	share, known := s.kept.shares[b.ID]
+	if !known {
+		owners := s.ownersOf(b.Service)
+		share = coldstart.Share(limits, rankFor(s.kept.live, owners, b.ID, s.node.config.Self.Name), len(owners))
+		s.kept.shares[b.ID] = share
+	}
+	return share
 }
 
-// work returns the share by the node's place among those that may send.
-func (s *coldShares) work(b *fleet.Backend, limits coldstart.Limits, now time.Time) int {
-	live := s.node.presence.Live(now)
-	owners := ownersFirst(live, s.node.ownerKeys(b.Service))
-	place := rankFor(live, owners, b.ID, s.node.config.Self.Name)
-	return coldstart.Share(limits, place, len(owners))
+// ownersOf returns the owners of jobs whose work goes to a service. The lock is held.
+func (s *coldShares) ownersOf(service string) []string {
+	owners, known := s.kept.owners[service]
+	if !known {
+		owners = ownersFirst(s.kept.live, s.node.ownerKeys(service))
+		s.kept.owners[service] = owners
+	}
+	return owners
 }
 
 // ownersFirst returns the names of the nodes that own jobs by the keys, the order of keys
--- a/internal/gatewaynode/storenode/eligible.go
+++ b/internal/gatewaynode/storenode/eligible.go
@@ -25,6 +25,9 @@
 	// ObserveWithheld is told of each call that was kept back at the moment of sending, by
 	// label of the reason; it may be nil.
 	ObserveWithheld func(label string)
+	// ObserveColdTurn is told of each call that went to a cold back end of a service; it
+	// may be nil.
+	ObserveColdTurn func(service string)
 }
 
 // evacuateMargin is kept free of EvacuateWithin: a request is on its way for a while after
@@ -42,7 +45,7 @@
 	n.gate = eligibility.NewGate(eligibility.Config{
 		Fleet: n.fleet, Evacuations: n.evacuations, Zones: n.config.Eligibility.Zones,
 		Age:     func(now time.Time) time.Duration { return n.operator.Status().ProvenAge(now) },
-		AgeMost: ageMost, Share: n.shares.of, Observe: n.config.Eligibility.ObserveWithheld,
+		AgeMost: ageMost, Share: n.shares.of, Observe: n.config.Eligibility.ObserveWithheld, ObserveTurn: n.config.Eligibility.ObserveColdTurn,
 	})
 }
 
