batch, presence, relay, storerelay, reload: bodies and work stay in the allowed regions

Routes and tenants may name the regions that may serve, cache and keep their requests; nothing but a few types knew of them. Owners of jobs were chosen among all nodes, bodies went through any node while the store turned one away, specifications and texts stayed in memory wherever they had been read, and the directory named every node where a zone had fewer than two.

Now a job lives where the configuration in force lets its route and tenant, as its head tells: placement, take-over, hand-over, cleaning up and memory keep to that; an owner whose region is taken away ends its runs and hands the job over; without a node a submission is refused with the cause, and a job that was accepted waits. Calls about jobs and calls of the store that carry bodies pass through nodes of those regions alone. The directory adds the regions that a host's routes allow, and names others only if nothing else is there. A model that is bound to regions has its share of back ends there.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/batch"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/gatewaymetrics"
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
@@ -74,8 +75,8 @@
 		}
 	}
 	detour := storerelay.New(storerelay.Config{
-		Store: newStore(cfg, metrics), Dial: (&net.Dialer{KeepAlive: -1}).DialContext, Zone: cfg.Zone, Log: log,
-		ReadsPerSecond: cfg.StoreReads,
+		Store: newStore(cfg, metrics), Dial: (&net.Dialer{KeepAlive: -1}).DialContext, Zone: cfg.Zone, Region: cfg.Region,
+		HoldsBodies: batch.HoldsBodies, Log: log, ReadsPerSecond: cfg.StoreReads,
 	})
 	node, err := storenode.New(ctx, nodeConfig(cfg, detour, log, metrics))
 	if err != nil {
--- a/internal/gatewaynode/batch/checkpoint.go
+++ b/internal/gatewaynode/batch/checkpoint.go
@@ -121,7 +121,7 @@
 	for _, part := range stretches {
 		transaction.Puts = append(transaction.Puts, part.row)
 	}
-	if _, err := r.manager.config.Store.Commit(ctx, transaction); err != nil {
+	if _, err := r.manager.config.Store.Commit(r.manager.within(ctx, job.origin), transaction); err != nil {
 		return false
 	}
 	r.mu.Lock()
--- a/internal/gatewaynode/batch/checkpoint_test.go
+++ b/internal/gatewaynode/batch/checkpoint_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 )
@@ -13,7 +14,7 @@
 // checkpointed returns a job of items that have made so many events each, run by a
 // runner over a store that takes few rows at once.
 func checkpointed(rows *rowstoretest.Store, made ...int) (*runner, *ownedJob) {
-	m := &Manager{config: Config{Store: rows, Limits: rowstore.Limits{RowBytes: 1 << 10, TransactionRows: 4}}}
+	m := &Manager{config: Config{Store: rows, Limits: rowstore.Limits{RowBytes: 1 << 10, TransactionRows: 4}, Routes: func() *routetable.Table { return nil }}}
 	r := newRunner(m)
 	job := &ownedJob{id: "job", ready: true, left: len(made), items: make([]itemState, len(made))}
 	for i, events := range made {
--- a/internal/gatewaynode/batch/commit.go
+++ b/internal/gatewaynode/batch/commit.go
@@ -290,7 +290,7 @@
 		if len(p.transaction.Puts) == 0 {
 			return commitNothing
 		}
-		revision, err := r.manager.config.Store.Commit(ctx, p.transaction)
+		revision, err := r.manager.config.Store.Commit(r.manager.within(ctx, p.head), p.transaction)
 		if err == nil {
 			r.noteSettled(job, attempt, started)
 			r.committedAs(job, p.head, revision, p.failures)
--- a/internal/gatewaynode/batch/doc.go
+++ b/internal/gatewaynode/batch/doc.go
@@ -37,6 +37,11 @@
 //     versions and score are one row. A text that waits for its score is stored
 //     like that of an unfinished item, and is not made again.
 //
+//   - A job lives in the regions that its route and its tenant allow by the configuration
+//     in force: no node elsewhere owns it, takes it over or is handed it, and none keeps
+//     its specification or texts. Without a node there a submission is refused, and a job
+//     that was accepted waits.
+//
 //   - A job belongs to the tenant that its head names. For the callers of other tenants it
 //     is not there, and its items run for that tenant whatever they say themselves.
 //
@@ -129,6 +134,11 @@
 	// the key stood for when the job was accepted: a key that is taken away later
 	// ends nothing.
 	Tenant string `json:"tenant,omitempty"`
+	// Route is the name of the job's route, and Regions are those in which the job could
+	// live when it was accepted, none for all: they bind it once the configuration no
+	// longer has the route.
+	Route   string   `json:"route,omitempty"`
+	Regions []string `json:"regions,omitempty"`
 	// Work is the tokens expected to come out of all items.
 	Work  int `json:"work,omitempty"`
 	Total int `json:"total"`
@@ -188,11 +198,15 @@
 	Uncertain
 	// Taken means that the job's id is in use for another tenant's job.
 	Taken
+	// NoRegion means that the job's route and its tenant have no region in common, and
+	// NoNode, that no node stands in a region where the job may live; nothing was done.
+	NoRegion
+	NoNode
 )
 
 // String returns the status for logs.
 func (s Status) String() string {
-	return [...]string{"ok", "not_found", "unavailable", "uncertain", "taken"}[s]
+	return [...]string{"ok", "not_found", "unavailable", "uncertain", "taken", "no_region", "no_node"}[s]
 }
 
 func rowID(table, job, suffix string) rowstore.RowID {
--- a/internal/gatewaynode/batch/finish.go
+++ b/internal/gatewaynode/batch/finish.go
@@ -23,7 +23,7 @@
 	if state == Completed {
 		result.Text, result.Versions = item.text.join()
 		result.Score = item.text.score
-		r.kept.put(result.ID, item.text)
+		r.keep(job, result.ID, item.text)
 	}
 	item.text = text{}
 	job.finished = append(job.finished, finishedItem{result: result, at: clock.Now()})
@@ -31,6 +31,13 @@
 	job.wakeCommit()
 }
 
+// keep keeps the text of an item for a later job, where it may be kept. The lock is held.
+func (r *runner) keep(job *ownedJob, item string, made text) {
+	if r.manager.allowedHere(job.origin) {
+		r.kept.put(item, made, job.origin.kind())
+	}
+}
+
 // wakeCommit makes the commit loop look at the job.
 func (j *ownedJob) wakeCommit() {
 	select {
@@ -51,7 +58,7 @@
 	for i := range job.items {
 		item := &job.items[i]
 		if item.phase != phaseFinished && len(item.text.events) > 0 {
-			r.kept.put(job.spec.Items[i].ID, item.text)
+			r.keep(job, job.spec.Items[i].ID, item.text)
 		}
 	}
 	job.cancel()
--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
@@ -57,9 +58,15 @@
 	seen time.Time
 	// orphaned is when the owner was first found to be gone.
 	orphaned time.Time
-	taking   bool
+	// taking tells that this node is changing the owner.
+	taking bool
+	// waiting tells that no node stands where the job may live.
+	waiting bool
 }
 
+// finished tells whether nothing of the job is left to run.
+func (s *jobState) finished() bool { return s.ended || s.known && s.head.Count >= s.head.Total }
+
 // Manager answers callers about jobs and runs those that the node owns. It is
 // safe for concurrent use.
 type Manager struct {
@@ -68,6 +75,10 @@
 	view   *rowstore.View
 	specs  *specCache
 	runner *runner
+	// confinements are those of the configuration in force.
+	confinements confinements
+	// forgotten is the configuration by which memory was gone through last.
+	forgotten atomic.Pointer[routetable.Table]
 
 	mu       sync.Mutex
 	jobs     map[string]*jobState
@@ -116,7 +127,7 @@
 // needed tells whether this node makes use of the heads, or is among those that take
 // jobs over.
 func (m *Manager) needed() bool {
-	return m.interested() || m.config.Presence.SelfKeeps(time.Now())
+	return m.interested() || m.keeps(time.Now())
 }
 
 // rest returns the most time between a failure of the view and the next try: nodes that
--- a/internal/gatewaynode/batch/open.go
+++ b/internal/gatewaynode/batch/open.go
@@ -40,7 +40,7 @@
 
 func (r *runner) readCommitted(job *ownedJob) ([]Result, error) {
 	prefix := job.id + "/"
-	rows, _, err := rowstore.ListAll(job.ctx, r.manager.config.Store, TableResults, rowstore.Shard(job.id), prefix, rowstore.KeyEnd(prefix))
+	rows, _, err := rowstore.ListAll(r.manager.within(job.ctx, job.origin), r.manager.config.Store, TableResults, rowstore.Shard(job.id), prefix, rowstore.KeyEnd(prefix))
 	if err != nil {
 		return nil, err
 	}
@@ -79,8 +79,9 @@
 
 // readTexts reads the stored texts of items.
 func (r *runner) readTexts(job *ownedJob, items []int) (map[int]text, error) {
+	ctx := r.manager.within(job.ctx, job.origin)
 	if len(items) > textLists {
-		return r.readTextsUnder(job.ctx, job.id, job.id+"/")
+		return r.readTextsUnder(ctx, job.id, job.id+"/")
 	}
 	found := make(map[int]text)
 	var mu sync.Mutex
@@ -88,7 +89,7 @@
 	var group sync.WaitGroup
 	for _, item := range items {
 		group.Go(func() {
-			texts, err := r.readTextsUnder(job.ctx, job.id, fmt.Sprintf("%s/%08d/", job.id, item))
+			texts, err := r.readTextsUnder(ctx, job.id, fmt.Sprintf("%s/%08d/", job.id, item))
 			mu.Lock()
 			defer mu.Unlock()
 			failed = errors.Join(failed, err)
--- a/internal/gatewaynode/batch/owner.go
+++ b/internal/gatewaynode/batch/owner.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/pause"
@@ -24,14 +24,18 @@
 	actOpen
 	actClose
 	actTakeOver
+	// actLeave: the job may no longer live in this node's region.
+	actLeave
 )
 
 // situation is what decides about a job.
 type situation struct {
 	known, finished, mine, running, stopping, taking bool
-	owner                                            presence.Liveness
-	orphanedFor                                      time.Duration
-	rank                                             int
+	// outside tells that the job may not live in this node's region.
+	outside     bool
+	owner       presence.Liveness
+	orphanedFor time.Duration
+	rank        int
 }
 
 // decide returns what to do about a job. It is pure.
@@ -41,9 +45,13 @@
 		return actClose
 	case !s.known || s.finished || s.stopping:
 		return actNothing
+	case s.mine && s.outside && s.taking:
+		return actNothing
+	case s.mine && s.outside:
+		return actLeave
 	case s.mine && !s.running:
 		return actOpen
-	case s.mine || s.taking || s.owner != presence.Gone || s.rank < 0:
+	case s.mine || s.outside || s.taking || s.owner != presence.Gone || s.rank < 0:
 		return actNothing
 	case s.orphanedFor >= time.Duration(s.rank)*takeOverStagger:
 		return actTakeOver
@@ -59,20 +67,29 @@
 		act action
 	}
 	var tasks []task
+	if table := m.config.Routes(); table != m.forgotten.Swap(table) {
+		m.forget()
+	}
 	m.mu.Lock()
-	keepers := sync.OnceValue(func() []presence.Node { return presence.Keepers(m.config.Presence.Live(now)) })
+	keepers := keepersBy(func() []presence.Node { return m.config.Presence.Live(now) })
 	for id, state := range m.jobs {
 		current := situation{
 			known: state.known, taking: state.taking, stopping: m.stopping,
-			finished: state.ended || state.known && state.head.Count >= state.head.Total,
+			finished: state.finished(),
 			mine:     state.known && state.head.Owner == m.self.Name && state.head.Incarnation == m.self.Incarnation,
 			running:  m.runner.has(id),
 		}
-		if current.known && !current.finished && !current.mine {
-			m.judgeOwner(state, &current, keepers, now)
+		if current.known && !current.finished {
+			regions := m.regionsOf(state.head)
+			current.outside = !regions.Has(m.self.Region)
+			if !current.mine {
+				m.judgeOwner(state, &current, regions, keepers, now)
+			} else if !current.outside {
+				m.noteWaiting(state, regions, false, true)
+			}
 		}
 		act := decide(current)
-		if act == actTakeOver {
+		if act == actTakeOver || act == actLeave {
 			state.taking = true
 		}
 		if act != actNothing {
@@ -85,17 +102,24 @@
 	}
 }
 
-func (m *Manager) judgeOwner(state *jobState, current *situation, keepers func() []presence.Node, now time.Time) {
+// judgeOwner finds out whether a job that is another node's needs a new owner, and which
+// place this node has among those who could be it. Where there is none, the first in rank
+// of all keepers says that the job waits.
+func (m *Manager) judgeOwner(state *jobState, current *situation, regions place.Regions, keepers func(place.Regions) []presence.Node, now time.Time) {
 	current.owner = m.config.Presence.Liveness(state.head.Owner, state.head.Incarnation, now)
 	if current.owner != presence.Gone {
 		state.orphaned = time.Time{}
+		m.noteWaiting(state, regions, false, false)
 		return
 	}
 	if state.orphaned.IsZero() {
 		state.orphaned = now
 	}
 	current.orphanedFor = now.Sub(state.orphaned)
-	current.rank = presence.Place(presence.Rank(keepers(), state.head.Pool), m.self.Name)
+	able := presence.Rank(keepers(regions), state.head.Pool)
+	current.rank = presence.Place(able, m.self.Name)
+	first := presence.Place(presence.Rank(keepers(place.Regions{}), state.head.Pool), m.self.Name) == 0
+	m.noteWaiting(state, regions, len(able) == 0, first)
 }
 
 func (m *Manager) act(ctx context.Context, id string, act action) {
@@ -106,6 +130,8 @@
 		m.runner.close(id)
 	case actTakeOver:
 		go m.takeOver(ctx, id)
+	case actLeave:
+		go m.leave(ctx, id)
 	}
 }
 
@@ -189,13 +215,16 @@
 	if !found || state.ended || state.head.Count >= state.head.Total {
 		return
 	}
-	next := m.placement(state.head.Pool, time.Now())
-	if next.Name == m.self.Name {
+	next, found := m.placement(state.head.Pool, m.regionsOf(state.head), time.Now())
+	if found && next.Name == m.self.Name {
 		return
 	}
 	if len(unsaved) > 0 {
 		m.runner.storeText(ctx, job, unsaved)
 	}
+	if !found {
+		return
+	}
 	head := state.head
 	head.Owner, head.Incarnation = next.Name, next.Incarnation
 	head.Epoch++
@@ -226,9 +255,16 @@
 		}
 	}
 	m.mu.Unlock()
-	if old == "" || presence.Place(presence.Rank(presence.Keepers(m.config.Presence.Live(now)), old), m.self.Name) != 0 {
+	if old == "" {
+		return
+	}
+	// What is removed is read before, so that only a node where the job may live does it.
+	state, _ := m.snapshot(old)
+	keepers := presence.KeepersWithin(m.config.Presence.Live(now), m.regionsOf(state.head))
+	if presence.Place(presence.Rank(keepers, old), m.self.Name) != 0 {
 		return
 	}
+	ctx = m.within(ctx, state.head)
 	for _, table := range []string{TableResults, TableSpecs, TablePartials, TableJobs} {
 		if !m.removeRows(ctx, table, old) {
 			return
--- a/internal/gatewaynode/batch/results.go
+++ b/internal/gatewaynode/batch/results.go
@@ -59,7 +59,7 @@
 		return Page{Total: state.head.Total, Next: after}, OK
 	}
 	m.awaitMore(ctx, job, min(moreMost, time.Until(deadline)))
-	results, status := m.readResults(ctx, job, after)
+	results, status := m.readResults(m.within(ctx, state.head), job, after)
 	m.config.Log.Info(eventlog.JobRead, eventlog.Fields{
 		eventlog.Job: job, "after": after, eventlog.Count: len(results), "listed": state.head.Count, "total": state.head.Total,
 		eventlog.Revision: state.headRevision, "held_ms": (wait - time.Until(deadline)).Milliseconds(), "outcome": status.String(),
--- a/internal/gatewaynode/batch/runner.go
+++ b/internal/gatewaynode/batch/runner.go
@@ -57,6 +57,8 @@
 	id string
 	// tenant is on whose behalf the items run; it never changes.
 	tenant string
+	// origin is the head as it was when this node began to run the job.
+	origin Head
 	spec   *Spec
 	items  []itemState
 	order  []int
@@ -207,7 +209,7 @@
 	}
 	jobCtx, cancel := context.WithCancel(ctx)
 	job := &ownedJob{
-		id: id, tenant: state.head.Tenant, ctx: jobCtx, cancel: cancel, head: state.head, revision: state.headRevision,
+		id: id, tenant: state.head.Tenant, ctx: jobCtx, cancel: cancel, head: state.head, origin: state.head, revision: state.headRevision,
 		wake: make(chan struct{}, 1), opened: time.Now(), committing: make(chan struct{}, 1),
 	}
 	r.mu.Lock()
--- a/internal/gatewaynode/batch/specs.go
+++ b/internal/gatewaynode/batch/specs.go
@@ -3,18 +3,20 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
-// loadSpec returns a job's specification, from memory or the store.
+// loadSpec returns a job's specification, from memory or the store. It is kept in memory
+// only where the job may live: elsewhere it is read for the caller that asks this node.
 func (m *Manager) loadSpec(ctx context.Context, job string, head Head) (*Spec, error) {
 	if spec := m.specs.get(job); spec != nil {
 		return spec, nil
 	}
 	prefix := job + "/" + head.Nonce + "/"
-	rows, _, err := rowstore.ListAll(ctx, m.config.Store, TableSpecs, rowstore.Shard(job), prefix, rowstore.KeyEnd(prefix))
+	rows, _, err := rowstore.ListAll(m.within(ctx, head), m.config.Store, TableSpecs, rowstore.Shard(job), prefix, rowstore.KeyEnd(prefix))
 	if err != nil {
 		return nil, err
 	}
@@ -29,7 +31,9 @@
 	if err := json.Unmarshal(content, spec); err != nil {
 		return nil, err
 	}
-	m.specs.put(job, spec)
+	if m.allowedHere(head) {
+		m.specs.put(job, spec)
+	}
 	return spec, nil
 }
 
@@ -51,6 +55,19 @@
 	return c.specs[job]
 }
 
+// retain drops the specifications of jobs that keep does not want.
+func (c *specCache) retain(keep func(job string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order = slices.DeleteFunc(c.order, func(job string) bool {
+		if keep(job) {
+			return false
+		}
+		delete(c.specs, job)
+		return true
+	})
+}
+
 func (c *specCache) put(job string, spec *Spec) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gatewaynode/batch/submit.go
+++ b/internal/gatewaynode/batch/submit.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/pause"
@@ -30,8 +31,12 @@
 	if state, found := m.snapshot(spec.ID); found && (state.known || state.ended) {
 		return takenBy(state, spec.Tenant)
 	}
+	head, status := m.newHead(spec)
+	if status != OK {
+		return status
+	}
+	ctx = m.within(ctx, head)
 	content := encode(spec)
-	head := m.newHead(spec)
 	parts := splitParts(content, min(specPartMost, m.config.Limits.RowBytes))
 	head.Parts = len(parts)
 	last, status := m.writeEarlyParts(ctx, spec.ID, head.Nonce, parts)
@@ -44,7 +49,9 @@
 	}
 	status = m.create(ctx, spec.ID, head, transaction)
 	if status == OK {
-		m.specs.put(spec.ID, spec)
+		if m.allowedHere(head) {
+			m.specs.put(spec.ID, spec)
+		}
 		m.reconcileNow()
 	}
 	return status
@@ -58,17 +65,27 @@
 	return OK
 }
 
-func (m *Manager) newHead(spec *Spec) Head {
+// newHead returns the head of a new job, and OK if there is a node to own it.
+func (m *Manager) newHead(spec *Spec) (Head, Status) {
 	head := Head{
+		Route: spec.Route,
 		Epoch: 1, Model: spec.Model, Tenant: spec.Tenant, Pool: m.ownerKeyOf(spec), Total: len(spec.Items),
 		Nonce: uuid.NewString()[:8], SubmittedMillis: time.Now().UnixMilli(),
 	}
 	for i := range spec.Items {
 		head.Work += spec.Items[i].expectedTokens()
 	}
-	owner := m.placement(head.Pool, time.Now())
+	regions := m.regionsOf(head)
+	if regions.Nowhere() {
+		return head, NoRegion
+	}
+	head.Regions = regions.Names()
+	owner, found := m.placement(head.Pool, regions, time.Now())
+	if !found {
+		return head, NoNode
+	}
 	head.Owner, head.Incarnation = owner.Name, owner.Incarnation
-	return head
+	return head, OK
 }
 
 func (m *Manager) ownerKeyOf(spec *Spec) string {
@@ -77,15 +94,15 @@
 	return ownerKey(service, spec.Model, spec.ID, slots, models)
 }
 
-// placement returns the node that should own jobs of a pool. Nodes that nothing
-// but an old row speaks for are passed over: a job at one that is gone waits until
-// that is noticed.
-func (m *Manager) placement(pool string, now time.Time) presence.Node {
-	keepers := presence.Keepers(m.config.Presence.Proven(now))
+// placement returns the node that should own jobs of a pool which may live in regions,
+// and whether there is one. Nodes that nothing but an old row speaks for are passed over:
+// a job at one that is gone waits until that is noticed.
+func (m *Manager) placement(pool string, regions place.Regions, now time.Time) (presence.Node, bool) {
+	keepers := presence.KeepersWithin(m.config.Presence.Proven(now), regions)
 	if len(keepers) == 0 {
-		return m.self
+		return m.self, regions.Has(m.self.Region)
 	}
-	return presence.Rank(keepers, pool)[0]
+	return presence.Rank(keepers, pool)[0], true
 }
 
 // writeEarlyParts writes the parts that do not fit the transaction of the head,
@@ -196,6 +213,7 @@
 	}
 	m.config.Log.Warn(event, eventlog.Fields{
 		eventlog.Job: submission.Spec.ID, eventlog.TookMillis: time.Since(started).Milliseconds(), "store": m.view.Status().Healthy,
+		eventlog.Cause: status.String(), eventlog.Route: submission.Spec.Route, eventlog.Tenant: submission.Spec.Tenant,
 	})
 	return status, time.Duration(comeBackTargets * float64(submission.Target))
 }
--- a/internal/gatewaynode/batch/text.go
+++ b/internal/gatewaynode/batch/text.go
@@ -55,17 +55,23 @@
 
 // keptTexts keeps texts of items of ended jobs, the newest.
 type keptTexts struct {
-	texts map[string]text
+	texts map[string]keptText
 	order []string
 }
 
-func newKeptTexts() keptTexts { return keptTexts{texts: make(map[string]text)} }
+// keptText is a text with what kind of job it belongs to.
+type keptText struct {
+	made text
+	of   kind
+}
+
+func newKeptTexts() keptTexts { return keptTexts{texts: make(map[string]keptText)} }
 
-func (k *keptTexts) put(item string, made text) {
+func (k *keptTexts) put(item string, made text, of kind) {
 	if _, found := k.texts[item]; !found {
 		k.order = append(k.order, item)
 	}
-	k.texts[item] = made
+	k.texts[item] = keptText{made: made, of: of}
 	for len(k.order) > keptMost {
 		delete(k.texts, k.order[0])
 		k.order = k.order[1:]
@@ -73,6 +79,6 @@
 }
 
 func (k *keptTexts) take(item string) (text, bool) {
-	made, found := k.texts[item]
-	return made, found
+	kept, found := k.texts[item]
+	return kept.made, found
 }
--- a/internal/gatewaynode/batch/text_test.go
+++ b/internal/gatewaynode/batch/text_test.go
@@ -47,7 +47,7 @@
 func TestKeptTextsForgetTheOldest(t *testing.T) {
 	kept := newKeptTexts()
 	for i := range keptMost + 10 {
-		kept.put(fmt.Sprint(i), made(1))
+		kept.put(fmt.Sprint(i), made(1), kind{})
 	}
 	if _, found := kept.take("9"); found {
 		t.Error("the oldest text is still there")
--- a/internal/gatewaynode/eventlog/eventlog.go
+++ b/internal/gatewaynode/eventlog/eventlog.go
@@ -67,6 +67,8 @@
 	JobHanded    = "job_handed_over"
 	JobEnded     = "job_ended"
 	JobComplete  = "job_complete"
+	JobWaits     = "job_waits_for_region"
+	JobWaited    = "job_region_back"
 	JobRead      = "job_read"
 	JobReadFail  = "job_read_failed"
 	ItemDone     = "item_completed"
@@ -122,6 +124,7 @@
 	KeyDigest  = "key_digest"
 	Reasons    = "reasons"
 	Zone       = "zone"
+	Regions    = "regions"
 )
 
 // Fields are the fields of a line.
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -86,6 +86,7 @@
 	gauge("jobs_owned", "Batch jobs that this node runs.", func() float64 { jobs, _ := node.Jobs().Work(); return float64(jobs) })
 	gauge("items_running", "Items of batch jobs that run at back ends.", func() float64 { _, items := node.Jobs().Work(); return float64(items) })
 	gauge("texts_waiting", "Whole texts of batch jobs that wait for their score.", func() float64 { return float64(node.Jobs().WaitingForScore()) })
+	gauge("jobs_waiting_for_region", "Batch jobs that no node may run: none stands in their regions.", func() float64 { return float64(node.Jobs().JobsWaiting()) })
 	gauge("backends_suspended", "Back ends that this node leaves alone for a while.", func() float64 { return float64(node.Suspended()) })
 	gauge("evacuations", "Zones whose back ends are to get nothing.", func() float64 { return float64(len(node.Evacuations())) })
 	gauge("evacuation_age_seconds", "Time for which this node has known the oldest evacuation in force, 0 if there is none.", func() float64 { return node.EvacuationAge().Seconds() })
--- a/internal/gatewaynode/place/place.go
+++ b/internal/gatewaynode/place/place.go
@@ -60,6 +60,9 @@
 // Everywhere tells that no region is left out.
 func (r Regions) Everywhere() bool { return !r.bound }
 
+// Nowhere tells that no region is among them.
+func (r Regions) Nowhere() bool { return r.bound && r.names == "" }
+
 // Has tells whether a region is among them. A region that is not known is among them
 // only if all are.
 func (r Regions) Has(region string) bool {
--- a/internal/gatewaynode/presence/presence_test.go
+++ b/internal/gatewaynode/presence/presence_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 )
@@ -210,7 +211,7 @@
 			zone, region string
 			want         int
 		}{{"z", "r", 2}, {"y", "r", 3}, {"x", "far", 4}, {"nowhere", "nowhere", 4}} {
-			if got := members[0].registry.Addresses(test.zone, test.region, time.Now()); len(got) != test.want {
+			if got := members[0].registry.Addresses(place.Place{Zone: test.zone, Region: test.region}, Bounds{}, time.Now()); len(got) != test.want {
 				t.Errorf("%s in %s: %v, want %d", test.zone, test.region, got, test.want)
 			}
 		}
@@ -229,7 +230,7 @@
 	all := nodes(3 * addressesMost)
 	seen := make(map[string]bool)
 	for range 50 {
-		found := addresses(all, func(Node) bool { return true })
+		found := addresses(all)
 		if len(found) != addressesMost {
 			t.Fatalf("%d addresses", len(found))
 		}
--- a/internal/gatewaynode/relay/relay.go
+++ b/internal/gatewaynode/relay/relay.go
@@ -6,7 +6,8 @@
 // Live requests are not relayed: a node serves them with what it knows. A call is
 // relayed once at most; the node that gets it answers as well as it can. What may
 // have been done is never sent to a second node: its outcome is unknown, as that
-// of any call without an answer.
+// of any call without an answer. A call goes only to nodes of the regions in which its
+// body, or what answers it, may be seen.
 package relay
 
 import (
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
@@ -52,16 +54,25 @@
 	quickRefusal = 300 * time.Millisecond
 )
 
-// errNoPeer says that no other node could be reached.
-var errNoPeer = errors.New("relay: no other node")
+var (
+	// errNoPeer says that no other node could be reached.
+	errNoPeer = errors.New("relay: no other node")
+	// errNoPeerWithin says that no other node stands where the call may be seen.
+	errNoPeerWithin = errors.New("relay: no other node in the regions of the call")
+)
 
-// Pass sends the call to another node and returns its answer, whose body must be
-// closed. The error is an *upstream.Error; its fate NotSent means that no node got
-// the call.
-func (r *Relay) Pass(ctx context.Context, call *upstream.Call) (*upstream.Answer, error) {
+// Pass sends the call to another node in one of the regions and returns its answer,
+// whose body must be closed. The error is an *upstream.Error; its fate NotSent means that
+// no node got the call.
+func (r *Relay) Pass(ctx context.Context, call *upstream.Call, regions place.Regions) (*upstream.Answer, error) {
 	failure := &upstream.Error{Fate: upstream.NotSent, Cause: errNoPeer}
 	var refusal *upstream.Answer
-	for _, peer := range r.choose() {
+	peers := r.choose(regions)
+	if len(peers) == 0 && !regions.Everywhere() {
+		failure.Cause = errNoPeerWithin
+		r.noteWithheld(call, regions)
+	}
+	for _, peer := range peers {
 		started := time.Now()
 		attempt := *call
 		attempt.Address = peer.Address
@@ -89,9 +100,9 @@
 	return nil, failure
 }
 
-// choose returns the nodes to try, those of the own zone first, by turns.
-func (r *Relay) choose() []presence.Node {
-	return order(r.config.Peers(), r.config.Zone, int(r.turn.Add(1)))
+// choose returns the nodes of regions to try, those of the own zone first, by turns.
+func (r *Relay) choose(regions place.Regions) []presence.Node {
+	return order(presence.Within(r.config.Peers(), regions), r.config.Zone, int(r.turn.Add(1)))
 }
 
 // order returns triesMost of the peers at most, those of a zone first, beginning at
@@ -110,6 +121,13 @@
 	return all[:min(len(all), triesMost)]
 }
 
+func (r *Relay) noteWithheld(call *upstream.Call, regions place.Regions) {
+	r.config.Log.Warn(eventlog.CallRelayed, eventlog.Fields{
+		eventlog.Request: call.ID, "method": call.Method, "target": call.Target,
+		eventlog.Regions: regions.String(), eventlog.Cause: errNoPeerWithin.Error(),
+	})
+}
+
 func (r *Relay) note(call *upstream.Call, peer presence.Node, cause string) {
 	fields := eventlog.Fields{eventlog.Request: call.ID, "method": call.Method, "target": call.Target, "to": peer.Name}
 	if cause == "" {
--- a/internal/gatewaynode/reload/controller_test.go
+++ b/internal/gatewaynode/reload/controller_test.go
@@ -16,6 +16,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowlease"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
@@ -131,7 +132,7 @@
 			World:  func(now time.Time) *eligibility.World { return &eligibility.World{Now: now} },
 			Timing: rowlease.Timing{Settle: testSettle}, Leases: leases, Pacing: pacing, Mode: ModeRetain,
 			Demand: func() map[string]float64 { return map[string]float64{"m": 1} },
-			Widths: func() map[string]int { return nil }, Interested: func() bool { return true },
+			Widths: func() map[string]int { return nil }, Confined: func() map[string]place.Regions { return nil }, Interested: func() bool { return true },
 			JobsKnown: func() bool { return jobsKnown.Load() },
 		})
 		for _, run := range []func(context.Context){registry.View().Run, registry.Run, leases.Run, controller.Run} {
--- a/internal/gatewaynode/reload/plan.go
+++ b/internal/gatewaynode/reload/plan.go
@@ -1,10 +1,7 @@
 package reload
 
 import (
-	"cmp"
-	"maps"
 	"math"
-	"slices"
 	"sort"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
@@ -142,92 +139,3 @@
 
 // lag returns how many versions a step's back end is behind.
 func lag(next step) int64 { return next.version - next.backend.Models[next.model] }
-
-// assignShares returns which model each back end is for, where several trained
-// models share a service: loads take turns, so that keeping every
-// model new on every back end would take longer than the time between versions.
-// Shares follow demand, which maps a model to the work asked of it lately, and
-// change as little as that allows. It is pure.
-func assignShares(backends []fleet.Backend, named map[string]int64, demand map[string]float64, before map[string]string) map[string]string {
-	shares := make(map[string]string, len(backends))
-	byService := make(map[string][]fleet.Backend)
-	for _, backend := range backends {
-		if len(backend.Models) > 0 {
-			byService[backend.Service] = append(byService[backend.Service], backend)
-		}
-	}
-	for _, members := range byService {
-		models := trainedModels(members, named, demand)
-		if len(models) > 0 {
-			assignService(members, targets(len(members), models, demand), before, shares)
-		}
-	}
-	return shares
-}
-
-// shareSlack is by how many back ends a share may miss its target: a back end
-// that changes over loads once more, so shares follow only clear changes.
-const shareSlack = 0.75
-
-// targets returns how many back ends each model should have, as a fraction, at
-// least one. Models without any demand known count alike.
-func targets(members int, models []string, demand map[string]float64) map[string]float64 {
-	total := 0.0
-	for _, model := range models {
-		total += demand[model]
-	}
-	wanted := make(map[string]float64, len(models))
-	for _, model := range models {
-		share := 1 / float64(len(models))
-		if total > 0 {
-			share = demand[model] / total
-		}
-		wanted[model] = max(share*float64(members), 1)
-	}
-	return wanted
-}
-
-// trainedModels returns the models that a service holds and that versions are
-// named of or that work is asked of, ordered: what is asked comes before the
-// first version, so that its loads need not wait for shares to settle.
-func trainedModels(members []fleet.Backend, named map[string]int64, demand map[string]float64) []string {
-	known := make(map[string]bool)
-	for model := range named {
-		known[model] = true
-	}
-	for model := range demand {
-		known[model] = true
-	}
-	var models []string
-	for model := range known {
-		held := slices.ContainsFunc(members, func(b fleet.Backend) bool { _, holds := b.Models[model]; return holds })
-		if held {
-			models = append(models, model)
-		}
-	}
-	slices.Sort(models)
-	return models
-}
-
-func assignService(members []fleet.Backend, wanted map[string]float64, before, shares map[string]string) {
-	count := make(map[string]int)
-	var free []string
-	for _, member := range members {
-		model := before[member.ID]
-		target, known := wanted[model]
-		if !known || float64(count[model]+1) > target+shareSlack {
-			free = append(free, member.ID)
-			continue
-		}
-		shares[member.ID] = model
-		count[model]++
-	}
-	models := slices.Sorted(maps.Keys(wanted))
-	for _, id := range free {
-		model := slices.MaxFunc(models, func(a, b string) int {
-			return cmp.Compare(wanted[a]-float64(count[a]), wanted[b]-float64(count[b]))
-		})
-		shares[id] = model
-		count[model]++
-	}
-}
--- a/internal/gatewaynode/reload/plan_test.go
+++ b/internal/gatewaynode/reload/plan_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 )
 
 // TestPlan reads back ends and named versions and prints the loads planned.
@@ -17,12 +18,14 @@
 //	named MODEL VERSION
 //	demand MODEL WORK
 //	width MODEL ITEMS
-//	ID MODEL=VERSION... [busy] [resting] [draining] [for:MODEL]
+//	bound MODEL REGION...
+//	ID MODEL=VERSION... [busy] [resting] [draining] [for:MODEL] [in:REGION]
 func TestPlan(t *testing.T) {
 	datadriven.RunTest(t, "testdata/plan", func(t *testing.T, data *datadriven.TestData) string {
 		named, before := make(map[string]int64), make(map[string]string)
 		busy, resting := make(map[string]bool), make(map[string]bool)
 		demand, widths := make(map[string]float64), make(map[string]int)
+		within := bounds{regions: make(map[string]place.Regions), zones: place.NewMap(map[string]string{"ax": "a", "bx": "b"})}
 		var backends []fleet.Backend
 		for line := range strings.Lines(data.Input) {
 			words := strings.Fields(line)
@@ -30,6 +33,10 @@
 				demand[words[1]] = float64(number(t, words[2]))
 				continue
 			}
+			if words[0] == "bound" {
+				within.regions[words[1]] = place.NewRegions(words[2:]...)
+				continue
+			}
 			if words[0] == "width" {
 				widths[words[1]] = int(number(t, words[2]))
 				continue
@@ -41,7 +48,7 @@
 			backends = append(backends, readBackend(t, words, busy, resting, before))
 		}
 		var out strings.Builder
-		shares := assignShares(backends, named, demand, before)
+		shares := assignShares(backends, named, demand, before, within)
 		for _, next := range plan(planInput{
 			backends: backends, world: &eligibility.World{}, named: named, shares: shares, busy: busy, resting: resting, widths: widths,
 			parallel: func(string, int) int { return 2 },
@@ -69,6 +76,8 @@
 			backend.Models[model] = number(t, version)
 		case strings.HasPrefix(word, "for:"):
 			before[backend.ID] = strings.TrimPrefix(word, "for:")
+		case strings.HasPrefix(word, "in:"):
+			backend.Zone = strings.TrimPrefix(word, "in:") + "x"
 		case word == "busy":
 			busy[backend.ID] = true
 		case word == "resting":
--- a/internal/gatewaynode/reload/reload.go
+++ b/internal/gatewaynode/reload/reload.go
@@ -9,6 +9,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowlease"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
@@ -39,6 +40,9 @@
 	Interested func() bool
 	// Widths returns the most items that one job of each model had lately.
 	Widths func() map[string]int
+	// Confined returns the regions in which the jobs of models may run, of those that are
+	// bound to some.
+	Confined func() map[string]place.Regions
 }
 
 // Controller takes part in the lease and gives orders while it holds it. It is
@@ -245,13 +249,15 @@
 	}
 	backends, demand := c.config.Fleet.All(now), c.config.Demand()
 	widths := c.config.Widths()
+	world := c.config.World(now)
+	within := bounds{regions: c.config.Confined(), zones: world.Zones}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.mayOrder(now) {
 		return
 	}
 	c.widths = widths
-	c.shares = assignShares(usable(backends, c.config.World(now)), c.named, demand, c.shares)
+	c.shares = assignShares(usable(backends, world), c.named, demand, c.shares, within)
 	for _, next := range c.plan(backends, now, c.parallelOf) {
 		c.busy[next.backend.ID] = true
 		next.atOnce = len(c.busy)
--- a/internal/gatewaynode/routetable/routetable.go
+++ b/internal/gatewaynode/routetable/routetable.go
@@ -94,6 +94,7 @@
 	Tenants *tenant.Set
 
 	byHost map[string][]*Route
+	byName map[string]*Route
 }
 
 // New returns a table over the routes; it keeps the slice.
@@ -104,6 +105,7 @@
 		Services: make(map[string]Service, len(services)),
 		Limits:   limits,
 		byHost:   make(map[string][]*Route),
+		byName:   make(map[string]*Route, len(routes)),
 	}
 	for _, service := range services {
 		table.Services[service.Name] = service
@@ -111,6 +113,9 @@
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
 		table.byHost[host] = append(table.byHost[host], &routes[i])
+		if table.byName[routes[i].Name] == nil {
+			table.byName[routes[i].Name] = &routes[i]
+		}
 	}
 	return table
 }
@@ -141,14 +146,7 @@
 }
 
 // ByName returns the route of that name, or nil.
-func (t *Table) ByName(name string) *Route {
-	for i := range t.Routes {
-		if t.Routes[i].Name == name {
-			return &t.Routes[i]
-		}
-	}
-	return nil
-}
+func (t *Table) ByName(name string) *Route { return t.byName[name] }
 
 // goldenRatio spreads successive picks evenly over the parts.
 const goldenRatio = 0.6180339887498949
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -161,7 +161,8 @@
 		Store: config.Store, Presence: node.presence, Fleet: node.fleet, World: node.gate.World,
 		Commander: config.NewCommander(node.client, func(backend string) error { return node.gate.Admit(backend, reload.Wants) }),
 		Log:       config.Log, Timing: timing, Leases: node.leases, Pacing: pacing, Mode: reload.ModeRetain,
-		Demand: node.jobs.Demand, Widths: node.jobs.Widths, JobsKnown: node.jobs.Known, Interested: node.jobs.OwnsJobs,
+		Demand: node.jobs.Demand, Widths: node.jobs.Widths, Confined: node.jobs.Confined,
+		JobsKnown: node.jobs.Known, Interested: node.jobs.OwnsJobs,
 	})
 	node.meter(timing)
 	node.operator = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
@@ -314,11 +315,6 @@
 // Log returns the node's log.
 func (n *Node) Log() *eventlog.Log { return n.config.Log }
 
-// Addresses returns where callers should connect and for how long that holds.
-func (n *Node) Addresses(zone, region string) ([]string, time.Duration) {
-	return n.presence.Addresses(zone, region, time.Now()), n.config.AddressTTL
-}
-
 // handOverMost bounds the handing over of jobs.
 const handOverMost = 2 * time.Second
 
--- a/internal/gatewaynode/storerelay/detour.go
+++ b/internal/gatewaynode/storerelay/detour.go
@@ -12,6 +12,7 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
@@ -22,7 +23,12 @@
 	Store rowstore.Store
 	Dial  DialFunc
 	Zone  string
-	Log   *eventlog.Log
+	// Region is the node's own, empty where regions are not told apart; HoldsBodies tells
+	// whether rows of a table must not be seen in regions other than those of the call, see
+	// rowstore.Within. It may be nil: no table's are.
+	Region      string
+	HoldsBodies func(table string) bool
+	Log         *eventlog.Log
 	// ReadsPerSecond is what the store takes from all nodes together, 0 if there is no
 	// bound.
 	ReadsPerSecond float64
@@ -72,8 +78,12 @@
 	answered clock.Millis
 	calls    map[*context.CancelCauseFunc]struct{}
 	// via is the other node, nil while the node goes its own way.
-	via      *client
-	viaNode  string
+	via     *client
+	viaNode presence.Node
+	// aside are the other nodes that calls go through which the regions of viaNode must
+	// not see, by name; withheld are the regions for which there was none.
+	aside    map[string]*client
+	withheld map[place.Regions]bool
 	refusals int
 	// trying tells that other nodes are being asked; tryAgain, when they may be asked
 	// again, and tryPause the pause after the next failure.
@@ -98,7 +108,7 @@
 func (d *Detour) Away() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.viaNode
+	return d.viaNode.Name
 }
 
 // works tells whether this node's own way to the store works.
@@ -110,30 +120,39 @@
 
 // Commit implements rowstore.Store.
 func (d *Detour) Commit(ctx context.Context, transaction rowstore.Transaction) (int64, error) {
-	got := d.call(ctx, request{Operation: opCommit, Transaction: &transaction})
-	return got.Revision, got.err()
+	asked := request{Operation: opCommit, Transaction: &transaction}
+	if !d.showsBodies(transaction) {
+		return d.commit(ctx, asked, place.Regions{})
+	}
+	return d.commit(ctx, asked, d.regionsOf(ctx))
 }
 
 // List implements rowstore.Store.
 func (d *Detour) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
-	got := d.call(ctx, request{Operation: opList, Table: table, Partition: partition, From: from, To: to, Limit: limit})
+	asked := request{Operation: opList, Table: table, Partition: partition, From: from, To: to, Limit: limit}
+	got := d.call(ctx, asked, d.regionsFor(ctx, table))
 	return got.snapshot(), got.err()
 }
 
 // Watch implements rowstore.Store.
 func (d *Detour) Watch(ctx context.Context, table string, after int64, wait time.Duration) (rowstore.Snapshot, error) {
-	got := d.call(ctx, request{Operation: opWatch, Table: table, After: after, WaitMillis: wait.Milliseconds()})
+	asked := request{Operation: opWatch, Table: table, After: after, WaitMillis: wait.Milliseconds()}
+	got := d.call(ctx, asked, d.regionsFor(ctx, table))
 	return got.snapshot(), got.err()
 }
 
-// call makes a call by the way that is in use.
-func (d *Detour) call(ctx context.Context, asked request) answer {
+// call makes a call by the way that is in use, or by one in the regions, if that is in
+// none of them.
+func (d *Detour) call(ctx context.Context, asked request, regions place.Regions) answer {
 	d.mu.Lock()
-	via := d.via
+	via, node := d.via, d.viaNode
 	d.mu.Unlock()
 	if via == nil {
 		return d.makeCall(ctx, asked)
 	}
+	if !regions.Has(node.Region) {
+		return d.callWithin(ctx, asked, regions)
+	}
 	got, err := via.call(ctx, asked)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -227,7 +246,7 @@
 			found.close()
 			continue
 		}
-		if d.turn(found, peer.Name, quietSince) {
+		if d.turn(found, peer, quietSince) {
 			d.probe(found)
 		}
 		return
@@ -265,7 +284,7 @@
 }
 
 // turn begins to go through another node, unless the store has answered meanwhile.
-func (d *Detour) turn(via *client, name string, quietSince clock.Millis) bool {
+func (d *Detour) turn(via *client, node presence.Node, quietSince clock.Millis) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.trying = false
@@ -273,11 +292,11 @@
 		via.close()
 		return false
 	}
-	d.via, d.viaNode, d.refusals, d.tryPause = via, name, 0, tryLeast
+	d.via, d.viaNode, d.refusals, d.tryPause = via, node, 0, tryLeast
 	for cancel := range d.calls {
 		(*cancel)(errTurned)
 	}
-	d.config.Log.Warn(eventlog.StoreDetour, eventlog.Fields{"via": name, "quiet_ms": int64(clock.Now() - quietSince), "calls_ended": len(d.calls)})
+	d.config.Log.Warn(eventlog.StoreDetour, eventlog.Fields{"via": node.Name, "quiet_ms": int64(clock.Now() - quietSince), "calls_ended": len(d.calls)})
 	return true
 }
 
@@ -288,10 +307,15 @@
 		d.mu.Unlock()
 		return
 	}
-	d.config.Log.Info(eventlog.StoreDirect, eventlog.Fields{"via": d.viaNode, eventlog.Cause: cause})
-	d.via, d.viaNode = nil, ""
+	d.config.Log.Info(eventlog.StoreDirect, eventlog.Fields{"via": d.viaNode.Name, eventlog.Cause: cause})
+	d.via, d.viaNode = nil, presence.Node{}
+	aside := d.aside
+	d.aside, d.withheld = nil, nil
 	d.mu.Unlock()
 	via.close()
+	for _, other := range aside {
+		other.close()
+	}
 	d.suspect()
 }
 
--- a/internal/gatewaynode/storerelay/doc.go
+++ b/internal/gatewaynode/storerelay/doc.go
@@ -13,6 +13,12 @@
 // probes; after some of them in a row the node goes its own way again. While the
 // store is away for all, no node answers, and calls fail as they do without a relay.
 //
+// Regions. Rows that hold what callers sent, and what was made of it, go only through
+// nodes of the regions that the context of the call names (rowstore.Within), and of a call
+// that names none through nodes of the own region alone. Where the node that calls go
+// through stands elsewhere, such a call goes through another one, and is refused if there
+// is none.
+//
 // Invariants. A commit is sent once for each call: after a way has failed, the caller
 // decides whether to send it again under the same conditions. A call that may have
 // reached the store is never reported as refused.
--- a/internal/gatewaynode/tenant/tenant.go
+++ b/internal/gatewaynode/tenant/tenant.go
@@ -8,6 +8,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 )
@@ -71,6 +73,27 @@
 	return Tenant{Name: name}
 }
 
+// Regions returns the sets of regions that tenants are bound to, each once, in no order.
+func (s *Set) Regions() []place.Regions {
+	if s == nil {
+		return nil
+	}
+	sets := make(map[place.Regions]bool)
+	for _, t := range s.byName {
+		sets[t.Regions] = true
+	}
+	return slices.Collect(maps.Keys(sets))
+}
+
+// Holder returns the tenant that holds a key, and whether one does.
+func (s *Set) Holder(key string) (Tenant, bool) {
+	if s == nil {
+		return Tenant{}, false
+	}
+	found, held := s.byKey[key]
+	return found, held
+}
+
 // Verdict is what was found out about a key.
 type Verdict int
 
