--- a/internal/gatewaynode/batch/decide_test.go
+++ b/internal/gatewaynode/batch/decide_test.go
@@ -34,6 +34,12 @@
 		{"owner gone, take-over under way", func() situation { s := gone(open, 0, 0); s.taking = true; return s }(), actNothing},
 		{"owner gone, job ended", func() situation { s := gone(open, 0, 0); s.finished = true; return s }(), actNothing},
 		{"owner gone, this node stops", func() situation { s := gone(open, 0, 0); s.stopping = true; return s }(), actNothing},
+		{"own job that may not live here is handed over", situation{known: true, mine: true, running: true, outside: true}, actLeave},
+		{"own job that may not live here is not opened", situation{known: true, mine: true, outside: true}, actLeave},
+		{"own job that is being handed over", situation{known: true, mine: true, running: true, outside: true, taking: true}, actNothing},
+		{"own job that may not live here and has ended is closed", situation{known: true, mine: true, running: true, outside: true, finished: true}, actClose},
+		{"stopping node hands over by its stop", situation{known: true, mine: true, running: true, outside: true, stopping: true}, actNothing},
+		{"owner gone, the job may not live here", func() situation { s := gone(open, 0, time.Hour); s.outside = true; return s }(), actNothing},
 	}
 	for _, test := range cases {
 		if got := decide(test.in); got != test.want {
--- /dev/null
+++ b/internal/gatewaynode/batch/demand.go
@@ -0,0 +1,64 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
+)
+
+// demandWindow is for how long a job counts as demand.
+const demandWindow = 30 * time.Second
+
+// Demand returns the tokens that jobs submitted lately want of each model.
+func (m *Manager) Demand() map[string]float64 {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	demand := make(map[string]float64)
+	for _, state := range m.jobs {
+		if state.known && now.Sub(state.seen) < demandWindow {
+			demand[state.head.Model] += float64(state.head.Work)
+		}
+	}
+	return demand
+}
+
+// Widths returns the most items that one of the jobs of each model submitted lately
+// has.
+func (m *Manager) Widths() map[string]int {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	widths := make(map[string]int)
+	for _, state := range m.jobs {
+		if state.known && now.Sub(state.seen) < demandWindow {
+			widths[state.head.Model] = max(widths[state.head.Model], state.head.Total)
+		}
+	}
+	return widths
+}
+
+// Confined returns the regions in which the jobs of models submitted lately may run, of
+// those models all of whose jobs are bound to some.
+func (m *Manager) Confined() map[string]place.Regions {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	regions := make(map[string]place.Regions)
+	for _, state := range m.jobs {
+		if !state.known || now.Sub(state.seen) >= demandWindow {
+			continue
+		}
+		own := m.regionsOf(state.head)
+		if before, found := regions[state.head.Model]; found {
+			own = own.Or(before)
+		}
+		regions[state.head.Model] = own
+	}
+	for model := range regions {
+		if regions[model].Everywhere() {
+			delete(regions, model)
+		}
+	}
+	return regions
+}
--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -271,38 +271,6 @@
 	return *state, true
 }
 
-// demandWindow is for how long a job counts as demand.
-const demandWindow = 30 * time.Second
-
-// Demand returns the tokens that jobs submitted lately want of each model.
-func (m *Manager) Demand() map[string]float64 {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	demand := make(map[string]float64)
-	for _, state := range m.jobs {
-		if state.known && now.Sub(state.seen) < demandWindow {
-			demand[state.head.Model] += float64(state.head.Work)
-		}
-	}
-	return demand
-}
-
-// Widths returns the most items that one of the jobs of each model submitted lately
-// has.
-func (m *Manager) Widths() map[string]int {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	widths := make(map[string]int)
-	for _, state := range m.jobs {
-		if state.known && now.Sub(state.seen) < demandWindow {
-			widths[state.head.Model] = max(widths[state.head.Model], state.head.Total)
-		}
-	}
-	return widths
-}
-
 func (m *Manager) adoptRows(rows []rowstore.Row) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/gatewaynode/batch/regions.go
+++ b/internal/gatewaynode/batch/regions.go
@@ -58,31 +58,6 @@
 	return m.regionsOf(state.head), true
 }
 
-// Confined returns the regions in which the jobs of models submitted lately may run, of
-// those models all of whose jobs are bound to some.
-func (m *Manager) Confined() map[string]place.Regions {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	regions := make(map[string]place.Regions)
-	for _, state := range m.jobs {
-		if !state.known || now.Sub(state.seen) >= demandWindow {
-			continue
-		}
-		own := m.regionsOf(state.head)
-		if before, found := regions[state.head.Model]; found {
-			own = own.Or(before)
-		}
-		regions[state.head.Model] = own
-	}
-	for model := range regions {
-		if regions[model].Everywhere() {
-			delete(regions, model)
-		}
-	}
-	return regions
-}
-
 // confinements keeps what routetable.Table.Confinements returned last.
 type confinements struct {
 	last atomic.Pointer[confinementsOf]
