--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -208,6 +208,8 @@
 		accepted := s.count(eventlog.JobAccepted)
 		miss(accepted == 0, "no node says that it accepted the job")
 		miss(s.count(eventlog.JobOpened, eventlog.JobTaken) == 0, "no node says that it opened the job")
+		waits := s.count(eventlog.JobWaits) > s.count(eventlog.JobWaited, eventlog.JobTaken)
+		miss(waits, "no node in the job's regions: the line that it waits is the last about its owner")
 		miss(s.count(eventlog.JobComplete, eventlog.JobEnded) == 0, "neither all results nor the job's end were seen")
 	case eventlog.Item:
 		miss(s.count(eventlog.ItemDone, eventlog.ItemDead) == 0, "the item neither completed nor died: its job ended first, or it waited")
