--- a/internal/gatewaynode/batch/submit.go
+++ b/internal/gatewaynode/batch/submit.go
@@ -99,8 +99,15 @@
 // a job at one that is gone waits until that is noticed.
 func (m *Manager) placement(pool string, regions place.Regions, now time.Time) (presence.Node, bool) {
 	keepers := presence.KeepersWithin(m.config.Presence.Proven(now), regions)
+	if len(keepers) == 0 && regions.Has(m.self.Region) {
+		return m.self, true
+	}
+	if len(keepers) == 0 {
+		// Soon after its start this node may not have heard of those that are there.
+		keepers = presence.KeepersWithin(m.config.Presence.Live(now), regions)
+	}
 	if len(keepers) == 0 {
-		return m.self, regions.Has(m.self.Region)
+		return m.self, false
 	}
 	return presence.Rank(keepers, pool)[0], true
 }
--- a/internal/gatewaynode/presence/regions.go
+++ b/internal/gatewaynode/presence/regions.go
@@ -7,10 +7,17 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 )
 
-// keepersWithinMost is how many nodes keep the jobs that may live in some regions
-// alone: enough for a region's zones to be lost one after the other, and few enough that
-// several regions together do not make most nodes read the jobs.
-const keepersWithinMost = 16
+const (
+	// keepersWithinLeast is from how many of the keepers of all jobs on these are enough for
+	// those of the regions they stand in: two in each of two zones. The first in rank of all
+	// is then the first of its own region too, so that a service has fewer owners than sets
+	// of regions; an owner keeps the connections to back ends for all of its jobs.
+	keepersWithinLeast = 4
+	// keepersWithinMost is how many nodes keep the jobs of regions where there are fewer:
+	// enough for a region's zones to be lost one after the other, and few enough that
+	// several regions together do not make most nodes read the jobs.
+	keepersWithinMost = 16
+)
 
 // Within returns the nodes that stand in regions.
 func Within(nodes []Node, regions place.Regions) []Node {
@@ -26,6 +33,9 @@
 	if regions.Everywhere() {
 		return Keepers(nodes)
 	}
+	if some := Within(Keepers(nodes), regions); len(some) >= keepersWithinLeast {
+		return some
+	}
 	ranked := Rank(Within(nodes, regions), keepersKey)
 	return ranked[:min(len(ranked), keepersWithinMost)]
 }
