--- a/internal/gatewaynode/eventlog/eventlog.go
+++ b/internal/gatewaynode/eventlog/eventlog.go
@@ -69,6 +69,8 @@
 	JobEnded     = "job_ended"
 	JobComplete  = "job_complete"
 	JobHeld      = "job_held"
+	JobWaits     = "job_waits_for_region"
+	JobWaited    = "job_region_back"
 	JobRead      = "job_read"
 	JobReadFail  = "job_read_failed"
 	ItemDone     = "item_completed"
@@ -125,6 +127,7 @@
 	Reasons    = "reasons"
 	Reason     = "reason"
 	Zone       = "zone"
+	Regions    = "regions"
 )
 
 // Fields are the fields of a line.
--- a/internal/gatewaynode/reload/plan_test.go
+++ b/internal/gatewaynode/reload/plan_test.go
@@ -13,6 +13,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 )
 
 // TestPlan reads back ends and named versions and prints the loads planned.
@@ -22,7 +23,8 @@
 //	demand MODEL WORK
 //	width MODEL ITEMS
 //	evacuated ZONE
-//	ID MODEL=VERSION... [busy] [resting] [draining] [cold] [for:MODEL] [zone:ZONE]
+//	bound MODEL REGION...
+//	ID MODEL=VERSION... [busy] [resting] [draining] [cold] [for:MODEL] [zone:ZONE] [in:REGION]
 func TestPlan(t *testing.T) {
 	datadriven.RunTest(t, "testdata/plan", func(t *testing.T, data *datadriven.TestData) string {
 		named, before := make(map[string]int64), make(map[string]string)
@@ -31,6 +33,7 @@
 		world := &eligibility.World{
 			Now: time.Unix(1000, 0), Evacuations: evacuation.Set{}, Turns: func(*fleet.Backend) int { return 1 },
 		}
+		within := bounds{regions: make(map[string]place.Regions), zones: place.NewMap(map[string]string{"ax": "a", "bx": "b"})}
 		var backends []fleet.Backend
 		for line := range strings.Lines(data.Input) {
 			words := strings.Fields(line)
@@ -38,6 +41,10 @@
 				demand[words[1]] = float64(number(t, words[2]))
 				continue
 			}
+			if words[0] == "bound" {
+				within.regions[words[1]] = place.NewRegions(words[2:]...)
+				continue
+			}
 			if words[0] == "width" {
 				widths[words[1]] = int(number(t, words[2]))
 				continue
@@ -53,7 +60,7 @@
 			backends = append(backends, readBackend(t, words, busy, resting, before))
 		}
 		var out strings.Builder
-		shares := assignShares(usable(backends, world), named, demand, before)
+		shares := assignShares(usable(backends, world), named, demand, before, within)
 		for _, next := range plan(planInput{
 			backends: backends, world: world, named: named, shares: shares, busy: busy, resting: resting, widths: widths,
 			parallel: func(string, int) int { return 2 },
@@ -81,6 +88,8 @@
 			backend.Models[model] = number(t, version)
 		case strings.HasPrefix(word, "for:"):
 			before[backend.ID] = strings.TrimPrefix(word, "for:")
+		case strings.HasPrefix(word, "in:"):
+			backend.Zone = strings.TrimPrefix(word, "in:") + "x"
 		case word == "busy":
 			busy[backend.ID] = true
 		case word == "resting":
@@ -124,7 +133,7 @@
 		counted := usable(backends, world)
 		away := len(backends) - len(counted)
 		before := h.before(shares, away)
-		shares = h.note(assignShares(counted, nil, map[string]float64{"m": 2, "n": 1}, before), before, backends, away)
+		shares = h.note(assignShares(counted, nil, map[string]float64{"m": 2, "n": 1}, before, bounds{}), before, backends, away)
 	}
 	assign()
 	original := maps.Clone(shares)
