eligibility: orders wait like items where evacuations are not known; the operator's rows are read as often as that asks

Cause: with a bound on evacuations below that on the configuration, a calm node would have held items between two watches. An order during an outage of the operator's table alone, with the lease in another, could have reached an evacuated zone.

A caller whose time ends before a cold back end has room is told to come back as where there is none: another node may have a turn.

--- a/internal/gatewaynode/forward/answer.go
+++ b/internal/gatewaynode/forward/answer.go
@@ -102,7 +102,8 @@
 const causeNoBackend = "no back end"
 
 func (t *try) retryAfter(cause string, survey eligibility.Survey, now time.Time) time.Duration {
-	if cause == causeNoBackend && survey.Warm > 0 {
+	// Another node may have a turn where this one has none in the caller's time.
+	if cause == causeNoBackend && survey.Warm > 0 && survey.Warm < t.request.Deadline.Sub(now) {
 		return max(survey.Warm, retryLeast)
 	}
 	if cause == causeNoBackend {
--- a/internal/gatewaynode/reload/carryout.go
+++ b/internal/gatewaynode/reload/carryout.go
@@ -163,14 +163,18 @@
 }
 
 // lost tells whether an error says that a back end is no longer asked what became of an
-// order. One that has turned cold is asked again once it is warm.
+// order. One that has turned cold is asked again once it is warm, and one that the node
+// cannot judge once it can.
 func lost(err error) bool {
 	var kept *eligibility.Error
 	if !errors.As(err, &kept) {
 		return false
 	}
-	_, cold := kept.Reason.(eligibility.Cold)
-	return !cold
+	switch kept.Reason.(type) {
+	case eligibility.Evacuated, eligibility.Draining, eligibility.Gone:
+		return true
+	}
+	return false
 }
 
 // unansweredMost is how long an order without an answer is waited for: it may
--- a/internal/gatewaynode/storenode/eligible.go
+++ b/internal/gatewaynode/storenode/eligible.go
@@ -34,18 +34,32 @@
 // it was let through, 12 ms over the longest links seen, and longer out of a busy process.
 const evacuateMargin = 300 * time.Millisecond
 
+// ageMost returns the age of what is known of evacuations up to which jobs rely on it, 0
+// for any.
+func (e Eligibility) ageMost() time.Duration {
+	if e.EvacuateWithin <= 0 {
+		return 0
+	}
+	return max(e.EvacuateWithin-evacuateMargin, e.EvacuateWithin/2)
+}
+
+// paced returns the pacing of the operator's rows: with two watches, the one that proved
+// them and the one that is open, they have to be no older than jobs may rely on.
+func (e Eligibility) paced(pacing rowstore.Pacing) rowstore.Pacing {
+	if most := e.ageMost(); most > 0 {
+		pacing.Fresh = min(pacing.Fresh, max(most-touchSlack, most/2))
+	}
+	return pacing
+}
+
 // decideBy sets up what decides which back ends may get a request.
 func (n *Node) decideBy() {
 	n.evacuations = evacuation.NewBook()
 	n.shares = newColdShares(n)
-	ageMost := n.config.Eligibility.EvacuateWithin
-	if ageMost > 0 {
-		ageMost = max(ageMost-evacuateMargin, ageMost/2)
-	}
 	n.gate = eligibility.NewGate(eligibility.Config{
 		Fleet: n.fleet, Evacuations: n.evacuations, Zones: n.config.Eligibility.Zones,
 		Age:     func(now time.Time) time.Duration { return n.operator.Status().ProvenAge(now) },
-		AgeMost: ageMost, Share: n.shares.of, Observe: n.config.Eligibility.ObserveWithheld, ObserveTurn: n.config.Eligibility.ObserveColdTurn,
+		AgeMost: n.config.Eligibility.ageMost(), Share: n.shares.of, Observe: n.config.Eligibility.ObserveWithheld, ObserveTurn: n.config.Eligibility.ObserveColdTurn,
 	})
 }
 
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -166,7 +166,8 @@
 	})
 	node.meter(timing)
 	node.operator = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
-		Name: "operator", Table: config.OperatorTable, Partitions: []string{""}, Wait: pacing.FreshWait, Apply: node.applyOperator,
+		Name: "operator", Table: config.OperatorTable, Partitions: []string{""},
+		Wait: config.Eligibility.paced(pacing).FreshWait, Apply: node.applyOperator,
 	})
 	node.instances = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
 		Name: "back ends", Table: config.InstanceTable, Partitions: []string{""}, Wait: pacing.FreshWait,
--- a/internal/gatewaynode/storenode/storenode_test.go
+++ b/internal/gatewaynode/storenode/storenode_test.go
@@ -37,3 +37,17 @@
 		}
 	}
 }
+
+// TestOperatorIsReadAsOftenAsEvacuationsAsk: while the store answers, the operator's rows
+// are never so old that jobs are held.
+func TestOperatorIsReadAsOftenAsEvacuationsAsk(t *testing.T) {
+	for _, within := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second, time.Minute} {
+		for _, fresh := range []time.Duration{time.Second, 4 * time.Second, 20 * time.Second} {
+			e := Eligibility{EvacuateWithin: within}
+			pacing := rowstore.Pacing{Limits: rowstore.Limits{ReadsPerSecond: 6000}, Fresh: fresh, Nodes: func() int { return 330 }}
+			if oldest := 2 * e.paced(pacing).FreshWait(); oldest > e.ageMost() || oldest > max(fresh, pacing.FreshWait()) {
+				t.Errorf("within %s, fresh %s: %s old, jobs rely on %s", within, fresh, oldest, e.ageMost())
+			}
+		}
+	}
+}
