storerelay: nodes of the own region go before those elsewhere; batch: tests of what binds a job

A node that the store turned away went through any node where its own zone had none, and calls with bodies bound to its region then needed a second way.

--- /dev/null
+++ b/internal/gatewaynode/batch/regions_test.go
@@ -0,0 +1,93 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
+	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/tenant"
+)
+
+// regionsManager returns a manager that stands in region a under a configuration with a
+// route of a and b, one that is not bound, and a tenant of b and c.
+func regionsManager() *Manager {
+	table := routetable.New(1, []routetable.Route{
+		{Name: "ab", Kind: routetable.KindBatch, Regions: place.NewRegions("a", "b")}, {Name: "free", Kind: routetable.KindBatch},
+	}, nil, routetable.Limits{})
+	table.Tenants = tenant.NewSet([]tenant.Entry{
+		{Tenant: tenant.Tenant{Name: "bc", Regions: place.NewRegions("b", "c")}}, {Tenant: tenant.Tenant{Name: "any"}},
+	})
+	m := &Manager{
+		self: presence.Node{Name: "n", Region: "a"}, jobs: make(map[string]*jobState), specs: newSpecCache(),
+		config: Config{Routes: func() *routetable.Table { return table }},
+	}
+	m.runner = newRunner(m)
+	return m
+}
+
+// TestRegionsOfAJob: route and tenant both bind, and the regions as of acceptance where
+// the configuration no longer has the route.
+func TestRegionsOfAJob(t *testing.T) {
+	m := regionsManager()
+	for _, test := range []struct {
+		name string
+		head Head
+		want string
+	}{
+		{"route alone", Head{Route: "ab", Tenant: "any"}, "a,b"},
+		{"tenant alone", Head{Route: "free", Tenant: "bc"}, "b,c"},
+		{"both", Head{Route: "ab", Tenant: "bc"}, "b"},
+		{"neither", Head{Route: "free"}, "all"},
+		{"what the configuration says now goes before what it said", Head{Route: "ab", Regions: []string{"c"}}, "a,b"},
+		{"route gone", Head{Route: "gone", Regions: []string{"c", "d"}}, "c,d"},
+		{"route gone, tenant bound", Head{Route: "gone", Tenant: "bc", Regions: []string{"c", "d"}}, "c"},
+	} {
+		if got := m.regionsOf(test.head).String(); got != test.want {
+			t.Errorf("%s: %q, want %q", test.name, got, test.want)
+		}
+	}
+	m.config.Routes = func() *routetable.Table { return nil }
+	if got := m.regionsOf(Head{Route: "ab", Regions: []string{"c"}}).String(); got != "c" {
+		t.Errorf("without a configuration: %q", got)
+	}
+}
+
+// TestMemoryIsBoundAsJobsAre: what may not live here is dropped, and not put there.
+func TestMemoryIsBoundAsJobsAre(t *testing.T) {
+	m := regionsManager()
+	heads := map[string]Head{"here": {Route: "ab"}, "elsewhere": {Route: "free", Tenant: "bc"}}
+	for id, head := range heads {
+		m.state(id).setHead(head, 1)
+		m.specs.put(id, &Spec{ID: id})
+		m.runner.kept.put("item of "+id, text{}, head.kind())
+	}
+	m.forget()
+	for id, head := range heads {
+		job := &ownedJob{origin: head}
+		m.runner.keep(job, "later item of "+id, text{})
+		wanted := id == "here"
+		_, kept := m.runner.kept.take("item of " + id)
+		_, later := m.runner.kept.take("later item of " + id)
+		if held := m.specs.get(id) != nil; held != wanted || kept != wanted || later != wanted {
+			t.Errorf("%s: specification %t, texts %t, %t", id, held, kept, later)
+		}
+	}
+}
+
+// TestConfinedModels: a model is bound as all of its recent jobs together are.
+func TestConfinedModels(t *testing.T) {
+	m := regionsManager()
+	put := func(id string, head Head) { m.state(id).setHead(head, 1) }
+	put("1", Head{Model: "m", Route: "ab"})
+	put("2", Head{Model: "m", Route: "free", Tenant: "bc"})
+	put("3", Head{Model: "n", Route: "ab"})
+	put("4", Head{Model: "n", Route: "free"})
+	put("5", Head{Model: "o", Route: "ab"})
+	m.jobs["5"].seen = time.Now().Add(-2 * demandWindow)
+	found := m.Confined()
+	if len(found) != 1 || found["m"].String() != "a,b,c" {
+		t.Errorf("%v", found)
+	}
+}
--- a/internal/gatewaynode/storerelay/detour.go
+++ b/internal/gatewaynode/storerelay/detour.go
@@ -240,7 +240,7 @@
 	peers := d.peers
 	quietSince := d.answered
 	d.mu.Unlock()
-	for _, peer := range candidates(peers(), d.config.Zone) {
+	for _, peer := range candidates(peers(), d.own()) {
 		found := &client{address: peer.PeerAddress, dial: d.config.Dial}
 		if !d.reaches(found) {
 			found.close()
@@ -258,23 +258,29 @@
 	d.tryPause = min(2*d.tryPause, tryMost)
 }
 
-// candidates returns the nodes to ask: those of the own zone first, of these the
-// largest, equal ones by chance.
-func candidates(peers []presence.Node, zone string) []presence.Node {
+// candidates returns the nodes to ask: those of the own zone first, then those of the own
+// region, of these the largest, equal ones by chance.
+func candidates(peers []presence.Node, own place.Place) []presence.Node {
 	peers = slices.DeleteFunc(slices.Clone(peers), func(n presence.Node) bool { return n.PeerAddress == "" })
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	slices.SortStableFunc(peers, func(a, b presence.Node) int {
-		if near := a.Zone == zone; near != (b.Zone == zone) {
-			if near {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.Cores, a.Cores)
+		return cmp.Or(cmp.Compare(apart(a, own), apart(b, own)), cmp.Compare(b.Cores, a.Cores))
 	})
 	return peers[:min(len(peers), triedNodes)]
 }
 
+// apart tells how far a node stands away: 0 in the same zone, 1 in the same region, 2
+// elsewhere.
+func apart(n presence.Node, own place.Place) int {
+	switch {
+	case n.Zone == own.Zone:
+		return 0
+	case n.Region == own.Region:
+		return 1
+	}
+	return 2
+}
+
 // reaches tells whether the store answers through another node.
 func (d *Detour) reaches(via *client) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeMost+dialMost)
--- a/internal/gatewaynode/storerelay/within.go
+++ b/internal/gatewaynode/storerelay/within.go
@@ -15,6 +15,11 @@
 // errNoneWithin says that no other node in the regions of a call took it.
 var errNoneWithin = errors.New("no other node in the regions of the call")
 
+// own returns where this node stands.
+func (d *Detour) own() place.Place {
+	return place.Place{Zone: d.config.Zone, Region: d.config.Region}
+}
+
 // commit commits a transaction that may be seen in regions.
 func (d *Detour) commit(ctx context.Context, asked request, regions place.Regions) (int64, error) {
 	got := d.call(ctx, asked, regions)
@@ -54,7 +59,7 @@
 	d.mu.Lock()
 	peers := d.peers
 	d.mu.Unlock()
-	for _, peer := range candidates(presence.Within(peers(), regions), d.config.Zone) {
+	for _, peer := range candidates(presence.Within(peers(), regions), d.own()) {
 		via := d.asideOf(peer)
 		if via == nil {
 			break
--- a/internal/gatewaynode/storerelay/within_test.go
+++ b/internal/gatewaynode/storerelay/within_test.go
@@ -74,3 +74,21 @@
 		}
 	})
 }
+
+// TestCandidates: the own zone goes first, then the own region, then the larger ones.
+func TestCandidates(t *testing.T) {
+	node := func(name, zone, region string, cores float64) presence.Node {
+		return presence.Node{Name: name, PeerAddress: name, Zone: zone, Region: region, Cores: cores}
+	}
+	peers := []presence.Node{
+		node("far", "c1", "c", 4), node("region", "a2", "a", 1), node("zone", "a1", "a", 0.5), node("large", "b1", "b", 8),
+		{Name: "unreachable", Zone: "a1", Region: "a", Cores: 9},
+	}
+	got := ""
+	for _, peer := range candidates(peers, place.Place{Zone: "a1", Region: "a"}) {
+		got += peer.Name + " "
+	}
+	if want := "zone region large "; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+}
