rowlease, metering, reload, upstream: calls of a holder begin and end within its permit

Cause: reports of use went through net/http's transport, which dials in the background, repeats by itself and leaves bytes in sockets that are closed; orders were checked before the connection stood. A receiver that checks no fencing token could get a call of a former holder over a link that had been silent. A release told the time since a call's beginning, though the call could still be under way. Change: Lease.Act gives a permit with a fixed end and a check asked right before the bytes leave; losing the lease ends calls, a release waits for them; sockets drop what they hold. Tests: the sink of TestUseUnderFaults now asks the permit and also fails on a token after a higher one; Sink.Report takes the permit, so its signature changed in tests.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -150,10 +150,9 @@
 	if cfg.DutyAddress == "" || !slices.Contains(cfg.Duties, platform.DutyMetering) {
 		return storenode.Metering{}
 	}
-	dialer := &net.Dialer{Timeout: dutyDialLimit, KeepAlive: -1}
-	client := &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, IdleConnTimeout: dutyIdleLimit, DisableCompression: true,
-	}}
+	client := upstream.NewClient(upstream.Config{
+		Codec: platform.Codec{}, DialTimeout: dutyDialLimit, IdleMost: dutyIdleLimit, MustAdmit: true,
+	})
 	return storenode.Metering{
 		Sink: platform.NewDuties(client, cfg.DutyAddress), Window: cfg.UsageWindow, Due: cfg.UsageWithin,
 		CallsPerSecond: cfg.DutyCalls,
--- a/internal/gatewaynode/metering/doc.go
+++ b/internal/gatewaynode/metering/doc.go
@@ -19,8 +19,9 @@
 // once, and those of a time without the store or the platform are caught up.
 //
 // Turns. A holder waits until the acts of the one before lie the settling time back,
-// and sends nothing outside the lease's validity. A call that the platform refuses
-// because of its fencing token ends the hold.
+// makes one call at a time, and has each begin and end within the lease's validity: see
+// rowlease.Permit. So a platform that doesn't check fencing tokens gets none after a
+// higher one. A call that a platform refuses because of its token ends the hold.
 //
 // What is lost. Counts of a node that was killed before it wrote them; counts whose
 // row comes after the window was fixed. The latter are said in the log.
@@ -34,6 +35,7 @@
 	"strings"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowlease"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
@@ -110,10 +112,11 @@
 	ErrBusy = errors.New("metering: too many calls")
 )
 
-// Sink takes reports. Calls are bounded by their context. An error that is none of
+// Sink takes reports. A call asks permit.Admit right before its bytes leave, and nothing
+// of it leaves after permit.Until. Calls are bounded by their context. An error that is none of
 // the package's means that nothing is known: the report may have been taken.
 type Sink interface {
-	Report(ctx context.Context, holder string, token int64, report Report) error
+	Report(ctx context.Context, permit rowlease.Permit, report Report) error
 }
 
 // rowKey returns the key of the row of a node's process for a window.
--- a/internal/gatewaynode/metering/metering_test.go
+++ b/internal/gatewaynode/metering/metering_test.go
@@ -36,8 +36,9 @@
 	taken   map[Window]Counts
 	late    map[Window]time.Duration
 	acts    []act
-	// fault says what becomes of a call: "", "silent", "busy", "lose", "late", or "reject"
-	// for the window rejected.
+	// fault says what becomes of a call: "", "silent", "busy", "lose", "late", "reject"
+	// for the window rejected, "still" for a process that stands still before it sends, or
+	// "held" for one that waits in a socket for as long as it may.
 	fault    string
 	rejected Window
 }
@@ -45,6 +46,7 @@
 // act is a call as it came.
 type act struct {
 	holder string
+	token  int64
 	at     time.Time
 }
 
@@ -58,10 +60,22 @@
 	s.fault = fault
 }
 
-func (s *sink) Report(ctx context.Context, holder string, token int64, report Report) error {
+func (s *sink) Report(ctx context.Context, permit rowlease.Permit, report Report) error {
+	holder, token := permit.Holder, permit.Token
 	s.mu.Lock()
 	fault, rejected := s.fault, s.rejected
-	s.acts = append(s.acts, act{holder, time.Now()})
+	s.mu.Unlock()
+	if fault == "still" {
+		time.Sleep(standsStill)
+	}
+	if err := permit.Admit(); err != nil {
+		return err
+	}
+	if fault == "held" {
+		time.Sleep(time.Until(permit.Until))
+	}
+	s.mu.Lock()
+	s.acts = append(s.acts, act{holder, token, time.Now()})
 	s.mu.Unlock()
 	report.Counts = maps.Clone(report.Counts)
 	switch fault {
@@ -108,12 +122,20 @@
 	return nil
 }
 
+// standsStill is for how long a process stands still: long enough for another node to
+// take the lease and to act.
+const standsStill = 9 * time.Second
+
 // checkTurns fails the test where a holder acts again within the settling time of its
-// last act though another one acted in between.
+// last act though another one acted in between, or where a token came after a higher one:
+// not every receiver checks tokens.
 func (s *sink) checkTurns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.acts {
+		if i > 0 && s.acts[i].token < s.acts[i-1].token {
+			s.t.Errorf("token %d of %s came after %d", s.acts[i].token, s.acts[i].holder, s.acts[i-1].token)
+		}
 		for j := i + 1; j < len(s.acts) && s.acts[j].at.Sub(s.acts[i].at) < testSettle; j++ {
 			if s.acts[j].holder != s.acts[i].holder {
 				s.t.Errorf("%s acted %s after %s", s.acts[j].holder, s.acts[j].at.Sub(s.acts[i].at), s.acts[i].holder)
@@ -291,6 +313,25 @@
 				s.meters[i] = s.start(m.name, 2)
 			}
 		}, nil, 12, 0},
+		{"holder stands still before it sends", func(s *system) {
+			s.sink.set("still")
+			s.holder().way.Set(rowstoretest.Silenced)
+			time.AfterFunc(time.Second, func() { s.sink.set("") })
+		}, open, 60, 8 * time.Second},
+		{"calls held in a socket", func(s *system) { s.sink.set("held") }, mend, 0, 8 * time.Second},
+		{"calls held in a socket, then the holder cut off", func(s *system) {
+			s.sink.set("held")
+			holder := s.holder()
+			time.AfterFunc(2*time.Second, func() { holder.way.Set(rowstoretest.Silenced) })
+		}, func(s *system) { open(s); mend(s) }, 60, 8 * time.Second},
+		{"planned stop of the holder while a call is under way", func(s *system) {
+			s.sink.set("held")
+			holder := s.holder()
+			time.AfterFunc(2200*time.Millisecond, func() {
+				holder.reporter.Withdraw()
+				holder.reporter.Release()
+			})
+		}, mend, 0, 8 * time.Second},
 		{"planned stop of the holder", func(s *system) {
 			holder := s.holder()
 			holder.reporter.Withdraw()
--- a/internal/gatewaynode/metering/reporter.go
+++ b/internal/gatewaynode/metering/reporter.go
@@ -60,7 +60,6 @@
 	revision int64
 	loaded   bool
 	taken    map[Window]bool
-	lastCall time.Time
 	// steady is since when the holder has been able to act without a break.
 	steady time.Time
 }
@@ -126,13 +125,9 @@
 // Withdraw begins a planned stop: this node takes the lease no more.
 func (r *Reporter) Withdraw() { r.lease.Withdraw() }
 
-// Release gives the lease up.
+// Release gives the lease up. All that a holder does is done by Lease.Act.
 func (r *Reporter) Release() {
-	r.lease.Release(func() time.Duration {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return time.Since(r.lastCall)
-	})
+	r.lease.Release(func() time.Duration { return r.config.Timing.Settle })
 }
 
 // allowed tells whether this node may act now in the term of a token.
@@ -344,14 +339,12 @@
 		if !found || ctx.Err() != nil {
 			return
 		}
-		// What Release tells of the last call must not miss this one.
-		r.mu.Lock()
-		r.lastCall = time.Now()
-		r.mu.Unlock()
 		if !r.allowed(token) {
 			return
 		}
-		err := r.call(ctx, token, report)
+		err := r.lease.Act(ctx, token, callLimit, func(ctx context.Context, permit rowlease.Permit) error {
+			return r.config.Sink.Report(ctx, permit, report)
+		})
 		r.noteSent(report, token, err)
 		if errors.Is(err, ErrFenced) {
 			r.lease.Abandon(token, "a higher fencing token was used")
@@ -379,18 +372,6 @@
 	return Report{}, false
 }
 
-// call sends a report within the lease's validity.
-func (r *Reporter) call(ctx context.Context, token int64, report Report) error {
-	_, until, _ := r.lease.Current()
-	limit := time.Now().Add(callLimit)
-	if until.Before(limit) {
-		limit = until
-	}
-	bounded, cancel := context.WithDeadline(ctx, limit)
-	defer cancel()
-	return r.config.Sink.Report(bounded, r.config.Presence.Self().Name, token, report)
-}
-
 func (r *Reporter) noteSent(report Report, token int64, err error) {
 	age := r.config.Now().Sub(report.Window.end(r.config.Window))
 	fields := eventlog.Fields{
--- a/internal/gatewaynode/reload/carryout.go
+++ b/internal/gatewaynode/reload/carryout.go
@@ -114,31 +114,25 @@
 
 // send gives the order if the lease still allows it.
 func (c *Controller) send(ctx context.Context, next step, token, taken int64) error {
-	now := time.Now()
 	c.mu.Lock()
-	allowed := c.mayOrder(now) && c.token == token
-	if allowed {
-		c.lastOrder = now
-	}
+	allowed := c.mayOrder(time.Now()) && c.token == token
 	c.mu.Unlock()
 	if !allowed {
-		return errors.New("lease no longer allows orders")
-	}
-	limit := now.Add(callLimit)
-	if _, until, _ := c.lease.Current(); until.Before(limit) {
-		limit = until
+		return rowlease.ErrLapsed
 	}
-	bounded, cancel := context.WithDeadline(ctx, limit)
-	defer cancel()
 	c.config.Log.Info(eventlog.OrderSent, eventlog.Fields{
 		eventlog.Backend: next.backend.ID, eventlog.Model: next.model, eventlog.Version: next.version,
 		"holds": next.backend.Models[next.model], eventlog.Token: token, "taken": taken,
 	})
-	done, err := c.config.Commander.Order(bounded, Order{
-		Instance: next.backend.ID, Address: next.backend.Address, Model: next.model, Version: next.version,
-		Taken: taken, Holder: c.self.Name, Token: token, Mode: c.config.Mode,
+	var done bool
+	err := c.lease.Act(ctx, token, callLimit, func(ctx context.Context, permit rowlease.Permit) (err error) {
+		done, err = c.config.Commander.Order(ctx, Order{
+			Instance: next.backend.ID, Address: next.backend.Address, Model: next.model, Version: next.version,
+			Taken: taken, Permit: permit, Mode: c.config.Mode,
+		})
+		return err
 	})
-	if withheld(err) {
+	if withheld(err) || errors.Is(err, rowlease.ErrLapsed) {
 		return err
 	}
 	if err != nil && (errors.Is(err, ErrFenced) || errors.Is(err, ErrMismatch) || errors.Is(err, ErrGone) || errors.Is(err, ErrRejected)) {
--- a/internal/gatewaynode/reload/doc.go
+++ b/internal/gatewaynode/reload/doc.go
@@ -34,6 +34,7 @@
 	"encoding/json"
 	"errors"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowlease"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
@@ -61,9 +62,9 @@
 	Model    string
 	Version  int64
 	// Taken is the number of orders that the back end must have taken before.
-	Taken  int64
-	Holder string
-	Token  int64
+	Taken int64
+	// Permit is the holder's; the order asks it right before its bytes leave.
+	rowlease.Permit
 	// Mode says what becomes of runs under way.
 	Mode Mode
 }
--- a/internal/gatewaynode/reload/reload.go
+++ b/internal/gatewaynode/reload/reload.go
@@ -59,13 +59,12 @@
 	termRevision int64
 	// resting holds, by back end, until when it is left alone because the holder
 	// before may have given it an order.
-	resting   map[string]time.Time
-	lastOrder time.Time
-	loadTime  time.Duration
-	busy      map[string]bool
-	taken     map[string]int64
-	wakes     chan struct{}
-	loads     map[string]Load
+	resting  map[string]time.Time
+	loadTime time.Duration
+	busy     map[string]bool
+	taken    map[string]int64
+	wakes    chan struct{}
+	loads    map[string]Load
 	// seen tells by back end when its row of loads was seen to change.
 	seen map[string]seenLoad
 	// shares says which model each back end is for, as the last holder left it.
@@ -210,14 +209,14 @@
 	c.lease.Release(c.quiet)
 }
 
-// quiet returns how long ago the last order ended at least.
+// quiet returns how long no load has been under way, as far as the lease cannot tell.
 func (c *Controller) quiet() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.busy) > 0 {
 		return 0
 	}
-	return time.Since(c.lastOrder)
+	return c.config.Timing.Settle
 }
 
 // working tells whether this node holds the lease and still has orders to end
--- a/internal/gatewaynode/rowlease/lease.go
+++ b/internal/gatewaynode/rowlease/lease.go
@@ -58,6 +58,11 @@
 	hold       Hold
 	validUntil time.Time
 	renewed    time.Time
+	// acts are the calls under way; idle, if set, is closed once there are none; lastAct
+	// is when one began or ended last.
+	acts    map[*underWay]struct{}
+	idle    chan struct{}
+	lastAct time.Time
 }
 
 // Leases are the leases that a node takes part in; they share a view.
@@ -91,7 +96,7 @@
 
 // Add returns this node's part in a lease; it is called before Run.
 func (s *Leases) Add(config Config) *Lease {
-	lease := &Lease{config: config, self: config.Presence.Self(), view: s.view}
+	lease := &Lease{config: config, self: config.Presence.Self(), view: s.view, acts: make(map[*underWay]struct{})}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.byName[config.Name] = lease
@@ -162,8 +167,16 @@
 	}
 }
 
-// lose ends this node's hold. The lock is held.
+// lose ends this node's hold and the calls made under it. The lock is held.
 func (l *Lease) lose(cause string) {
+	l.drop(cause)
+	for act := range l.acts {
+		act.cancel()
+	}
+}
+
+// drop ends this node's hold. The lock is held.
+func (l *Lease) drop(cause string) {
 	l.held = false
 	l.config.Log.Warn(eventlog.LeaseLost, eventlog.Fields{
 		eventlog.Lease: l.config.Name, eventlog.Token: l.hold.Token, eventlog.Cause: cause, eventlog.Owner: l.row.Holder,
@@ -182,6 +195,11 @@
 func (l *Lease) Valid(token int64, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.valid(token, now)
+}
+
+// valid is Valid with the lock held.
+func (l *Lease) valid(token int64, now time.Time) bool {
 	return l.held && l.hold.Token == token && now.Before(l.validUntil)
 }
 
@@ -219,8 +237,9 @@
 // releaseLimit bounds the writing of a release.
 const releaseLimit = time.Second
 
-// Release gives the lease up, if this node holds it. quiet returns how long ago it
-// last acted; it is asked once the node may not act any more.
+// Release gives the lease up, if this node holds it, once no call is under way. quiet
+// returns how long ago it last acted otherwise than by Act; it is asked once the node
+// may not act any more.
 func (l *Lease) Release(quiet func() time.Duration) {
 	l.mu.Lock()
 	l.withdrawn = true
@@ -228,12 +247,15 @@
 		l.mu.Unlock()
 		return
 	}
-	l.lose("stopping")
+	l.drop("stopping")
+	l.mu.Unlock()
+	l.awaitActs()
+	l.mu.Lock()
 	next, revision := l.row, l.revision
 	next.UnclearMillis = unclear(l.hold.ClearFrom, time.Now())
 	l.mu.Unlock()
 	next.Released = true
-	next.QuietMillis = min(quiet(), l.config.Timing.Settle).Milliseconds()
+	next.QuietMillis = min(quiet(), l.sinceAct(), l.config.Timing.Settle).Milliseconds()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
 	defer cancel()
 	if _, err := l.write(ctx, next, revision); err != nil {
--- a/internal/gatewaynode/upstream/idle.go
+++ b/internal/gatewaynode/upstream/idle.go
@@ -43,6 +43,15 @@
 	conn.keep = keepAlive(response.Header.Get("Keep-Alive"))
 	conn.parked = time.Now()
 	conn.used = true
+	c.giveBack(conn)
+}
+
+// giveBack keeps a sound connection without what its last call had set up.
+func (c *Client) giveBack(conn *connection) {
+	if err := expireNever(conn); err != nil {
+		_ = conn.Close()
+		return
+	}
 	c.keep(conn)
 }
 
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -69,6 +69,9 @@
 	Fresh bool
 	// Unnumbered calls have no id, and their answers need not carry one.
 	Unnumbered bool
+	// Until, if set, is when the call has to be over: what a socket still holds of it by
+	// then never leaves, whatever becomes of this process; see expire.
+	Until time.Time
 	// Admit is asked on a connection that stands, at the moment of sending; an error
 	// keeps the call back. It may be nil only at a client that does not ask for it.
 	Admit func() error
@@ -203,6 +206,8 @@
 	keep   time.Duration
 	parked time.Time
 	used   bool
+	// expires tells that what the socket holds is dropped in time, see expire.
+	expires bool
 }
 
 // Answer is an answer that belongs to its call. Body must be closed.
@@ -224,8 +229,12 @@
 	if err != nil {
 		return nil, &Error{Fate: NotSent, Cause: err}
 	}
+	if err := expire(conn, call.Until); err != nil {
+		_ = conn.Close()
+		return nil, &Error{Fate: NotSent, Cause: err}
+	}
 	if err := c.admit(call); err != nil {
-		c.keep(conn)
+		c.giveBack(conn)
 		return nil, &Error{Fate: NotSent, Cause: err, Withheld: true}
 	}
 	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
