soak, standin: evacuations, regions, cold starts, zones that go, callers that leave

Not seen by the judge: which nodes had a body, since nodes reach each other without a proxy. TestPlanComesFromTheSeed now counts the kinds of both draws.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -27,12 +27,18 @@
 //   - Orders to a back end come from one holder at a time, and fencing tokens rise.
 //   - No window of the tenants' use is reported with two counts, and none with more than
 //     began.
+//   - Within a bound nothing more comes to the samplers of an evacuated zone.
+//   - What is bound to regions comes to no sampler of another one. Which nodes had its
+//     body is not seen.
+//   - A cold sampler gets no more in any second than it bears.
+//   - Work ends soon for a caller that left.
 type Judge struct {
 	mu        sync.Mutex
 	breaches  []string
 	positions map[string]map[int]Result
 	places    map[string]map[string]int
 	answers   map[string]Answer
+	left      map[string]departure
 	counts    map[string]int
 }
 
@@ -46,8 +52,9 @@
 
 // Answer is how a live request ended.
 type Answer struct {
-	// Kind is "safe" or "unsafe", Tenant, on whose behalf the request was made.
-	Kind, Tenant string
+	// Kind is "safe", "unsafe" or "bound", Tenant, on whose behalf the request was made,
+	// Node, who had it.
+	Kind, Tenant, Node string
 	// Status is 0 for a request without an answer.
 	Status      int
 	Body, Stamp string
@@ -60,7 +67,7 @@
 func NewJudge() *Judge {
 	return &Judge{
 		positions: make(map[string]map[int]Result), places: make(map[string]map[string]int),
-		answers: make(map[string]Answer), counts: make(map[string]int),
+		answers: make(map[string]Answer), left: make(map[string]departure), counts: make(map[string]int),
 	}
 }
 
@@ -185,6 +192,14 @@
 	}
 }
 
+// boundLive tells whether a live request may run in the home region alone.
+func (j *Judge) boundLive(id string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	answer, live := j.answers[id]
+	return live && (answer.Kind == boundKind || answer.Tenant == tenantName(boundTenant))
+}
+
 // judgeAnswer judges a live request by its runs. The lock is held.
 func (j *Judge) judgeAnswer(id string, answer Answer, runs []standin.Run) {
 	refused := answer.Status == 408 || answer.Status == 421 || answer.Status == 429 || answer.Status == 503 || answer.Status == 401
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/sliplift/sliplift/platform/standin"
 )
 
 // host is the name that the routes are under.
@@ -31,6 +33,9 @@
 	newestJobs = 4
 )
 
+// jobPrefix begins the ids of jobs and of their items.
+const jobPrefix = "job-"
+
 // job is a batch job as its caller knows it.
 type job struct {
 	id     string
@@ -95,7 +100,7 @@
 // version of the weights.
 func (l *load) submit() {
 	number := l.next()
-	j := job{id: fmt.Sprintf("job-%d", number), tenant: number % tenants}
+	j := job{id: fmt.Sprintf("%s%d", jobPrefix, number), tenant: number % tenants}
 	var items []map[string]any
 	for i := range jobItems {
 		id := fmt.Sprintf("%s-%d", j.id, i)
@@ -201,10 +206,32 @@
 	return true
 }
 
+const (
+	// leaveEvery is after how many live requests a caller leaves, leaveAfter, how long it
+	// stays: the sampler works longer.
+	leaveEvery = 20
+	leaveAfter = 300 * time.Millisecond
+)
+
+// leave makes a live request and goes away before its end.
+func (l *load) leave(number int) {
+	id, n := fmt.Sprintf("left-%d", number), l.anyNode()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveAfter)
+	defer cancel()
+	send(ctx, n, http.MethodPost, "/safe/x"+standin.SlowPath, id, tenantKey(0, 1), []byte("hello"))
+	if ctx.Err() != nil {
+		l.system.judge.Left(id, n.name, time.Now())
+	}
+}
+
 // request makes a live request.
 func (l *load) request() {
 	number := l.next()
-	kind := []string{"safe", "unsafe"}[number%2]
+	if number%leaveEvery == 0 {
+		l.leave(number)
+		return
+	}
+	kind := []string{"safe", "unsafe", boundKind}[number%3]
 	id, tenant, n := fmt.Sprintf("%s-%d", kind, number), number%tenants, l.anyNode()
 	ctx, cancel := context.WithTimeout(context.Background(), requestLimit)
 	defer cancel()
@@ -212,7 +239,7 @@
 	answer := send(ctx, n, http.MethodPost, "/"+kind+"/x", id, tenantKey(tenant, 1), []byte("hello"))
 	after, stoppingAfter, disturbed := n.state()
 	seen := Answer{
-		Kind: kind, Tenant: tenantName(tenant), Status: answer.status, Body: answer.body, Stamp: answer.stamp,
+		Kind: kind, Tenant: tenantName(tenant), Node: n.name, Status: answer.status, Body: answer.body, Stamp: answer.stamp,
 		CutByStop: answer.cut && !stopping && stoppingAfter && after == starts && !disturbed && l.system.alone(time.Second),
 	}
 	l.system.judge.Answered(id, seen)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -16,10 +16,10 @@
 
 // node is a gateway that runs as a process of its own, again and again.
 type node struct {
-	name, program, directory string
-	caller                   string
-	store, duties            *proxy
-	settings                 string
+	name, zone, program, directory string
+	caller                         string
+	store, duties                  *proxy
+	settings                       string
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -80,12 +80,12 @@
 		return nil, err
 	}
 	n := &node{
-		name: name, program: program, directory: directory, store: store, duties: duties,
+		name: name, zone: zone, program: program, directory: directory, store: store, duties: duties,
 		caller: fmt.Sprintf("127.0.0.1:%d", ports[0]), settings: filepath.Join(directory, name+".ini"),
 	}
 	content := fmt.Sprintf(`name = %s
 zone = %s
-region = local
+region = %s
 caller-address = %s
 ready-address = 127.0.0.1:%d
 directory-address = 127.0.0.1:%d
@@ -99,8 +99,11 @@
 duty-calls-per-second = 50
 usage-window = %s
 usage-within = %s
-`, name, zone, n.caller, ports[1], ports[2], ports[3], store.address(), configApply, settleTime, stopGrace,
-		duties.address(), usageWindow, usageWithin)
+evacuate-within = %s
+cold-overage = %g
+cold-slack = %d
+%s`, name, zone, regionOf(zone), n.caller, ports[1], ports[2], ports[3], store.address(), configApply, settleTime, stopGrace,
+		duties.address(), usageWindow, usageWithin, evacuateWithin, coldOverage, coldSlack, zoneRegions())
 	return n, os.WriteFile(n.settings, []byte(content), 0o600)
 }
 
--- /dev/null
+++ b/internal/soak/places_test.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/platform/standin"
+)
+
+// TestJudgeFindsBreachesOfPlaces: each row breaks one promise about zones, regions, cold
+// starts or callers that leave, and the judge says so; rows without a word break none.
+func TestJudgeFindsBreachesOfPlaces(t *testing.T) {
+	began := time.Unix(1000, 0)
+	at := func(after time.Duration) time.Time { return began.Add(after) }
+	const (
+		item, live, inTouch = "job-1-0", "safe-1", "n1"
+		late                = evacuateWithin + 500*time.Millisecond
+	)
+	// seen is what was seen in a run that broke nothing.
+	type seen struct {
+		came       Came
+		evacuation Evacuation
+		disturbed  map[string]span
+		run        standin.Run
+		bound      string
+	}
+	arrive := func(s *seen, id string, after time.Duration) {
+		s.came.Arrivals = append(s.came.Arrivals, standin.Arrival{At: at(after), ID: id})
+	}
+	rush := func(s *seen, count int, from time.Duration) {
+		s.came.Colds = []standin.Cold{{From: at(0), Until: at(5 * time.Second)}}
+		for number := range count {
+			s.came.Arrivals = append(s.came.Arrivals, standin.Arrival{
+				At: at(from + time.Duration(number)*100*time.Millisecond), ID: live, Cold: true,
+			})
+		}
+		s.evacuation = Evacuation{}
+	}
+	for _, test := range []struct {
+		name   string
+		change func(s *seen)
+		says   string
+	}{
+		{"nothing", func(*seen) {}, ""},
+		{"a live request before the bound", func(s *seen) { arrive(s, live, evacuateWithin-time.Millisecond) }, ""},
+		{"a live request after it", func(s *seen) { arrive(s, live, late) }, "was evacuated"},
+		{"one in another zone", func(s *seen) { s.came.Zone = "z1"; arrive(s, live, late) }, ""},
+		{"one of a node out of touch", func(s *seen) {
+			s.disturbed[inTouch] = span{at(time.Second), at(2 * time.Second)}
+			arrive(s, live, late)
+		}, ""},
+		{"an item of a node out of touch", func(s *seen) {
+			s.disturbed[inTouch] = span{at(time.Second), at(2 * time.Second)}
+			arrive(s, item, late)
+		}, "was evacuated"},
+		{"an item while nobody could know", func(s *seen) {
+			s.disturbed[everyStoreCall] = span{at(0), at(2 * time.Second)}
+			arrive(s, item, late)
+		}, ""},
+		{"an item held up before its sampler", func(s *seen) {
+			s.disturbed["engine-0"] = span{at(time.Second), at(late - thawTime/2)}
+			arrive(s, item, late)
+		}, ""},
+		{"an item after the evacuation was taken back", func(s *seen) {
+			s.evacuation.TakenBack, s.evacuation.takenBackUnknown = at(late-time.Millisecond), false
+			arrive(s, item, late)
+		}, ""},
+		{"a bound request in another region", func(s *seen) { s.came.Zone, s.bound = "z2", live; arrive(s, live, 0) }, "may run in r0 alone"},
+		{"another request there", func(s *seen) { s.came.Zone = "z2"; arrive(s, live, 0) }, ""},
+		{"as many as a cold sampler bears", func(s *seen) { rush(s, coldMost, 2*time.Second) }, ""},
+		{"one more", func(s *seen) { rush(s, coldMost+1, 2*time.Second) }, "while cold"},
+		{"one more over the edge of a second", func(s *seen) { rush(s, coldMost+1, 2500*time.Millisecond) }, "while cold"},
+		{"one more before nodes could know", func(s *seen) { rush(s, coldMost+1, 0) }, ""},
+		{"one more from a node that woke", func(s *seen) {
+			s.disturbed[anyPause] = span{at(time.Second), at(3 * time.Second)}
+			rush(s, coldMost+1, 2*time.Second)
+		}, ""},
+		{"work for a caller that left", func(s *seen) { s.run.Stopped = at(leaveWithin + time.Millisecond) }, "after the caller had left"},
+		{"work that never stops", func(s *seen) { s.run.Stopped = time.Time{} }, "after the caller had left"},
+		{"work behind a silent link", func(s *seen) {
+			s.run.Stopped = at(leaveWithin + time.Millisecond)
+			s.disturbed["engine-0"] = span{at(0), at(leaveWithin)}
+		}, ""},
+	} {
+		s := &seen{
+			came:       Came{Sampler: "engine-0", Zone: "z0"},
+			evacuation: Evacuation{Zone: "z0", From: began, takenBackUnknown: true},
+			disturbed:  make(map[string]span),
+			run:        standin.Run{Sampler: "engine-0", ID: "left-1", Stopped: at(leaveWithin / 2)},
+		}
+		test.change(s)
+		history := NewHistory()
+		for name, disturbed := range s.disturbed {
+			history.spans[name] = []span{disturbed}
+		}
+		judge := NewJudge()
+		judge.Answered(live, Answer{Kind: "safe", Tenant: "tenant-0", Node: inTouch, Status: 200})
+		judge.Left("left-1", inTouch, began)
+		judge.Evacuated(s.came, []Evacuation{s.evacuation}, history)
+		judge.Placed(s.came, homeRegion, func(id string) bool { return id == s.bound })
+		judge.ColdStarts(s.came, history)
+		judge.Departures([]standin.Run{s.run}, history)
+		said := strings.Join(judge.Breaches(), "; ")
+		if (test.says == "") != (said == "") || !strings.Contains(said, test.says) {
+			t.Errorf("%s: the judge says %q, want %q", test.name, said, test.says)
+		}
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -42,6 +42,15 @@
 	resets kind = "resets"
 	// keysChange takes a key away and gives it back.
 	keysChange kind = "keys_change"
+	// evacuateZone asks for nothing more to be sent to the samplers of a zone.
+	evacuateZone kind = "evacuate"
+	// coldSampler turns a back end cold; coldReturn takes those of a zone away, which come
+	// back together, cold.
+	coldSampler kind = "cold"
+	coldReturn  kind = "cold_return"
+	// zoneLoss takes the power of a zone away, zoneCut cuts its nodes off from the store.
+	zoneLoss kind = "zone_loss"
+	zoneCut  kind = "zone_cut"
 )
 
 var kinds = []kind{
@@ -49,6 +58,9 @@
 	backendFails, dutiesFail, resets, keysChange,
 }
 
+// zoneKinds happen to zones and their back ends, beside the others.
+var zoneKinds = []kind{evacuateZone, coldSampler, coldReturn, zoneLoss, zoneCut}
+
 // fault is something that fails for a while.
 type fault struct {
 	at, lasts time.Duration
@@ -72,11 +84,21 @@
 	// gapMost is the most time between two faults, lastsMost the most that one lasts.
 	gapMost   = 3 * time.Second
 	lastsMost = 5 * time.Second
+	// zoneGapMost is the most time between two faults of zones.
+	zoneGapMost = 8 * time.Second
 )
 
-// draw returns the faults of a run that lasts so long, in order.
+// draw returns the faults of a run that lasts so long, in order. Those of zones are drawn
+// by themselves, so that what else a seed gives does not depend on them.
 func draw(seed uint64, lasts time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, 1))
+	faults := drawKinds(rand.New(rand.NewPCG(seed, 1)), kinds, lasts, gapMost)
+	faults = append(faults, drawKinds(rand.New(rand.NewPCG(seed, 2)), zoneKinds, lasts, zoneGapMost)...)
+	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return faults
+}
+
+// drawKinds returns faults of some kinds.
+func drawKinds(random *rand.Rand, kinds []kind, lasts, gapMost time.Duration) []fault {
 	var faults []fault
 	for at := calmFirst; at < lasts-calmLast; at += time.Duration(random.Int64N(int64(gapMost))) {
 		f := fault{
@@ -84,10 +106,13 @@
 			kind: kinds[random.IntN(len(kinds))], target: random.IntN(1 << 16),
 			way: manner(1 + random.IntN(int(deaf))), variant: random.IntN(1 << 16),
 		}
+		if f.kind == evacuateZone {
+			// Long enough for what comes too late to be seen.
+			f.lasts += evacuateWithin
+		}
 		f.lasts = min(f.lasts, lasts-calmLast-at+time.Second)
 		faults = append(faults, f)
 	}
-	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return faults
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -120,8 +120,8 @@
 			}
 		}
 	}
-	if len(found) != len(kinds) {
-		t.Errorf("%d kinds of faults of %d", len(found), len(kinds))
+	if want := len(kinds) + len(zoneKinds); len(found) != want {
+		t.Errorf("%d kinds of faults of %d", len(found), want)
 	}
 }
 
