presence: the view's pace is asked for outside of the lock; few nodes may beat at the same moments

A store with a bound on reads made a node wait for itself (found by TestNodeWhoseViewIsBehindSaysNothingFalse), and three nodes that beat together looked as if the store held them up (TestAddressesFollowTheNodes).

--- a/internal/gatewaynode/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -139,6 +139,8 @@
 func (r *Registry) View() *rowstore.View { return r.view }
 
 func (r *Registry) apply(rows []rowstore.Row, complete bool) {
+	// The pace depends on the number of nodes, which asks for the lock.
+	pace := r.pacing.BusyPace()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -146,7 +148,7 @@
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
-		r.applyRow(row, now, !first)
+		r.applyRow(row, now, pace, !first)
 	}
 	if first {
 		r.log.Info(eventlog.NodesRead, eventlog.Fields{eventlog.Count: len(r.nodes)})
@@ -163,7 +165,7 @@
 
 // applyRow takes a row; tell says whether a new node is worth a line of its own.
 // The lock is held.
-func (r *Registry) applyRow(row rowstore.Row, now time.Time, tell bool) {
+func (r *Registry) applyRow(row rowstore.Row, now time.Time, pace time.Duration, tell bool) {
 	held := r.nodes[row.Key]
 	if row.Deleted {
 		if held != nil && row.Revision >= held.revision {
@@ -185,7 +187,7 @@
 	if row.Revision <= held.revision {
 		return
 	}
-	r.noteHeard(now)
+	r.noteHeard(now, pace)
 	if node.Name == r.self.Name {
 		r.noteEcho(now)
 	}
--- a/internal/gatewaynode/presence/silence.go
+++ b/internal/gatewaynode/presence/silence.go
@@ -14,18 +14,21 @@
 	r.echoed = now
 }
 
-// hearShare and hearBeats bound the time in which the view brings a beat of some node if
-// the store takes them, beside the view's own pace: a part of a beat where nodes are many,
-// and two times the even spacing of their beats where they are few.
+// The time in which the view brings a beat of some node if the store takes them, in beats
+// and beside the view's own pace: hearSpacing times the even spacing of all beats, which is
+// hearMost where nodes are few and may beat at the same moments, and hearLeast where they
+// are many.
 const (
-	hearShare = 0.25
-	hearBeats = 2
+	hearSpacing = 10
+	hearMost    = 1.25
+	hearLeast   = 0.25
 )
 
-// noteHeard records that the view brought a beat. The lock is held.
-func (r *Registry) noteHeard(now time.Time) {
-	beat := float64(r.beat(len(r.nodes)))
-	due := max(time.Duration(hearBeats*beat/float64(len(r.nodes))), time.Duration(hearShare*beat)+r.pacing.BusyPace())
+// noteHeard records that the view, which follows the rows at a pace, brought a beat. The
+// lock is held.
+func (r *Registry) noteHeard(now time.Time, pace time.Duration) {
+	beats := min(max(hearSpacing/float64(len(r.nodes)), hearLeast), hearMost)
+	due := time.Duration(beats*float64(r.beat(len(r.nodes)))) + pace
 	if gap := now.Sub(r.heard); !r.heard.IsZero() && gap > due {
 		r.stalled += gap - due
 	}
