storenode: owners of cold back ends' work where jobs are bound to regions

Owners of jobs that may live in some regions alone are no longer the first keepers of all: their shares of cold back ends follow the same rule as the jobs' placement, for each set of regions that jobs whose work may go to a back end's region can have.

--- a/internal/gatewaynode/storenode/coldshares.go
+++ b/internal/gatewaynode/storenode/coldshares.go
@@ -1,7 +1,7 @@
 package storenode
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +9,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/batch"
 	"github.com/sliplift/sliplift/internal/gatewaynode/coldstart"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
@@ -30,7 +31,7 @@
 type ranks struct {
 	until  time.Time
 	live   []presence.Node
-	owners map[string][]string
+	owners map[placement][]string
 	shares map[string]int
 }
 
@@ -50,41 +51,49 @@
 	if !now.Before(s.kept.until) {
 		s.kept = ranks{
 			until: now.Add(sharesFor), live: s.node.presence.Live(now),
-			owners: make(map[string][]string), shares: make(map[string]int),
+			owners: make(map[placement][]string), shares: make(map[string]int),
 		}
 	}
 	share, known := s.kept.shares[b.ID]
 	if !known {
-		owners := s.ownersOf(b.Service)
+		owners := s.ownersOf(b.Service, s.node.config.Eligibility.Zones.Region(b.Zone))
 		share = coldstart.Share(limits, rankFor(s.kept.live, owners, b.ID, s.node.config.Self.Name), len(owners))
 		s.kept.shares[b.ID] = share
 	}
 	return share
 }
 
-// ownersOf returns the owners of jobs whose work goes to a service. The lock is held.
-func (s *coldShares) ownersOf(service string) []string {
-	owners, known := s.kept.owners[service]
+// ownersOf returns the owners of jobs whose work goes to back ends of a service in a
+// region. The lock is held.
+func (s *coldShares) ownersOf(service, region string) []string {
+	at := placement{service, region}
+	owners, known := s.kept.owners[at]
 	if !known {
-		owners = ownersFirst(s.kept.live, s.node.ownerKeys(service))
-		s.kept.owners[service] = owners
+		owners = ownersFirst(s.kept.live, s.node.pools(service, region))
+		s.kept.owners[at] = owners
 	}
 	return owners
 }
 
-// ownersFirst returns the names of the nodes that own jobs by the keys, the order of keys
-// kept. It is pure.
-func ownersFirst(live []presence.Node, keys []string) []string {
-	keepers := presence.Keepers(live)
-	if len(keepers) == 0 {
-		return nil
-	}
+// placement is where work goes to: a service in a region, empty if that is not known.
+type placement struct{ service, region string }
+
+// jobPool is jobs that one node owns: by which key, and where they may live.
+type jobPool struct {
+	key     string
+	regions place.Regions
+}
+
+// ownersFirst returns the names of the nodes that own the jobs of pools, in the order of
+// these. It is pure.
+func ownersFirst(live []presence.Node, pools []jobPool) []string {
 	var owners []string
-	seen := make(map[string]bool)
-	for _, key := range keys {
-		name := presence.Rank(keepers, key)[0].Name
-		if !seen[name] {
-			seen[name] = true
+	for _, pool := range pools {
+		keepers := presence.KeepersWithin(live, pool.regions)
+		if len(keepers) == 0 {
+			continue
+		}
+		if name := presence.Rank(keepers, pool.key)[0].Name; !slices.Contains(owners, name) {
 			owners = append(owners, name)
 		}
 	}
@@ -105,37 +114,55 @@
 	return len(owners) + presence.Among(others, backend, self)
 }
 
-// ownerKeys returns the keys that jobs whose work goes to a service are owned by: those
-// of the service itself if jobs run there, or else, since items are scored there, those
-// of all services that jobs run at.
-func (n *Node) ownerKeys(service string) []string {
+// pools returns the pools of jobs whose work may go to back ends of a service in a region,
+// each once: those of the service itself if jobs run there, or else, since items are scored
+// there, those of all services that jobs run at.
+func (n *Node) pools(service, region string) []jobPool {
 	table := n.table.Load()
 	if table == nil {
 		return nil
 	}
-	services := jobServices(table)
-	if slices.Contains(services, service) {
-		services = []string{service}
+	routes := jobRoutes(table, service)
+	if len(routes) == 0 {
+		routes = jobRoutes(table, "")
 	}
-	var keys []string
-	for _, name := range services {
-		slots, _ := n.fleet.Slots(name)
-		keys = append(keys, batch.OwnerKeys(name, n.fleet.Models(name), slots)...)
+	var found []jobPool
+	for _, route := range routes {
+		runsAt := route.Splits[0].Service
+		slots, _ := n.fleet.Slots(runsAt)
+		for _, regions := range livesIn(table, route, region) {
+			for _, key := range batch.OwnerKeys(runsAt, n.fleet.Models(runsAt), slots) {
+				if pool := (jobPool{key: key, regions: regions}); !slices.Contains(found, pool) {
+					found = append(found, pool)
+				}
+			}
+		}
 	}
-	return keys
+	return found
 }
 
-// jobServices returns the services that batch jobs run at, ordered.
-func jobServices(table *routetable.Table) []string {
-	services := make(map[string]bool)
+// jobRoutes returns the routes of batch jobs that run at a service, at any if it is empty.
+func jobRoutes(table *routetable.Table, service string) []*routetable.Route {
+	var found []*routetable.Route
 	for i := range table.Routes {
 		route := &table.Routes[i]
-		if route.Kind != routetable.KindBatch {
-			continue
+		if route.Kind == routetable.KindBatch && len(route.Splits) > 0 && (service == "" || route.Splits[0].Service == service) {
+			found = append(found, route)
 		}
-		for _, split := range route.Splits {
-			services[split.Service] = true
+	}
+	return found
+}
+
+// livesIn returns the sets of regions, ordered, in which jobs of a route may live whose
+// work may go to a region; any if that is not known.
+func livesIn(table *routetable.Table, route *routetable.Route, region string) []place.Regions {
+	var found []place.Regions
+	for _, tenant := range append(table.Tenants.Regions(), place.Regions{}) {
+		both := route.Regions.And(tenant)
+		if !both.Nowhere() && (region == "" || both.Has(region)) && !slices.Contains(found, both) {
+			found = append(found, both)
 		}
 	}
-	return slices.Sorted(maps.Keys(services))
+	slices.SortFunc(found, func(a, b place.Regions) int { return cmp.Compare(a.String(), b.String()) })
+	return found
 }
--- a/internal/gatewaynode/storenode/coldshares_test.go
+++ b/internal/gatewaynode/storenode/coldshares_test.go
@@ -6,7 +6,10 @@
 	"testing"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/coldstart"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
 func nodesNamed(count int) []presence.Node {
@@ -46,7 +49,7 @@
 func TestSharesOfNodesThatKnowOthers(t *testing.T) {
 	limits := coldstart.Limits{PerSecond: 16, Overage: 1.5, Slack: 5}
 	few := coldstart.Limits{PerSecond: 2, Overage: 1.5, Slack: 5}
-	keys := []string{"pool/a", "pool/b", "pool/c"}
+	keys := []jobPool{{key: "pool/a"}, {key: "pool/b"}, {key: "pool/c"}}
 	for _, size := range []int{3, 59, 87, 330} {
 		all := nodesNamed(size)
 		owners := ownersFirst(all, keys)
@@ -81,7 +84,7 @@
 	limits := coldstart.Limits{PerSecond: 16, Overage: 1.5, Slack: 5}
 	for _, test := range []struct{ nodes, backends, served int }{{59, 17, 50}, {87, 17, 60}, {330, 61, 230}} {
 		all := nodesNamed(test.nodes)
-		owners := ownersFirst(all, []string{"pool"})
+		owners := ownersFirst(all, []jobPool{{key: "pool"}})
 		served := 0
 		for _, n := range all {
 			for b := range test.backends {
@@ -97,3 +100,35 @@
 		}
 	}
 }
+
+// TestOwnersOfJobsThatAreBoundToRegions: who owns jobs whose work may go to a back end has
+// a share there, also where these live in some regions alone.
+func TestOwnersOfJobsThatAreBoundToRegions(t *testing.T) {
+	nodes := nodesNamed(30)
+	for i := range nodes {
+		nodes[i].Region = []string{"north", "south", "west"}[i%3]
+	}
+	north, both := place.NewRegions("north"), place.NewRegions("south", "north")
+	batchRoute := func(name string, regions place.Regions) routetable.Route {
+		return routetable.Route{Name: name, Kind: routetable.KindBatch, Splits: []routetable.Split{{Service: "pool", Weight: 1}}, Regions: regions}
+	}
+	table := routetable.New(1, []routetable.Route{batchRoute("a", north), batchRoute("b", both), batchRoute("c", place.Regions{})}, nil, routetable.Limits{})
+	node := &Node{fleet: fleet.New(nil)}
+	node.table.Store(table)
+	first := func(regions place.Regions) string {
+		return presence.Rank(presence.KeepersWithin(nodes, regions), "pool")[0].Name
+	}
+	for region, bound := range map[string][]place.Regions{"north": {north, both, {}}, "south": {both, {}}, "west": {{}}, "": {north, both, {}}} {
+		for _, service := range []string{"pool", "scoring"} {
+			owners := ownersFirst(nodes, node.pools(service, region))
+			for _, regions := range bound {
+				if !slices.Contains(owners, first(regions)) {
+					t.Errorf("%s in %q: owners %v, without %s of jobs in %s", service, region, owners, first(regions), regions)
+				}
+			}
+			if len(owners) > len(bound) {
+				t.Errorf("%s in %q: owners %v for %d sets of regions", service, region, owners, len(bound))
+			}
+		}
+	}
+}
