--- a/internal/gatewaynode/storenode/apply.go
+++ b/internal/gatewaynode/storenode/apply.go
@@ -84,8 +84,9 @@
 }
 
 func (n *Node) noteInstance(instance fleet.Instance) {
-	held, found := n.fleet.Get(instance.ID, time.Now())
-	if instance.Cold > 0 && (!found || instance.Revision > held.Revision) {
+	now := time.Now()
+	held, found := n.fleet.Get(instance.ID, now)
+	if instance.Cold > 0 && (!found || instance.Revision > held.Revision && !held.Cold(now)) {
 		n.config.Log.Info(eventlog.BackendCold, eventlog.Fields{
 			eventlog.Backend: instance.ID, eventlog.Service: instance.Service, "cold_ms": instance.Cold.Milliseconds(), eventlog.Revision: instance.Revision,
 		})
