--- a/internal/gatewaynode/batch/regions.go
+++ b/internal/gatewaynode/batch/regions.go
@@ -82,7 +82,7 @@
 
 // keeps tells whether this node is among those that take jobs over.
 func (m *Manager) keeps(now time.Time) bool {
-	return m.config.Presence.SelfKeeps(now) || m.config.Presence.SelfKeepsWithin(m.confinements.of(m.config.Routes()), now)
+	return m.config.Presence.SelfKeepsWithin(m.confinements.of(m.config.Routes()), now)
 }
 
 // keepersBy returns the keepers among nodes for each set of regions; nodes is asked at
--- a/internal/gatewaynode/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -308,11 +308,6 @@
 	})
 }
 
-// SelfKeeps tells whether this node is among the keepers of the live nodes.
-func (r *Registry) SelfKeeps(now time.Time) bool {
-	return Place(Keepers(r.Live(now)), r.Self().Name) >= 0
-}
-
 // Self returns the node's own row.
 func (r *Registry) Self() Node {
 	r.mu.Lock()
--- a/internal/gatewaynode/presence/presence_test.go
+++ b/internal/gatewaynode/presence/presence_test.go
@@ -311,7 +311,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a := join(rowstoretest.New(), testNode("a", 1))
 		defer a.stop()
-		if !a.registry.SelfKeeps(time.Now()) {
+		if !a.registry.SelfKeepsWithin(nil, time.Now()) {
 			t.Error("a node alone keeps nothing")
 		}
 	})
--- a/internal/gatewaynode/presence/regions.go
+++ b/internal/gatewaynode/presence/regions.go
@@ -33,23 +33,28 @@
 	if regions.Everywhere() {
 		return Keepers(nodes)
 	}
-	if some := Within(Keepers(nodes), regions); len(some) >= keepersWithinLeast {
+	return keepersWithin(nodes, Keepers(nodes), regions)
+}
+
+// keepersWithin is KeepersWithin for regions that are not all, where the keepers of all
+// jobs are known.
+func keepersWithin(nodes, keepers []Node, regions place.Regions) []Node {
+	if some := Within(keepers, regions); len(some) >= keepersWithinLeast {
 		return some
 	}
 	ranked := Rank(Within(nodes, regions), keepersKey)
 	return ranked[:min(len(ranked), keepersWithinMost)]
 }
 
-// SelfKeepsWithin tells whether this node is among the keepers of one of the sets of
-// regions.
+// SelfKeepsWithin tells whether this node is among the keepers of the live nodes, or among
+// those of one of the sets of regions.
 func (r *Registry) SelfKeepsWithin(sets []place.Regions, now time.Time) bool {
-	self := r.Self()
-	sets = slices.DeleteFunc(slices.Clone(sets), func(regions place.Regions) bool { return !regions.Has(self.Region) })
-	if len(sets) == 0 {
-		return false
+	self, live := r.Self(), r.Live(now)
+	keepers := Keepers(live)
+	if Place(keepers, self.Name) >= 0 {
+		return true
 	}
-	live := r.Live(now)
 	return slices.ContainsFunc(sets, func(regions place.Regions) bool {
-		return Place(KeepersWithin(live, regions), self.Name) >= 0
+		return regions.Has(self.Region) && Place(keepersWithin(live, keepers, regions), self.Name) >= 0
 	})
 }
