callerconn: a caller that leaves ends its request's work, also behind further bytes

Cause: net/http stops watching a connection once a byte of a further request has come; from then on the end of the caller is seen only on a write, and work at back ends goes on to the deadline. A request whose caller left was ended by a normal return of its handler: where the caller had closed its sending side alone, net/http ended a cut stream as a whole one, or wrote 200 for an empty answer. An attempt that was ended because its caller left counted as a failure of its back end, which was left alone for 250 ms and more. A call whose context ended while its connection was made could still be written.

Ruled out: asking the kernel at intervals (a call each 100 ms for each request); refusing requests that are sent ahead.

Change: callerconn reads on behind what net/http has read, ends the context with a cause, bounds how long a caller takes nothing of an answer (10 s), and ends the connection that has rested longest where callers use half of the descriptors. A request whose caller left ends its connection. upstream looks at the context once more before it sends. The time from the end of a connection to that of all work is a histogram.

Before, without the reading on: three of the rows of TestBackEndsLearnThatACallerHasLeft and TestEndBehindFurtherBytes fail.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/batch"
+	"github.com/sliplift/sliplift/internal/gatewaynode/callerconn"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/gatewaymetrics"
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
@@ -93,7 +94,8 @@
 	defer endWork()
 	go node.Run(working)
 	metrics.Watch(node)
-	servers.serve(platform.NewFront(node), platform.NewReadiness(node), platform.NewDirectory(node), metrics.Handler())
+	front := callerconn.Handler(platform.NewFront(node), metrics.CallerLeft)
+	servers.serve(front, platform.NewReadiness(node), platform.NewDirectory(node), metrics.Handler())
 	select {
 	case <-ctx.Done():
 	case err := <-servers.failed:
@@ -218,7 +220,7 @@
 	if err != nil {
 		return err
 	}
-	s.listeners = append(s.listeners, listener)
+	s.listeners = append(s.listeners, callerconn.Listen(listener, callerconn.DescriptorShare()))
 	return nil
 }
 
@@ -234,6 +236,7 @@
 		handler := handlers[i]
 		server := &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: headerBytes,
+			ConnContext: callerconn.Context,
 		}
 		s.running = append(s.running, server)
 		go func() {
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -131,7 +131,7 @@
 	}
 	bounded, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
-	try := &try{forwarder: f, request: request, route: route, service: service, limit: limit, tried: make(map[string]int)}
+	try := &try{ctx: bounded, forwarder: f, request: request, route: route, service: service, limit: limit, tried: make(map[string]int)}
 	var report Report
 	if route.Kind == routetable.KindStream {
 		report = try.stream(bounded, w)
@@ -183,6 +183,8 @@
 
 // try is one request on its way.
 type try struct {
+	// ctx ends when the caller leaves and when the request's time is up.
+	ctx       context.Context
 	forwarder *Forwarder
 	request   *Request
 	route     *routetable.Route
@@ -272,6 +274,12 @@
 	fate := upstream.FateOf(err)
 	t.cause = err.Error()
 	now := time.Now()
+	if t.ctx.Err() != nil {
+		// The attempt was ended from this side: that says nothing of the back end.
+		t.uncertain = t.uncertain || fate == upstream.Unknown
+		t.noteMaybe(err)
+		return
+	}
 	switch fate {
 	case upstream.NotRun:
 		t.sends--
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -20,6 +20,9 @@
 // latencyBuckets are in seconds, from a store's answer to a long stream.
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10}
 
+// leftBuckets are in seconds, around the half second within which back ends have to know.
+var leftBuckets = []float64{.0005, .001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 5}
+
 // Metrics are the figures of one node.
 type Metrics struct {
 	registry *prometheus.Registry
@@ -31,6 +34,7 @@
 	withheld *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	cold     *prometheus.CounterVec
+	left     prometheus.Histogram
 }
 
 // New returns metrics that nothing has been counted in.
@@ -60,7 +64,11 @@
 	m.cold = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "cold_turns_total", Help: "Calls that went to cold back ends, by service.",
 	}, []string{"service"})
-	m.registry.MustRegister(m.events, m.requests, m.attempts, m.dials, m.calls, m.withheld, m.refused, m.cold)
+	m.left = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "caller_left_seconds", Buckets: leftBuckets,
+		Help: "Time from the end of a caller's connection to that of all work on its request.",
+	})
+	m.registry.MustRegister(m.events, m.requests, m.attempts, m.dials, m.calls, m.withheld, m.refused, m.cold, m.left)
 	return m
 }
 
@@ -85,6 +93,9 @@
 // Dial counts a new connection to a back end.
 func (m *Metrics) Dial() { m.dials.Inc() }
 
+// CallerLeft counts a request whose caller left, by how long it went on after that.
+func (m *Metrics) CallerLeft(after time.Duration) { m.left.Observe(after.Seconds()) }
+
 // StoreCall counts a call to the row store.
 func (m *Metrics) StoreCall(call, outcome string, took time.Duration) {
 	m.calls.WithLabelValues(call, outcome).Observe(took.Seconds())
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -229,6 +229,11 @@
 	if err != nil {
 		return nil, &Error{Fate: NotSent, Cause: err}
 	}
+	if err := ctx.Err(); err != nil {
+		// Nothing is sent for a caller that left while the connection was sought.
+		c.keep(conn)
+		return nil, &Error{Fate: NotSent, Cause: err}
+	}
 	if err := expire(conn, call.Until); err != nil {
 		_ = conn.Close()
 		return nil, &Error{Fate: NotSent, Cause: err}
