forward: requests are let in by when they would be answered; calls carry their rank

Cause: nothing was refused before its time was up or six back ends had refused it. Under overload the queues at the back ends then hold all of a caller's time, and nobody is served within the target. Retry-After was a quarter of the target, the same for all. Live requests named no rank, items 5 to 7 whatever theirs, so that items of a high rank went behind live requests of a lower one. An answer that was there when the time ended could be dropped for a 504.

Ruled out, by what callers see (TestWaysUnderOverload): to let all in, what would be answered at all, and those who come back before others.

Change: forward/admit.go, pure: a request is refused before its first attempt if no back end has a free place and its answer is expected later than half of its target; never while half of all places are free and nothing waits. A request may use 0.8 of what higher ranks of the service may wait (urgency.go). Retry-After is when room is expected, spread. While most places are free a request survives 20 refusals by back ends. A second attempt beside a slow one goes to a free place only. upstream.PriorityOf ranks calls.

TestPriorityOfRuns said that no item goes before a request that names no rank; requests name one now, and it checks that no item goes before a request of its rank, nor behind one of the next.

--- a/internal/gatewaynode/batch/place_test.go
+++ b/internal/gatewaynode/batch/place_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 var placeNow = time.Unix(1000, 0)
@@ -145,7 +146,8 @@
 }
 
 // TestPriorityOfRuns: what was expected to be long, or has become so, goes before the
-// rest, and nothing goes before requests that name no rank.
+// rest of its rank, and nothing goes before a request of its rank that is no item, or of
+// a higher one.
 func TestPriorityOfRuns(t *testing.T) {
 	events := func(count int) text { return text{events: make([][]byte, count)} }
 	for _, test := range []struct {
@@ -153,14 +155,21 @@
 		item itemState
 		want int
 	}{
-		{"long", itemState{long: true}, priorityLong},
-		{"short", itemState{short: true}, priorityShort},
-		{"neither", itemState{}, priorityMiddle},
-		{"short and yet long", itemState{short: true, text: events(longText)}, priorityLong},
-		{"short so far", itemState{short: true, text: events(longText - 1)}, priorityShort},
+		{"long", itemState{long: true}, behindLong},
+		{"short", itemState{short: true}, behindShort},
+		{"neither", itemState{}, behindMiddle},
+		{"short and yet long", itemState{short: true, text: events(longText)}, behindLong},
+		{"short so far", itemState{short: true, text: events(longText - 1)}, behindShort},
 	} {
-		if got := test.item.priority(); got != test.want || got < 5 {
+		got := test.item.behind()
+		if got != test.want {
 			t.Errorf("%s: %d, want %d", test.name, got, test.want)
 		}
+		for rank := range 12 {
+			own := upstream.PriorityOf(rank, got)
+			if first, next := upstream.PriorityOf(rank, 0), upstream.PriorityOf(rank+1, 0); own < first || own > next || own < 1 || own > 9 {
+				t.Errorf("%s of rank %d: %d, requests of that rank %d, of the next %d", test.name, rank, own, first, next)
+			}
+		}
 	}
 }
--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -68,7 +68,7 @@
 	item.runs++
 	started := &run{
 		runner: r, job: job, index: index, route: route, backend: backend, ctx: ctx, cancel: cancel,
-		endSlot: r.manager.config.Fleet.Begin(backend.ID), priority: item.priority(),
+		endSlot: r.manager.config.Fleet.Begin(backend.ID), priority: upstream.PriorityOf(r.rank(job.tenant, route), item.behind()),
 		request: r.requestOf(job, index, route), asked: r.unsent.begin(backend.ID),
 	}
 	if route.MaxQueue > 0 {
@@ -78,30 +78,29 @@
 	go started.serve(after)
 }
 
-// Ranks of runs at their back ends. One that runs out of memory puts the newest of the
-// lowest rank back, which then is silent until there is room, and is read anew. Long
-// items have the rank of requests that name none, so that no other request is put
-// behind them.
+// How far runs are put behind others of their rank at their back ends. One that runs out
+// of memory puts the newest of the lowest priority back, which then is silent until there
+// is room, and is read anew.
 const (
-	priorityLong   = 5
-	priorityMiddle = 6
-	priorityShort  = 7
+	behindLong   = 0
+	behindMiddle = 1
+	behindShort  = 2
 )
 
 // longText is from how many events on an item counts as long, whatever was expected of
 // it: twice the length of most.
 const longText = 30
 
-// priority returns the rank of the item's next run: a step waits for its longest
-// items, and what they have made is the most to be read again.
-func (i *itemState) priority() int {
+// behind returns how far the item's next run is put behind others: a step waits for its
+// longest items, and what they have made is the most to be read again.
+func (i *itemState) behind() int {
 	switch {
 	case i.long || len(i.text.events) >= longText:
-		return priorityLong
+		return behindLong
 	case i.short:
-		return priorityShort
+		return behindShort
 	}
-	return priorityMiddle
+	return behindMiddle
 }
 
 // admit asks at the moment of sending whether the back end may get the item.
--- a/internal/gatewaynode/batch/schedule.go
+++ b/internal/gatewaynode/batch/schedule.go
@@ -59,10 +59,7 @@
 const urgentRank = 1e12
 
 func (r *runner) appendCandidates(list []candidate, job *ownedJob, route *routetable.Route, p *pools) []candidate {
-	priority := route.Priority
-	if p.config != nil {
-		priority = p.config.Tenants.Named(job.tenant).Rank(route.Priority)
-	}
+	priority := rankOf(p.config, job.tenant, route)
 	for _, index := range job.order {
 		item := &job.items[index]
 		c := candidate{job: job, index: index, route: route, priority: priority, rank: float64(job.spec.Items[index].LengthHint)}
@@ -86,6 +83,19 @@
 	return list
 }
 
+// rankOf returns the rank of what is done on behalf of a tenant on a route, 0 the highest.
+func rankOf(config *routetable.Table, tenant string, route *routetable.Route) int {
+	if config == nil {
+		return route.Priority
+	}
+	return config.Tenants.Named(tenant).Rank(route.Priority)
+}
+
+// rank is rankOf by the configuration in force.
+func (r *runner) rank(tenant string, route *routetable.Route) int {
+	return rankOf(r.manager.config.Routes(), tenant, route)
+}
+
 // sortCandidates orders candidates by priority, then by rank, equals by the age of their
 // jobs.
 func sortCandidates(list []candidate) {
--- a/internal/gatewaynode/forward/answer.go
+++ b/internal/gatewaynode/forward/answer.go
@@ -86,10 +86,7 @@
 }
 
 const (
-	// retryTarget is when a refused caller should come back, as a share of the
-	// route's target.
-	retryTarget = 0.25
-	retryLeast  = 50 * time.Millisecond
+	retryLeast = 50 * time.Millisecond
 	// retryAbsent is when a caller should come back for whom there is no back end
 	// at all, as a share of the time it has left. Entries of the registry lapse
 	// while the store is away and come back with the next heartbeats: that takes
@@ -109,7 +106,7 @@
 	if cause == causeNoBackend {
 		return max(time.Duration(retryAbsent*float64(t.request.Deadline.Sub(now))), retryLeast)
 	}
-	return max(time.Duration(retryTarget*float64(t.route.Target)), retryLeast)
+	return t.comeBack(now)
 }
 
 // Fail writes an answer of the node's own without a body. A retryAfter above 0
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -46,7 +46,9 @@
 	// Tenant is on whose behalf the request is made, empty for nobody's.
 	Tenant string
 	// Regions are those that may serve it.
-	Regions  place.Regions
+	Regions place.Regions
+	// Rank is that of the request among others at the back ends, 0 the highest.
+	Rank     int
 	Received time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
@@ -105,18 +107,24 @@
 	sequence  atomic.Uint64
 	offset    float64
 	latencies latencies
+	// allowed is replaced by tests that compare it with others.
+	allowed func(Ask) time.Duration
+	urgency urgency
 }
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
-	return &Forwarder{config: config, offset: rand.Float64(), latencies: newLatencies()}
+	return &Forwarder{config: config, offset: rand.Float64(), latencies: newLatencies(), allowed: allowed, urgency: newUrgency()}
 }
 
 const (
 	// bufferMost is the largest answer that is kept back until it is whole.
 	bufferMost = 1 << 20
-	// refusalsMost bounds the refusals by back ends that one request survives.
-	refusalsMost = 6
+	// refusalsMost bounds the refusals by back ends that one request survives, and
+	// refusalsRoomy those while most places are free: some back ends refuse whatever they
+	// could do, and a caller must not be refused because of them.
+	refusalsMost  = 6
+	refusalsRoomy = 20
 	// withheldMost bounds the attempts of one request that were kept back since what was
 	// believed changed, or others took the turn, between the choice and the sending.
 	withheldMost = 8
@@ -194,6 +202,13 @@
 	// sends counts attempts that may have run; refusals those that did not.
 	sends    int
 	refusals int
+	// admitted tells that admission was decided on; room is after what time there should
+	// be room if the request was not admitted.
+	admitted bool
+	room     time.Duration
+	// roomy tells whether half of the places of the back ends were free and nothing waited
+	// then.
+	roomy bool
 	// withheld counts attempts that this node kept back itself.
 	withheld  int
 	uncertain bool
@@ -240,19 +255,31 @@
 
 // maySend tells whether one more attempt is allowed.
 func (t *try) maySend() bool {
-	if t.sends >= t.attemptsMost() || t.refusals >= refusalsMost || t.withheld >= withheldMost {
+	if t.sends >= t.attemptsMost() || t.refusals >= t.refusalsMost() || t.withheld >= withheldMost {
 		return false
 	}
 	return !t.uncertain || t.repeatable()
 }
 
+// refusalsMost is how many refusals by back ends the request survives.
+func (t *try) refusalsMost() int {
+	if t.roomy {
+		return refusalsRoomy
+	}
+	return refusalsMost
+}
+
 // choose returns the back end for the next attempt.
 func (t *try) choose(now time.Time) (fleet.Backend, bool) {
-	return Choose(t.forwarder.config.Fleet.Service(t.service, now), Want{
+	backends, world := t.forwarder.config.Fleet.Service(t.service, now), t.forwarder.config.Gate.World(now)
+	if !t.admit(backends, world) {
+		return fleet.Backend{}, false
+	}
+	return Choose(backends, Want{
 		Zone:    t.forwarder.config.Zone,
 		Request: t.wants(),
 		Tried:   t.tried,
-	}, t.forwarder.config.Gate.World(now))
+	}, world)
 }
 
 // call returns the call of an attempt.
@@ -260,7 +287,8 @@
 	return &upstream.Call{
 		ID: t.request.ID, Method: t.request.Method, Target: t.request.Target, Host: t.request.Host,
 		Header: t.request.Header, Body: t.request.Body,
-		Address: backend.Address, Instance: backend.ID, Tenant: t.request.Tenant, Deadline: t.limit,
+		Priority: upstream.PriorityOf(t.request.Rank, 0),
+		Address:  backend.Address, Instance: backend.ID, Tenant: t.request.Tenant, Deadline: t.limit,
 		Admit: func() error { return t.forwarder.config.Gate.Admit(backend.ID, t.wants()) },
 		// An idle connection may be closing just now; a request that must not be
 		// repeated could not be sent again after that.
--- a/internal/gatewaynode/forward/latency.go
+++ b/internal/gatewaynode/forward/latency.go
@@ -11,10 +11,12 @@
 type latencies struct {
 	mu      *sync.Mutex
 	byRoute map[string]time.Duration
+	// free holds how long answers take of back ends that had a free place.
+	free map[string]time.Duration
 }
 
 func newLatencies() latencies {
-	return latencies{mu: &sync.Mutex{}, byRoute: make(map[string]time.Duration)}
+	return latencies{mu: &sync.Mutex{}, byRoute: make(map[string]time.Duration), free: make(map[string]time.Duration)}
 }
 
 const (
@@ -24,19 +26,35 @@
 	routesMost = 1000
 )
 
-// observe takes the time of a whole answer.
-func (l latencies) observe(route string, took time.Duration) {
+// observe takes the time of a whole answer, and whether its back end had a free place.
+func (l latencies) observe(route string, took time.Duration, free bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before, known := l.byRoute[route]
+	learn(l.byRoute, route, took)
+	if free {
+		learn(l.free, route, took)
+	}
+}
+
+// learn takes a measurement into the moving average of a route.
+func learn(averages map[string]time.Duration, route string, took time.Duration) {
+	before, known := averages[route]
 	switch {
 	case known:
-		l.byRoute[route] = before + time.Duration(latencyWeight*float64(took-before))
-	case len(l.byRoute) < routesMost:
-		l.byRoute[route] = took
+		averages[route] = before + time.Duration(latencyWeight*float64(took-before))
+	case len(averages) < routesMost:
+		averages[route] = took
 	}
 }
 
+// work returns how long an answer of a route takes of a back end with a free place, 0 if
+// that is not known.
+func (l latencies) work(route string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.free[route]
+}
+
 // usual returns how long an answer of a route usually takes, 0 if it is not known.
 func (l latencies) usual(route string) time.Duration {
 	l.mu.Lock()
--- a/internal/gatewaynode/forward/latency_test.go
+++ b/internal/gatewaynode/forward/latency_test.go
@@ -18,8 +18,8 @@
 		t.Errorf("nothing known: %s, want half of the target", delay)
 	}
 	for range 50 {
-		f.latencies.observe("probe", time.Millisecond)
-		f.latencies.observe("page", 25*time.Millisecond)
+		f.latencies.observe("probe", time.Millisecond, true)
+		f.latencies.observe("page", 25*time.Millisecond, true)
 	}
 	if delay := route("page").hedgeDelay(); delay < 70*time.Millisecond || delay > 80*time.Millisecond {
 		t.Errorf("page: %s, want three times 25ms", delay)
@@ -28,7 +28,7 @@
 		t.Errorf("probe: %s, want %s", delay, hedgeLeast)
 	}
 	for range 50 {
-		f.latencies.observe("page", 400*time.Millisecond)
+		f.latencies.observe("page", 400*time.Millisecond, true)
 	}
 	if delay := route("page").hedgeDelay(); delay != 100*time.Millisecond {
 		t.Errorf("slow pages: %s, want half of the target", delay)
--- /dev/null
+++ b/internal/gatewaynode/forward/urgency.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"sync"
+	"time"
+)
+
+// urgency learns, for each service, within which time the requests of each rank have to be
+// answered, so that those of lower ranks leave them the room for it: back ends may take
+// requests in order of arrival, and a request with a distant target would let a queue grow
+// that no urgent one is let into. It is safe for concurrent use.
+type urgency struct {
+	mu        *sync.Mutex
+	byService map[string]*[ranks]demand
+}
+
+// demand is the shortest time that requests of a rank had of late.
+type demand struct {
+	within time.Duration
+	at     time.Time
+}
+
+const (
+	// ranks is how many ranks are kept apart; lower ones count as the last.
+	ranks = 10
+	// demandKept is how long a demand counts after its last request.
+	demandKept = 5 * time.Second
+	// reserve is the share of what requests of a higher rank may wait that others may fill.
+	reserve = 0.8
+	// servicesMost is how many services are kept apart.
+	servicesMost = 1000
+)
+
+func newUrgency() urgency {
+	return urgency{mu: &sync.Mutex{}, byService: make(map[string]*[ranks]demand)}
+}
+
+// bound takes note of a request of a rank that has to be answered within a time, and
+// returns within which time it may be expected to be answered: the same, or less where
+// requests of higher ranks need it.
+func (u urgency) bound(service string, rank int, within time.Duration, now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	demands := u.byService[service]
+	if demands == nil {
+		if len(u.byService) >= servicesMost {
+			return within
+		}
+		demands = new([ranks]demand)
+		u.byService[service] = demands
+	}
+	rank = min(max(rank, 0), ranks-1)
+	own := &demands[rank]
+	if now.Sub(own.at) > demandKept || within <= own.within {
+		*own = demand{within: within, at: now}
+	}
+	for _, higher := range demands[:rank] {
+		if now.Sub(higher.at) <= demandKept {
+			within = min(within, time.Duration(reserve*float64(higher.within)))
+		}
+	}
+	return within
+}
--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -24,13 +25,14 @@
 func (t *try) whole(ctx context.Context, w http.ResponseWriter) Report {
 	attempts, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan attemptResult, t.attemptsMost()+refusalsMost+1)
+	results := make(chan attemptResult, t.attemptsMost()+refusalsRoomy+withheldMost+1)
 	pending := 0
 	var launched time.Time
 	var spare *attemptResult
-	launch := func() bool {
+	// beside tells that another attempt is under way: one more is worth a free place only.
+	launch := func(beside bool) bool {
 		backend, found := t.choose(time.Now())
-		if !found || !t.maySend() {
+		if !found || !t.maySend() || beside && !free(&backend) {
 			return false
 		}
 		t.sends++
@@ -43,8 +45,8 @@
 		go func() { results <- t.attempt(attempts, backend) }()
 		return true
 	}
-	if !launch() {
-		return t.refuse(w, causeNoBackend)
+	if !launch(false) {
+		return t.refuse(w, cmp.Or(t.cause, causeNoBackend))
 	}
 	hedge := time.NewTimer(t.hedgeDelay())
 	defer hedge.Stop()
@@ -58,7 +60,7 @@
 			if result.answer != nil {
 				spare = &result
 			}
-			if ctx.Err() == nil && launch() {
+			if ctx.Err() == nil && launch(false) {
 				continue
 			}
 			if pending > 0 {
@@ -71,9 +73,17 @@
 		case <-hedge.C:
 			if t.repeatable() {
 				t.unanswered = launched
-				launch()
+				launch(true)
 			}
 		case <-ctx.Done():
+			// An answer that is there is given, also late.
+			if ready := readyAnswer(results); ready != nil {
+				t.noteBegan(ready.answer.Sent)
+				return t.pass(w, *ready)
+			}
+			if spare != nil {
+				return t.pass(w, *spare)
+			}
 			if pending > 0 {
 				t.uncertain = true
 				t.noteUnanswered(launched)
@@ -83,6 +93,21 @@
 	}
 }
 
+// readyAnswer returns a whole answer among the results that have come, nil if there is
+// none.
+func readyAnswer(results <-chan attemptResult) *attemptResult {
+	for {
+		select {
+		case result := <-results:
+			if result.whole {
+				return &result
+			}
+		default:
+			return nil
+		}
+	}
+}
+
 // settled takes note of a result and tells whether it ends the request.
 func (t *try) settled(result attemptResult) bool {
 	if result.err != nil {
@@ -124,7 +149,7 @@
 		_ = answer.Body.Close()
 		took := time.Since(started)
 		t.forwarder.config.Fleet.ObserveLatency(backend.ID, took)
-		t.forwarder.latencies.observe(t.route.Name, took)
+		t.forwarder.latencies.observe(t.route.Name, took, free(&backend))
 	}
 	return result
 }
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -60,7 +60,7 @@
 	// Deadline is when the back end has to stop work; zero means none.
 	Deadline time.Time
 	// Priority is the rank among the requests at the back end, 1 the highest to 9; 0
-	// names none, which counts as 5.
+	// names none, which counts as 5. See PriorityOf.
 	Priority int
 	// ResumeAfter is the last event that is already there; it counts if Resume.
 	Resume      bool
@@ -81,6 +81,20 @@
 	Admit func() error
 }
 
+// Bounds of Call.Priority, and how far two ranks of routes lie apart in it.
+const (
+	priorityFirst = 1
+	priorityLast  = 9
+	priorityStep  = 2
+)
+
+// PriorityOf returns the priority of a call by the rank of its route or tenant, 0 the
+// highest, and by how far, from 0 to 2, it may be put behind others of its rank. A call is
+// never put behind one of a lower rank. It is pure.
+func PriorityOf(rank, behind int) int {
+	return min(priorityFirst+priorityStep*max(rank, 0)+min(behind, priorityStep), priorityLast)
+}
+
 // Meta is what the head of an answer says, translated.
 type Meta struct {
 	// ID is the request that the answer belongs to, empty if it does not say.
