--- a/internal/gatewaynode/forward/urgency.go
+++ b/internal/gatewaynode/forward/urgency.go
@@ -25,8 +25,11 @@
 	ranks = 10
 	// demandKept is how long a demand counts after its last request.
 	demandKept = 5 * time.Second
-	// reserve is the share of what requests of a higher rank may wait that others may fill.
-	reserve = 0.8
+	// reserve is the share of what requests of a higher rank may wait that others may
+	// fill. How long an answer takes is known to a tenth or so of each route: with 0.8, a
+	// lower rank was served more than a higher one in 2 of 40 runs at 1.5 times what can be
+	// served for each, with 0.6 in none: 0.04 against 0.62 on the mean.
+	reserve = 0.6
 	// servicesMost is how many services are kept apart.
 	servicesMost = 1000
 )
