--- a/internal/gatewaynode/callerconn/callerconn_test.go
+++ b/internal/gatewaynode/callerconn/callerconn_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -204,3 +205,38 @@
 		}
 	})
 }
+
+// BenchmarkEndOfAConnection measures over the loopback how long it takes from the close of
+// a caller's connection, behind a byte of a further request, until its handler knows.
+func BenchmarkEndOfAConnection(b *testing.B) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	began, told := make(chan struct{}), make(chan time.Time)
+	server := &http.Server{ConnContext: Context, ReadHeaderTimeout: time.Minute, Handler: Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-r.Context().Done()
+		told <- time.Now()
+		panic(http.ErrAbortHandler)
+	}), nil)}
+	go func() { _ = server.Serve(Listen(raw, 0)) }()
+	defer func() { _ = server.Close() }()
+	var all []time.Duration
+	for b.Loop() {
+		conn, err := net.Dial("tcp", raw.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, head("/"))
+		<-began
+		_, _ = io.WriteString(conn, "G")
+		closed := time.Now()
+		_ = conn.Close()
+		all = append(all, (<-told).Sub(closed))
+	}
+	slices.Sort(all)
+	for _, share := range []float64{0.5, 0.9, 0.99, 1} {
+		b.ReportMetric(float64(all[int(share*float64(len(all)-1))].Microseconds()), fmt.Sprintf("us-p%g", 100*share))
+	}
+}
--- a/internal/gatewaynode/storerelay/server.go
+++ b/internal/gatewaynode/storerelay/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
@@ -22,6 +23,8 @@
 	servedMost = 256
 	// idleMost is how long a connection without a call stays open.
 	idleMost = 10 * time.Second
+	// acceptPause is the pause after a listener failed for want of something.
+	acceptPause = 50 * time.Millisecond
 	// writeMost bounds the time in which the other node takes an answer.
 	writeMost = 2 * time.Second
 )
@@ -35,12 +38,28 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			return err
+			if !passing(err) {
+				return err
+			}
+			d.config.Log.Warn(eventlog.StoreRelayed, eventlog.Fields{eventlog.Cause: "accept: " + err.Error()})
+			time.Sleep(acceptPause)
+			continue
 		}
 		go d.serveConnection(connection, slots)
 	}
 }
 
+// passing tells whether a listener that failed works again by itself: it lacked
+// descriptors or memory, or the connection was gone before it was taken.
+func passing(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Detour) serveConnection(connection net.Conn, slots chan struct{}) {
 	defer func() { _ = connection.Close() }()
 	lines := bufio.NewScanner(connection)
