gateway: each listener has its own share of the descriptors

The directory, readiness and metrics may have a twentieth each, callers a half; a connection is closed for want of room on none of them while it is answered.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -69,8 +69,12 @@
 	if cfg.MetricsAddress != "" {
 		addresses = append(addresses, cfg.MetricsAddress)
 	}
-	for _, address := range addresses {
-		if err := servers.listen(address); err != nil {
+	for i, address := range addresses {
+		share := otherShare
+		if i == 0 {
+			share = callerShare
+		}
+		if err := servers.listen(address, share); err != nil {
 			log.Warn(eventlog.Stopped, eventlog.Fields{eventlog.Cause: err.Error()})
 			return exitFailed
 		}
@@ -94,8 +98,10 @@
 	defer endWork()
 	go node.Run(working)
 	metrics.Watch(node)
-	front := callerconn.Handler(platform.NewFront(node), metrics.CallerLeft)
-	servers.serve(front, platform.NewReadiness(node), platform.NewDirectory(node), metrics.Handler())
+	servers.serve(
+		callerconn.Handler(platform.NewFront(node), metrics.CallerLeft), callerconn.Handler(platform.NewReadiness(node), nil),
+		callerconn.Handler(platform.NewDirectory(node), nil), callerconn.Handler(metrics.Handler(), nil),
+	)
 	select {
 	case <-ctx.Done():
 	case err := <-servers.failed:
@@ -215,12 +221,19 @@
 	failed    chan error
 }
 
-func (s *servers) listen(address string) error {
+// Shares of the process's descriptors that connections to a listener may take: back ends,
+// other nodes and the store need the rest.
+const (
+	callerShare = 0.5
+	otherShare  = 0.05
+)
+
+func (s *servers) listen(address string, share float64) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	s.listeners = append(s.listeners, callerconn.Listen(listener, callerconn.DescriptorShare()))
+	s.listeners = append(s.listeners, callerconn.Listen(listener, callerconn.Descriptors(share)))
 	return nil
 }
 
--- a/internal/gatewaynode/callerconn/listener.go
+++ b/internal/gatewaynode/callerconn/listener.go
@@ -95,16 +95,15 @@
 	return len(l.conns)
 }
 
-// callerShare is the share of the process's descriptors that callers' connections may
-// take: back ends, other nodes and the store need the rest.
-const callerShare = 0.5
-
-// DescriptorShare returns how many connections callers may have open, 0 if the process's
-// limit is not known or there is none.
-func DescriptorShare() int {
+// Descriptors returns a share of the process's limit of descriptors, 0 if that is not known
+// or there is none.
+func Descriptors(share float64) int {
 	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > 1<<30 {
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > unbounded {
 		return 0
 	}
-	return int(callerShare * float64(limit.Cur))
+	return int(share * float64(limit.Cur))
 }
+
+// unbounded is from which limit of descriptors on there is none.
+const unbounded = 1 << 30
