forward: the call of an attempt is made before the attempt runs beside the rest

Cause: since attempts follow silent ones, a call reads what the request's own goroutine writes; the race detector saw it where two attempts are out.

--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -42,7 +42,8 @@
 			launched = time.Now()
 		}
 		pending++
-		go func() { results <- t.attempt(attempts, backend) }()
+		call := t.call(backend)
+		go func() { results <- t.attempt(attempts, backend, call) }()
 		return true
 	}
 	if !launch(false) {
@@ -127,12 +128,14 @@
 	return true
 }
 
-func (t *try) attempt(ctx context.Context, backend fleet.Backend) attemptResult {
+// attempt sends a call and returns what became of it. It runs beside the rest of the try,
+// of which it changes nothing.
+func (t *try) attempt(ctx context.Context, backend fleet.Backend, call *upstream.Call) attemptResult {
 	started := time.Now()
 	end := t.forwarder.config.Fleet.Begin(backend.ID)
 	defer end()
 	result := attemptResult{backend: backend}
-	answer, err := t.forwarder.config.Client.Do(ctx, t.call(backend))
+	answer, err := t.forwarder.config.Client.Do(ctx, call)
 	if err != nil {
 		result.err = err
 		return result
