soak: the judge of regions does not wait for itself

Placed held the judge's lock and asked it again, so that every run hung at its end; the unit test gave a function without the lock. It now takes what it needs, and the test brings a bound route, a bound tenant and an item of one about.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -192,14 +192,6 @@
 	}
 }
 
-// boundLive tells whether a live request may run in the home region alone.
-func (j *Judge) boundLive(id string) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	answer, live := j.answers[id]
-	return live && (answer.Kind == boundKind || answer.Tenant == tenantName(boundTenant))
-}
-
 // judgeAnswer judges a live request by its runs. The lock is held.
 func (j *Judge) judgeAnswer(id string, answer Answer, runs []standin.Run) {
 	refused := answer.Status == 408 || answer.Status == 421 || answer.Status == 429 || answer.Status == 503 || answer.Status == 401
--- a/internal/soak/judge_places.go
+++ b/internal/soak/judge_places.go
@@ -64,16 +64,18 @@
 	return !isItem(arrival.ID)
 }
 
-// Placed judges what came to a sampler by the regions that its request is bound to. bound
-// tells whether a request may run in one region alone, which home names.
-func (j *Judge) Placed(came Came, home string, bound func(id string) bool) {
+// Placed judges what came to a sampler by the regions that its request is bound to: live
+// requests of one kind and whatever is of the bound tenant, to the region home. tenants
+// maps a job's item to its tenant.
+func (j *Judge) Placed(came Came, home string, tenants map[string]string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if regionOf(came.Zone) == home {
 		return
 	}
 	for _, arrival := range came.Arrivals {
-		if bound(arrival.ID) {
+		answer, live := j.answers[arrival.ID]
+		if live && answer.Kind == boundKind || answer.Tenant == tenantName(boundTenant) || tenants[arrival.ID] == tenantName(boundTenant) {
 			j.breach("%s: came to %s in %s, may run in %s alone", arrival.ID, came.Sampler, regionOf(came.Zone), home)
 		}
 	}
--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -171,14 +171,13 @@
 // judgePlaces judges what came where.
 func (s *system) judgePlaces(load *load, runs []standin.Run) {
 	tenants := load.tenantsOfItems()
-	bound := func(id string) bool { return s.judge.boundLive(id) || tenants[id] == tenantName(boundTenant) }
 	s.mu.Lock()
 	evacuations := slices.Clone(s.evacuations)
 	s.mu.Unlock()
 	for _, b := range s.backends {
 		came := Came{Sampler: b.ID, Zone: b.Zone, Arrivals: b.Arrivals(), Colds: b.Colds()}
 		s.judge.Evacuated(came, evacuations, s.history)
-		s.judge.Placed(came, homeRegion, bound)
+		s.judge.Placed(came, homeRegion, tenants)
 		s.judge.ColdStarts(came, s.history)
 		if !b.FellOver().IsZero() {
 			s.judge.Count("samplers that fell over")
--- a/internal/soak/places_test.go
+++ b/internal/soak/places_test.go
@@ -23,7 +23,9 @@
 		evacuation Evacuation
 		disturbed  map[string]span
 		run        standin.Run
-		bound      string
+		// kind and tenant are the live request's, items tells the tenants of items.
+		kind, tenant string
+		items        map[string]string
 	}
 	arrive := func(s *seen, id string, after time.Duration) {
 		s.came.Arrivals = append(s.came.Arrivals, standin.Arrival{At: at(after), ID: id})
@@ -66,7 +68,18 @@
 			s.evacuation.TakenBack, s.evacuation.takenBackUnknown = at(late-time.Millisecond), false
 			arrive(s, item, late)
 		}, ""},
-		{"a bound request in another region", func(s *seen) { s.came.Zone, s.bound = "z2", live; arrive(s, live, 0) }, "may run in r0 alone"},
+		{"a request of a bound route in another region", func(s *seen) {
+			s.came.Zone, s.kind = "z2", boundKind
+			arrive(s, live, 0)
+		}, "may run in r0 alone"},
+		{"a request of the bound tenant there", func(s *seen) {
+			s.came.Zone, s.tenant = "z2", tenantName(boundTenant)
+			arrive(s, live, 0)
+		}, "may run in r0 alone"},
+		{"an item of the bound tenant there", func(s *seen) {
+			s.came.Zone, s.items = "z2", map[string]string{item: tenantName(boundTenant)}
+			arrive(s, item, 0)
+		}, "may run in r0 alone"},
 		{"another request there", func(s *seen) { s.came.Zone = "z2"; arrive(s, live, 0) }, ""},
 		{"as many as a cold sampler bears", func(s *seen) { rush(s, coldMost, 2*time.Second) }, ""},
 		{"one more", func(s *seen) { rush(s, coldMost+1, 2*time.Second) }, "while cold"},
@@ -88,6 +101,7 @@
 			evacuation: Evacuation{Zone: "z0", From: began, takenBackUnknown: true},
 			disturbed:  make(map[string]span),
 			run:        standin.Run{Sampler: "engine-0", ID: "left-1", Stopped: at(leaveWithin / 2)},
+			kind:       "safe", tenant: tenantName(0),
 		}
 		test.change(s)
 		history := NewHistory()
@@ -95,10 +109,10 @@
 			history.spans[name] = []span{disturbed}
 		}
 		judge := NewJudge()
-		judge.Answered(live, Answer{Kind: "safe", Tenant: "tenant-0", Node: inTouch, Status: 200})
+		judge.Answered(live, Answer{Kind: s.kind, Tenant: s.tenant, Node: inTouch, Status: 200})
 		judge.Left("left-1", inTouch, began)
 		judge.Evacuated(s.came, []Evacuation{s.evacuation}, history)
-		judge.Placed(s.came, homeRegion, func(id string) bool { return id == s.bound })
+		judge.Placed(s.came, homeRegion, s.items)
 		judge.ColdStarts(s.came, history)
 		judge.Departures([]standin.Run{s.run}, history)
 		said := strings.Join(judge.Breaches(), "; ")
