upstream: what each new connection to a back end is for, and why none that stood would do

Calls carry a purpose, the client keeps why a connection ended until a new one takes its place, and each opening is a log line and is counted by purpose and cause. Idle connections of back ends are held by peer rather than by a joined string.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -192,7 +192,7 @@
 		},
 
 		ObserveRequest: metrics.Request,
-		ObserveDial:    metrics.Dial,
+		ObserveOpening: metrics.Opening,
 	}
 }
 
--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -137,6 +137,7 @@
 		Header: header, Body: item.Body, Address: r.backend.Address, Instance: r.backend.ID,
 		Tenant: r.job.tenant, Deadline: r.deadline, Priority: r.priority,
 		Admit: r.admit,
+		Purpose: upstream.PurposeItem,
 	}
 	if after > 0 {
 		call.Resume, call.ResumeAfter = true, int64(after)
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -111,6 +111,7 @@
 		ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body,
 		Address: c.backend.Address, Instance: c.backend.ID, Tenant: c.tenant(), Deadline: started.Add(c.limit.Duration()),
 		Admit: c.admit,
+		Purpose: upstream.PurposeScore,
 	})
 	if err != nil {
 		return fateOfCall(err)
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -258,6 +258,7 @@
 		Header: t.request.Header, Body: t.request.Body,
 		Address: backend.Address, Instance: backend.ID, Tenant: t.request.Tenant, Deadline: t.limit,
 		Admit: func() error { return t.forwarder.config.Gate.Admit(backend.ID, t.wants()) },
+		Purpose: upstream.PurposeLive,
 		// An idle connection may be closing just now; a request that must not be
 		// repeated could not be sent again after that.
 		Fresh: !t.repeatable(),
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -13,6 +13,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/forward"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/storenode"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 const namespace = "sliplift"
@@ -26,7 +27,7 @@
 	events   *prometheus.CounterVec
 	requests *prometheus.HistogramVec
 	attempts prometheus.Counter
-	dials    prometheus.Counter
+	openings *prometheus.CounterVec
 	calls    *prometheus.HistogramVec
 	withheld *prometheus.CounterVec
 	refused  *prometheus.CounterVec
@@ -45,9 +46,9 @@
 	m.attempts = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "attempts_total", Help: "Attempts of live requests that may have run.",
 	})
-	m.dials = prometheus.NewCounter(prometheus.CounterOpts{
-		Namespace: namespace, Name: "backend_connections_total", Help: "New connections to back ends.",
-	})
+	m.openings = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "backend_connections_total", Help: "New connections to back ends by what they were opened for and why none that stood would do.",
+	}, []string{"purpose", "cause"})
 	m.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "store_call_seconds", Help: "Calls to the row store by call and outcome.", Buckets: latencyBuckets,
 	}, []string{"call", "outcome"})
@@ -60,7 +61,7 @@
 	m.cold = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "cold_turns_total", Help: "Calls that went to cold back ends, by service.",
 	}, []string{"service"})
-	m.registry.MustRegister(m.events, m.requests, m.attempts, m.dials, m.calls, m.withheld, m.refused, m.cold)
+	m.registry.MustRegister(m.events, m.requests, m.attempts, m.openings, m.calls, m.withheld, m.refused, m.cold)
 	return m
 }
 
@@ -82,8 +83,10 @@
 // ColdTurn counts a call that went to a cold back end.
 func (m *Metrics) ColdTurn(service string) { m.cold.WithLabelValues(service).Inc() }
 
-// Dial counts a new connection to a back end.
-func (m *Metrics) Dial() { m.dials.Inc() }
+// Opening counts a new connection to a back end.
+func (m *Metrics) Opening(opening upstream.Opening) {
+	m.openings.WithLabelValues(string(opening.Purpose), string(opening.Cause)).Inc()
+}
 
 // StoreCall counts a call to the row store.
 func (m *Metrics) StoreCall(call, outcome string, took time.Duration) {
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics_test.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics_test.go
@@ -9,6 +9,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/forward"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 func TestFiguresAreServed(t *testing.T) {
@@ -16,7 +17,7 @@
 	metrics.Event(eventlog.JobAccepted)
 	metrics.Event(eventlog.JobAccepted)
 	metrics.Request(routetable.KindSafe, forward.Report{Outcome: forward.OutcomeAnswered, Attempts: 2, Took: 30 * time.Millisecond})
-	metrics.Dial()
+	metrics.Opening(upstream.Opening{Purpose: upstream.PurposeItem, Cause: upstream.OpenBusy})
 	metrics.StoreCall("commit", "unknown", time.Second)
 	recorder := httptest.NewRecorder()
 	metrics.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
@@ -24,7 +25,7 @@
 		`sliplift_events_total{event="job_accepted"} 2`,
 		`sliplift_request_seconds_bucket{kind="safe",outcome="answered",le="0.05"} 1`,
 		`sliplift_attempts_total 2`,
-		`sliplift_backend_connections_total 1`,
+		`sliplift_backend_connections_total{cause="busy",purpose="item"} 1`,
 		`sliplift_store_call_seconds_count{call="commit",outcome="unknown"} 1`,
 	} {
 		if !strings.Contains(recorder.Body.String(), want) {
--- a/internal/gatewaynode/relay/relay.go
+++ b/internal/gatewaynode/relay/relay.go
@@ -75,7 +75,7 @@
 	for _, peer := range peers {
 		started := time.Now()
 		attempt := *call
-		attempt.Address = peer.Address
+		attempt.Address, attempt.Purpose = peer.Address, upstream.PurposePeer
 		answer, err := r.config.Client.Do(ctx, &attempt)
 		if err != nil {
 			r.note(call, peer, err.Error())
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -80,10 +80,10 @@
 	KeysConfirmed time.Duration
 	// Dialer may replace the network towards back ends, for tests.
 	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
-	// ObserveRequest is told how each live request ended, ObserveDial of each new
+	// ObserveRequest is told how each live request ended, ObserveOpening of each new
 	// connection to a back end; both may be nil.
 	ObserveRequest func(kind routetable.Kind, report forward.Report)
-	ObserveDial    func()
+	ObserveOpening func(upstream.Opening)
 	// Metering says what is reported of the tenants' use.
 	Metering Metering
 	// AddressTTL is how long callers may keep the addresses they are told.
@@ -139,7 +139,7 @@
 	node.fleet = fleet.New(node.kick)
 	node.decideBy()
 	node.client = upstream.NewClient(upstream.Config{
-		Codec: config.Codec, Dialer: config.Dialer, OnDial: config.ObserveDial, MustAdmit: true,
+		Codec: config.Codec, Dialer: config.Dialer, OnOpen: node.observeOpening, MustAdmit: true,
 	})
 	node.forwarder = forward.New(forward.Config{
 		Client: node.client, Fleet: node.fleet, Gate: node.gate, Log: config.Log, Zone: config.Self.Zone, VersionField: config.VersionField,
--- a/internal/gatewaynode/upstream/body.go
+++ b/internal/gatewaynode/upstream/body.go
@@ -36,7 +36,7 @@
 		return
 	}
 	if b.tainted || !finished(b.written) {
-		_ = b.conn.Close()
+		b.client.drop(b.conn, OpenCut)
 		return
 	}
 	b.client.park(b.conn, b.response)
@@ -49,5 +49,6 @@
 	}
 	b.done = true
 	b.release()
-	return b.conn.Close()
+	b.client.drop(b.conn, OpenCut)
+	return nil
 }
--- a/internal/gatewaynode/upstream/idle.go
+++ b/internal/gatewaynode/upstream/idle.go
@@ -2,104 +2,12 @@
 
 import (
 	"errors"
-	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 )
 
-// takeIdle returns the connection that was used last and is still sound.
-func (c *Client) takeIdle(key string) *connection {
-	for {
-		c.mu.Lock()
-		list := c.idle[key]
-		if len(list) == 0 {
-			c.mu.Unlock()
-			return nil
-		}
-		conn := list[len(list)-1]
-		c.idle[key] = list[:len(list)-1]
-		c.mu.Unlock()
-		if time.Since(conn.parked) < c.idleLimit(conn) && silent(conn) {
-			return conn
-		}
-		_ = conn.Close()
-	}
-}
-
-func (c *Client) idleLimit(conn *connection) time.Duration {
-	if conn.keep == 0 {
-		return c.config.IdleMost
-	}
-	return max(conn.keep-idleMargin, conn.keep/2)
-}
-
-func (c *Client) park(conn *connection, response *http.Response) {
-	if response.Close || conn.reader.Buffered() > 0 || !silent(conn) {
-		_ = conn.Close()
-		return
-	}
-	conn.keep = keepAlive(response.Header.Get("Keep-Alive"))
-	conn.parked = time.Now()
-	conn.used = true
-	c.giveBack(conn)
-}
-
-// giveBack keeps a sound connection without what its last call had set up.
-func (c *Client) giveBack(conn *connection) {
-	if err := expireNever(conn); err != nil {
-		_ = conn.Close()
-		return
-	}
-	c.keep(conn)
-}
-
-// keep makes a sound connection that no call is under way on an idle one.
-func (c *Client) keep(conn *connection) {
-	if conn.parked.IsZero() {
-		conn.parked = time.Now()
-	}
-	c.mu.Lock()
-	c.idle[conn.key] = append(c.idle[conn.key], conn)
-	c.mu.Unlock()
-}
-
-// Sweep closes connections whose idle time has run out, and those of back ends
-// that keep says are gone.
-func (c *Client) Sweep(keep func(address, instance string) bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for key, list := range c.idle {
-		address, instance, _ := strings.Cut(key, "|")
-		wanted := keep(address, instance)
-		var rest []*connection
-		for _, conn := range list {
-			if wanted && time.Since(conn.parked) < c.idleLimit(conn) {
-				rest = append(rest, conn)
-				continue
-			}
-			_ = conn.Close()
-		}
-		if len(rest) == 0 {
-			delete(c.idle, key)
-			continue
-		}
-		c.idle[key] = rest
-	}
-}
-
-// Idle returns the number of connections that are kept.
-func (c *Client) Idle() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	count := 0
-	for _, list := range c.idle {
-		count += len(list)
-	}
-	return count
-}
-
 // keepAlive returns the timeout of a Keep-Alive field, 0 if there is none.
 func keepAlive(field string) time.Duration {
 	for _, part := range strings.Split(field, ",") {
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -16,7 +16,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -67,6 +66,8 @@
 	ResumeAfter int64
 	// Fresh asks for a new connection.
 	Fresh bool
+	// Purpose is what the call is made for.
+	Purpose Purpose
 	// Unnumbered calls have no id, and their answers need not carry one.
 	Unnumbered bool
 	// Until, if set, is when the call has to be over: what a socket still holds of it by
@@ -156,8 +157,8 @@
 	IdleMost time.Duration
 	// Dialer may replace the network, for tests.
 	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
-	// OnDial is told of each new connection; it may be nil.
-	OnDial func()
+	// OnOpen is told of each new connection; it may be nil.
+	OnOpen func(Opening)
 	// MustAdmit tells that a call without Call.Admit is a broken invariant.
 	MustAdmit bool
 }
@@ -179,8 +180,8 @@
 type Client struct {
 	config Config
 
-	mu   sync.Mutex
-	idle map[string][]*connection
+	mu    sync.Mutex
+	peers map[Peer]*peer
 }
 
 // NewClient returns a client without connections.
@@ -195,19 +196,7 @@
 		dialer := &net.Dialer{KeepAlive: -1}
 		config.Dialer = dialer.DialContext
 	}
-	return &Client{config: config, idle: make(map[string][]*connection)}
-}
-
-type connection struct {
-	net.Conn
-	key    string
-	reader *bufio.Reader
-	// keep is how long the back end keeps the connection idle, 0 if unknown.
-	keep   time.Duration
-	parked time.Time
-	used   bool
-	// expires tells that what the socket holds is dropped in time, see expire.
-	expires bool
+	return &Client{config: config, peers: make(map[Peer]*peer)}
 }
 
 // Answer is an answer that belongs to its call. Body must be closed.
@@ -230,14 +219,14 @@
 		return nil, &Error{Fate: NotSent, Cause: err}
 	}
 	if err := expire(conn, call.Until); err != nil {
-		_ = conn.Close()
+		c.drop(conn, OpenCut)
 		return nil, &Error{Fate: NotSent, Cause: err}
 	}
 	if err := c.admit(call); err != nil {
 		c.giveBack(conn)
 		return nil, &Error{Fate: NotSent, Cause: err, Withheld: true}
 	}
-	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	release := context.AfterFunc(ctx, func() { c.drop(conn, OpenCut) })
 	sent := time.Now()
 	answer, failure := c.exchange(conn, call, release)
 	if failure == nil {
@@ -247,7 +236,7 @@
 	failure.Sent = sent
 	if !failure.kept {
 		release()
-		_ = conn.Close()
+		c.drop(conn, OpenCut)
 	}
 	if ctx.Err() != nil && failure.Fate == Unknown {
 		failure.Cause = ctx.Err()
@@ -387,22 +376,3 @@
 	}
 	return err
 }
-
-func (c *Client) connect(ctx context.Context, call *Call) (*connection, error) {
-	key := call.Address + "|" + call.Instance
-	if !call.Fresh {
-		if conn := c.takeIdle(key); conn != nil {
-			return conn, nil
-		}
-	}
-	dialing, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
-	defer cancel()
-	raw, err := c.config.Dialer(dialing, "tcp", call.Address)
-	if err != nil {
-		return nil, err
-	}
-	if c.config.OnDial != nil {
-		c.config.OnDial()
-	}
-	return &connection{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, 4096)}, nil
-}
--- a/internal/gatewaynode/upstream/upstream_test.go
+++ b/internal/gatewaynode/upstream/upstream_test.go
@@ -88,7 +88,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		server := newScriptedServer(t)
 		dials := 0
-		client := NewClient(Config{Codec: testCodec{}, OnDial: func() { dials++ }})
+		client := NewClient(Config{Codec: testCodec{}, OnOpen: func(Opening) { dials++ }})
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 			switch data.Cmd {
 			case "answer":
