--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -17,6 +17,12 @@
 	"github.com/sliplift/sliplift/internal/pause"
 )
 
+// Reach tells how back ends can be reached.
+type Reach interface {
+	// Fill tells back ends how they can be reached now.
+	Fill(backends []fleet.Backend, now time.Time)
+}
+
 // Config configures a Manager.
 type Config struct {
 	Store    rowstore.Store
@@ -27,7 +33,8 @@
 	// Gate decides which back ends may get a request.
 	Gate *eligibility.Gate
 	Log  *eventlog.Log
-	Zone string
+	// Reach tells how back ends can be reached.
+	Reach Reach
 	// Routes returns the configuration in force, nil while there is none.
 	Routes func() *routetable.Table
 	// VersionField names the stream field that tells the weight version.
--- a/internal/gatewaynode/batch/memory_test.go
+++ b/internal/gatewaynode/batch/memory_test.go
@@ -40,7 +40,7 @@
 	} {
 		pool := []fleet.Backend{backend("a", test.first), backend("b", test.second)}
 		want := test.want
-		want.Request, want.zone = weightsOf("m", 3), "z"
+		want.Request = weightsOf("m", 3)
 		got := ""
 		if index := pickBackend(pool, want, 40*time.Millisecond, placeWorld); index >= 0 {
 			got = pool[index].ID
@@ -56,7 +56,7 @@
 func TestItemsAreNotMovedIntoACrowd(t *testing.T) {
 	slow := func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond }
 	crowded := func(b *fleet.Backend) { b.Memory = fleet.Memory{Most: 30000, Held: 9000, Expected: 28000} }
-	want := need{Request: weightsOf("m", 3), zone: "z", held: 4096, expected: 11264}
+	want := need{Request: weightsOf("m", 3), held: 4096, expected: 11264}
 	pool := []fleet.Backend{backend("slow", slow), backend("crowded", crowded)}
 	if target := moveTarget(pool, "slow", want, 40*time.Millisecond, placeWorld); target >= 0 {
 		t.Errorf("moved to %s", pool[target].ID)
--- a/internal/gatewaynode/batch/move.go
+++ b/internal/gatewaynode/batch/move.go
@@ -17,6 +17,9 @@
 	longRun = 1500 * time.Millisecond
 	// moveAfter is the least time since its start or the last move.
 	moveAfter = 600 * time.Millisecond
+	// moveGain is the least time that a move has to save: it reads the item's prompt anew,
+	// and closes one connection and as a rule opens another.
+	moveGain = 400 * time.Millisecond
 	// paceFresh is how old a measured pace may be.
 	paceFresh = time.Second
 )
@@ -37,6 +40,7 @@
 	}
 	moving := want
 	moving.ran = p.now.Sub(item.firstStart)
+	moving.left = r.left(c.job, c.index)
 	target := moveTarget(pool.backends, item.backend, moving, pool.typical, p.world)
 	if target < 0 {
 		return
@@ -83,9 +87,18 @@
 		if b.Pace == 0 || now.Sub(b.PaceAt) > paceMemory || float64(from.Pace) < want.moveRatio()*float64(b.Pace) {
 			continue
 		}
+		if !worthMoving(from.Pace, b.Pace, want.left) {
+			continue
+		}
 		if (best < 0 || b.Pace < pool[best].Pace) && suits(b, want, world) {
 			best = i
 		}
 	}
 	return best
 }
+
+// worthMoving tells whether a run that is expected to make so many events yet, 0 if
+// nothing is known, gains enough by a move from one pace to another. It is pure.
+func worthMoving(from, to time.Duration, left int) bool {
+	return left == 0 || time.Duration(left)*(from-to) >= moveGain
+}
--- a/internal/gatewaynode/batch/place.go
+++ b/internal/gatewaynode/batch/place.go
@@ -11,7 +11,6 @@
 type need struct {
 	// Request decides which back ends may get the item.
 	eligibility.Request
-	zone string
 	// avoid is a back end to be used only if there is no other.
 	avoid string
 	// ran is for how long the item has been running.
@@ -19,6 +18,10 @@
 	// short items are among those that their step does not wait for: they leave the
 	// fastest back ends to others.
 	short bool
+	// patient items start only where a connection stands.
+	patient bool
+	// left is how many events the item is expected to make yet, 0 if nothing is known.
+	left int
 	// held and expected are the tokens that the item holds when it begins and is
 	// expected to hold at its end, 0 where nothing is known of memories.
 	held, expected int
@@ -37,8 +40,12 @@
 const (
 	// loadSlowdown is how much slower a full back end is taken to be.
 	loadSlowdown = 0.15
-	// zoneSlowdown is what another zone costs, as a share of the pace.
-	zoneSlowdown = 0.02
+	// usualEvents is the number of events that the round trips of a run are spread over,
+	// where they are weighed beside its pace: what most items make.
+	usualEvents = 20
+	// openingSlowdown is what a new connection costs: that of two more items at a back
+	// end with six slots.
+	openingSlowdown = 0.05
 	// foreignSlowdown is what a back end costs that is meant for another model: more
 	// than a full one of the own model, since its own owner does not see what others
 	// start there.
@@ -60,7 +67,7 @@
 	best := -1
 	var bestCost float64
 	for i := range pool {
-		if !suits(&pool[i], want, world) {
+		if !suits(&pool[i], want, world) || want.patient && pool[i].Reach.Idle == 0 {
 			continue
 		}
 		cost := runCost(&pool[i], want, typical, world.Now)
@@ -83,8 +90,9 @@
 
 func runCost(backend *fleet.Backend, want need, typical time.Duration, now time.Time) float64 {
 	cost := float64(pace(backend, typical, now)) * (1 + loadSlowdown*backend.Load()) * memoryCost(backend, want.expected)
-	if backend.Zone != want.zone {
-		cost *= 1 + zoneSlowdown
+	cost += float64(backend.Reach.Distance.Duration()) / usualEvents
+	if backend.Reach.Idle == 0 {
+		cost *= 1 + openingSlowdown
 	}
 	if backend.Share != "" && backend.Share != want.Model {
 		cost *= 1 + foreignSlowdown
--- a/internal/gatewaynode/batch/place_test.go
+++ b/internal/gatewaynode/batch/place_test.go
@@ -18,7 +18,7 @@
 }
 
 func backend(id string, change func(*fleet.Backend)) fleet.Backend {
-	b := fleet.Backend{Instance: fleet.Instance{ID: id, Zone: "z", Slots: 4, Models: map[string]int64{"m": 3}}}
+	b := fleet.Backend{Instance: fleet.Instance{ID: id, Slots: 4, Models: map[string]int64{"m": 3}}}
 	b.Pace, b.PaceAt = 40*time.Millisecond, placeNow
 	if change != nil {
 		change(&b)
@@ -27,7 +27,7 @@
 }
 
 func TestPickBackend(t *testing.T) {
-	want := need{Request: weightsOf("m", 3), zone: "z"}
+	want := need{Request: weightsOf("m", 3)}
 	cases := []struct {
 		name string
 		pool []fleet.Backend
@@ -47,11 +47,11 @@
 		{"another version than the text so far", []fleet.Backend{backend("a", nil)}, need{Request: eligibility.Request{Model: "m", Version: 4, Weights: true}}, ""},
 		{"changes its weights", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.LoadingModel = "m" })}, want, ""},
 		{"changes weights of another model", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.LoadingModel = "other" })}, want, "a"},
-		{"own zone first", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Zone = "y" }), backend("b", nil)}, want, "b"},
-		{"avoided only if there is another", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.InFlight = 3 })}, need{Request: weightsOf("m", 0), zone: "z", avoid: "a"}, "b"},
-		{"short items leave the fastest to others", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 52 * time.Millisecond })}, need{Request: weightsOf("m", 0), zone: "z", short: true}, "b"},
-		{"short items shun slow ones too", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond })}, need{Request: weightsOf("m", 0), zone: "z", short: true}, "a"},
-		{"one that failed is tried out by short items", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Failures = 1 }), backend("b", func(b *fleet.Backend) { b.InFlight = 2 })}, need{Request: weightsOf("m", 0), zone: "z", short: true}, "a"},
+		{"own zone first", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Reach.Distance = 2 }), backend("b", nil)}, want, "b"},
+		{"avoided only if there is another", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.InFlight = 3 })}, need{Request: weightsOf("m", 0), avoid: "a"}, "b"},
+		{"short items leave the fastest to others", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 52 * time.Millisecond })}, need{Request: weightsOf("m", 0), short: true}, "b"},
+		{"short items shun slow ones too", []fleet.Backend{backend("a", nil), backend("b", func(b *fleet.Backend) { b.Pace = 120 * time.Millisecond })}, need{Request: weightsOf("m", 0), short: true}, "a"},
+		{"one that failed is tried out by short items", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Failures = 1 }), backend("b", func(b *fleet.Backend) { b.InFlight = 2 })}, need{Request: weightsOf("m", 0), short: true}, "a"},
 		{"one that failed, for others", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Failures = 1 }), backend("b", func(b *fleet.Backend) { b.InFlight = 2 })}, want, "b"},
 		{"meant for the model first", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Share = "other" }), backend("b", func(b *fleet.Backend) { b.Share, b.InFlight = "m", 3 })}, want, "b"},
 		{"meant for another model but alone", []fleet.Backend{backend("a", func(b *fleet.Backend) { b.Share = "other" })}, want, "a"},
--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -136,7 +136,7 @@
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: r.job.spec.Host,
 		Header: header, Body: item.Body, Address: r.backend.Address, Instance: r.backend.ID,
 		Tenant: r.job.tenant, Deadline: r.deadline, Priority: r.priority,
-		Admit: r.admit,
+		Admit:   r.admit,
 		Purpose: upstream.PurposeItem,
 	}
 	if after > 0 {
@@ -156,6 +156,9 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	m.observeLoad(r.backend.ID, answer.Meta)
+	if answer.Status != http.StatusOK {
+		answer.Drain()
+	}
 	switch {
 	case answer.Status == http.StatusUnprocessableEntity:
 		return errUndoable
--- a/internal/gatewaynode/batch/schedule.go
+++ b/internal/gatewaynode/batch/schedule.go
@@ -98,6 +98,7 @@
 // what the round gives out is counted in them.
 type pools struct {
 	fleet    *fleet.Fleet
+	reach    Reach
 	now      time.Time
 	services map[string]*pool
 	// config tells of the services' memories, nil if none is known; used is what the
@@ -108,6 +109,8 @@
 	// each back end and what has not taken its turn there yet.
 	world *eligibility.World
 	given map[string]int
+	// longest is how many events the longest item of each job has left.
+	longest map[*ownedJob]int
 }
 
 // pool is the back ends of one service.
@@ -127,8 +130,8 @@
 
 func (r *runner) newPools(now time.Time) *pools {
 	p := &pools{
-		fleet: r.manager.config.Fleet, now: now, services: make(map[string]*pool),
-		config: r.manager.config.Routes(), used: r.usages(),
+		fleet: r.manager.config.Fleet, reach: r.manager.config.Reach, now: now, services: make(map[string]*pool),
+		config: r.manager.config.Routes(), used: r.usages(), longest: make(map[*ownedJob]int),
 		world: r.manager.config.Gate.World(now), given: r.unsent.snapshot(),
 	}
 	p.world.Turns = p.turnsLeft(p.world.Turns)
@@ -172,6 +175,7 @@
 	for i := range found.backends {
 		found.backends[i].InFlight += p.used[found.backends[i].ID].reserved
 	}
+	p.reach.Fill(found.backends, p.now)
 	found.typical = typicalPace(found.backends, p.now)
 	for i := range found.backends {
 		b := &found.backends[i]
@@ -185,7 +189,7 @@
 
 // needOf returns what an item wants of a back end.
 func (r *runner) needOf(c candidate, pool *pool) need {
-	want := need{Request: r.requestOf(c.job, c.index, c.route), zone: r.manager.config.Zone}
+	want := need{Request: r.requestOf(c.job, c.index, c.route)}
 	want.held, want.expected = r.itemMemory(c.job, c.index, pool.eventTokens)
 	return want
 }
@@ -215,6 +219,7 @@
 	want := r.needOf(c, pool)
 	want.avoid = item.avoid
 	want.short = item.short && len(item.text.events) == 0
+	want.patient = !item.urgent && patient(r.left(c.job, c.index), p.longest[c.job], p.now.Sub(c.job.opened))
 	if r.goToTarget(c, pool, want, p) {
 		return
 	}
@@ -238,11 +243,15 @@
 		}
 	}
 	p.give(b)
+	takeIdle(b)
 	takeMemory(b, want)
 	item.urgent = false
 	r.launch(c.job, c.index, c.route, *b)
 }
 
+// takeIdle counts an idle connection of a back end that a call will use, if there is one.
+func takeIdle(b *fleet.Backend) { b.Reach.Idle = max(b.Reach.Idle-1, 0) }
+
 // goToTarget starts an item that was moved at the back end that it was moved to, and
 // tells whether it did. If that will not do any more, the item goes where others go.
 func (r *runner) goToTarget(c candidate, pool *pool, want need, p *pools) bool {
--- a/internal/gatewaynode/batch/score.go
+++ b/internal/gatewaynode/batch/score.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
@@ -22,9 +23,11 @@
 	sends, cuts, failures int
 }
 
+// cancelCalls ends the calls that are under way, a moment later: most that are cut at
+// once would have been answered by then, and would have left their connections.
 func (s *scoreState) cancelCalls() {
 	for _, c := range s.calls {
-		c.cancel()
+		time.AfterFunc(upstream.Linger, c.cancel)
 	}
 }
 
@@ -52,6 +55,7 @@
 		if !job.active() {
 			continue
 		}
+		p.longest[job] = r.longestLeft(job)
 		for _, index := range job.scoring {
 			r.scheduleScore(job, index, table, p, now)
 		}
@@ -101,7 +105,7 @@
 	}
 	pool := p.service(route.Pick(uint64(index+state.sends), 0)).backends
 	request := r.scoreRequest(job, route)
-	want := scorerWant{Request: request, zone: r.manager.config.Zone}
+	want := scorerWant{Request: request}
 	if len(state.calls) > 0 {
 		first := state.calls[0]
 		if now-first.sent < secondAfter(pool, route) || !r.seconds.left() {
@@ -109,6 +113,7 @@
 		}
 		want.avoid = first.backend.ID
 	}
+	want.patient = len(state.calls) == 0 && state.sends == 0 && patientScore(p.longest[job], usualPace, usualScore(pool), (now-state.since).Duration())
 	place := pickScorer(pool, want, p.world)
 	if place < 0 {
 		return
@@ -119,6 +124,7 @@
 		r.seconds.add()
 	}
 	p.give(&pool[place])
+	takeIdle(&pool[place])
 	r.call(job, index, route, pool[place], now, request)
 }
 
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -110,7 +110,7 @@
 	answer, err := m.config.Client.Do(c.ctx, &upstream.Call{
 		ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body,
 		Address: c.backend.Address, Instance: c.backend.ID, Tenant: c.tenant(), Deadline: started.Add(c.limit.Duration()),
-		Admit: c.admit,
+		Admit:   c.admit,
 		Purpose: upstream.PurposeScore,
 	})
 	if err != nil {
--- a/internal/gatewaynode/batch/scoreplace.go
+++ b/internal/gatewaynode/batch/scoreplace.go
@@ -16,9 +16,12 @@
 	// scoreReserve is the share of a back end's slots, one at least, that calls
 	// leave free: live requests share the service and go first.
 	scoreReserve = 0.15
-	// scoreZoneCost is what another zone costs, as a share of the latency: a call
-	// hardly waits for a round trip, and bytes between zones have a price.
-	scoreZoneCost = 0.5
+	// scoreOpening is what a new connection costs, as a share of the latency: a call may
+	// rather share a back end with half of its slots in use.
+	scoreOpening = 0.5
+	// scoreDistance is how many round trips the distance counts for: a call takes one,
+	// and bytes between zones and regions have a price.
+	scoreDistance = 1.5
 	// scoreUsual stands for a latency that nothing is known of.
 	scoreUsual = 30 * time.Millisecond
 	// scoreLimitLatencies is how many usual latencies a call may take at first, and
@@ -40,9 +43,10 @@
 type scorerWant struct {
 	// Request decides which back ends may get the call.
 	eligibility.Request
-	zone string
 	// avoid is the back end of the call beside which a second one is sent.
 	avoid string
+	// patient calls go only where a connection stands.
+	patient bool
 }
 
 // pickScorer returns the index of the back end that a call goes to, or -1 if none
@@ -52,10 +56,10 @@
 	var bestCost float64
 	for i := range pool {
 		b := &pool[i]
-		if b.ID == want.avoid || b.Suspended(world.Now) || !hasRoom(b) || !world.May(b, want.Request) {
+		if b.ID == want.avoid || b.Suspended(world.Now) || !hasRoom(b) || want.patient && b.Reach.Idle == 0 || !world.May(b, want.Request) {
 			continue
 		}
-		cost := scorerCost(b, want, world.Now)
+		cost := scorerCost(b, world.Now)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -63,10 +67,11 @@
 	return best
 }
 
-func scorerCost(b *fleet.Backend, want scorerWant, now time.Time) float64 {
+func scorerCost(b *fleet.Backend, now time.Time) float64 {
 	cost := float64(scoreLatency(b)) * (1 + b.Load())
-	if b.Zone != want.zone {
-		cost *= 1 + scoreZoneCost
+	cost += scoreDistance * float64(b.Reach.Distance.Duration())
+	if b.Reach.Idle == 0 {
+		cost += scoreOpening * float64(scoreLatency(b))
 	}
 	if b.Cold(now) {
 		cost *= 1 + coldSlowdown
@@ -108,13 +113,18 @@
 // secondAfter returns after which time a second call is sent beside one. It is
 // pure.
 func secondAfter(pool []fleet.Backend, route *routetable.Route) clock.Millis {
+	return clock.Of(max(secondLatencies*usualScore(pool), time.Duration(secondTargets*float64(route.Target))))
+}
+
+// usualScore returns the latency of the best back end, 0 if there is none. It is pure.
+func usualScore(pool []fleet.Backend) time.Duration {
 	usual := time.Duration(0)
 	for i := range pool {
 		if usual == 0 || scoreLatency(&pool[i]) < usual {
 			usual = scoreLatency(&pool[i])
 		}
 	}
-	return clock.Of(max(secondLatencies*usual, time.Duration(secondTargets*float64(route.Target))))
+	return usual
 }
 
 // secondCalls is a budget: each first call earns a share of a second one.
--- a/internal/gatewaynode/batch/scoreplace_test.go
+++ b/internal/gatewaynode/batch/scoreplace_test.go
@@ -8,23 +8,25 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
-func scoringBackend(id, zone string, running int, latency time.Duration) fleet.Backend {
+func scoringBackend(id string, distance place.Distance, running int, latency time.Duration) fleet.Backend {
 	return fleet.Backend{
-		Instance:  fleet.Instance{ID: id, Zone: zone, Slots: 6},
+		Instance:  fleet.Instance{ID: id, Slots: 6},
 		Condition: fleet.Condition{InFlight: running, Latency: latency},
+		Reach:     fleet.Reach{Distance: distance},
 	}
 }
 
 func TestPickScorer(t *testing.T) {
 	now := time.Now()
 	const ms = time.Millisecond
-	near := scoringBackend("near", "z1", 0, 30*ms)
-	far := scoringBackend("far", "z2", 0, 30*ms)
+	near := scoringBackend("near", 0, 0, 30*ms)
+	far := scoringBackend("far", 2, 0, 30*ms)
 	change := func(b fleet.Backend, f func(*fleet.Backend)) fleet.Backend { f(&b); return b }
 	cases := []struct {
 		name string
@@ -33,16 +35,16 @@
 		id   string
 	}{
 		{"none", nil, scorerWant{}, ""},
-		{"own zone first", []fleet.Backend{far, near}, scorerWant{zone: "z1"}, "near"},
-		{"other zone if the own is loaded", []fleet.Backend{scoringBackend("near", "z1", 4, 30*ms), far}, scorerWant{zone: "z1"}, "far"},
-		{"a slot stays free for live requests", []fleet.Backend{scoringBackend("near", "z1", 5, 30*ms)}, scorerWant{zone: "z1"}, ""},
+		{"own zone first", []fleet.Backend{far, near}, scorerWant{}, "near"},
+		{"other zone if the own is loaded", []fleet.Backend{scoringBackend("near", 0, 4, 30*ms), far}, scorerWant{}, "far"},
+		{"a slot stays free for live requests", []fleet.Backend{scoringBackend("near", 0, 5, 30*ms)}, scorerWant{}, ""},
 		{"what others run counts", []fleet.Backend{change(near, func(b *fleet.Backend) { b.OthersRunning = 5 })}, scorerWant{}, ""},
 		{"where requests wait nothing is added", []fleet.Backend{change(near, func(b *fleet.Backend) { b.Waiting = 1 })}, scorerWant{}, ""},
 		{"leaving", []fleet.Backend{change(near, func(b *fleet.Backend) { b.Draining = true })}, scorerWant{}, ""},
 		{"suspended", []fleet.Backend{change(near, func(b *fleet.Backend) { b.SuspendedUntil = now.Add(ms) })}, scorerWant{}, ""},
-		{"second call goes elsewhere", []fleet.Backend{near, far}, scorerWant{zone: "z1", avoid: "near"}, "far"},
+		{"second call goes elsewhere", []fleet.Backend{near, far}, scorerWant{avoid: "near"}, "far"},
 		{"one slot alone is used", []fleet.Backend{change(near, func(b *fleet.Backend) { b.Slots = 1 })}, scorerWant{}, "near"},
-		{"slow", []fleet.Backend{scoringBackend("near", "z1", 0, 100*ms), far}, scorerWant{zone: "z1"}, "far"},
+		{"slow", []fleet.Backend{scoringBackend("near", 0, 0, 100*ms), far}, scorerWant{}, "far"},
 	}
 	for _, test := range cases {
 		place := pickScorer(test.pool, test.want, &eligibility.World{Now: now})
@@ -72,7 +74,7 @@
 		{"never above the route's time-out", 40 * ms, route, 9, 1500},
 		{"route without a time-out", 40 * ms, &routetable.Route{}, 9, scoreTimeout},
 	} {
-		b := scoringBackend("b", "z", 0, test.latency)
+		b := scoringBackend("b", 0, 0, test.latency)
 		if got := scoreLimit(&b, test.route, test.cuts); got != test.want {
 			t.Errorf("%s: %d, want %d", test.name, got, test.want)
 		}
--- a/internal/gatewaynode/fleet/fleet.go
+++ b/internal/gatewaynode/fleet/fleet.go
@@ -13,6 +13,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 )
 
 // Instance is one incarnation of a back end as the registry tells it.
@@ -85,12 +87,22 @@
 	return float64(tokens) / float64(m.Most)
 }
 
+// Reach is what lies between a node and a back end.
+type Reach struct {
+	Distance place.Distance
+	// Idle counts the idle connections that stand to it.
+	Idle int
+	// Order is its place in the node's own order of all back ends, the lowest first.
+	Order uint64
+}
+
 // Backend is an instance with its condition, as of one moment.
 type Backend struct {
 	Instance
 	Condition
-	// Memory is left zero by the fleet; who places requests fills it in.
+	// Memory and Reach are left zero by the fleet; who places requests fills them in.
 	Memory Memory
+	Reach  Reach
 }
 
 // Cold tells whether the back end is taken to be cold.
--- a/internal/gatewaynode/forward/choose.go
+++ b/internal/gatewaynode/forward/choose.go
@@ -12,7 +12,8 @@
 
 // Want says what a request needs of a back end.
 type Want struct {
-	Zone string
+	// Usual is how long an answer of the service usually takes, 0 if it is not known.
+	Usual time.Duration
 	// Request decides which back ends may get it.
 	Request eligibility.Request
 	// Tried counts the attempts of this request at each back end.
@@ -20,13 +21,21 @@
 }
 
 const (
-	// zoneCost is the time that a back end in another zone costs.
-	zoneCost = 2 * time.Millisecond
 	// usualLatency stands for a latency that nothing is known of.
 	usualLatency = 20 * time.Millisecond
 	// coldSlowdown is how many times slower a cold back end is taken to be: as slow as a
 	// warm one whose slots are all taken, so that it is used once those are.
 	coldSlowdown = 4
+	// openingShare is what a new connection costs, as a share of the usual latency,
+	// beside its round trip. It takes a slot of the back end for a moment and memory of
+	// both. It keeps a node at the back ends that it has connections to while the times
+	// of their answers scatter as they do, and lets it go where they are half as long
+	// again as usual.
+	openingShare = 0.5
+	// distanceWeight is the part of the distance that counts beside the latency, which
+	// holds the round trip already where it is measured: bytes between zones and regions
+	// have a price.
+	distanceWeight = 0.5
 )
 
 // Choose returns the back end that is expected to answer first of those that may get
@@ -56,15 +65,21 @@
 	if a.Suspended(now) {
 		return a.SuspendedUntil.Before(b.SuspendedUntil)
 	}
-	return expected(a, want.Zone, now) < expected(b, want.Zone, now)
+	costA, costB := expected(a, want.Usual, now), expected(b, want.Usual, now)
+	if costA != costB {
+		return costA < costB
+	}
+	return a.Reach.Order < b.Reach.Order
 }
 
 // expected estimates the time of an answer: the usual latency, stretched by the
-// load in work and more by what waits for a slot.
-func expected(backend fleet.Backend, zone string, now time.Time) time.Duration {
+// load in work and more by what waits for a slot, and what it takes to get there.
+func expected(backend fleet.Backend, usual time.Duration, now time.Time) time.Duration {
+	usual = max(usual, usualLatency)
 	latency := backend.Latency
+	distance := backend.Reach.Distance.Duration()
 	if latency == 0 {
-		latency = usualLatency
+		latency = usual + distance
 	}
 	waiting := float64(backend.Waiting) / float64(max(backend.Slots, 1))
 	estimate := time.Duration(float64(latency) * (1 + backend.Load() + 2*waiting))
@@ -74,8 +89,9 @@
 	if backend.Cold(now) {
 		estimate *= coldSlowdown
 	}
-	if backend.Zone != zone {
-		estimate += zoneCost
+	estimate += time.Duration(distanceWeight * float64(distance))
+	if backend.Reach.Idle == 0 {
+		estimate += distance + time.Duration(openingShare*float64(usual))
 	}
 	return estimate
 }
--- a/internal/gatewaynode/forward/choose_test.go
+++ b/internal/gatewaynode/forward/choose_test.go
@@ -12,7 +12,7 @@
 var chooseNow = time.Unix(1000, 0)
 
 func candidate(id string, change func(*fleet.Backend)) fleet.Backend {
-	b := fleet.Backend{Instance: fleet.Instance{ID: id, Zone: "z", Slots: 4}}
+	b := fleet.Backend{Instance: fleet.Instance{ID: id, Slots: 4}}
 	b.Latency = 20 * time.Millisecond
 	if change != nil {
 		change(&b)
@@ -20,6 +20,9 @@
 	return b
 }
 
+// away puts a back end into another zone.
+func away(b *fleet.Backend) { b.Reach.Distance = 2 }
+
 func suspended(d time.Duration) func(*fleet.Backend) {
 	return func(b *fleet.Backend) { b.SuspendedUntil = chooseNow.Add(d) }
 }
@@ -35,9 +38,9 @@
 	}{
 		{"none", nil, Want{}, ""},
 		{"only leaving ones", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Draining = true })}, Want{}, ""},
-		{"own zone", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Zone = "y" }), candidate("b", nil)}, Want{Zone: "z"}, "b"},
-		{"another zone rather than a slow one", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Zone = "y" }), candidate("b", func(b *fleet.Backend) { b.Latency = 80 * time.Millisecond })}, Want{Zone: "z"}, "a"},
-		{"another zone rather than a full one", []fleet.Backend{candidate("a", func(b *fleet.Backend) { b.Zone = "y" }), candidate("b", func(b *fleet.Backend) { b.InFlight = 4 })}, Want{Zone: "z"}, "a"},
+		{"own zone", []fleet.Backend{candidate("a", away), candidate("b", nil)}, Want{}, "b"},
+		{"another zone rather than a slow one", []fleet.Backend{candidate("a", away), candidate("b", func(b *fleet.Backend) { b.Latency = 80 * time.Millisecond })}, Want{}, "a"},
+		{"another zone rather than a full one", []fleet.Backend{candidate("a", away), candidate("b", func(b *fleet.Backend) { b.InFlight = 4 })}, Want{}, "a"},
 		{"suspended only if all are", []fleet.Backend{candidate("a", suspended(time.Second)), candidate("b", func(b *fleet.Backend) { b.Latency = time.Second })}, Want{}, "b"},
 		{"the one that is suspended for the shortest", []fleet.Backend{candidate("a", suspended(2*time.Second)), candidate("b", suspended(time.Second))}, Want{}, "b"},
 		{"not the one that was tried", []fleet.Backend{candidate("a", nil), candidate("b", suspended(time.Second))}, Want{Tried: map[string]int{"a": 1}}, "b"},
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -93,23 +93,30 @@
 	// Gate decides which back ends may get a request.
 	Gate         *eligibility.Gate
 	Log          *eventlog.Log
-	Zone         string
+	Reach        Reach
 	VersionField string
 	// Observe is told how each request ended; it may be nil.
 	Observe func(kind routetable.Kind, report Report)
 }
 
+// Reach tells how back ends can be reached.
+type Reach interface {
+	// Fill tells back ends how they can be reached now.
+	Fill(backends []fleet.Backend, now time.Time)
+}
+
 // Forwarder passes requests on. It is safe for concurrent use.
 type Forwarder struct {
-	config    Config
-	sequence  atomic.Uint64
-	offset    float64
-	latencies latencies
+	config   Config
+	sequence atomic.Uint64
+	offset   float64
+	// latencies are by route, services by service.
+	latencies, services latencies
 }
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
-	return &Forwarder{config: config, offset: rand.Float64(), latencies: newLatencies()}
+	return &Forwarder{config: config, offset: rand.Float64(), latencies: newLatencies(), services: newLatencies()}
 }
 
 const (
@@ -244,8 +251,10 @@
 
 // choose returns the back end for the next attempt.
 func (t *try) choose(now time.Time) (fleet.Backend, bool) {
-	return Choose(t.forwarder.config.Fleet.Service(t.service, now), Want{
-		Zone:    t.forwarder.config.Zone,
+	backends := t.forwarder.config.Fleet.Service(t.service, now)
+	t.forwarder.config.Reach.Fill(backends, now)
+	return Choose(backends, Want{
+		Usual:   t.forwarder.services.usual(t.service),
 		Request: t.wants(),
 		Tried:   t.tried,
 	}, t.forwarder.config.Gate.World(now))
@@ -257,7 +266,7 @@
 		ID: t.request.ID, Method: t.request.Method, Target: t.request.Target, Host: t.request.Host,
 		Header: t.request.Header, Body: t.request.Body,
 		Address: backend.Address, Instance: backend.ID, Tenant: t.request.Tenant, Deadline: t.limit,
-		Admit: func() error { return t.forwarder.config.Gate.Admit(backend.ID, t.wants()) },
+		Admit:   func() error { return t.forwarder.config.Gate.Admit(backend.ID, t.wants()) },
 		Purpose: upstream.PurposeLive,
 		// An idle connection may be closing just now; a request that must not be
 		// repeated could not be sent again after that.
--- a/internal/gatewaynode/forward/latency.go
+++ b/internal/gatewaynode/forward/latency.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// latencies learns how long whole answers of each route usually take. Back ends have
-// one latency for all routes, which says little where some are answered in no time.
+// latencies learns how long whole answers of each route, or each service, usually take.
+// Back ends have one latency for all routes, which says little of a route where some are
+// answered in no time; what is not known of a back end is taken from its service.
 // It is safe for concurrent use.
 type latencies struct {
 	mu      *sync.Mutex
--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -22,8 +22,8 @@
 
 // whole serves requests whose answer is kept back until it is complete.
 func (t *try) whole(ctx context.Context, w http.ResponseWriter) Report {
-	attempts, cancel := context.WithCancel(ctx)
-	defer cancel()
+	attempts, end := lingering(ctx)
+	defer end()
 	results := make(chan attemptResult, t.attemptsMost()+refusalsMost+1)
 	pending := 0
 	var launched time.Time
@@ -82,6 +82,19 @@
 	}
 }
 
+// lingering returns a context for attempts that goes on for a moment after the end of a
+// request that ctx has not ended, so that the connection of an attempt which another was
+// quicker than is kept if its answer comes by then.
+func lingering(ctx context.Context) (attempts context.Context, end func()) {
+	attempts, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	return attempts, func() {
+		if stop() {
+			time.AfterFunc(upstream.Linger, cancel)
+		}
+	}
+}
+
 // settled takes note of a result and tells whether it ends the request.
 func (t *try) settled(result attemptResult) bool {
 	if result.err != nil {
@@ -124,6 +137,7 @@
 		took := time.Since(started)
 		t.forwarder.config.Fleet.ObserveLatency(backend.ID, took)
 		t.forwarder.latencies.observe(t.route.Name, took)
+		t.forwarder.services.observe(t.service, took)
 	}
 	return result
 }
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -22,7 +22,9 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/forward"
 	"github.com/sliplift/sliplift/internal/gatewaynode/metering"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/reach"
 	"github.com/sliplift/sliplift/internal/gatewaynode/relay"
 	"github.com/sliplift/sliplift/internal/gatewaynode/reload"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
@@ -104,6 +106,8 @@
 	gate        *eligibility.Gate
 	shares      *coldShares
 	client      *upstream.Client
+	distances   *place.Distances
+	reach       *reach.Book
 	peerClient  *upstream.Client
 	forwarder   *forward.Forwarder
 	relay       *relay.Relay
@@ -141,13 +145,15 @@
 	node.client = upstream.NewClient(upstream.Config{
 		Codec: config.Codec, Dialer: config.Dialer, OnOpen: node.observeOpening, MustAdmit: true,
 	})
+	node.distances = place.NewDistances(config.Eligibility.Zones.Of(config.Self.Zone), config.Eligibility.Zones)
+	node.reach = reach.New(config.Self.Name, node.distances, node.client)
 	node.forwarder = forward.New(forward.Config{
-		Client: node.client, Fleet: node.fleet, Gate: node.gate, Log: config.Log, Zone: config.Self.Zone, VersionField: config.VersionField,
+		Client: node.client, Fleet: node.fleet, Gate: node.gate, Log: config.Log, Reach: node.reach, VersionField: config.VersionField,
 		Observe: node.observe,
 	})
 	node.jobs = batch.NewManager(batch.Config{
 		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client, Gate: node.gate,
-		Log: config.Log, Zone: config.Self.Zone, Routes: node.table.Load, VersionField: config.VersionField,
+		Log: config.Log, Reach: node.reach, Routes: node.table.Load, VersionField: config.VersionField,
 		Pacing: pacing, Keep: config.KeepJobs, Settle: config.ResultSettle,
 		OnWork: func() { node.controller.Wanted() }, Orders: func() bool { return node.controller.Near() },
 	})
--- a/internal/gatewaynode/upstream/body.go
+++ b/internal/gatewaynode/upstream/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // answerBody reads the body and, at its end, gives the connection back.
@@ -42,6 +43,20 @@
 	b.client.park(b.conn, b.response)
 }
 
+// drainMost bounds the body of a failure that is read to keep its connection, in bytes.
+const drainMost = 64 << 10
+
+// Drain reads what is left of a short body, so that the connection can be kept.
+func (a *Answer) Drain() {
+	if a.Length <= drainMost {
+		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, drainMost))
+	}
+}
+
+// Linger is how long a call whose answer is no longer needed may go on: its connection is
+// kept if the answer comes by then, and the back end learns soon enough otherwise.
+const Linger = 400 * time.Millisecond
+
 // Close ends the call. A body that was not read whole ends its connection.
 func (b *answerBody) Close() error {
 	if b.done {
--- a/internal/gatewaynode/upstream/connections.go
+++ b/internal/gatewaynode/upstream/connections.go
@@ -49,7 +49,9 @@
 }
 
 // Peer is one incarnation of what listens at an address.
-type Peer struct{ Address, Instance string }
+type Peer struct {
+	Address, Instance string
+}
 
 // peer is what a client holds of one Peer.
 type peer struct {
@@ -57,14 +59,22 @@
 	idle []*connection
 	// busy counts the connections that calls are under way on.
 	busy int
-	// lost is why a connection ended, at lostAt, that no new one has taken the place of,
-	// empty if there is none.
-	lost   OpenCause
+	// lost is why connections ended, the last one at lostAt, that no new ones have taken
+	// the place of; lostMost at most, the latest ones.
+	lost   []OpenCause
 	lostAt time.Time
 }
 
+// lostMost bounds what is remembered of the connections of a peer that ended.
+const lostMost = 32
+
 // lose records why a connection ended.
-func (p *peer) lose(why OpenCause) { p.lost, p.lostAt = why, time.Now() }
+func (p *peer) lose(why OpenCause) {
+	if len(p.lost) == lostMost {
+		p.lost = p.lost[1:]
+	}
+	p.lost, p.lostAt = append(p.lost, why), time.Now()
+}
 
 // lostMemory is how long a peer without connections is remembered, so that peers which
 // are gone take no memory.
@@ -132,12 +142,13 @@
 
 // cause returns why a new connection is opened. Each one that was lost accounts for one.
 func (p *peer) cause(fresh bool) OpenCause {
-	lost := p.lost
+	last := len(p.lost) - 1
 	switch {
 	case fresh:
 		return OpenFresh
-	case lost != "":
-		p.lost = ""
+	case last >= 0:
+		lost := p.lost[last]
+		p.lost = p.lost[:last]
 		return lost
 	case p.busy > 0:
 		return OpenBusy
