--- a/internal/gatewaynode/batch/demand.go
+++ b/internal/gatewaynode/batch/demand.go
@@ -23,8 +23,8 @@
 	return demand
 }
 
-// Widths returns the most items that one of the jobs of each model submitted lately
-// has.
+// Widths returns how many items have to run at once at most of one of the jobs of each
+// model that were submitted lately.
 func (m *Manager) Widths() map[string]int {
 	now := time.Now()
 	m.mu.Lock()
@@ -32,7 +32,7 @@
 	widths := make(map[string]int)
 	for _, state := range m.jobs {
 		if state.known && now.Sub(state.seen) < demandWindow {
-			widths[state.head.Model] = max(widths[state.head.Model], state.head.Total)
+			widths[state.head.Model] = max(widths[state.head.Model], state.head.width())
 		}
 	}
 	return widths
--- a/internal/gatewaynode/batch/doc.go
+++ b/internal/gatewaynode/batch/doc.go
@@ -140,7 +140,9 @@
 	Route   string   `json:"route,omitempty"`
 	Regions []string `json:"regions,omitempty"`
 	// Work is the tokens expected to come out of all items.
-	Work  int `json:"work,omitempty"`
+	Work int `json:"work,omitempty"`
+	// Width is how many items have to run at once, 0 if the head does not tell.
+	Width int `json:"width,omitempty"`
 	Total int `json:"total"`
 	Count int `json:"count"`
 	// More tells that a transaction could not hold all results that were finished: the
--- a/internal/gatewaynode/batch/place.go
+++ b/internal/gatewaynode/batch/place.go
@@ -43,9 +43,11 @@
 	// usualEvents is the number of events that the round trips of a run are spread over,
 	// where they are weighed beside its pace: what most items make.
 	usualEvents = 20
-	// openingSlowdown is what a new connection costs: that of two more items at a back
-	// end with six slots.
-	openingSlowdown = 0.05
+	// openingSlowdown is what a new connection costs: more than the load of a full back
+	// end, so that items gather where connections stand, less than a back end that is
+	// slow for good. Short items rather give up the pace that they would leave to others.
+	openingSlowdown      = 0.2
+	openingSlowdownShort = 1.0
 	// foreignSlowdown is what a back end costs that is meant for another model: more
 	// than a full one of the own model, since its own owner does not see what others
 	// start there.
@@ -92,7 +94,7 @@
 	cost := float64(pace(backend, typical, now)) * (1 + loadSlowdown*backend.Load()) * memoryCost(backend, want.expected)
 	cost += float64(backend.Reach.Distance.Duration()) / usualEvents
 	if backend.Reach.Idle == 0 {
-		cost *= 1 + openingSlowdown
+		cost *= 1 + want.opening()
 	}
 	if backend.Share != "" && backend.Share != want.Model {
 		cost *= 1 + foreignSlowdown
@@ -112,6 +114,14 @@
 	return cost
 }
 
+// opening returns what a new connection costs, as a share of the pace.
+func (n need) opening() float64 {
+	if n.short {
+		return openingSlowdownShort
+	}
+	return openingSlowdown
+}
+
 // leisurely tells whether a pace is slower than the best, by the back end itself or
 // by what runs there, yet not so slow that items are better not begun there. Short
 // items gather at such back ends and leave those with little to do to long ones,
--- a/internal/gatewaynode/batch/schedule.go
+++ b/internal/gatewaynode/batch/schedule.go
@@ -109,8 +109,8 @@
 	// each back end and what has not taken its turn there yet.
 	world *eligibility.World
 	given map[string]int
-	// longest is how many events the longest item of each job has left.
-	longest map[*ownedJob]int
+	// demands is what is left to do of each job.
+	demands map[*ownedJob]*demand
 }
 
 // pool is the back ends of one service.
@@ -131,7 +131,7 @@
 func (r *runner) newPools(now time.Time) *pools {
 	p := &pools{
 		fleet: r.manager.config.Fleet, reach: r.manager.config.Reach, now: now, services: make(map[string]*pool),
-		config: r.manager.config.Routes(), used: r.usages(), longest: make(map[*ownedJob]int),
+		config: r.manager.config.Routes(), used: r.usages(), demands: make(map[*ownedJob]*demand),
 		world: r.manager.config.Gate.World(now), given: r.unsent.snapshot(),
 	}
 	p.world.Turns = p.turnsLeft(p.world.Turns)
@@ -219,8 +219,9 @@
 	want := r.needOf(c, pool)
 	want.avoid = item.avoid
 	want.short = item.short && len(item.text.events) == 0
-	want.patient = !item.urgent && patient(r.left(c.job, c.index), p.longest[c.job], p.now.Sub(c.job.opened))
+	want.patient = !item.urgent && awaited(pool.backends) && p.demands[c.job].patient(r.lengthLeft(c.job, c.index))
 	if r.goToTarget(c, pool, want, p) {
+		p.demands[c.job].running++
 		return
 	}
 	if pool.full[want] {
@@ -245,6 +246,7 @@
 	p.give(b)
 	takeIdle(b)
 	takeMemory(b, want)
+	p.demands[c.job].running++
 	item.urgent = false
 	r.launch(c.job, c.index, c.route, *b)
 }
--- a/internal/gatewaynode/batch/score.go
+++ b/internal/gatewaynode/batch/score.go
@@ -55,7 +55,7 @@
 		if !job.active() {
 			continue
 		}
-		p.longest[job] = r.longestLeft(job)
+		p.demands[job] = r.demandOf(job)
 		for _, index := range job.scoring {
 			r.scheduleScore(job, index, table, p, now)
 		}
@@ -113,7 +113,7 @@
 		}
 		want.avoid = first.backend.ID
 	}
-	want.patient = len(state.calls) == 0 && state.sends == 0 && patientScore(p.longest[job], usualPace, usualScore(pool), (now-state.since).Duration())
+	want.patient = state.sends == 0 && awaited(pool) && patientScore(p.demands[job].longest, usualPace, usualScore(pool), (now-state.since).Duration())
 	place := pickScorer(pool, want, p.world)
 	if place < 0 {
 		return
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return scoreCut{err}
 	}
-	m.config.Fleet.ObserveLatency(c.backend.ID, time.Since(started))
+	m.config.Fleet.ObserveScore(c.backend.ID, time.Since(started))
 	return fateOfAnswer(answer.Status, answer.Meta)
 }
 
--- a/internal/gatewaynode/batch/scoreplace.go
+++ b/internal/gatewaynode/batch/scoreplace.go
@@ -16,9 +16,9 @@
 	// scoreReserve is the share of a back end's slots, one at least, that calls
 	// leave free: live requests share the service and go first.
 	scoreReserve = 0.15
-	// scoreOpening is what a new connection costs, as a share of the latency: a call may
-	// rather share a back end with half of its slots in use.
-	scoreOpening = 0.5
+	// scoreOpening is what a new connection costs, in usual latencies: a call rather goes to
+	// any back end with a slot that a connection stands to.
+	scoreOpening = 1
 	// scoreDistance is how many round trips the distance counts for: a call takes one,
 	// and bytes between zones and regions have a price.
 	scoreDistance = 1.5
@@ -54,12 +54,13 @@
 func pickScorer(pool []fleet.Backend, want scorerWant, world *eligibility.World) int {
 	best := -1
 	var bestCost float64
+	usual := usualScore(pool)
 	for i := range pool {
 		b := &pool[i]
 		if b.ID == want.avoid || b.Suspended(world.Now) || !hasRoom(b) || want.patient && b.Reach.Idle == 0 || !world.May(b, want.Request) {
 			continue
 		}
-		cost := scorerCost(b, world.Now)
+		cost := scorerCost(b, usual, world.Now)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -67,11 +68,17 @@
 	return best
 }
 
-func scorerCost(b *fleet.Backend, now time.Time) float64 {
-	cost := float64(scoreLatency(b)) * (1 + b.Load())
+// scorerCost weighs a back end; one whose latency is not known is taken to be as quick as
+// the best that is known.
+func scorerCost(b *fleet.Backend, usual time.Duration, now time.Time) float64 {
+	latency := float64(usual)
+	if b.ScoreLatency > 0 {
+		latency = float64(b.ScoreLatency)
+	}
+	cost := latency * (1 + b.Load())
 	cost += scoreDistance * float64(b.Reach.Distance.Duration())
 	if b.Reach.Idle == 0 {
-		cost += scoreOpening * float64(scoreLatency(b))
+		cost += scoreOpening * float64(usual)
 	}
 	if b.Cold(now) {
 		cost *= 1 + coldSlowdown
@@ -80,10 +87,10 @@
 }
 
 func scoreLatency(b *fleet.Backend) time.Duration {
-	if b.Latency == 0 {
+	if b.ScoreLatency == 0 {
 		return scoreUsual
 	}
-	return b.Latency
+	return b.ScoreLatency
 }
 
 // hasRoom tells whether a back end has a slot for a call.
@@ -116,14 +123,18 @@
 	return clock.Of(max(secondLatencies*usualScore(pool), time.Duration(secondTargets*float64(route.Target))))
 }
 
-// usualScore returns the latency of the best back end, 0 if there is none. It is pure.
+// usualScore returns the latency of the best back end that is known, or the usual one. It
+// is pure.
 func usualScore(pool []fleet.Backend) time.Duration {
 	usual := time.Duration(0)
 	for i := range pool {
-		if usual == 0 || scoreLatency(&pool[i]) < usual {
-			usual = scoreLatency(&pool[i])
+		if latency := pool[i].ScoreLatency; latency > 0 && (usual == 0 || latency < usual) {
+			usual = latency
 		}
 	}
+	if usual == 0 {
+		return scoreUsual
+	}
 	return usual
 }
 
--- a/internal/gatewaynode/batch/scoreplace_test.go
+++ b/internal/gatewaynode/batch/scoreplace_test.go
@@ -17,7 +17,7 @@
 func scoringBackend(id string, distance place.Distance, running int, latency time.Duration) fleet.Backend {
 	return fleet.Backend{
 		Instance:  fleet.Instance{ID: id, Slots: 6},
-		Condition: fleet.Condition{InFlight: running, Latency: latency},
+		Condition: fleet.Condition{InFlight: running, ScoreLatency: latency},
 		Reach:     fleet.Reach{Distance: distance},
 	}
 }
--- a/internal/gatewaynode/batch/submit.go
+++ b/internal/gatewaynode/batch/submit.go
@@ -75,6 +75,7 @@
 	for i := range spec.Items {
 		head.Work += spec.Items[i].expectedTokens()
 	}
+	head.Width = width(spec.Items)
 	regions := m.regionsOf(head)
 	if regions.Nowhere() {
 		return head, NoRegion
--- a/internal/gatewaynode/fleet/fleet.go
+++ b/internal/gatewaynode/fleet/fleet.go
@@ -44,8 +44,11 @@
 	// Latency is a moving average of whole answers; Pace of the time between two
 	// events of a stream. 0 means unknown.
 	Latency time.Duration
-	Pace    time.Duration
-	PaceAt  time.Time
+	// ScoreLatency is a moving average of calls of scoring services: one takes several
+	// times as long as most requests at the same back end.
+	ScoreLatency time.Duration
+	Pace         time.Duration
+	PaceAt       time.Time
 	// Failures counts failures in a row; until SuspendedUntil it gets no work
 	// unless there is no other.
 	Failures       int
--- a/internal/gatewaynode/fleet/observe.go
+++ b/internal/gatewaynode/fleet/observe.go
@@ -27,6 +27,14 @@
 	})
 }
 
+// ObserveScore records the time of a whole answer of a scoring service.
+func (f *Fleet) ObserveScore(id string, latency time.Duration) {
+	f.with(id, func(c *Condition) {
+		c.ScoreLatency = average(c.ScoreLatency, latency)
+		c.Failures = 0
+	})
+}
+
 // ObservePace records the time between two events of a stream.
 func (f *Fleet) ObservePace(id string, gap time.Duration, now time.Time) {
 	f.with(id, func(c *Condition) {
--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -69,6 +69,10 @@
 			}
 			return t.giveUp(w, ctx.Err())
 		case <-hedge.C:
+			if rest := t.hedgeRest(launched); rest > 0 {
+				hedge.Reset(rest)
+				continue
+			}
 			if t.repeatable() {
 				launch()
 			}
@@ -160,3 +164,15 @@
 	}
 	return min(max(hedgeLatencies*usual, hedgeLeast), max(most, hedgeLeast))
 }
+
+// hedgeRest returns how much longer a second attempt waits that would need a new
+// connection: an answer that is late for its route yet far from its target is not worth
+// one.
+func (t *try) hedgeRest(launched time.Time) time.Duration {
+	now := time.Now()
+	backend, found := t.choose(now)
+	if !found || backend.Reach.Idle > 0 {
+		return 0
+	}
+	return time.Duration(hedgeTarget*float64(t.route.Target)) - now.Sub(launched)
+}
