--- a/internal/gatewaynode/batch/pace.go
+++ b/internal/gatewaynode/batch/pace.go
@@ -47,10 +47,22 @@
 
 // pace returns the pace of a back end, or the typical one if it is not known.
 func pace(backend *fleet.Backend, typical time.Duration, now time.Time) time.Duration {
-	if backend.Pace == 0 || now.Sub(backend.PaceAt) > paceMemory {
-		return typical
+	if known := knownPace(backend, now); known > 0 {
+		return known
 	}
-	return backend.Pace
+	return typical
+}
+
+// knownPace returns the pace of a back end that was measured of late, or else the one it
+// has had over its life; 0 if neither is known.
+func knownPace(backend *fleet.Backend, now time.Time) time.Duration {
+	switch {
+	case backend.Pace > 0 && now.Sub(backend.PaceAt) <= paceMemory:
+		return backend.Pace
+	case backend.Lasting.Known():
+		return backend.Lasting.Pace
+	}
+	return 0
 }
 
 // typicalPace returns the pace of a good back end of the pool, from those whose pace
@@ -58,8 +70,8 @@
 func typicalPace(pool []fleet.Backend, now time.Time) time.Duration {
 	var paces []time.Duration
 	for i := range pool {
-		if backend := &pool[i]; backend.Pace > 0 && now.Sub(backend.PaceAt) <= paceMemory {
-			paces = append(paces, backend.Pace)
+		if known := knownPace(&pool[i], now); known > 0 {
+			paces = append(paces, known)
 		}
 	}
 	if len(paces) == 0 {
--- a/internal/gatewaynode/fleet/fleet.go
+++ b/internal/gatewaynode/fleet/fleet.go
@@ -49,6 +49,8 @@
 	ScoreLatency time.Duration
 	Pace         time.Duration
 	PaceAt       time.Time
+	// Lasting is the pace over the instance's life.
+	Lasting LastingPace
 	// Failures counts failures in a row; until SuspendedUntil it gets no work
 	// unless there is no other.
 	Failures       int
--- a/internal/gatewaynode/fleet/observe.go
+++ b/internal/gatewaynode/fleet/observe.go
@@ -40,6 +40,7 @@
 	f.with(id, func(c *Condition) {
 		c.Pace = paceAverage(c.Pace, gap, now.Sub(c.PaceAt))
 		c.PaceAt = now
+		c.Lasting = c.Lasting.observe(c.Pace, now)
 		c.Failures = 0
 	})
 }
