--- /dev/null
+++ b/internal/gatewaynode/forward/subset_test.go
@@ -0,0 +1,207 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
+	"github.com/sliplift/sliplift/internal/gatewaynode/reach"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
+)
+
+// connections are the idle connections of a fake node.
+type connections map[upstream.Peer]int
+
+func (c connections) Standing() map[upstream.Peer]int { return c }
+
+// sender is a node that sends requests one after the other.
+type sender struct {
+	fleet       *fleet.Fleet
+	connections connections
+	reach       *reach.Book
+	opened      int
+}
+
+func newSender(name, zone string, zones place.Map, backends []fleet.Instance) *sender {
+	s := &sender{fleet: fleet.New(nil), connections: make(connections)}
+	s.fleet.Replace(backends)
+	s.reach = reach.New(name, place.NewDistances(zones.Of(zone), zones), s.connections)
+	return s
+}
+
+// choose returns where the node sends a request.
+func (s *sender) choose(t *testing.T, now time.Time) fleet.Backend {
+	t.Helper()
+	backends := s.fleet.Service("s", now)
+	s.reach.Fill(backends, now)
+	chosen, found := Choose(backends, Want{Usual: 30 * time.Millisecond}, &eligibility.World{Now: now})
+	if !found {
+		t.Fatal("no back end")
+	}
+	return chosen
+}
+
+// send begins a request at a back end, over a connection that stands if there is one; the
+// function returned ends it with the load that the back end tells.
+func (s *sender) send(b fleet.Backend, now time.Time) func(running, waiting int) {
+	peer := upstream.Peer{Address: b.Address, Instance: b.ID}
+	if s.connections[peer] == 0 {
+		s.opened++
+	} else {
+		s.connections[peer]--
+	}
+	end := s.fleet.Begin(b.ID)
+	return func(running, waiting int) {
+		s.fleet.ObserveLoad(b.ID, running, waiting, now)
+		end()
+		s.connections[peer]++
+		s.fleet.ObserveLatency(b.ID, 30*time.Millisecond*time.Duration(1+waiting/b.Slots))
+	}
+}
+
+// instances returns back ends of a service, by turns in the zones.
+func instances(count int, zones ...string) []fleet.Instance {
+	made := make([]fleet.Instance, count)
+	for i := range made {
+		made[i] = fleet.Instance{
+			ID: fmt.Sprintf("b%02d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Service: "s", Zone: zones[i%len(zones)], Slots: 6, Revision: 1,
+		}
+	}
+	return made
+}
+
+var threeZones = place.NewMap(map[string]string{"a": "r", "b": "r", "c": "r"})
+
+// round lets each node send so many requests at the same time and counts where they went.
+func round(t *testing.T, nodes []*sender, each int, now time.Time, counts map[string]int) {
+	running := make(map[string]int)
+	var ends []func()
+	for range each {
+		for _, node := range nodes {
+			b := node.choose(t, now)
+			end := node.send(b, now)
+			running[b.ID]++
+			counts[b.ID]++
+			ends = append(ends, func() { end(min(running[b.ID], b.Slots), max(running[b.ID]-b.Slots, 0)) })
+		}
+	}
+	for _, end := range ends {
+		end()
+	}
+}
+
+func TestLoadIsEvenUnderOverload(t *testing.T) {
+	backends := instances(17, "a", "b", "c")
+	var nodes []*sender
+	for i := range 87 {
+		nodes = append(nodes, newSender(fmt.Sprintf("n%02d", i), []string{"a", "b", "c"}[i%3], threeZones, backends))
+	}
+	counts := make(map[string]int)
+	now := chooseNow
+	for range 50 {
+		round(t, nodes, 2, now, counts)
+		now = now.Add(100 * time.Millisecond)
+	}
+	busiest, total := 0, 0
+	for _, count := range counts {
+		busiest, total = max(busiest, count), total+count
+	}
+	if mean := float64(total) / float64(len(backends)); float64(busiest) > 1.3*mean {
+		t.Errorf("the busiest back end got %.2f times the mean: %v", float64(busiest)/mean, counts)
+	}
+}
+
+func TestNodesKeepToFewBackEnds(t *testing.T) {
+	node := newSender("n", "a", threeZones, instances(300, "a", "b", "c"))
+	counts := make(map[string]int)
+	now := chooseNow
+	for range 200 {
+		round(t, []*sender{node}, 1, now, counts)
+		now = now.Add(time.Second)
+	}
+	if node.opened > 1 || len(counts) > 1 {
+		t.Errorf("%d connections to %d back ends for one request at a time", node.opened, len(counts))
+	}
+}
+
+// settled returns a node that has sent some requests, and where it sends them.
+func settled(t *testing.T, backends []fleet.Instance) (*sender, fleet.Backend, time.Time) {
+	t.Helper()
+	node := newSender("n", "a", threeZones, backends)
+	now := chooseNow
+	for range 20 {
+		round(t, []*sender{node}, 1, now, make(map[string]int))
+		now = now.Add(time.Second)
+	}
+	return node, node.choose(t, now), now
+}
+
+func TestNodeGoesElsewhereAtOnce(t *testing.T) {
+	backends := instances(9, "a", "b", "c")
+	for _, test := range []struct {
+		name   string
+		change func(node *sender, kept fleet.Backend, now time.Time)
+	}{
+		{"all that it keeps to have failed", func(node *sender, _ fleet.Backend, now time.Time) {
+			for peer := range node.connections {
+				node.fleet.ObserveFailure(peer.Instance, "reset", now)
+			}
+		}},
+		{"the one that it keeps to refuses", func(node *sender, kept fleet.Backend, now time.Time) {
+			node.fleet.Suspend(kept.ID, "refused", now.Add(time.Second))
+		}},
+		{"the one that it keeps to is gone", func(node *sender, kept fleet.Backend, _ time.Time) {
+			node.fleet.Update(nil, []string{kept.ID})
+		}},
+		{"the one that it keeps to is full", func(node *sender, kept fleet.Backend, now time.Time) {
+			node.fleet.ObserveLoad(kept.ID, kept.Slots, 3, now)
+		}},
+		{"the one that it keeps to has become slow", func(node *sender, kept fleet.Backend, _ time.Time) {
+			for range 5 {
+				node.fleet.ObserveLatency(kept.ID, 300*time.Millisecond)
+			}
+		}},
+	} {
+		node, kept, now := settled(t, backends)
+		test.change(node, kept, now)
+		if next := node.choose(t, now); next.ID == kept.ID || next.Zone != "a" {
+			t.Errorf("%s: goes to %s in zone %s", test.name, next.ID, next.Zone)
+		}
+	}
+}
+
+func TestNodeStaysWhileAnswersScatter(t *testing.T) {
+	node, kept, now := settled(t, instances(9, "a", "b", "c"))
+	node.fleet.ObserveLatency(kept.ID, 60*time.Millisecond)
+	if next := node.choose(t, now); next.ID != kept.ID {
+		t.Errorf("one answer that took twice as long sends it to %s", next.ID)
+	}
+}
+
+func TestFarRegionIsUsedOnceTheNearOneIsFull(t *testing.T) {
+	zones := place.NewMap(map[string]string{"a": "near", "b": "near", "c": "far"})
+	backends := instances(6, "a", "b", "c")
+	node := newSender("n", "a", zones, backends)
+	now := chooseNow
+	if first := node.choose(t, now); first.Zone != "a" {
+		t.Errorf("a node of zone a begins in zone %s", first.Zone)
+	}
+	fill := func(zone string, waiting int) {
+		for _, b := range backends {
+			if b.Zone == zone {
+				node.fleet.ObserveLoad(b.ID, b.Slots, waiting, now)
+			}
+		}
+	}
+	fill("a", 0)
+	if next := node.choose(t, now); next.Zone != "b" {
+		t.Errorf("with its own zone full it goes to zone %s", next.Zone)
+	}
+	fill("b", 0)
+	if next := node.choose(t, now); next.Zone != "c" {
+		t.Errorf("with its own region full it goes to zone %s", next.Zone)
+	}
+}
--- /dev/null
+++ b/internal/gatewaynode/place/distance_test.go
@@ -0,0 +1,45 @@
+package place
+
+import (
+	"testing"
+	"time"
+)
+
+func TestDistances(t *testing.T) {
+	start := time.Unix(1000, 0)
+	zones := NewMap(map[string]string{"a": "r", "b": "r", "c": "s"})
+	for _, test := range []struct {
+		name    string
+		observe func(d *Distances)
+		zone    string
+		want    Distance
+	}{
+		{"own zone", nil, "a", 0},
+		{"another zone of the region", nil, "b", priorRegion},
+		{"another region", nil, "c", priorFar},
+		{"zone that is not known", nil, "x", priorRegion},
+		{"what was measured counts", func(d *Distances) { d.Observe("c", 25*time.Millisecond, start) }, "c", 25},
+		{"a zone that is not known is not measured", func(d *Distances) { d.Observe("x", time.Second, start) }, "x", priorRegion},
+		{"one slow connect says little", func(d *Distances) {
+			d.Observe("c", 20*time.Millisecond, start)
+			d.Observe("c", 120*time.Millisecond, start)
+		}, "c", 30},
+		{"a quicker one says it", func(d *Distances) {
+			d.Observe("c", 120*time.Millisecond, start)
+			d.Observe("c", 20*time.Millisecond, start)
+		}, "c", 20},
+		{"what was measured long ago does not count", func(d *Distances) { d.Observe("c", 200*time.Millisecond, start.Add(-2*measuredMost)) }, "c", priorFar},
+		{"nor is it averaged with what is", func(d *Distances) {
+			d.Observe("c", 20*time.Millisecond, start.Add(-2*measuredMost))
+			d.Observe("c", 60*time.Millisecond, start)
+		}, "c", 60},
+	} {
+		distances := NewDistances(zones.Of("a"), zones)
+		if test.observe != nil {
+			test.observe(distances)
+		}
+		if got := distances.View(start).To(test.zone); got != test.want {
+			t.Errorf("%s: %v ms, want %v", test.name, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gatewaynode/upstream/connections_test.go
@@ -0,0 +1,170 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pipeServer answers each request after its delay, over connections in memory.
+type pipeServer struct {
+	delay time.Duration
+	head  string
+}
+
+func (s *pipeServer) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go s.serve(far)
+	return near, nil
+}
+
+func (s *pipeServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		time.Sleep(s.delay)
+		if _, err := io.WriteString(conn, s.head+"Id: "+request.Header.Get("Id")+"\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+			return
+		}
+	}
+}
+
+// openings returns a client of the server and the causes of the connections that it opens.
+func openings(server *pipeServer) (*Client, *[]OpenCause) {
+	var causes []OpenCause
+	client := NewClient(Config{Codec: testCodec{}, Dialer: server.dial, OnOpen: func(o Opening) { causes = append(causes, o.Cause) }})
+	return client, &causes
+}
+
+func call(ctx context.Context, client *Client, fresh bool) error {
+	answer, err := client.Do(ctx, &Call{ID: "a", Method: http.MethodGet, Target: "/", Address: "b:1", Instance: "i", Fresh: fresh})
+	if err != nil {
+		return err
+	}
+	_, err = io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	return err
+}
+
+func TestCausesOfConnections(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n"
+	for _, test := range []struct {
+		name string
+		play func(ctx context.Context, client *Client)
+		want []OpenCause
+	}{
+		{"one after the other use one", func(ctx context.Context, client *Client) {
+			for range 3 {
+				_ = call(ctx, client, false)
+			}
+		}, []OpenCause{OpenFirst}},
+		{"one while another is under way", func(ctx context.Context, client *Client) {
+			go func() { _ = call(ctx, client, false) }()
+			time.Sleep(time.Millisecond)
+			_ = call(ctx, client, false)
+		}, []OpenCause{OpenFirst, OpenBusy}},
+		{"idle for as long as the back end keeps it", func(ctx context.Context, client *Client) {
+			_ = call(ctx, client, false)
+			time.Sleep(5 * time.Second)
+			_ = call(ctx, client, false)
+		}, []OpenCause{OpenFirst, OpenExpired}},
+		{"swept after that", func(ctx context.Context, client *Client) {
+			_ = call(ctx, client, false)
+			time.Sleep(5 * time.Second)
+			client.Sweep(func(string, string) bool { return true })
+			_ = call(ctx, client, false)
+		}, []OpenCause{OpenFirst, OpenExpired}},
+		{"cut with a call that was cancelled, each one accounts for one", func(ctx context.Context, client *Client) {
+			cut, cancel := context.WithCancel(ctx)
+			time.AfterFunc(time.Millisecond, cancel)
+			_ = call(cut, client, false)
+			_ = call(ctx, client, false)
+			go func() { _ = call(ctx, client, false) }()
+			time.Sleep(time.Millisecond)
+			_ = call(ctx, client, false)
+		}, []OpenCause{OpenFirst, OpenCut, OpenBusy}},
+		{"asked for", func(ctx context.Context, client *Client) {
+			_ = call(ctx, client, false)
+			_ = call(ctx, client, true)
+		}, []OpenCause{OpenFirst, OpenFresh}},
+		{"forgotten once it is of no use", func(ctx context.Context, client *Client) {
+			_ = call(ctx, client, false)
+			client.Sweep(func(string, string) bool { return false })
+			time.Sleep(2 * lostMemory)
+			client.Sweep(func(string, string) bool { return false })
+			_ = call(ctx, client, false)
+		}, []OpenCause{OpenFirst, OpenFirst}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			client, causes := openings(&pipeServer{delay: 10 * time.Millisecond, head: ok})
+			test.play(t.Context(), client)
+			synctest.Wait()
+			if !slices.Equal(*causes, test.want) {
+				t.Errorf("%s: %v, want %v", test.name, *causes, test.want)
+			}
+			client.Sweep(func(string, string) bool { return false })
+		})
+	}
+}
+
+func TestStandingLeavesOutWhatHasExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, _ := openings(&pipeServer{head: "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n"})
+		peer := Peer{Address: "b:1", Instance: "i"}
+		_ = call(t.Context(), client, false)
+		if got := client.Standing()[peer]; got != 1 {
+			t.Errorf("%d stand after a call, want 1", got)
+		}
+		time.Sleep(5 * time.Second)
+		if got := client.Standing()[peer]; got != 0 {
+			t.Errorf("%d stand once their time has run out", got)
+		}
+		client.Sweep(func(string, string) bool { return false })
+	})
+}
+
+func TestShortFailureKeepsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, causes := openings(&pipeServer{head: "HTTP/1.1 500 Internal Server Error\r\n"})
+		for range 2 {
+			answer, err := client.Do(t.Context(), &Call{ID: "a", Method: http.MethodGet, Target: "/", Address: "b:1"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			answer.Drain()
+			_ = answer.Body.Close()
+		}
+		if !slices.Equal(*causes, []OpenCause{OpenFirst}) {
+			t.Errorf("opened for %v", *causes)
+		}
+		client.Sweep(func(string, string) bool { return false })
+	})
+}
+
+func TestIdleConnectionThatTheBackEndClosed(t *testing.T) {
+	server := newScriptedServer(t)
+	var causes []OpenCause
+	client := NewClient(Config{Codec: testCodec{}, OnOpen: func(o Opening) { causes = append(causes, o.Cause) }})
+	address := server.listener.Addr().String()
+	server.answers <- "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n|reset"
+	_ = callOnce(client, address, "a")
+	time.Sleep(200 * time.Millisecond)
+	server.answers <- "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 0\r\n\r\n"
+	if got := callOnce(client, address, "b"); got != `fate answered 200 ""` {
+		t.Errorf("the next call: %s", got)
+	}
+	if !slices.Equal(causes, []OpenCause{OpenFirst, OpenClosed}) {
+		t.Errorf("opened for %v", causes)
+	}
+}
