forward: what an answer says of its back end is relative to its route

A route whose answers end with their time (400 ms, 1.1 s beside 25 ms) made the node leave the back end that it kept to after each of them: its latency rose by a third of that at once. The latency of a back end is now kept as a multiple of what is usual for the route, damped by 20 ms so that a connect does not count for much where answers take 1 ms.

--- a/internal/gatewaynode/fleet/fleet.go
+++ b/internal/gatewaynode/fleet/fleet.go
@@ -41,7 +41,8 @@
 	OthersRunning int
 	Waiting       int
 	LoadAt        time.Time
-	// Latency is a moving average of whole answers; Pace of the time between two
+	// Latency is a moving average of whole answers, each as if it were one of those that
+	// take the usual time; Pace of the time between two
 	// events of a stream. 0 means unknown.
 	Latency time.Duration
 	// ScoreLatency is a moving average of calls of scoring services: one takes several
--- a/internal/gatewaynode/forward/choose.go
+++ b/internal/gatewaynode/forward/choose.go
@@ -12,8 +12,6 @@
 
 // Want says what a request needs of a back end.
 type Want struct {
-	// Usual is how long an answer of the service usually takes, 0 if it is not known.
-	Usual time.Duration
 	// Request decides which back ends may get it.
 	Request eligibility.Request
 	// Tried counts the attempts of this request at each back end.
@@ -21,7 +19,8 @@
 }
 
 const (
-	// usualLatency stands for a latency that nothing is known of.
+	// usualLatency stands for a latency that nothing is known of; those of back ends are
+	// relative to it.
 	usualLatency = 20 * time.Millisecond
 	// coldSlowdown is how many times slower a cold back end is taken to be: as slow as a
 	// warm one whose slots are all taken, so that it is used once those are.
@@ -65,7 +64,7 @@
 	if a.Suspended(now) {
 		return a.SuspendedUntil.Before(b.SuspendedUntil)
 	}
-	costA, costB := expected(a, want.Usual, now), expected(b, want.Usual, now)
+	costA, costB := expected(a, now), expected(b, now)
 	if costA != costB {
 		return costA < costB
 	}
@@ -74,12 +73,11 @@
 
 // expected estimates the time of an answer: the usual latency, stretched by the
 // load in work and more by what waits for a slot, and what it takes to get there.
-func expected(backend fleet.Backend, usual time.Duration, now time.Time) time.Duration {
-	usual = max(usual, usualLatency)
+func expected(backend fleet.Backend, now time.Time) time.Duration {
 	latency := backend.Latency
 	distance := backend.Reach.Distance.Duration()
 	if latency == 0 {
-		latency = usual + distance
+		latency = usualLatency + distance
 	}
 	waiting := float64(backend.Waiting) / float64(max(backend.Slots, 1))
 	estimate := time.Duration(float64(latency) * (1 + backend.Load() + 2*waiting))
@@ -91,7 +89,7 @@
 	}
 	estimate += time.Duration(distanceWeight * float64(distance))
 	if backend.Reach.Idle == 0 {
-		estimate += distance + time.Duration(openingShare*float64(usual))
+		estimate += distance + time.Duration(openingShare*float64(usualLatency))
 	}
 	return estimate
 }
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -107,16 +107,15 @@
 
 // Forwarder passes requests on. It is safe for concurrent use.
 type Forwarder struct {
-	config   Config
-	sequence atomic.Uint64
-	offset   float64
-	// latencies are by route, services by service.
-	latencies, services latencies
+	config    Config
+	sequence  atomic.Uint64
+	offset    float64
+	latencies latencies
 }
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
-	return &Forwarder{config: config, offset: rand.Float64(), latencies: newLatencies(), services: newLatencies()}
+	return &Forwarder{config: config, offset: rand.Float64(), latencies: newLatencies()}
 }
 
 const (
@@ -254,7 +253,6 @@
 	backends := t.forwarder.config.Fleet.Service(t.service, now)
 	t.forwarder.config.Reach.Fill(backends, now)
 	return Choose(backends, Want{
-		Usual:   t.forwarder.services.usual(t.service),
 		Request: t.wants(),
 		Tried:   t.tried,
 	}, t.forwarder.config.Gate.World(now))
--- a/internal/gatewaynode/forward/latency.go
+++ b/internal/gatewaynode/forward/latency.go
@@ -5,9 +5,8 @@
 	"time"
 )
 
-// latencies learns how long whole answers of each route, or each service, usually take.
-// Back ends have one latency for all routes, which says little of a route where some are
-// answered in no time; what is not known of a back end is taken from its service.
+// latencies learns how long whole answers of each route usually take. Back ends have one
+// latency for all routes, which says little of a route where some are answered in no time.
 // It is safe for concurrent use.
 type latencies struct {
 	mu      *sync.Mutex
@@ -44,3 +43,15 @@
 	defer l.mu.Unlock()
 	return l.byRoute[route]
 }
+
+// relative returns what an answer of a route says of its back end: how long it would have
+// taken, had it been one of those that take usualLatency. Routes whose answers take long
+// by themselves, or end with their time, say nothing against who gave them, and those
+// whose answers take next to no time say little: a connect doubles it.
+func (l latencies) relative(route string, took time.Duration) time.Duration {
+	usual := l.usual(route)
+	if usual <= 0 {
+		return usualLatency
+	}
+	return time.Duration(float64(usualLatency) * float64(took+usualLatency) / float64(usual+usualLatency))
+}
--- a/internal/gatewaynode/forward/latency_test.go
+++ b/internal/gatewaynode/forward/latency_test.go
@@ -34,3 +34,23 @@
 		t.Errorf("slow pages: %s, want half of the target", delay)
 	}
 }
+
+// TestLongRoutesSayNothingAgainstABackEnd: answers that end with the time of their route
+// would have a node go to another back end after each.
+func TestLongRoutesSayNothingAgainstABackEnd(t *testing.T) {
+	l := newLatencies()
+	for range 20 {
+		if got := l.relative("ends with its time", 400*time.Millisecond); got != usualLatency {
+			t.Fatalf("a usual answer of a long route counts as %s", got)
+		}
+		l.observe("ends with its time", 400*time.Millisecond)
+	}
+	l.observe("page", 25*time.Millisecond)
+	if got := l.relative("page", 160*time.Millisecond); got != 4*usualLatency {
+		t.Errorf("an answer that took 135 ms longer than 25 ms counts as %s", got)
+	}
+	l.observe("probe", time.Millisecond)
+	if got := l.relative("probe", 3*time.Millisecond); got > 5*usualLatency/4 {
+		t.Errorf("an answer in 3 ms where 1 ms is usual counts as %s", got)
+	}
+}
--- a/internal/gatewaynode/forward/subset_test.go
+++ b/internal/gatewaynode/forward/subset_test.go
@@ -37,7 +37,7 @@
 	t.Helper()
 	backends := s.fleet.Service("s", now)
 	s.reach.Fill(backends, now)
-	chosen, found := Choose(backends, Want{Usual: 30 * time.Millisecond}, &eligibility.World{Now: now})
+	chosen, found := Choose(backends, Want{}, &eligibility.World{Now: now})
 	if !found {
 		t.Fatal("no back end")
 	}
@@ -58,7 +58,7 @@
 		s.fleet.ObserveLoad(b.ID, running, waiting, now)
 		end()
 		s.connections[peer]++
-		s.fleet.ObserveLatency(b.ID, 30*time.Millisecond*time.Duration(1+waiting/b.Slots))
+		s.fleet.ObserveLatency(b.ID, usualLatency*time.Duration(1+waiting/b.Slots))
 	}
 }
 
@@ -161,7 +161,7 @@
 		}},
 		{"the one that it keeps to has become slow", func(node *sender, kept fleet.Backend, _ time.Time) {
 			for range 5 {
-				node.fleet.ObserveLatency(kept.ID, 300*time.Millisecond)
+				node.fleet.ObserveLatency(kept.ID, 10*usualLatency)
 			}
 		}},
 	} {
@@ -175,7 +175,7 @@
 
 func TestNodeStaysWhileAnswersScatter(t *testing.T) {
 	node, kept, now := settled(t, instances(9, "a", "b", "c"))
-	node.fleet.ObserveLatency(kept.ID, 60*time.Millisecond)
+	node.fleet.ObserveLatency(kept.ID, 2*usualLatency)
 	if next := node.choose(t, now); next.ID != kept.ID {
 		t.Errorf("one answer that took twice as long sends it to %s", next.ID)
 	}
--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -139,9 +139,8 @@
 	if result.whole {
 		_ = answer.Body.Close()
 		took := time.Since(started)
-		t.forwarder.config.Fleet.ObserveLatency(backend.ID, took)
+		t.forwarder.config.Fleet.ObserveLatency(backend.ID, t.forwarder.latencies.relative(t.route.Name, took))
 		t.forwarder.latencies.observe(t.route.Name, took)
-		t.forwarder.services.observe(t.service, took)
 	}
 	return result
 }
