--- a/internal/gatewaynode/place/distance.go
+++ b/internal/gatewaynode/place/distance.go
@@ -24,8 +24,8 @@
 	priorFar    Distance = 20
 )
 
-// prior returns the distance between two places that nothing was measured of.
-func prior(a, b Place) Distance {
+// Prior returns the distance between two places that nothing was measured of.
+func Prior(a, b Place) Distance {
 	switch {
 	case a.Zone == b.Zone:
 		return priorZone
@@ -109,5 +109,5 @@
 	if measured, known := v.measured[zone]; known {
 		return measured
 	}
-	return prior(v.own, v.zones.Of(zone))
+	return Prior(v.own, v.zones.Of(zone))
 }
--- a/internal/gatewaynode/presence/rank.go
+++ b/internal/gatewaynode/presence/rank.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 )
 
 // capableShare is the share of the cores of the largest node from which on a
@@ -50,6 +52,9 @@
 
 func weight(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
 
+// Place returns where the node stands.
+func (n Node) Place() place.Place { return place.Place{Zone: n.Zone, Region: n.Region} }
+
 // small tells whether a node is not capable beside the largest one, which has
 // most cores.
 func (n Node) small(most float64) bool { return n.Cores < capableShare*most }
--- a/internal/gatewaynode/relay/relay.go
+++ b/internal/gatewaynode/relay/relay.go
@@ -11,9 +11,11 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -31,7 +33,8 @@
 	// InTouch tells whether this node is in touch with the store.
 	InTouch func() bool
 	Log     *eventlog.Log
-	Zone    string
+	// Own is where this node stands.
+	Own place.Place
 }
 
 // Relay passes calls on. It is safe for concurrent use.
@@ -100,25 +103,22 @@
 	return nil, failure
 }
 
-// choose returns the nodes of regions to try, those of the own zone first, by turns.
+// choose returns the nodes of regions to try, the nearest first, by turns.
 func (r *Relay) choose(regions place.Regions) []presence.Node {
-	return order(presence.Within(r.config.Peers(), regions), r.config.Zone, int(r.turn.Add(1)))
+	return order(presence.Within(r.config.Peers(), regions), r.config.Own, int(r.turn.Add(1)))
 }
 
-// order returns triesMost of the peers at most, those of a zone first, beginning at
-// another one with each turn. It is pure.
-func order(peers []presence.Node, zone string, turn int) []presence.Node {
-	var near, far []presence.Node
+// order returns triesMost of the peers at most, the nearest first, beginning at another
+// one with each turn. It is pure.
+func order(peers []presence.Node, own place.Place, turn int) []presence.Node {
+	turned := make([]presence.Node, 0, len(peers))
 	for i := range peers {
-		peer := peers[(i+turn)%len(peers)]
-		if peer.Zone == zone {
-			near = append(near, peer)
-			continue
-		}
-		far = append(far, peer)
+		turned = append(turned, peers[(i+turn)%len(peers)])
 	}
-	all := append(near, far...)
-	return all[:min(len(all), triesMost)]
+	slices.SortStableFunc(turned, func(a, b presence.Node) int {
+		return cmp.Compare(place.Prior(own, a.Place()), place.Prior(own, b.Place()))
+	})
+	return turned[:min(len(turned), triesMost)]
 }
 
 func (r *Relay) noteWithheld(call *upstream.Call, regions place.Regions) {
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -159,7 +159,7 @@
 	})
 	node.peerClient = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, DialTimeout: relayDial})
 	node.relay = relay.New(relay.Config{
-		Client: node.peerClient, Peers: node.Peers, InTouch: node.inTouch, Log: config.Log, Zone: config.Self.Zone,
+		Client: node.peerClient, Peers: node.Peers, InTouch: node.inTouch, Log: config.Log, Own: config.Self.Place(),
 	})
 	node.leases = rowlease.NewLeases(config.Log, config.Store, pacing)
 	timing := rowlease.Timing{Settle: config.SettleTime}
--- a/internal/gatewaynode/storerelay/detour.go
+++ b/internal/gatewaynode/storerelay/detour.go
@@ -264,23 +264,11 @@
 	peers = slices.DeleteFunc(slices.Clone(peers), func(n presence.Node) bool { return n.PeerAddress == "" })
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	slices.SortStableFunc(peers, func(a, b presence.Node) int {
-		return cmp.Or(cmp.Compare(apart(a, own), apart(b, own)), cmp.Compare(b.Cores, a.Cores))
+		return cmp.Or(cmp.Compare(place.Prior(own, a.Place()), place.Prior(own, b.Place())), cmp.Compare(b.Cores, a.Cores))
 	})
 	return peers[:min(len(peers), triedNodes)]
 }
 
-// apart tells how far a node stands away: 0 in the same zone, 1 in the same region, 2
-// elsewhere.
-func apart(n presence.Node, own place.Place) int {
-	switch {
-	case n.Zone == own.Zone:
-		return 0
-	case n.Region == own.Region:
-		return 1
-	}
-	return 2
-}
-
 // reaches tells whether the store answers through another node.
 func (d *Detour) reaches(via *client) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeMost+dialMost)
--- a/internal/gatewaynode/upstream/expire_test.go
+++ b/internal/gatewaynode/upstream/expire_test.go
@@ -128,7 +128,7 @@
 	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 		t.Fatal(err)
 	}
-	conn := client.takeIdle(server.listener.Addr().String() + "|")
+	conn := client.takeIdle(Peer{Address: server.listener.Addr().String()})
 	if conn == nil || conn.expires {
 		t.Errorf("kept %+v", conn)
 	}
