--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/batch"
+	"github.com/sliplift/sliplift/internal/gatewaynode/callerconn"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/gatewaymetrics"
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
@@ -68,8 +69,12 @@
 	if cfg.MetricsAddress != "" {
 		addresses = append(addresses, cfg.MetricsAddress)
 	}
-	for _, address := range addresses {
-		if err := servers.listen(address); err != nil {
+	for i, address := range addresses {
+		share := otherShare
+		if i == 0 {
+			share = callerShare
+		}
+		if err := servers.listen(address, share); err != nil {
 			log.Warn(eventlog.Stopped, eventlog.Fields{eventlog.Cause: err.Error()})
 			return exitFailed
 		}
@@ -93,7 +98,10 @@
 	defer endWork()
 	go node.Run(working)
 	metrics.Watch(node)
-	servers.serve(platform.NewFront(node), platform.NewReadiness(node), platform.NewDirectory(node), metrics.Handler())
+	servers.serve(
+		callerconn.Handler(platform.NewFront(node), metrics.CallerLeft), callerconn.Handler(platform.NewReadiness(node), nil),
+		callerconn.Handler(platform.NewDirectory(node), nil), callerconn.Handler(metrics.Handler(), nil),
+	)
 	select {
 	case <-ctx.Done():
 	case err := <-servers.failed:
@@ -213,12 +221,19 @@
 	failed    chan error
 }
 
-func (s *servers) listen(address string) error {
+// Shares of the process's descriptors that connections to a listener may take: back ends,
+// other nodes and the store need the rest.
+const (
+	callerShare = 0.5
+	otherShare  = 0.05
+)
+
+func (s *servers) listen(address string, share float64) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	s.listeners = append(s.listeners, listener)
+	s.listeners = append(s.listeners, callerconn.Listen(listener, callerconn.Descriptors(share)))
 	return nil
 }
 
@@ -234,6 +249,7 @@
 		handler := handlers[i]
 		server := &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: headerBytes,
+			ConnContext: callerconn.Context,
 		}
 		s.running = append(s.running, server)
 		go func() {
--- a/internal/gatewaynode/forward/latency_test.go
+++ b/internal/gatewaynode/forward/latency_test.go
@@ -18,8 +18,8 @@
 		t.Errorf("nothing known: %s, want half of the target", delay)
 	}
 	for range 50 {
-		f.latencies.observe("probe", time.Millisecond)
-		f.latencies.observe("page", 25*time.Millisecond)
+		f.latencies.observe("probe", time.Millisecond, true)
+		f.latencies.observe("page", 25*time.Millisecond, true)
 	}
 	if delay := route("page").hedgeDelay(); delay < 70*time.Millisecond || delay > 80*time.Millisecond {
 		t.Errorf("page: %s, want three times 25ms", delay)
@@ -28,7 +28,7 @@
 		t.Errorf("probe: %s, want %s", delay, hedgeLeast)
 	}
 	for range 50 {
-		f.latencies.observe("page", 400*time.Millisecond)
+		f.latencies.observe("page", 400*time.Millisecond, true)
 	}
 	if delay := route("page").hedgeDelay(); delay != 100*time.Millisecond {
 		t.Errorf("slow pages: %s, want half of the target", delay)
@@ -43,13 +43,13 @@
 		if got := l.relative("ends with its time", 400*time.Millisecond); got != usualLatency {
 			t.Fatalf("a usual answer of a long route counts as %s", got)
 		}
-		l.observe("ends with its time", 400*time.Millisecond)
+		l.observe("ends with its time", 400*time.Millisecond, true)
 	}
-	l.observe("page", 25*time.Millisecond)
+	l.observe("page", 25*time.Millisecond, true)
 	if got := l.relative("page", 160*time.Millisecond); got != 4*usualLatency {
 		t.Errorf("an answer that took 135 ms longer than 25 ms counts as %s", got)
 	}
-	l.observe("probe", time.Millisecond)
+	l.observe("probe", time.Millisecond, true)
 	if got := l.relative("probe", 3*time.Millisecond); got > 5*usualLatency/4 {
 		t.Errorf("an answer in 3 ms where 1 ms is usual counts as %s", got)
 	}
--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -24,13 +25,14 @@
 func (t *try) whole(ctx context.Context, w http.ResponseWriter) Report {
 	attempts, end := lingering(ctx)
 	defer end()
-	results := make(chan attemptResult, t.attemptsMost()+refusalsMost+1)
+	results := make(chan attemptResult, t.attemptsMost()+refusalsRoomy+withheldMost+1)
 	pending := 0
 	var launched time.Time
 	var spare *attemptResult
-	launch := func() bool {
+	// beside tells that another attempt is under way: one more is worth a free place only.
+	launch := func(beside bool) bool {
 		backend, found := t.choose(time.Now())
-		if !found || !t.maySend() {
+		if !found || !t.maySend() || beside && !free(&backend) {
 			return false
 		}
 		t.sends++
@@ -40,11 +42,12 @@
 			launched = time.Now()
 		}
 		pending++
-		go func() { results <- t.attempt(attempts, backend) }()
+		call := t.call(backend)
+		go func() { results <- t.attempt(attempts, backend, call) }()
 		return true
 	}
-	if !launch() {
-		return t.refuse(w, causeNoBackend)
+	if !launch(false) {
+		return t.refuse(w, cmp.Or(t.cause, causeNoBackend))
 	}
 	hedge := time.NewTimer(t.hedgeDelay())
 	defer hedge.Stop()
@@ -58,7 +61,7 @@
 			if result.answer != nil {
 				spare = &result
 			}
-			if ctx.Err() == nil && launch() {
+			if ctx.Err() == nil && launch(false) {
 				continue
 			}
 			if pending > 0 {
@@ -74,9 +77,18 @@
 				continue
 			}
 			if t.repeatable() {
-				launch()
+				t.unanswered = launched
+				launch(true)
 			}
 		case <-ctx.Done():
+			// An answer that is there is given, also late.
+			if ready := readyAnswer(results); ready != nil {
+				t.noteBegan(ready.answer.Sent)
+				return t.pass(w, *ready)
+			}
+			if spare != nil {
+				return t.pass(w, *spare)
+			}
 			if pending > 0 {
 				t.uncertain = true
 				t.noteUnanswered(launched)
@@ -99,6 +111,21 @@
 	}
 }
 
+// readyAnswer returns a whole answer among the results that have come, nil if there is
+// none.
+func readyAnswer(results <-chan attemptResult) *attemptResult {
+	for {
+		select {
+		case result := <-results:
+			if result.whole {
+				return &result
+			}
+		default:
+			return nil
+		}
+	}
+}
+
 // settled takes note of a result and tells whether it ends the request.
 func (t *try) settled(result attemptResult) bool {
 	if result.err != nil {
@@ -118,12 +145,14 @@
 	return true
 }
 
-func (t *try) attempt(ctx context.Context, backend fleet.Backend) attemptResult {
+// attempt sends a call and returns what became of it. It runs beside the rest of the try,
+// of which it changes nothing.
+func (t *try) attempt(ctx context.Context, backend fleet.Backend, call *upstream.Call) attemptResult {
 	started := time.Now()
 	end := t.forwarder.config.Fleet.Begin(backend.ID)
 	defer end()
 	result := attemptResult{backend: backend}
-	answer, err := t.forwarder.config.Client.Do(ctx, t.call(backend))
+	answer, err := t.forwarder.config.Client.Do(ctx, call)
 	if err != nil {
 		result.err = err
 		return result
@@ -140,7 +169,7 @@
 		_ = answer.Body.Close()
 		took := time.Since(started)
 		t.forwarder.config.Fleet.ObserveLatency(backend.ID, t.forwarder.latencies.relative(t.route.Name, took))
-		t.forwarder.latencies.observe(t.route.Name, took)
+		t.forwarder.latencies.observe(t.route.Name, took, free(&backend))
 	}
 	return result
 }
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -21,6 +21,9 @@
 // latencyBuckets are in seconds, from a store's answer to a long stream.
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10}
 
+// leftBuckets are in seconds, around the half second within which back ends have to know.
+var leftBuckets = []float64{.0005, .001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 5}
+
 // Metrics are the figures of one node.
 type Metrics struct {
 	registry *prometheus.Registry
@@ -32,6 +35,7 @@
 	withheld *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	cold     *prometheus.CounterVec
+	left     prometheus.Histogram
 }
 
 // New returns metrics that nothing has been counted in.
@@ -61,7 +65,11 @@
 	m.cold = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "cold_turns_total", Help: "Calls that went to cold back ends, by service.",
 	}, []string{"service"})
-	m.registry.MustRegister(m.events, m.requests, m.attempts, m.openings, m.calls, m.withheld, m.refused, m.cold)
+	m.left = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "caller_left_seconds", Buckets: leftBuckets,
+		Help: "Time from the end of a caller's connection to that of all work on its request.",
+	})
+	m.registry.MustRegister(m.events, m.requests, m.attempts, m.openings, m.calls, m.withheld, m.refused, m.cold, m.left)
 	return m
 }
 
@@ -88,6 +96,9 @@
 	m.openings.WithLabelValues(string(opening.Purpose), string(opening.Cause)).Inc()
 }
 
+// CallerLeft counts a request whose caller left, by how long it went on after that.
+func (m *Metrics) CallerLeft(after time.Duration) { m.left.Observe(after.Seconds()) }
+
 // StoreCall counts a call to the row store.
 func (m *Metrics) StoreCall(call, outcome string, took time.Duration) {
 	m.calls.WithLabelValues(call, outcome).Observe(took.Seconds())
--- a/internal/gatewaynode/upstream/connections.go
+++ b/internal/gatewaynode/upstream/connections.go
@@ -113,7 +113,7 @@
 func (c *Client) connect(ctx context.Context, call *Call) (*connection, error) {
 	id := Peer{Address: call.Address, Instance: call.Instance}
 	if !call.Fresh {
-		if conn := c.takeIdle(id); conn != nil {
+		if conn := c.takeIdle(id, call.ProvenSince); conn != nil {
 			return conn, nil
 		}
 	}
@@ -156,10 +156,11 @@
 	return OpenFirst
 }
 
-// takeIdle returns the connection that was used last and is still sound.
-func (c *Client) takeIdle(id Peer) *connection {
+// takeIdle returns the connection that was used last and is still sound. It has to have
+// been used after a time.
+func (c *Client) takeIdle(id Peer, since time.Time) *connection {
 	for {
-		conn := c.popIdle(id)
+		conn := c.popIdle(id, since)
 		if conn == nil {
 			return nil
 		}
@@ -175,12 +176,13 @@
 	}
 }
 
-// popIdle takes the connection that was used last, nil if there is none.
-func (c *Client) popIdle(id Peer) *connection {
+// popIdle takes the connection that was used last, nil if there is none that was used
+// after a time.
+func (c *Client) popIdle(id Peer, since time.Time) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held := c.peers[id]
-	if held == nil || len(held.idle) == 0 {
+	if held == nil || len(held.idle) == 0 || held.idle[len(held.idle)-1].parked.Before(since) {
 		return nil
 	}
 	conn := held.idle[len(held.idle)-1]
@@ -242,6 +244,24 @@
 	_ = conn.Close()
 }
 
+// distrust closes the idle connections to a peer on which no answer came after a time.
+func (c *Client) distrust(id Peer, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.of(id)
+	var rest []*connection
+	for _, conn := range held.idle {
+		if conn.parked.After(since) {
+			rest = append(rest, conn)
+			continue
+		}
+		conn.ended = true
+		held.lose(OpenCut)
+		_ = conn.Close()
+	}
+	held.idle = rest
+}
+
 // Sweep closes connections whose idle time has run out, and those of back ends
 // that keep says are gone.
 func (c *Client) Sweep(keep func(address, instance string) bool) {
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -59,7 +59,7 @@
 	// Deadline is when the back end has to stop work; zero means none.
 	Deadline time.Time
 	// Priority is the rank among the requests at the back end, 1 the highest to 9; 0
-	// names none, which counts as 5.
+	// names none, which counts as 5. See PriorityOf.
 	Priority int
 	// ResumeAfter is the last event that is already there; it counts if Resume.
 	Resume      bool
@@ -68,6 +68,10 @@
 	Fresh bool
 	// Purpose is what the call is made for.
 	Purpose Purpose
+	// ProvenSince allows a kept connection only if an answer came on it after that time;
+	// zero allows any. Connections fall silent together, without a reset, while new ones
+	// work: what follows an attempt without an answer must not wait on another of them.
+	ProvenSince time.Time
 	// Unnumbered calls have no id, and their answers need not carry one.
 	Unnumbered bool
 	// Until, if set, is when the call has to be over: what a socket still holds of it by
@@ -78,6 +82,20 @@
 	Admit func() error
 }
 
+// Bounds of Call.Priority, and how far two ranks of routes lie apart in it.
+const (
+	priorityFirst = 1
+	priorityLast  = 9
+	priorityStep  = 2
+)
+
+// PriorityOf returns the priority of a call by the rank of its route or tenant, 0 the
+// highest, and by how far, from 0 to 2, it may be put behind others of its rank. A call is
+// never put behind one of a lower rank. It is pure.
+func PriorityOf(rank, behind int) int {
+	return min(priorityFirst+priorityStep*max(rank, 0)+min(behind, priorityStep), priorityLast)
+}
+
 // Meta is what the head of an answer says, translated.
 type Meta struct {
 	// ID is the request that the answer belongs to, empty if it does not say.
@@ -168,6 +186,10 @@
 	defaultIdle        = 4 * time.Second
 	// idleMargin is taken off the idle time that a back end states.
 	idleMargin = 300 * time.Millisecond
+	// silentLeast is after what time without an answer the other kept connections to a
+	// back end are no longer used, unless an answer came on them meanwhile: above what
+	// sound back ends usually take to begin an answer.
+	silentLeast = 500 * time.Millisecond
 	// inlineBody is the largest body that is written before the answer is read.
 	inlineBody = 32 << 10
 	// surplusMost is the number of surplus answers passed over in a call.
@@ -218,6 +240,11 @@
 	if err != nil {
 		return nil, &Error{Fate: NotSent, Cause: err}
 	}
+	if err := ctx.Err(); err != nil {
+		// Nothing is sent for a caller that left while the connection was sought.
+		c.giveBack(conn)
+		return nil, &Error{Fate: NotSent, Cause: err}
+	}
 	if err := expire(conn, call.Until); err != nil {
 		c.drop(conn, OpenCut)
 		return nil, &Error{Fate: NotSent, Cause: err}
@@ -240,6 +267,9 @@
 	}
 	if ctx.Err() != nil && failure.Fate == Unknown {
 		failure.Cause = ctx.Err()
+		if time.Since(sent) >= silentLeast {
+			c.distrust(conn.peer, sent)
+		}
 	}
 	return nil, failure
 }
