--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -200,7 +200,7 @@
 		},
 
 		ObserveRequest: metrics.Request,
-		ObserveDial:    metrics.Dial,
+		ObserveOpening: metrics.Opening,
 	}
 }
 
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -111,6 +111,7 @@
 		ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body,
 		Address: c.backend.Address, Instance: c.backend.ID, Tenant: c.tenant(), Deadline: started.Add(c.limit.Duration()),
 		Priority: upstream.PriorityOf(c.runner.rank(c.tenant(), c.route), 0), Admit: c.admit,
+		Purpose: upstream.PurposeScore,
 	})
 	if err != nil {
 		return fateOfCall(err)
@@ -124,7 +125,7 @@
 	if err != nil {
 		return scoreCut{err}
 	}
-	m.config.Fleet.ObserveLatency(c.backend.ID, time.Since(started))
+	m.config.Fleet.ObserveScore(c.backend.ID, time.Since(started))
 	return fateOfAnswer(answer.Status, answer.Meta)
 }
 
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -95,12 +95,18 @@
 	// Gate decides which back ends may get a request.
 	Gate         *eligibility.Gate
 	Log          *eventlog.Log
-	Zone         string
+	Reach        Reach
 	VersionField string
 	// Observe is told how each request ended; it may be nil.
 	Observe func(kind routetable.Kind, report Report)
 }
 
+// Reach tells how back ends can be reached.
+type Reach interface {
+	// Fill tells back ends how they can be reached now.
+	Fill(backends []fleet.Backend, now time.Time)
+}
+
 // Forwarder passes requests on. It is safe for concurrent use.
 type Forwarder struct {
 	config    Config
@@ -275,8 +281,8 @@
 	if !t.admit(backends, world) {
 		return fleet.Backend{}, false
 	}
+	t.forwarder.config.Reach.Fill(backends, now)
 	return Choose(backends, Want{
-		Zone:    t.forwarder.config.Zone,
 		Request: t.wants(),
 		Tried:   t.tried,
 	}, world)
@@ -289,7 +295,8 @@
 		Header: t.request.Header, Body: t.request.Body,
 		Priority: upstream.PriorityOf(t.request.Rank, 0),
 		Address:  backend.Address, Instance: backend.ID, Tenant: t.request.Tenant, Deadline: t.limit,
-		Admit: func() error { return t.forwarder.config.Gate.Admit(backend.ID, t.wants()) },
+		Admit:   func() error { return t.forwarder.config.Gate.Admit(backend.ID, t.wants()) },
+		Purpose: upstream.PurposeLive,
 		// An idle connection may be closing just now; a request that must not be
 		// repeated could not be sent again after that.
 		Fresh: !t.repeatable(), ProvenSince: t.unanswered,
--- a/internal/gatewaynode/forward/overload_test.go
+++ b/internal/gatewaynode/forward/overload_test.go
@@ -20,6 +20,8 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
+	"github.com/sliplift/sliplift/internal/gatewaynode/reach"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 	"github.com/sliplift/sliplift/internal/memnet"
@@ -151,7 +153,8 @@
 		})
 		log := eventlog.New(logger, io.Discard)
 		logs = append(logs, log)
-		forwarder := New(Config{Client: client, Fleet: backends, Gate: gate, Log: log})
+		way := reach.New(fmt.Sprint("n", i), place.NewDistances(place.Place{}, place.Map{}), client)
+		forwarder := New(Config{Client: client, Fleet: backends, Gate: gate, Reach: way, Log: log})
 		forwarder.allowed = allowed
 		o.forwarders = append(o.forwarders, forwarder)
 	}
--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -23,8 +23,8 @@
 
 // whole serves requests whose answer is kept back until it is complete.
 func (t *try) whole(ctx context.Context, w http.ResponseWriter) Report {
-	attempts, cancel := context.WithCancel(ctx)
-	defer cancel()
+	attempts, end := lingering(ctx)
+	defer end()
 	results := make(chan attemptResult, t.attemptsMost()+refusalsRoomy+withheldMost+1)
 	pending := 0
 	var launched time.Time
@@ -72,6 +72,10 @@
 			}
 			return t.giveUp(w, ctx.Err())
 		case <-hedge.C:
+			if rest := t.hedgeRest(launched); rest > 0 {
+				hedge.Reset(rest)
+				continue
+			}
 			if t.repeatable() {
 				t.unanswered = launched
 				launch(true)
@@ -94,6 +98,19 @@
 	}
 }
 
+// lingering returns a context for attempts that goes on for a moment after the end of a
+// request that ctx has not ended, so that the connection of an attempt which another was
+// quicker than is kept if its answer comes by then.
+func lingering(ctx context.Context) (attempts context.Context, end func()) {
+	attempts, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	return attempts, func() {
+		if stop() {
+			time.AfterFunc(upstream.Linger, cancel)
+		}
+	}
+}
+
 // readyAnswer returns a whole answer among the results that have come, nil if there is
 // none.
 func readyAnswer(results <-chan attemptResult) *attemptResult {
@@ -151,7 +168,7 @@
 	if result.whole {
 		_ = answer.Body.Close()
 		took := time.Since(started)
-		t.forwarder.config.Fleet.ObserveLatency(backend.ID, took)
+		t.forwarder.config.Fleet.ObserveLatency(backend.ID, t.forwarder.latencies.relative(t.route.Name, took))
 		t.forwarder.latencies.observe(t.route.Name, took, free(&backend))
 	}
 	return result
@@ -175,3 +192,15 @@
 	}
 	return min(max(hedgeLatencies*usual, hedgeLeast), max(most, hedgeLeast))
 }
+
+// hedgeRest returns how much longer a second attempt waits that would need a new
+// connection: an answer that is late for its route yet far from its target is not worth
+// one.
+func (t *try) hedgeRest(launched time.Time) time.Duration {
+	now := time.Now()
+	backend, found := t.choose(now)
+	if !found || backend.Reach.Idle > 0 {
+		return 0
+	}
+	return time.Duration(hedgeTarget*float64(t.route.Target)) - now.Sub(launched)
+}
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -16,7 +16,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -67,6 +66,8 @@
 	ResumeAfter int64
 	// Fresh asks for a new connection.
 	Fresh bool
+	// Purpose is what the call is made for.
+	Purpose Purpose
 	// ProvenSince allows a kept connection only if an answer came on it after that time;
 	// zero allows any. Connections fall silent together, without a reset, while new ones
 	// work: what follows an attempt without an answer must not wait on another of them.
@@ -174,8 +175,8 @@
 	IdleMost time.Duration
 	// Dialer may replace the network, for tests.
 	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
-	// OnDial is told of each new connection; it may be nil.
-	OnDial func()
+	// OnOpen is told of each new connection; it may be nil.
+	OnOpen func(Opening)
 	// MustAdmit tells that a call without Call.Admit is a broken invariant.
 	MustAdmit bool
 }
@@ -201,8 +202,8 @@
 type Client struct {
 	config Config
 
-	mu   sync.Mutex
-	idle map[string][]*connection
+	mu    sync.Mutex
+	peers map[Peer]*peer
 }
 
 // NewClient returns a client without connections.
@@ -217,19 +218,7 @@
 		dialer := &net.Dialer{KeepAlive: -1}
 		config.Dialer = dialer.DialContext
 	}
-	return &Client{config: config, idle: make(map[string][]*connection)}
-}
-
-type connection struct {
-	net.Conn
-	key    string
-	reader *bufio.Reader
-	// keep is how long the back end keeps the connection idle, 0 if unknown.
-	keep   time.Duration
-	parked time.Time
-	used   bool
-	// expires tells that what the socket holds is dropped in time, see expire.
-	expires bool
+	return &Client{config: config, peers: make(map[Peer]*peer)}
 }
 
 // Answer is an answer that belongs to its call. Body must be closed.
@@ -253,18 +242,18 @@
 	}
 	if err := ctx.Err(); err != nil {
 		// Nothing is sent for a caller that left while the connection was sought.
-		c.keep(conn)
+		c.giveBack(conn)
 		return nil, &Error{Fate: NotSent, Cause: err}
 	}
 	if err := expire(conn, call.Until); err != nil {
-		_ = conn.Close()
+		c.drop(conn, OpenCut)
 		return nil, &Error{Fate: NotSent, Cause: err}
 	}
 	if err := c.admit(call); err != nil {
 		c.giveBack(conn)
 		return nil, &Error{Fate: NotSent, Cause: err, Withheld: true}
 	}
-	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	release := context.AfterFunc(ctx, func() { c.drop(conn, OpenCut) })
 	sent := time.Now()
 	answer, failure := c.exchange(conn, call, release)
 	if failure == nil {
@@ -274,12 +263,12 @@
 	failure.Sent = sent
 	if !failure.kept {
 		release()
-		_ = conn.Close()
+		c.drop(conn, OpenCut)
 	}
 	if ctx.Err() != nil && failure.Fate == Unknown {
 		failure.Cause = ctx.Err()
 		if time.Since(sent) >= silentLeast {
-			c.distrust(conn.key, sent)
+			c.distrust(conn.peer, sent)
 		}
 	}
 	return nil, failure
@@ -417,22 +406,3 @@
 	}
 	return err
 }
-
-func (c *Client) connect(ctx context.Context, call *Call) (*connection, error) {
-	key := call.Address + "|" + call.Instance
-	if !call.Fresh {
-		if conn := c.takeIdle(key, call.ProvenSince); conn != nil {
-			return conn, nil
-		}
-	}
-	dialing, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
-	defer cancel()
-	raw, err := c.config.Dialer(dialing, "tcp", call.Address)
-	if err != nil {
-		return nil, err
-	}
-	if c.config.OnDial != nil {
-		c.config.OnDial()
-	}
-	return &connection{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, 4096)}, nil
-}
