settings: evacuate-within has no value unless the deployment gives one

Cause: items and orders are held while the store has not confirmed the evacuations for evacuate-within. The default of 5s made that hold in deployments that know no evacuations: an outage of the store of more than 5 s would have stopped new items for nothing. 0, the new default, holds nothing; evacuations that are seen are obeyed all the same.

--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -80,7 +80,7 @@
 // nothing.
 type GatewayPlaces struct {
 	ZoneRegions    []string      `long:"zone-region" value-name:"ZONE=REGION" description:"the region that a zone belongs to; may be repeated, one for each zone"`
-	EvacuateWithin time.Duration `long:"evacuate-within" default:"5s" min:"100ms" max:"1h" description:"time within which the back ends of an evacuated zone must get nothing more"`
+	EvacuateWithin time.Duration `long:"evacuate-within" default:"0s" min:"0s" max:"1h" description:"time within which the back ends of an evacuated zone must get nothing more: work that can wait is held while the store has not confirmed the evacuations for so long; 0 holds nothing"`
 	ColdOverage    float64       `long:"cold-overage" default:"1.5" min:"1" max:"100" description:"times the configured rate that a cold back end may get in a second"`
 	ColdSlack      float64       `long:"cold-slack" default:"5" min:"0" max:"1000000" unit:"requests" description:"requests beyond that which a cold back end may get in a second"`
 }
