rowlease, batch, storenode, presence: faults found by review of the parts

Release: the lock is dropped while calls end, and the row was read after that: a node that stood still in a call could release the row of the next holder, whose renewals then carried it on. Now the row has to be of its own term; renewals clear the mark (TestReleaseLeavesTheNextHoldersRow fails without). A job of bound regions could go to and fro between two nodes that know different configurations as fast as the store answers: a node that has handed it over waits a second before it does again. Kept texts are judged by the regions as accepted where the route is gone. A beat that came back through the view is not written a second time while the store loses answers: beats would double just then.

Left, with the review: reads through a silent peer of the store are not continued with the next one; a call may begin with little validity left.

--- a/internal/gatewaynode/batch/decide_test.go
+++ b/internal/gatewaynode/batch/decide_test.go
@@ -36,6 +36,8 @@
 		{"owner gone, this node stops", func() situation { s := gone(open, 0, 0); s.stopping = true; return s }(), actNothing},
 		{"own job that may not live here is handed over", situation{known: true, mine: true, running: true, outside: true}, actLeave},
 		{"own job that may not live here is not opened", situation{known: true, mine: true, outside: true}, actLeave},
+		{"own job that came back after this node handed it over", situation{known: true, mine: true, outside: true, leftLately: true}, actNothing},
+		{"own job that may not live here and runs is handed over whenever it was before", situation{known: true, mine: true, running: true, outside: true, leftLately: true}, actLeave},
 		{"own job that is being handed over", situation{known: true, mine: true, running: true, outside: true, taking: true}, actNothing},
 		{"own job that may not live here and has ended is closed", situation{known: true, mine: true, running: true, outside: true, finished: true}, actClose},
 		{"stopping node hands over by its stop", situation{known: true, mine: true, running: true, outside: true, stopping: true}, actNothing},
--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -67,6 +67,8 @@
 	orphaned time.Time
 	// taking tells that this node is changing the owner.
 	taking bool
+	// left is when this node last handed the job over since it may not live here.
+	left time.Time
 	// waiting tells that no node stands where the job may live.
 	waiting bool
 }
--- a/internal/gatewaynode/batch/owner.go
+++ b/internal/gatewaynode/batch/owner.go
@@ -32,7 +32,9 @@
 type situation struct {
 	known, finished, mine, running, stopping, taking bool
 	// outside tells that the job may not live in this node's region.
-	outside     bool
+	outside bool
+	// leftLately tells that this node handed the job over less than leaveRest ago.
+	leftLately  bool
 	owner       presence.Liveness
 	orphanedFor time.Duration
 	rank        int
@@ -45,7 +47,7 @@
 		return actClose
 	case !s.known || s.finished || s.stopping:
 		return actNothing
-	case s.mine && s.outside && s.taking:
+	case s.mine && s.outside && (s.taking || s.leftLately && !s.running):
 		return actNothing
 	case s.mine && s.outside:
 		return actLeave
@@ -82,6 +84,7 @@
 		if current.known && !current.finished {
 			regions := m.regionsOf(state.head)
 			current.outside = !regions.Has(m.self.Region)
+			current.leftLately = now.Sub(state.left) < leaveRest
 			if !current.mine {
 				m.judgeOwner(state, &current, regions, keepers, now)
 			} else if !current.outside {
--- a/internal/gatewaynode/batch/regions.go
+++ b/internal/gatewaynode/batch/regions.go
@@ -21,9 +21,15 @@
 }
 
 // kind is what decides in which regions a job may live, beside the configuration.
-type kind struct{ route, tenant string }
+type kind struct {
+	route, tenant string
+	// accepted are the regions as of the acceptance: they bind once the route is gone.
+	accepted place.Regions
+}
 
-func (h Head) kind() kind { return kind{route: h.Route, tenant: h.Tenant} }
+func (h Head) kind() kind {
+	return kind{route: h.Route, tenant: h.Tenant, accepted: place.NewRegions(h.Regions...)}
+}
 
 // regionsOf returns the regions in which a job may live, by the configuration in force.
 // Where that no longer has the job's route, or there is none yet, the job stays where it
@@ -138,6 +144,11 @@
 // stored by then is made again.
 const leaveMost = 2 * time.Second
 
+// leaveRest is the least time between two hand-overs of a job by this node: two nodes that
+// know different configurations would else hand it to and fro as fast as the store answers,
+// until both know the same.
+const leaveRest = time.Second
+
 // leave ends the runs of a job that may no longer live in this node's region, hands the
 // job to a node where it may, if there is one, and forgets what it holds of it.
 func (m *Manager) leave(ctx context.Context, id string) {
@@ -148,7 +159,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.state(id)
-	now.taking = false
+	now.taking, now.left = false, time.Now()
 	regions := m.regionsOf(state.head)
 	waits := now.head.Owner == m.self.Name && len(presence.KeepersWithin(m.config.Presence.Proven(time.Now()), regions)) == 0
 	m.noteWaiting(now, regions, waits, true)
@@ -165,7 +176,7 @@
 	m.runner.retainTexts(func(of kind) bool {
 		may, known := allowed[of]
 		if !known {
-			may = m.allowedHere(Head{Route: of.route, Tenant: of.tenant})
+			may = m.allowedHere(Head{Route: of.route, Tenant: of.tenant, Regions: of.accepted.Names()})
 			allowed[of] = may
 		}
 		return may
--- a/internal/gatewaynode/presence/large_test.go
+++ b/internal/gatewaynode/presence/large_test.go
@@ -1,7 +1,9 @@
 package presence
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,3 +115,35 @@
 		})
 	}
 }
+
+// countedWrites counts the commits that are asked for.
+type countedWrites struct {
+	rowstore.Store
+	count atomic.Int64
+}
+
+// Commit implements rowstore.Store.
+func (c *countedWrites) Commit(ctx context.Context, transaction rowstore.Transaction) (int64, error) {
+	c.count.Add(1)
+	return c.Store.Commit(ctx, transaction)
+}
+
+// TestBeatsAreNotDoubledWhileAnswersAreLost: a beat that came back through the view is not
+// written again, though the store did not say that it took it.
+func TestBeatsAreNotDoubledWhileAnswersAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		counted := &countedWrites{Store: store}
+		// A beat each two seconds, as in a large system: a second write fits between two.
+		node := joinPaced(counted, testNode("n", 1), rowstore.Pacing{Fresh: time.Second, Limits: rowstore.Limits{WritesPerSecond: 3.4, ReadsPerSecond: 100}})
+		defer node.stop()
+		time.Sleep(10 * time.Second)
+		store.SetFaults(rowstoretest.Faults{LoseAnswers: true})
+		before, began := counted.count.Load(), time.Now()
+		time.Sleep(20 * time.Second)
+		beat := node.registry.beat(1)
+		if written, beats := counted.count.Load()-before, int64(time.Since(began)/beat); written > beats+1 {
+			t.Errorf("%d writes in the time of %d beats", written, beats)
+		}
+	})
+}
--- a/internal/gatewaynode/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -208,8 +208,10 @@
 		again := time.Duration(retryShare * float64(beat))
 		if r.write(ctx) != nil {
 			pause.For(ctx, again)
-			// One that is lost again is made good by the next beat.
-			_ = r.write(ctx)
+			if !r.cameBack(started) {
+				// One that is lost again is made good by the next beat.
+				_ = r.write(ctx)
+			}
 		}
 		r.forget(ctx)
 		timer := time.NewTimer(max(time.Until(started.Add(beat)), again))
@@ -222,6 +224,15 @@
 	}
 }
 
+// cameBack tells whether a beat of this node's own came back since a time: the store took
+// it and was slow to say so. Writing it again would double the beats of all nodes just
+// while the store is slow.
+func (r *Registry) cameBack(since time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.echoed.After(since)
+}
+
 // Size returns the number of nodes that have a row.
 func (r *Registry) Size() int {
 	r.mu.Lock()
--- a/internal/gatewaynode/rowlease/act_test.go
+++ b/internal/gatewaynode/rowlease/act_test.go
@@ -122,3 +122,31 @@
 		}
 	})
 }
+
+// TestReleaseLeavesTheNextHoldersRow: a node that stands still in a call while it stops
+// does not release the lease of the node that took it meanwhile.
+func TestReleaseLeavesTheNextHoldersRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, holder, token := holding(t)
+		go func() {
+			_ = holder.lease.Act(t.Context(), token, callMost, func(context.Context, Permit) error {
+				time.Sleep(callMost)
+				return nil
+			})
+		}()
+		synctest.Wait()
+		time.AfterFunc(time.Second, func() {
+			s.store.Put(Table, "", "work", encode(State{Holder: "other", Term: token + 1}))
+		})
+		holder.lease.Release(func() time.Duration { return time.Hour })
+		for _, row := range s.store.Rows(Table) {
+			var now State
+			if err := json.Unmarshal(row.Value, &now); err != nil {
+				t.Fatal(err)
+			}
+			if row.Key == "work" && (now.Released || now.Term == token) {
+				t.Errorf("the row of a later term is %+v", now)
+			}
+		}
+	})
+}
--- a/internal/gatewaynode/rowlease/lease.go
+++ b/internal/gatewaynode/rowlease/lease.go
@@ -251,6 +251,11 @@
 	l.mu.Unlock()
 	l.awaitActs()
 	l.mu.Lock()
+	if !l.ownRow() {
+		// Another node took the lease while calls were under way: the row is its own.
+		l.mu.Unlock()
+		return
+	}
 	next, revision := l.row, l.revision
 	next.UnclearMillis = unclear(l.hold.ClearFrom, time.Now())
 	l.mu.Unlock()
@@ -266,6 +271,9 @@
 	}
 }
 
+// ownRow tells whether the row is that of this node's last term. The lock is held.
+func (l *Lease) ownRow() bool { return l.row.Holder == l.self.Name && l.row.Term == l.hold.Token }
+
 func (l *Lease) step(ctx context.Context) {
 	now := time.Now()
 	l.mu.Lock()
@@ -283,6 +291,7 @@
 func (l *Lease) renew(ctx context.Context, now time.Time) {
 	l.mu.Lock()
 	next := l.row
+	next.Released = false
 	next.Renewal++
 	next.UnclearMillis = unclear(l.hold.ClearFrom, now)
 	revision, token := l.revision, l.hold.Token
--- a/internal/gatewaynode/storenode/apply.go
+++ b/internal/gatewaynode/storenode/apply.go
@@ -51,6 +51,7 @@
 		if err != nil {
 			continue
 		}
+		instance.Cold = max(instance.Cold, n.coldZones.left(instance.Zone, time.Now()))
 		if !first {
 			n.noteInstance(instance)
 		}
--- a/internal/gatewaynode/storenode/eligible.go
+++ b/internal/gatewaynode/storenode/eligible.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/coldstart"
@@ -115,6 +116,13 @@
 	if table == nil || len(zones) == 0 {
 		return
 	}
+	longest := time.Duration(0)
+	for _, service := range table.Services {
+		if service.ColdPerSecond > 0 {
+			longest = max(longest, service.ColdStart)
+		}
+	}
+	n.coldZones.mark(zones, now.Add(longest))
 	count := 0
 	for _, b := range n.fleet.All(now) {
 		service := table.Services[b.Service]
@@ -127,6 +135,31 @@
 	n.config.Log.Info(eventlog.BackendsCold, eventlog.Fields{"zones": slices.Sorted(maps.Keys(zones)), eventlog.Count: count})
 }
 
+// coldZones remembers until when the back ends of zones count as cold, also those whose
+// entries were missing when that became known. It is safe for concurrent use.
+type coldZones struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+func (z *coldZones) mark(zones map[string]bool, until time.Time) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.until == nil {
+		z.until = make(map[string]time.Time)
+	}
+	for zone := range zones {
+		z.until[zone] = until
+	}
+}
+
+// left returns for how much longer the back ends of a zone count as cold.
+func (z *coldZones) left(zone string, now time.Time) time.Duration {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return max(z.until[zone].Sub(now), 0)
+}
+
 // limits returns what a cold back end of a service may get.
 func (n *Node) limits(service string) coldstart.Limits {
 	table := n.table.Load()
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -105,6 +105,7 @@
 	evacuations *evacuation.Book
 	gate        *eligibility.Gate
 	shares      *coldShares
+	coldZones   coldZones
 	client      *upstream.Client
 	distances   *place.Distances
 	reach       *reach.Book
