presence: an echo of the very moment of the beat counts

An echo can come at the moment at which the beat was begun, by a clock that is coarse or, in the test, virtual.

--- a/internal/gatewaynode/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -230,7 +230,7 @@
 func (r *Registry) cameBack(since time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.echoed.After(since)
+	return !r.echoed.Before(since)
 }
 
 // Size returns the number of nodes that have a row.
