--- a/internal/gatewaynode/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -1,8 +1,9 @@
 // Package presence tells which nodes there are: each keeps a row in the store
 // and writes it again every beat; all read the rows through a view.
 //
-// A node is lapsed when its row has not changed for some beats by the reader's own
-// clock while the reader saw its own beats come back through its view, and those of
+// A node is lapsed when its row has not changed for two beats, and for lapseLeast at
+// the least, by the reader's own clock while the reader saw its own beats come back
+// through its view, and those of
 // others go on: while the store takes no writes or gives no answers, nobody is declared
 // lapsed, and when it does again every node gets that time whole. Beats become rarer as
 // nodes grow, and fewer of them may be missed then: a beat that fails is tried again
