--- a/internal/gatewaynode/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -3,12 +3,11 @@
 //
 // A node is lapsed when its row has not changed for two beats, and for lapseLeast at
 // the least, by the reader's own clock while the reader saw its own beats come back
-// through its view, and those of
-// others go on: while the store takes no writes or gives no answers, nobody is declared
-// lapsed, and when it does again every node gets that time whole. Beats become rarer as
-// nodes grow, and fewer of them may be missed then: a beat that fails is tried again
-// before the next one is due. Incarnations of one node name are ordered; a process
-// whose name has a newer incarnation is gone at once.
+// through its view, and those of others go on: while the store takes no writes or gives
+// no answers, nobody is declared lapsed, and when it does again every node gets that time
+// whole. Beats become rarer as nodes grow, and fewer of them may be missed then: a beat
+// that fails is tried again before the next one is due. Incarnations of one node name are
+// ordered; a process whose name has a newer incarnation is gone at once.
 package presence
 
 import (
