callerconn: make room by what net/http tells of a connection

Cause: a connection counted as resting from the return of its handler on, but net/http writes the last few KB of an answer after that, so a new connection at the bound could cut an answer off. A connection that had sent its first request counted as resting until the request was read, so that callers that came at once ended each other's connections.

Change: http.Server.ConnState decides. A connection may be ended from StateIdle on, which net/http tells after it wrote the answer, or one second after StateNew, and never otherwise, nor without the hook. Where the bound was passed, a new connection ends as many as may be ended, so that their number returns to it.

Ruled out: a count of the bytes that are still to be written (net/http's buffer is not seen from outside).

Within newMost of their beginning new connections may be above the bound; the half of the descriptors that is left takes them.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -249,7 +249,7 @@
 		handler := handlers[i]
 		server := &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: headerBytes,
-			ConnContext: callerconn.Context,
+			ConnContext: callerconn.Context, ConnState: callerconn.State,
 		}
 		s.running = append(s.running, server)
 		go func() {
--- a/internal/gatewaynode/callerconn/callerconn.go
+++ b/internal/gatewaynode/callerconn/callerconn.go
@@ -16,9 +16,10 @@
 //
 //   - While a request is served, the connection is read by net/http or by the package,
 //     never by both; bytes reach net/http once, in order.
-//   - A connection is ended for want of room only while no request is served on it. A
-//     request whose handler begins after that finds its context ended, so that nothing
-//     of it is sent on.
+//   - A connection is ended for want of room only while net/http has neither a request
+//     of it under way nor a part of an answer left to write, and never within newMost of
+//     its beginning, unless it was served before. A request whose handler begins after
+//     that finds its context ended, so that nothing of it is sent on.
 package callerconn
 
 import (
@@ -45,6 +46,11 @@
 	// still waits for an answer.
 	writePart = 16 << 10
 	writeMost = 10 * time.Second
+	// newMost is how long a new connection has for its first head before it may be ended
+	// for want of room. The first request is sent within a few round trips of the
+	// connection's beginning; without it, callers that come at once end each other's
+	// connections before their requests are read.
+	newMost = time.Second
 )
 
 // Conn is a caller's connection. It is safe for concurrent use as net/http makes it.
@@ -55,8 +61,9 @@
 	mu sync.Mutex
 	// cancel ends the context of the request that is served, nil while none is.
 	cancel context.CancelCauseFunc
-	// rested is since when no request is served.
-	rested time.Time
+	// spare is from when on the connection may be ended for want of room, zero while it
+	// may not.
+	spare time.Time
 	// left is when the end of the connection was seen, zero before.
 	left time.Time
 	// deadline is what net/http set for its reads.
@@ -233,7 +240,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = nil
-	c.rested = time.Now()
 	return c.left
 }
 
@@ -245,6 +251,25 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// State is for http.Server.ConnState: connections are ended for want of room by what it
+// tells, and none without it. net/http tells StateIdle once an answer is written whole.
+func State(conn net.Conn, state http.ConnState) {
+	c, watched := conn.(*Conn)
+	if !watched {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		c.spare = time.Now().Add(newMost)
+	case http.StateIdle:
+		c.spare = time.Now()
+	default:
+		c.spare = time.Time{}
+	}
+}
+
 // Handler passes requests on to next, whose contexts end when their callers leave. Other
 // connections than those of a Listener are served as net/http does. observe, which may be
 // nil, is told how long each request whose caller left went on after that.
--- a/internal/gatewaynode/callerconn/listener.go
+++ b/internal/gatewaynode/callerconn/listener.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Listener accepts callers' connections, and ends the one that has rested longest when
+// Listener accepts callers' connections, and ends those that have rested longest when
 // there are too many. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
@@ -17,8 +17,9 @@
 	conns map[*Conn]struct{}
 }
 
-// Listen returns a Listener over another one. most bounds the connections, 0 for no
-// bound: more are open only while requests are served on all of them.
+// Listen returns a Listener over another one, for a server that has State as its ConnState.
+// most bounds the connections, 0 for no bound: more are open only while on all of them
+// requests are served or first ones are awaited for less than newMost.
 func Listen(listener net.Listener, most int) *Listener {
 	return &Listener{Listener: listener, most: most, conns: make(map[*Conn]struct{})}
 }
@@ -29,53 +30,64 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &Conn{Conn: raw, listener: l, rested: time.Now()}
-	if rested := l.add(conn); rested != nil {
-		_ = rested.Close()
+	conn := &Conn{Conn: raw, listener: l}
+	for _, retired := range l.add(conn) {
+		// Nothing is left to be written: an error loses nothing, and its descriptor is
+		// free all the same.
+		_ = retired.Close()
 	}
 	return conn, nil
 }
 
-// add counts a connection, and returns one to be closed for it, nil for none.
-func (l *Listener) add(conn *Conn) *Conn {
+// add counts a connection, and returns those to be closed for it.
+func (l *Listener) add(conn *Conn) []*Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var longest *Conn
-	if l.most > 0 && len(l.conns) >= l.most {
-		longest = l.longestRested()
+	var retired []*Conn
+	for l.most > 0 && len(l.conns) >= l.most {
+		longest := l.longestSpare(time.Now())
+		if longest == nil {
+			break
+		}
+		delete(l.conns, longest)
+		retired = append(retired, longest)
 	}
 	l.conns[conn] = struct{}{}
-	return longest
+	return retired
 }
 
-// longestRested returns the connection on which no request has been served for longest,
-// and marks it as left. The lock is held.
-func (l *Listener) longestRested() *Conn {
+// longestSpare returns the connection that may have been ended for longest, and marks it as
+// left; nil if there is none. The lock is held.
+func (l *Listener) longestSpare(now time.Time) *Conn {
 	var longest *Conn
 	var since time.Time
 	for conn := range l.conns {
-		if rested, resting := conn.resting(); resting && (longest == nil || rested.Before(since)) {
-			longest, since = conn, rested
+		if spare, may := conn.spareSince(now); may && (longest == nil || spare.Before(since)) {
+			longest, since = conn, spare
 		}
 	}
-	if longest == nil || !longest.retire() {
+	if longest == nil || !longest.retire(now) {
 		return nil
 	}
 	return longest
 }
 
-// resting tells since when no request is served, and whether none is.
-func (c *Conn) resting() (time.Time, bool) {
+// spareSince tells since when a connection may be ended for want of room, and whether it
+// may.
+func (c *Conn) spareSince(now time.Time) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.rested, c.cancel == nil
+	return c.spare, c.isSpare(now)
 }
 
-// retire marks a connection as left, unless a request is served on it.
-func (c *Conn) retire() bool {
+// isSpare tells whether a connection may be ended for want of room. The lock is held.
+func (c *Conn) isSpare(now time.Time) bool { return !c.spare.IsZero() && !c.spare.After(now) }
+
+// retire marks a connection as left, unless it may no longer be ended.
+func (c *Conn) retire(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancel != nil {
+	if !c.isSpare(now) {
 		return false
 	}
 	c.leave()
