callerconn: let net/http end the sending side alone

Cause: net/http looks for CloseWrite on the connection to end its sending side before it waits for a caller that still sends; Conn embeds net.Conn, which has none, so that such a caller could get a reset in place of its answer.

Change: CloseWrite passes on to the inner connection.

--- a/internal/gatewaynode/callerconn/callerconn.go
+++ b/internal/gatewaynode/callerconn/callerconn.go
@@ -224,6 +224,17 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending side, as net/http does where the caller still sends, so that
+// it reads the answer before a reset. It does nothing where the sending side cannot be
+// ended alone.
+func (c *Conn) CloseWrite() error {
+	inner, able := c.Conn.(interface{ CloseWrite() error })
+	if !able {
+		return nil
+	}
+	return inner.CloseWrite()
+}
+
 // begin says that a request is served from now on.
 func (c *Conn) begin(cancel context.CancelCauseFunc) {
 	c.mu.Lock()
--- a/internal/gatewaynode/callerconn/callerconn_test.go
+++ b/internal/gatewaynode/callerconn/callerconn_test.go
@@ -246,6 +246,35 @@
 	})
 }
 
+// closer is a connection that notes the end of its sending side.
+type closer struct {
+	net.Conn
+	ended int
+}
+
+func (c *closer) CloseWrite() error {
+	c.ended++
+	return nil
+}
+
+// net/http ends the sending side of a connection whose caller still sends, so that the
+// caller reads the answer before the reset: it looks for CloseWrite.
+func TestCloseWriteIsPassedOn(t *testing.T) {
+	inner := &closer{}
+	for _, raw := range []net.Conn{inner, struct{ net.Conn }{}} {
+		conn, ok := net.Conn(&Conn{Conn: raw}).(interface{ CloseWrite() error })
+		if !ok {
+			t.Fatal("no CloseWrite")
+		}
+		if err := conn.CloseWrite(); err != nil {
+			t.Error(err)
+		}
+	}
+	if inner.ended != 1 {
+		t.Errorf("the sending side was ended %d times, want 1", inner.ended)
+	}
+}
+
 // BenchmarkEndOfAConnection measures over the loopback how long it takes from the close of
 // a caller's connection, behind a byte of a further request, until its handler knows.
 func BenchmarkEndOfAConnection(b *testing.B) {
