callerconn: read ahead also if a byte came before the handler

Cause: net/http begins its read of one byte behind a request without a body before it calls the handler. If a byte of a further request was there already, the read ended before begin, and nobody read the connection: its end was not seen.

Change: a flag tells begin to start the reader. It is cleared with the next read of net/http, under the lock that starts the reader, so that never two read at once. The errors of SetReadDeadline that are left out have their reasons beside them.

--- a/internal/gatewaynode/callerconn/callerconn.go
+++ b/internal/gatewaynode/callerconn/callerconn.go
@@ -68,6 +68,9 @@
 	left time.Time
 	// deadline is what net/http set for its reads.
 	deadline time.Time
+	// behind says that net/http's read behind a request's end has got its byte before the
+	// handler began.
+	behind bool
 	// ahead is what was read ahead, and failure how that ended; reading is closed when
 	// the reader ahead has ended, nil while there is none.
 	ahead   []byte
@@ -126,11 +129,20 @@
 	}
 }
 
-// readAhead begins to read ahead if a request is served.
+// readAhead begins to read ahead if a request is served; otherwise begin does.
 func (c *Conn) readAhead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancel == nil || c.reading != nil || c.failure != nil {
+	if c.cancel == nil {
+		c.behind = true
+		return
+	}
+	c.startAhead()
+}
+
+// startAhead starts the reader ahead. The lock is held.
+func (c *Conn) startAhead() {
+	if c.reading != nil || c.failure != nil {
 		return
 	}
 	reading := make(chan struct{})
@@ -158,21 +170,25 @@
 	}
 }
 
-// stopAhead ends the reader ahead, if there is one, and waits for its end.
+// stopAhead ends the reader ahead, if there is one, and waits for its end. None is started
+// before the next byte of net/http's read behind a request.
 func (c *Conn) stopAhead() {
 	c.mu.Lock()
+	c.behind = false
 	reading := c.reading
 	if reading == nil {
 		c.mu.Unlock()
 		return
 	}
-	// The reader ahead takes no time-out of net/http's for its own.
+	// The reader ahead takes no time-out of net/http's for its own. It fails only for a
+	// connection that is closed, where the reader ends by itself.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	c.mu.Unlock()
 	<-reading
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = nil
+	// For a connection that is closed it fails as the read that follows does.
 	_ = c.Conn.SetReadDeadline(c.deadline)
 }
 
@@ -240,6 +256,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = cancel
+	if c.behind {
+		c.behind = false
+		c.startAhead()
+	}
 	if !c.left.IsZero() {
 		cancel(ErrLeft)
 	}
--- a/internal/gatewaynode/callerconn/callerconn_test.go
+++ b/internal/gatewaynode/callerconn/callerconn_test.go
@@ -275,6 +275,27 @@
 	}
 }
 
+// net/http's read behind a request gets a byte before the handler begins, and the
+// connection ends behind that: the context of the request ends all the same.
+func TestEndBehindAByteBeforeTheHandler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller, raw := net.Pipe()
+		conn := &Conn{Conn: raw, listener: Listen(nil, 0)}
+		defer func() { _ = conn.Close() }()
+		go func() { _, _ = io.WriteString(caller, "G") }()
+		if count, err := conn.Read(make([]byte, 1)); count != 1 || err != nil {
+			t.Fatal(count, err)
+		}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		conn.begin(cancel)
+		_ = caller.Close()
+		synctest.Wait()
+		if !errors.Is(context.Cause(ctx), ErrLeft) {
+			t.Errorf("cause %v, want %v", context.Cause(ctx), ErrLeft)
+		}
+	})
+}
+
 // BenchmarkEndOfAConnection measures over the loopback how long it takes from the close of
 // a caller's connection, behind a byte of a further request, until its handler knows.
 func BenchmarkEndOfAConnection(b *testing.B) {
