--- a/internal/gatewaynode/callerconn/callerconn.go
+++ b/internal/gatewaynode/callerconn/callerconn.go
@@ -16,9 +16,10 @@
 //
 //   - While a request is served, the connection is read by net/http or by the package,
 //     never by both; bytes reach net/http once, in order.
-//   - A connection is ended for want of room only while no request is served on it. A
-//     request whose handler begins after that finds its context ended, so that nothing
-//     of it is sent on.
+//   - A connection is ended for want of room only while net/http has neither a request
+//     of it under way nor a part of an answer left to write, and never within newMost of
+//     its beginning, unless it was served before. A request whose handler begins after
+//     that finds its context ended, so that nothing of it is sent on.
 package callerconn
 
 import (
@@ -45,6 +46,11 @@
 	// still waits for an answer.
 	writePart = 16 << 10
 	writeMost = 10 * time.Second
+	// newMost is how long a new connection has for its first head before it may be ended
+	// for want of room. The first request is sent within a few round trips of the
+	// connection's beginning; without it, callers that come at once end each other's
+	// connections before their requests are read.
+	newMost = time.Second
 )
 
 // Conn is a caller's connection. It is safe for concurrent use as net/http makes it.
@@ -55,12 +61,16 @@
 	mu sync.Mutex
 	// cancel ends the context of the request that is served, nil while none is.
 	cancel context.CancelCauseFunc
-	// rested is since when no request is served.
-	rested time.Time
+	// spare is from when on the connection may be ended for want of room, zero while it
+	// may not.
+	spare time.Time
 	// left is when the end of the connection was seen, zero before.
 	left time.Time
 	// deadline is what net/http set for its reads.
 	deadline time.Time
+	// behind says that net/http's read behind a request's end has got its byte before the
+	// handler began.
+	behind bool
 	// ahead is what was read ahead, and failure how that ended; reading is closed when
 	// the reader ahead has ended, nil while there is none.
 	ahead   []byte
@@ -119,11 +129,20 @@
 	}
 }
 
-// readAhead begins to read ahead if a request is served.
+// readAhead begins to read ahead if a request is served; otherwise begin does.
 func (c *Conn) readAhead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancel == nil || c.reading != nil || c.failure != nil {
+	if c.cancel == nil {
+		c.behind = true
+		return
+	}
+	c.startAhead()
+}
+
+// startAhead starts the reader ahead. The lock is held.
+func (c *Conn) startAhead() {
+	if c.reading != nil || c.failure != nil {
 		return
 	}
 	reading := make(chan struct{})
@@ -151,21 +170,25 @@
 	}
 }
 
-// stopAhead ends the reader ahead, if there is one, and waits for its end.
+// stopAhead ends the reader ahead, if there is one, and waits for its end. None is started
+// before the next byte of net/http's read behind a request.
 func (c *Conn) stopAhead() {
 	c.mu.Lock()
+	c.behind = false
 	reading := c.reading
 	if reading == nil {
 		c.mu.Unlock()
 		return
 	}
-	// The reader ahead takes no time-out of net/http's for its own.
+	// The reader ahead takes no time-out of net/http's for its own. It fails only for a
+	// connection that is closed, where the reader ends by itself.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	c.mu.Unlock()
 	<-reading
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = nil
+	// For a connection that is closed it fails as the read that follows does.
 	_ = c.Conn.SetReadDeadline(c.deadline)
 }
 
@@ -217,11 +240,26 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending side, as net/http does where the caller still sends, so that
+// it reads the answer before a reset. It does nothing where the sending side cannot be
+// ended alone.
+func (c *Conn) CloseWrite() error {
+	inner, able := c.Conn.(interface{ CloseWrite() error })
+	if !able {
+		return nil
+	}
+	return inner.CloseWrite()
+}
+
 // begin says that a request is served from now on.
 func (c *Conn) begin(cancel context.CancelCauseFunc) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = cancel
+	if c.behind {
+		c.behind = false
+		c.startAhead()
+	}
 	if !c.left.IsZero() {
 		cancel(ErrLeft)
 	}
@@ -233,7 +271,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = nil
-	c.rested = time.Now()
 	return c.left
 }
 
@@ -245,6 +282,25 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// State is for http.Server.ConnState: connections are ended for want of room by what it
+// tells, and none without it. net/http tells StateIdle once an answer is written whole.
+func State(conn net.Conn, state http.ConnState) {
+	c, watched := conn.(*Conn)
+	if !watched {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		c.spare = time.Now().Add(newMost)
+	case http.StateIdle:
+		c.spare = time.Now()
+	default:
+		c.spare = time.Time{}
+	}
+}
+
 // Handler passes requests on to next, whose contexts end when their callers leave. Other
 // connections than those of a Listener are served as net/http does. observe, which may be
 // nil, is told how long each request whose caller left went on after that.
