upstream: idle connections outlive a caller that left

After a call without an answer, the client closed the other idle connections to the back end whoever ended it: also when the caller left, an item moved or another attempt was quicker, which says nothing of the connections.

It closes them now only if the context ended at a deadline or for ErrSilent, which the causes of silent streams and items wrap. Attempts at whole answers hand the cause of their request's end on: they were cancelled without one.

--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -21,7 +22,7 @@
 	errStopping = errors.New("node is stopping")
 	errExpired  = errors.New("item waited too long")
 	errMoved    = errors.New("moved to a faster back end")
-	errSilent   = errors.New("no event for too long")
+	errSilent   = fmt.Errorf("no event: %w", upstream.ErrSilent)
 )
 
 // Ends of a run that its back end brought about.
--- a/internal/gatewaynode/forward/stream.go
+++ b/internal/gatewaynode/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -15,7 +16,7 @@
 )
 
 // errSilent says that a back end sent no event for too long.
-var errSilent = errors.New("no event for too long")
+var errSilent = fmt.Errorf("no event: %w", upstream.ErrSilent)
 
 // errGap says that a resumed stream did not go on where it should.
 var errGap = errors.New("event is not the next one")
--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -102,11 +102,11 @@
 // request that ctx has not ended, so that the connection of an attempt which another was
 // quicker than is kept if its answer comes by then.
 func lingering(ctx context.Context) (attempts context.Context, end func()) {
-	attempts, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	stop := context.AfterFunc(ctx, cancel)
+	attempts, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
 	return attempts, func() {
 		if stop() {
-			time.AfterFunc(upstream.Linger, cancel)
+			time.AfterFunc(upstream.Linger, func() { cancel(nil) })
 		}
 	}
 }
--- /dev/null
+++ b/internal/gatewaynode/upstream/distrust_test.go
@@ -0,0 +1,43 @@
+package upstream
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestIdleConnectionsOutliveACallerThatLeft: what else is kept to a back end is closed
+// after a call that this node gave up for silence or at its deadline, and not since the
+// caller left or another attempt was quicker.
+func TestIdleConnectionsOutliveACallerThatLeft(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		cause error
+		kept  int
+	}{
+		{"the caller left", context.Canceled, 1},
+		{"another was quicker", nil, 1},
+		{"silence", ErrSilent, 0},
+		{"deadline", context.DeadlineExceeded, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			server := &pipeServer{head: "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\n"}
+			client, _ := openings(server)
+			if err := call(t.Context(), client, false); err != nil {
+				t.Fatal(err)
+			}
+			server.delay = 2 * silentLeast
+			ctx, cancel := context.WithCancelCause(t.Context())
+			time.AfterFunc(silentLeast+time.Millisecond, func() { cancel(test.cause) })
+			if err := call(ctx, client, true); FateOf(err) != Unknown {
+				t.Errorf("%s: %v", test.name, err)
+			}
+			if kept := client.Idle(); kept != test.kept {
+				t.Errorf("%s: %d connections kept, want %d", test.name, kept, test.kept)
+			}
+			client.Sweep(func(string, string) bool { return false })
+			time.Sleep(2 * silentLeast)
+		})
+	}
+}
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -163,7 +163,10 @@
 	ErrSurplus = errors.New("answer belongs to another request")
 	// ErrTruncated says that an answer ended before its end.
 	ErrTruncated = errors.New("answer cut short")
-	errNotRun    = errors.New("back end did not run it")
+	// ErrSilent, as the cause that the context of a call ended for, says that its caller
+	// gave the back end up because nothing came for too long.
+	ErrSilent = errors.New("nothing came for too long")
+	errNotRun = errors.New("back end did not run it")
 )
 
 // Config configures a Client.
@@ -267,13 +270,21 @@
 	}
 	if ctx.Err() != nil && failure.Fate == Unknown {
 		failure.Cause = ctx.Err()
-		if time.Since(sent) >= silentLeast {
+		if gaveUp(ctx) && time.Since(sent) >= silentLeast {
 			c.distrust(conn.peer, sent)
 		}
 	}
 	return nil, failure
 }
 
+// gaveUp tells whether a context ended because no answer came in time: that says something
+// of the connections to the back end. That a caller left, or that another attempt was
+// quicker, does not.
+func gaveUp(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, ErrSilent) || errors.Is(cause, context.DeadlineExceeded)
+}
+
 // admit asks whether a call may leave the process now.
 func (c *Client) admit(call *Call) error {
 	if call.Admit != nil {
