forward: a stream that waits for a place is no failure of its back end

The watch over streams starts before the call, so the wait for a place counted as silence: each such attempt suspended the back end for everybody, longer each time, and distrusted its connections.

Before the first event of an attempt, an end for silence now leaves the back end alone only as long as after a refusal where requests wait there or others have all its places, and closes no connections. The request itself does not count as taking a place: a back end that hangs with places free is suspended as before.

The cause also reaches failures after the head of the answer.

--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -329,6 +329,10 @@
 	default:
 		t.uncertain = true
 		t.noteMaybe(err)
+		if errors.Is(err, errQueued) {
+			t.forwarder.config.Fleet.Suspend(backend.ID, "queue", now.Add(refusedPause))
+			break
+		}
 		t.forwarder.config.Fleet.ObserveFailure(backend.ID, t.cause, now)
 	}
 	t.forwarder.config.Log.Warn(eventlog.AttemptFailed, eventlog.Fields{
@@ -341,7 +345,9 @@
 func (t *try) noteMaybe(err error) {
 	var failure *upstream.Error
 	if errors.As(err, &failure) {
-		t.unanswered = failure.Sent
+		if !errors.Is(err, errQueued) {
+			t.unanswered = failure.Sent
+		}
 		t.noteUnanswered(failure.Sent)
 	}
 }
--- /dev/null
+++ b/internal/gatewaynode/forward/silence_test.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+)
+
+// TestWaitForAPlaceIsNoFailure: a stream that waits for a place at a back end which is
+// full goes on elsewhere, and the back end is left alone for a moment; one that gets no
+// event of a back end with places counts as a failure of it.
+func TestWaitForAPlaceIsNoFailure(t *testing.T) {
+	for _, test := range []struct {
+		name                       string
+		running, waiting, failures int
+		pause                      time.Duration
+	}{
+		{"places are free", 0, 0, 1, 250 * time.Millisecond},
+		{"it takes the last place", queueSlots - 1, 0, 1, 250 * time.Millisecond},
+		{"all places are taken", queueSlots, 0, 0, refusedPause},
+		{"others wait", queueSlots - 1, 2, 0, refusedPause},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			o := newOverload(t, 1, allowed)
+			defer o.close()
+			backends := o.forwarders[0].config.Fleet
+			for i, q := range o.queues {
+				for range queueSlots {
+					q.slots <- struct{}{}
+				}
+				backends.ObserveLoad([]string{"b0", "b1"}[i], test.running, test.waiting, time.Now())
+			}
+			route := &routetable.Route{
+				Name: "stream", Kind: routetable.KindStream, Resumable: true, MaxAttempts: 1, Timeout: 5 * time.Second,
+				Splits: []routetable.Split{{Service: "s", Weight: 1}},
+			}
+			began := time.Now()
+			report := o.forwarders[0].Serve(t.Context(), httptest.NewRecorder(), &Request{
+				ID: "r", Method: http.MethodPost, Target: "/", Received: began, Deadline: began.Add(5 * time.Second),
+			}, route, 1)
+			if took := time.Since(began); took != silenceMost {
+				t.Errorf("%s: given up after %s", test.name, took)
+			}
+			b, _ := backends.Get(report.Backend, time.Now())
+			if pause := time.Until(b.SuspendedUntil); b.Failures != test.failures || pause != test.pause {
+				t.Errorf("%s: %d failures, left alone for %s, want %d for %s", test.name, b.Failures, pause, test.failures, test.pause)
+			}
+		})
+	}
+}
--- a/internal/gatewaynode/forward/stream.go
+++ b/internal/gatewaynode/forward/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
@@ -18,6 +19,10 @@
 // errSilent says that a back end sent no event for too long.
 var errSilent = fmt.Errorf("no event: %w", upstream.ErrSilent)
 
+// errQueued says that a back end sent no first event for too long while requests waited
+// there: that is no fault of it, nor of the connections to it.
+var errQueued = errors.New("no place at the back end for too long")
+
 // errGap says that a resumed stream did not go on where it should.
 var errGap = errors.New("event is not the next one")
 
@@ -72,8 +77,8 @@
 	defer end()
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := t.watch(cancel)
-	defer watchdog.Stop()
+	watchdog := t.watch(backend.ID, cancel)
+	defer watchdog.timer.Stop()
 	call := t.call(backend)
 	if state.hasLast {
 		call.Resume, call.ResumeAfter = true, state.last
@@ -96,7 +101,7 @@
 	}
 	if err := t.pump(watchdog, state, backend, answer); err != nil {
 		if ctx.Err() == nil {
-			t.noteFailure(backend, &upstream.Error{Fate: upstream.Unknown, Cause: err, Sent: answer.Sent})
+			t.noteFailure(backend, endedBy(attempt, &upstream.Error{Fate: upstream.Unknown, Cause: err, Sent: answer.Sent}))
 		}
 		return Report{}, false
 	}
@@ -145,28 +150,51 @@
 // without an event at the least: what is left has to do for another back end's first.
 const silenceMost = 1200 * time.Millisecond
 
-// watch ends an attempt at a stream that could go on elsewhere once nothing has come for
-// silenceMost. It never ends one that could not.
-func (t *try) watch(cancel context.CancelCauseFunc) *time.Timer {
-	watchdog := time.AfterFunc(silenceMost, func() { cancel(errSilent) })
+// watchdog ends an attempt at a stream that could go on elsewhere once nothing has come
+// for silenceMost.
+type watchdog struct {
+	timer *time.Timer
+	// begun tells that an event has come.
+	begun atomic.Bool
+}
+
+// watch sets a watchdog on an attempt. It never ends one that could not go on elsewhere.
+func (t *try) watch(backend string, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{}
+	w.timer = time.AfterFunc(silenceMost, func() {
+		if !w.begun.Load() && t.queued(backend) {
+			cancel(errQueued)
+			return
+		}
+		cancel(errSilent)
+	})
 	if !t.repeatable() {
-		watchdog.Stop()
+		w.timer.Stop()
 	}
-	return watchdog
+	return w
+}
+
+// queued tells whether a request that is under way at a back end is taken to wait for a
+// place there: others wait, or have all the places.
+func (t *try) queued(backend string) bool {
+	b, found := t.forwarder.config.Fleet.Get(backend, time.Now())
+	b.InFlight--
+	return found && !free(&b)
 }
 
 // endedBy returns the failure of an attempt with the cause that this node ended it for,
 // if it did.
 func endedBy(attempt context.Context, err error) error {
 	var failure *upstream.Error
-	if errors.Is(context.Cause(attempt), errSilent) && errors.As(err, &failure) {
-		failure.Cause = errSilent
+	cause := context.Cause(attempt)
+	if (errors.Is(cause, errSilent) || errors.Is(cause, errQueued)) && errors.As(err, &failure) {
+		failure.Cause = cause
 	}
 	return err
 }
 
 // pump passes whole events on until the stream's end, which it returns as nil.
-func (t *try) pump(watchdog *time.Timer, state *streamState, backend fleet.Backend, answer *upstream.Answer) error {
+func (t *try) pump(watchdog *watchdog, state *streamState, backend fleet.Backend, answer *upstream.Answer) error {
 	reader := eventstream.NewReader(answer.Body, t.forwarder.config.VersionField)
 	previous := time.Now()
 	for {
@@ -180,8 +208,9 @@
 		if event.HasID && state.hasLast && event.ID != state.last+1 {
 			return errGap
 		}
+		watchdog.begun.Store(true)
 		if t.repeatable() {
-			watchdog.Reset(silenceMost)
+			watchdog.timer.Reset(silenceMost)
 		}
 		now := time.Now()
 		t.noteBegan(now)
