forward: hopeless urgent requests shut nobody out

One request whose deadline was shorter than the work itself was noted as the demand of its rank: lower ranks were refused for five seconds, though nothing they left could have served it. Requests bound to some regions also bound those that other back ends serve.

Requests with less time than their work takes are no longer noted, and demands are kept by service and the regions of the requests.

--- a/internal/gatewaynode/forward/admit.go
+++ b/internal/gatewaynode/forward/admit.go
@@ -142,7 +142,8 @@
 	eligible := t.eligible(backends, world)
 	t.roomy = Roomy(eligible)
 	ask := Ask{Left: t.limit.Sub(world.Now), Target: t.route.Target, Work: t.forwarder.latencies.work(t.route.Name)}
-	within := t.forwarder.urgency.bound(t.service, t.request.Rank, t.forwarder.allowed(ask), world.Now)
+	from := demander{t.service, t.wants().Regions}
+	within := t.forwarder.urgency.bound(from, t.request.Rank, ask.Work, t.forwarder.allowed(ask), world.Now)
 	admission := Admit(eligible, ask, within, world.Now)
 	if !admission.Refused {
 		return true
