forward: a request that goes on elsewhere keeps to the regions in force

The regions of a live request were those at its arrival. A stream that was resumed after the configuration had bound its route or tenant could go on in a region that it may not be served in any more.

What decides on a back end is now what the request might at its arrival and may by the table in force, also at the moment of sending.

--- a/internal/gatewaynode/forward/admit.go
+++ b/internal/gatewaynode/forward/admit.go
@@ -156,9 +156,10 @@
 // alone for a while, if there are others.
 func (t *try) eligible(backends []fleet.Backend, world *eligibility.World) []fleet.Backend {
 	var eligible, suspended []fleet.Backend
+	wants := t.wants()
 	for i := range backends {
 		switch {
-		case !world.May(&backends[i], t.wants()):
+		case !world.May(&backends[i], wants):
 		case backends[i].Suspended(world.Now):
 			suspended = append(suspended, backends[i])
 		default:
--- a/internal/gatewaynode/forward/eligible.go
+++ b/internal/gatewaynode/forward/eligible.go
@@ -6,11 +6,21 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 )
 
-// wants returns what decides which back ends may get the request.
+// wants returns what decides which back ends may get the request now.
 func (t *try) wants() eligibility.Request {
-	return eligibility.Request{Regions: t.request.Regions, Model: t.request.Model}
+	return eligibility.Request{Regions: t.regions(), Model: t.request.Model}
+}
+
+// regions returns where the request may be served: where it might when it came, and may by
+// the configuration in force. A stream can outlive several of these.
+func (t *try) regions() place.Regions {
+	if t.forwarder.config.Regions == nil {
+		return t.request.Regions
+	}
+	return t.request.Regions.And(t.forwarder.config.Regions(t.route.Name, t.request.Tenant))
 }
 
 // noteWithheld takes note of an attempt that this node kept back: that says nothing of
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -45,7 +45,7 @@
 	Model string
 	// Tenant is on whose behalf the request is made, empty for nobody's.
 	Tenant string
-	// Regions are those that may serve it.
+	// Regions are those that might serve it when it came.
 	Regions place.Regions
 	// Rank is that of the request among others at the back ends, 0 the highest.
 	Rank     int
@@ -97,6 +97,9 @@
 	Log          *eventlog.Log
 	Reach        Reach
 	VersionField string
+	// Regions returns where the configuration in force allows the requests of a tenant on a
+	// route to be served; nil allows every region.
+	Regions func(route, tenant string) place.Regions
 	// Observe is told how each request ended; it may be nil.
 	Observe func(kind routetable.Kind, report Report)
 }
--- /dev/null
+++ b/internal/gatewaynode/forward/regions_test.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/place"
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+)
+
+// TestStreamKeepsToRegionsThatWereBoundMeanwhile: a stream whose back end is silent goes
+// on at another, unless the route or tenant has been bound to regions without one.
+func TestStreamKeepsToRegionsThatWereBoundMeanwhile(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		now      place.Regions
+		attempts int
+	}{
+		{"bound to another region", place.NewRegions("south"), 1},
+		{"bound to no region that route and tenant share", place.NewRegions("south").And(place.NewRegions("north")), 1},
+		{"not bound", place.Regions{}, 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			o := newOverload(t, 1, allowed)
+			defer o.close()
+			for _, q := range o.queues {
+				for range queueSlots {
+					q.slots <- struct{}{}
+				}
+			}
+			route := &routetable.Route{
+				Name: "stream", Kind: routetable.KindStream, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second,
+				Splits: []routetable.Split{{Service: "s", Weight: 1}},
+			}
+			began := time.Now()
+			o.forwarders[0].config.Regions = func(route, tenant string) place.Regions {
+				if route != "stream" || tenant != "lab" {
+					t.Errorf("regions of route %q, tenant %q", route, tenant)
+				}
+				if time.Since(began) < silenceMost/2 {
+					return place.Regions{}
+				}
+				return test.now
+			}
+			report := o.forwarders[0].Serve(t.Context(), httptest.NewRecorder(), &Request{
+				ID: "r", Method: http.MethodPost, Target: "/", Tenant: "lab", Received: began, Deadline: began.Add(5 * time.Second),
+			}, route, 1)
+			if report.Attempts != test.attempts {
+				t.Errorf("%s: %d attempts, want %d", test.name, report.Attempts, test.attempts)
+			}
+		})
+	}
+}
--- a/internal/gatewaynode/storenode/regions.go
+++ b/internal/gatewaynode/storenode/regions.go
@@ -26,6 +26,16 @@
 	return presence.Bounds{Common: found.Common, Any: found.Any, Strict: found.Strict}
 }
 
+// servedIn returns where the configuration in force allows the requests of a tenant on a
+// route to be served. A route that it no longer has binds nothing.
+func (n *Node) servedIn(route, tenantName string) place.Regions {
+	table := n.table.Load()
+	if table == nil {
+		return place.Regions{}
+	}
+	return table.RegionsOf(table.ByName(route), tenantName)
+}
+
 // SubmissionRegions returns the regions in which the body of a submission on a route may
 // be seen, as far as this node can tell whose key comes with it: it is not to leave the
 // node's own region while that is not known.
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -149,7 +149,7 @@
 	node.reach = reach.New(config.Self.Name, node.distances, node.client)
 	node.forwarder = forward.New(forward.Config{
 		Client: node.client, Fleet: node.fleet, Gate: node.gate, Log: config.Log, Reach: node.reach, VersionField: config.VersionField,
-		Observe: node.observe,
+		Observe: node.observe, Regions: node.servedIn,
 	})
 	node.jobs = batch.NewManager(batch.Config{
 		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client, Gate: node.gate,
