forward: attempts that were withheld are the cause of a refusal

A request whose attempts were all kept back at the moment of sending was refused for "no back end", or for the failure of an earlier attempt, and told to come back as if there were none. noteWithheld sets the cause now.

--- a/internal/gatewaynode/forward/eligible.go
+++ b/internal/gatewaynode/forward/eligible.go
@@ -28,9 +28,10 @@
 func (t *try) noteWithheld(backend fleet.Backend, err error) {
 	t.sends--
 	t.withheld++
+	t.cause = err.Error()
 	t.tried[backend.ID]--
 	t.forwarder.config.Log.Info(eventlog.AttemptWithheld, eventlog.Fields{
-		eventlog.Request: t.request.ID, eventlog.Backend: backend.ID, eventlog.Reason: eligibility.LabelOf(err), eventlog.Cause: err.Error(),
+		eventlog.Request: t.request.ID, eventlog.Backend: backend.ID, eventlog.Reason: eligibility.LabelOf(err), eventlog.Cause: t.cause,
 	})
 }
 
