coldstart: few nodes use all of half the bound

Shares beside the owners' were of one request each, however few the nodes: one node alone had 1 of 14 without jobs, 7 with some. Of a bound of 1 the half is nothing, and stays so: two sets of senders would be 2.

--- a/internal/gatewaynode/coldstart/coldstart.go
+++ b/internal/gatewaynode/coldstart/coldstart.go
@@ -7,10 +7,11 @@
 // The bound holds for all nodes together, whether they reach the store or each other. So
 // it is handed out beforehand: the nodes are ranked for each back end, the owners of its
 // service's jobs first, and each of the first ones has a share of its own; all others
-// leave the back end alone while it is cold. Nodes agree on the rank wherever they know
-// the same nodes. Where they do not, for the time of a change of membership, two sets of
-// senders may use their shares: so all shares together are half of the bound. A node that
-// cannot be sure to be still counted by the others has no share.
+// leave the back end alone while it is cold. With fewer nodes than shares each has several.
+// Nodes agree on the rank wherever they know the same nodes. Where they do not, for the
+// time of a change of membership, two sets of senders may use their shares: so all shares
+// together are half of the bound. A node that cannot be sure to be still counted by the
+// others has no share.
 //
 // A share counts requests in the last second up to the moment of sending, so that a
 // process that was frozen sends no more than its share when it wakes.
@@ -54,27 +55,31 @@
 )
 
 // Share returns how many requests in a window the node at a place of the rank may send to
-// a back end, where the first owners places are those of owners of jobs. It is pure.
-func Share(l Limits, place, owners int) int {
+// a back end, where so many nodes are ranked and the first owners places are those of
+// owners of jobs. The shares of all places are half of the bound together; of a bound of 1
+// that is nothing, since two sets of senders would exceed it. It is pure.
+func Share(l Limits, place, owners, nodes int) int {
 	all := l.Bound() / setsMost
-	if place < 0 || all <= 0 {
+	if place < 0 || place >= nodes || all <= 0 {
 		return 0
 	}
-	if owners == 0 {
-		return boolean(place < all)
+	if owners == 0 || owners >= nodes {
+		return portion(all, place, nodes)
 	}
 	forOwners := max(all/ownersPart, 1)
 	if place < owners {
-		return forOwners/owners + boolean(place < forOwners%owners)
+		return portion(forOwners, place, owners)
 	}
-	return boolean(place-owners < all-forOwners)
+	return portion(all-forOwners, place-owners, nodes-owners)
 }
 
-func boolean(is bool) int {
-	if is {
-		return 1
+// portion returns what the one at a place gets of an amount that so many divide as evenly
+// as whole numbers allow.
+func portion(amount, place, count int) int {
+	if place < amount%count {
+		return amount/count + 1
 	}
-	return 0
+	return amount / count
 }
 
 // Turns counts what this node sends to cold back ends. It is safe for concurrent use.
--- a/internal/gatewaynode/storenode/coldshares.go
+++ b/internal/gatewaynode/storenode/coldshares.go
@@ -57,7 +57,8 @@
 	share, known := s.kept.shares[b.ID]
 	if !known {
 		owners := s.ownersOf(b.Service, s.node.config.Eligibility.Zones.Region(b.Zone))
-		share = coldstart.Share(limits, rankFor(s.kept.live, owners, b.ID, s.node.config.Self.Name), len(owners))
+		rank := rankFor(s.kept.live, owners, b.ID, s.node.config.Self.Name)
+		share = coldstart.Share(limits, rank, len(owners), len(s.kept.live))
 		s.kept.shares[b.ID] = share
 	}
 	return share
--- a/internal/gatewaynode/storenode/coldshares_test.go
+++ b/internal/gatewaynode/storenode/coldshares_test.go
@@ -40,7 +40,7 @@
 // shareOf returns what a node may send to a back end by the nodes and owners that it
 // knows.
 func shareOf(limits coldstart.Limits, known []presence.Node, owners []string, backend, self string) int {
-	return coldstart.Share(limits, rankFor(known, owners, backend, self), len(owners))
+	return coldstart.Share(limits, rankFor(known, owners, backend, self), len(owners), len(known))
 }
 
 // TestSharesOfNodesThatKnowOthers: while membership changes, some nodes know it as it was
@@ -50,7 +50,7 @@
 	limits := coldstart.Limits{PerSecond: 16, Overage: 1.5, Slack: 5}
 	few := coldstart.Limits{PerSecond: 2, Overage: 1.5, Slack: 5}
 	keys := []jobPool{{key: "pool/a"}, {key: "pool/b"}, {key: "pool/c"}}
-	for _, size := range []int{3, 59, 87, 330} {
+	for _, size := range []int{1, 2, 3, 4, 59, 87, 330} {
 		all := nodesNamed(size)
 		owners := ownersFirst(all, keys)
 		views := map[string][]presence.Node{
