--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -45,7 +45,7 @@
 	Model string
 	// Tenant is on whose behalf the request is made, empty for nobody's.
 	Tenant string
-	// Regions are those that may serve it.
+	// Regions are those that might serve it when it came.
 	Regions place.Regions
 	// Rank is that of the request among others at the back ends, 0 the highest.
 	Rank     int
@@ -97,6 +97,9 @@
 	Log          *eventlog.Log
 	Reach        Reach
 	VersionField string
+	// Regions returns where the configuration in force allows the requests of a tenant on a
+	// route to be served; nil allows every region.
+	Regions func(route, tenant string) place.Regions
 	// Observe is told how each request ended; it may be nil.
 	Observe func(kind routetable.Kind, report Report)
 }
@@ -329,6 +332,10 @@
 	default:
 		t.uncertain = true
 		t.noteMaybe(err)
+		if errors.Is(err, errQueued) {
+			t.forwarder.config.Fleet.Suspend(backend.ID, "queue", now.Add(refusedPause))
+			break
+		}
 		t.forwarder.config.Fleet.ObserveFailure(backend.ID, t.cause, now)
 	}
 	t.forwarder.config.Log.Warn(eventlog.AttemptFailed, eventlog.Fields{
@@ -341,7 +348,9 @@
 func (t *try) noteMaybe(err error) {
 	var failure *upstream.Error
 	if errors.As(err, &failure) {
-		t.unanswered = failure.Sent
+		if !errors.Is(err, errQueued) {
+			t.unanswered = failure.Sent
+		}
 		t.noteUnanswered(failure.Sent)
 	}
 }
