quarantine, fingerprint, upstream: what back ends end under is seen

Cause of the change: the logs of an incident could not tell its hypotheses apart. A line of a failed attempt named neither what the request asks for nor whether the back end had ended or only its connection, and refused dials (4,001 lines of 4,029) crowded the rest.

Nothing acts on it yet. The client of back ends tells a witness how each call ends. A lost connection is followed by a probe: refused means that the back end ended; so does an entry that is gone from the registry. A request's refused dials are said once for each back end, and counted in the line of its end.

--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -9,6 +9,7 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
@@ -37,6 +38,8 @@
 	Reach Reach
 	// Routes returns the configuration in force, nil while there is none.
 	Routes func() *routetable.Table
+	// WorkOf returns the fingerprint of a request.
+	WorkOf func(fingerprint.Work) fingerprint.Fingerprint
 	// VersionField names the stream field that tells the weight version.
 	VersionField string
 	// Pacing says how often the store may be asked.
--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -12,6 +12,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventstream"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
@@ -45,6 +46,7 @@
 	backend fleet.Backend
 	// request decides which back ends may get the item.
 	request eligibility.Request
+	work    fingerprint.Fingerprint
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	endSlot func()
@@ -70,7 +72,7 @@
 	started := &run{
 		runner: r, job: job, index: index, route: route, backend: backend, ctx: ctx, cancel: cancel,
 		endSlot: r.manager.config.Fleet.Begin(backend.ID), priority: upstream.PriorityOf(r.rank(job.tenant, route), item.behind()),
-		request: r.requestOf(job, index, route), asked: r.unsent.begin(backend.ID),
+		request: r.requestOf(job, index, route), work: item.work, asked: r.unsent.begin(backend.ID),
 	}
 	if route.MaxQueue > 0 {
 		started.deadline = item.started.Add(max(route.MaxQueue-job.head.age(item.started), time.Second))
@@ -137,7 +139,7 @@
 		Header: header, Body: item.Body, Address: r.backend.Address, Instance: r.backend.ID,
 		Tenant: r.job.tenant, Deadline: r.deadline, Priority: r.priority,
 		Admit:   r.admit,
-		Purpose: upstream.PurposeItem,
+		Purpose: upstream.PurposeItem, Work: r.work,
 	}
 	if after > 0 {
 		call.Resume, call.ResumeAfter = true, int64(after)
@@ -376,6 +378,7 @@
 		return
 	}
 	fields[eventlog.Cause] = err.Error()
+	fields[eventlog.Work] = run.work.String()
 	fields["failures"] = item.failures
 	r.manager.config.Log.Warn(event, fields)
 }
--- a/internal/gatewaynode/batch/runner.go
+++ b/internal/gatewaynode/batch/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/pause"
 )
@@ -22,8 +23,10 @@
 
 // itemState is how far an item of an owned job is.
 type itemState struct {
-	phase    phase
-	text     text
+	phase phase
+	text  text
+	// work is what the item asks for, whatever its id.
+	work     fingerprint.Fingerprint
 	failures int
 	// backend runs it, while phaseRunning.
 	backend string
@@ -255,6 +258,7 @@
 	spec, committed := found.spec, found.committed
 	listed := listedIDs(committed)
 	singleVersion := r.singleVersion(spec)
+	works, scoreWorks := r.worksOf(job, spec)
 	r.mu.Lock()
 	job.spec, job.committed = spec, committed
 	job.items = make([]itemState, len(spec.Items))
@@ -262,6 +266,7 @@
 	reused := 0
 	for i := range spec.Items {
 		item := &job.items[i]
+		item.work, item.score.work = works[i], scoreWorks[i]
 		item.failures, item.score.failures = job.head.Failures[i], job.head.ScoreFailures[i]
 		if listed[spec.Items[i].ID] {
 			item.phase = phaseFinished
@@ -298,6 +303,20 @@
 	r.kick()
 }
 
+// worksOf returns the fingerprints of a job's items, and those of the calls that score
+// them.
+func (r *runner) worksOf(job *ownedJob, spec *Spec) (items, scores []fingerprint.Fingerprint) {
+	items, scores = make([]fingerprint.Fingerprint, len(spec.Items)), make([]fingerprint.Fingerprint, len(spec.Items))
+	for i := range spec.Items {
+		item := &spec.Items[i]
+		items[i] = r.manager.config.WorkOf(fingerprint.Work{Host: spec.Host, Target: item.Path, Tenant: job.tenant, Body: item.Body})
+		if s := item.Scorer; s != nil {
+			scores[i] = r.manager.config.WorkOf(fingerprint.Work{Host: s.Host, Target: s.Path, Tenant: job.tenant, Body: s.Body})
+		}
+	}
+	return items, scores
+}
+
 func (r *runner) singleVersion(spec *Spec) bool {
 	route := r.route(spec)
 	return route != nil && route.SingleVersion
--- a/internal/gatewaynode/batch/score.go
+++ b/internal/gatewaynode/batch/score.go
@@ -9,6 +9,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
@@ -18,6 +19,8 @@
 	// since is when the text was whole; after, from when the next call may be sent.
 	since, after clock.Millis
 	calls        []*scoreCall
+	// work is what a call asks for, whatever its id.
+	work fingerprint.Fingerprint
 	// sends counts calls, cuts those that their limit ended, failures answers that
 	// the scoring service failed.
 	sends, cuts, failures int
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -10,6 +10,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
@@ -54,6 +55,7 @@
 	request eligibility.Request
 	sent    clock.Millis
 	limit   clock.Millis
+	work    fingerprint.Fingerprint
 	ctx     context.Context
 	cancel  context.CancelFunc
 	endSlot func()
@@ -69,7 +71,7 @@
 	limit := scoreLimit(&backend, route, state.cuts)
 	ctx, cancel := context.WithTimeout(job.ctx, limit.Duration())
 	c := &scoreCall{
-		runner: r, job: job, index: index, route: route, backend: backend, sent: now, limit: limit, request: request, asked: r.unsent.begin(backend.ID),
+		runner: r, job: job, index: index, route: route, backend: backend, sent: now, limit: limit, request: request, asked: r.unsent.begin(backend.ID), work: state.work,
 		ctx: ctx, cancel: cancel, endSlot: r.manager.config.Fleet.Begin(backend.ID),
 	}
 	state.sends++
@@ -111,7 +113,7 @@
 		ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body,
 		Address: c.backend.Address, Instance: c.backend.ID, Tenant: c.tenant(), Deadline: started.Add(c.limit.Duration()),
 		Priority: upstream.PriorityOf(c.runner.rank(c.tenant(), c.route), 0), Admit: c.admit,
-		Purpose: upstream.PurposeScore,
+		Purpose: upstream.PurposeScore, Work: c.work,
 	})
 	if err != nil {
 		return fateOfCall(err)
@@ -188,7 +190,7 @@
 		eventlog.Job: c.job.id, eventlog.Item: c.job.spec.Items[c.index].ID, eventlog.Request: c.scorer().ID,
 		eventlog.Route: c.route.Name, eventlog.Backend: c.backend.ID, eventlog.Attempts: state.sends,
 		eventlog.TookMillis: now - c.sent, "since_whole_ms": now - state.since, "limit_ms": c.limit,
-		"in_flight": c.backend.InFlight, "others": c.backend.OthersRunning, "failures": state.failures,
+		"in_flight": c.backend.InFlight, "others": c.backend.OthersRunning, "failures": state.failures, eventlog.Work: c.work.String(),
 	}
 	if fate == nil {
 		r.manager.config.Log.Info(event, fields)
--- a/internal/gatewaynode/eligibility/senders_test.go
+++ b/internal/gatewaynode/eligibility/senders_test.go
@@ -24,6 +24,7 @@
 	"platform.Front.relayed":    "goes to a node, over a client of its own",
 	"storenode.New":             "client of back ends: MustAdmit; client of nodes: reaches no back end",
 	"upstream.NewClient":        "sends calls alone",
+	"storenode.probeDialer":     "makes connections that carry nothing",
 	"platform.Store.Commit":     "goes to the store",
 	"platform.Store.List":       "goes to the store",
 	"platform.Store.Watch":      "goes to the store",
--- a/internal/gatewaynode/eventlog/eventlog.go
+++ b/internal/gatewaynode/eventlog/eventlog.go
@@ -32,6 +32,7 @@
 	BackendChanged  = "backend_changed"
 	BackendGone     = "backend_gone"
 	BackendOpened   = "backend_connection_opened"
+	BackendEnded    = "backend_ended"
 	NodesRead       = "nodes_read"
 	NodeSeen        = "node_seen"
 	NodeLapsed      = "node_lapsed"
@@ -58,7 +59,15 @@
 	AttemptFailed   = "attempt_failed"
 	AttemptWithheld = "attempt_withheld"
 	StreamResumed   = "stream_resumed"
-	CallRelayed     = "call_relayed"
+
+	RequestSuspected = "request_suspected"
+	RequestCleared   = "request_cleared"
+	Quarantined      = "request_quarantined"
+	QuarantineEnded  = "request_quarantine_ended"
+	SuspicionDropped = "suspicion_dropped"
+	EvidenceUnsent   = "evidence_unsent"
+
+	CallRelayed = "call_relayed"
 
 	JobAccepted  = "job_accepted"
 	JobRefused   = "job_refused"
@@ -96,6 +105,7 @@
 	Event      = "event"
 	From       = "from"
 	Request    = "request"
+	Work       = "work"
 	Job        = "job"
 	Item       = "item"
 	Route      = "route"
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -26,6 +26,7 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
@@ -100,6 +101,8 @@
 	// Regions returns where the configuration in force allows the requests of a tenant on a
 	// route to be served; nil allows every region.
 	Regions func(route, tenant string) place.Regions
+	// WorkOf returns the fingerprint of a request; nil follows none.
+	WorkOf func(fingerprint.Work) fingerprint.Fingerprint
 	// Observe is told how each request ended; it may be nil.
 	Observe func(kind routetable.Kind, report Report)
 }
@@ -148,7 +151,7 @@
 	}
 	bounded, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
-	try := &try{ctx: ctx, forwarder: f, request: request, route: route, service: service, limit: limit, tried: make(map[string]int)}
+	try := &try{ctx: ctx, forwarder: f, request: request, route: route, service: service, limit: limit, tried: make(map[string]int), work: f.workOf(request)}
 	var report Report
 	if route.Kind == routetable.KindStream {
 		report = try.stream(bounded, w)
@@ -161,14 +164,23 @@
 	report.Attempts = try.sends
 	report.Tenant, report.Began = request.Tenant, try.beganAt()
 	report.Took = time.Since(request.Received)
-	f.note(request, route, service, report, configVersion)
+	f.note(try, report, configVersion)
 	if f.config.Observe != nil {
 		f.config.Observe(route.Kind, report)
 	}
 	return report
 }
 
-func (f *Forwarder) note(request *Request, route *routetable.Route, service string, report Report, configVersion int64) {
+// workOf returns the fingerprint of a request.
+func (f *Forwarder) workOf(request *Request) fingerprint.Fingerprint {
+	if f.config.WorkOf == nil {
+		return fingerprint.Fingerprint{}
+	}
+	return f.config.WorkOf(fingerprint.Work{Host: request.Host, Target: request.Target, Tenant: request.Tenant, Body: request.Body})
+}
+
+func (f *Forwarder) note(t *try, report Report, configVersion int64) {
+	request, route, service := t.request, t.route, t.service
 	event := map[Outcome]string{
 		OutcomeAnswered: eventlog.RequestAnswered,
 		OutcomeRefused:  eventlog.RequestRefused,
@@ -195,6 +207,7 @@
 		f.config.Log.Info(event, fields)
 		return
 	}
+	fields[eventlog.Work], fields["refusals"] = t.work.String(), t.refusals
 	f.config.Log.Warn(event, fields)
 }
 
@@ -207,6 +220,8 @@
 	route     *routetable.Route
 	service   string
 	limit     time.Time
+	// work is what the request asks for, whatever its id.
+	work fingerprint.Fingerprint
 
 	// sends counts attempts that may have run; refusals those that did not.
 	sends    int
@@ -300,6 +315,7 @@
 		Address:  backend.Address, Instance: backend.ID, Tenant: t.request.Tenant, Deadline: t.limit,
 		Admit:   func() error { return t.forwarder.config.Gate.Admit(backend.ID, t.wants()) },
 		Purpose: upstream.PurposeLive,
+		Work:    t.work,
 		// An idle connection may be closing just now; a request that must not be
 		// repeated could not be sent again after that.
 		Fresh: !t.repeatable(), ProvenSince: t.unanswered,
@@ -338,9 +354,15 @@
 		}
 		t.forwarder.config.Fleet.ObserveFailure(backend.ID, t.cause, now)
 	}
+	if fate == upstream.NotSent && t.tried[backend.ID] > 1 {
+		// Said already; the line of the request's end counts them. Where a service is gone
+		// whole, one request may try each of its back ends several times in 30 ms, and
+		// their lines would crowd out those of attempts that ran.
+		return
+	}
 	t.forwarder.config.Log.Warn(eventlog.AttemptFailed, eventlog.Fields{
 		eventlog.Request: t.request.ID, eventlog.Backend: backend.ID, eventlog.Fate: fate.String(),
-		eventlog.Cause: t.cause, "in_flight": backend.InFlight, "others": backend.OthersRunning,
+		eventlog.Cause: t.cause, "in_flight": backend.InFlight, "others": backend.OthersRunning, eventlog.Work: t.work.String(),
 	})
 }
 
--- /dev/null
+++ b/internal/gatewaynode/quarantine/evidence.go
@@ -0,0 +1,95 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
+)
+
+const (
+	// DeadlyEnds is after how many ends of back ends a work is quarantined. Fewer would
+	// hold back requests that ran beside a deadly one twice, in two attempts.
+	DeadlyEnds = 3
+	// KeepEnd is how long an end is remembered after the last change of what is known of
+	// the work.
+	KeepEnd = 10 * time.Minute
+	// silentKeep is how long an end that is only presumed counts: entries of the registry
+	// lapse within 3.5 s of the last sign of a back end.
+	silentKeep = 5 * time.Second
+)
+
+// How is by what a back end is known to have ended.
+type How string
+
+// The kinds of evidence.
+const (
+	HowRefused How = "refused"
+	HowGone    How = "gone"
+	HowSilent  How = "silent"
+)
+
+// End is the end of a back end under a work.
+type End struct {
+	Work    fingerprint.Fingerprint
+	Backend string
+	Service string
+	How     How
+	// Node is the node that saw it.
+	Node string
+}
+
+// known is an End as this node holds it.
+type known struct {
+	End
+	// at is when this node learnt of it.
+	at time.Time
+	// stored tells that the row is in the store.
+	stored bool
+}
+
+// counts tells whether the end is evidence at a moment.
+func (k known) counts(now time.Time) bool {
+	return k.How != HowSilent || now.Sub(k.at) < silentKeep
+}
+
+// suspect is a work under which back ends ended.
+type suspect struct {
+	work fingerprint.Fingerprint
+	// ends are by back end.
+	ends map[string]known
+	// changed is when an end was added or taken away last.
+	changed time.Time
+	// held tells that the work was last seen to be quarantined.
+	held bool
+}
+
+// count returns the number of back ends that ended under the work. It is pure.
+func (s *suspect) count(now time.Time) int {
+	count := 0
+	for _, k := range s.ends {
+		if k.counts(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// oldest returns the end that is forgotten first. Nodes learn of ends in different orders:
+// where it can be told, all choose the same.
+func (s *suspect) oldest() known {
+	backends := make([]string, 0, len(s.ends))
+	for backend := range s.ends {
+		backends = append(backends, backend)
+	}
+	return s.ends[slices.Min(backends)]
+}
+
+// Suspect is what is known of a work, for operators.
+type Suspect struct {
+	Work fingerprint.Fingerprint
+	Ends []End
+	// Held tells that the work is quarantined; Changed is how long ago the last change was.
+	Held    bool
+	Changed time.Duration
+}
--- a/internal/gatewaynode/storenode/apply.go
+++ b/internal/gatewaynode/storenode/apply.go
@@ -62,9 +62,10 @@
 	}
 	if complete {
 		n.fleet.Replace(instances)
-		return
+	} else {
+		n.fleet.Update(instances, removed)
 	}
-	n.fleet.Update(instances, removed)
+	n.quarantine.RegistryChanged()
 }
 
 // noteRegistry says in one line what the first whole read of the registry
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -19,11 +19,13 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/forward"
 	"github.com/sliplift/sliplift/internal/gatewaynode/metering"
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/quarantine"
 	"github.com/sliplift/sliplift/internal/gatewaynode/reach"
 	"github.com/sliplift/sliplift/internal/gatewaynode/relay"
 	"github.com/sliplift/sliplift/internal/gatewaynode/reload"
@@ -106,15 +108,19 @@
 	gate        *eligibility.Gate
 	shares      *coldShares
 	coldZones   coldZones
-	client      *upstream.Client
-	distances   *place.Distances
-	reach       *reach.Book
-	peerClient  *upstream.Client
-	forwarder   *forward.Forwarder
-	relay       *relay.Relay
-	jobs        *batch.Manager
-	leases      *rowlease.Leases
-	controller  *reload.Controller
+	// workKey makes the fingerprints of requests; quarantine holds those under which back
+	// ends ended.
+	workKey    fingerprint.Key
+	quarantine *quarantine.Book
+	client     *upstream.Client
+	distances  *place.Distances
+	reach      *reach.Book
+	peerClient *upstream.Client
+	forwarder  *forward.Forwarder
+	relay      *relay.Relay
+	jobs       *batch.Manager
+	leases     *rowlease.Leases
+	controller *reload.Controller
 	// counter and reporter are nil where no use is reported.
 	counter   *metering.Counter
 	reporter  *metering.Reporter
@@ -137,25 +143,32 @@
 		return nil, err
 	}
 	config.Self = presence.Succeed(config.Self, last, time.Now())
-	node := &Node{config: config}
+	workKey, err := quarantine.LoadKey(ctx, config.Store)
+	if err != nil {
+		return nil, err
+	}
+	node := &Node{config: config, workKey: workKey}
 	pacing := rowstore.Pacing{Limits: config.Limits, Fresh: config.FreshMost, Nodes: func() int { return node.presence.Size() }}
 	node.pacing = pacing
 	node.presence = presence.New(config.Log, config.Store, config.Self, began, pacing)
 	node.fleet = fleet.New(node.kick)
+	node.quarantine = quarantine.New(quarantine.Config{
+		Node: config.Self.Name, Log: config.Log, Dial: probeDialer(config.Dialer), Backend: node.registered,
+	})
 	node.decideBy()
 	node.client = upstream.NewClient(upstream.Config{
-		Codec: config.Codec, Dialer: config.Dialer, OnOpen: node.observeOpening, MustAdmit: true,
+		Codec: config.Codec, Dialer: config.Dialer, OnOpen: node.observeOpening, MustAdmit: true, Witness: node.quarantine,
 	})
 	node.distances = place.NewDistances(config.Eligibility.Zones.Of(config.Self.Zone), config.Eligibility.Zones)
 	node.reach = reach.New(config.Self.Name, node.distances, node.client)
 	node.forwarder = forward.New(forward.Config{
 		Client: node.client, Fleet: node.fleet, Gate: node.gate, Log: config.Log, Reach: node.reach, VersionField: config.VersionField,
-		Observe: node.observe, Regions: node.servedIn,
+		Observe: node.observe, Regions: node.servedIn, WorkOf: node.workKey.Of,
 	})
 	node.jobs = batch.NewManager(batch.Config{
 		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client, Gate: node.gate,
 		Log: config.Log, Reach: node.reach, Routes: node.table.Load, VersionField: config.VersionField,
-		Pacing: pacing, Keep: config.KeepJobs, Settle: config.ResultSettle,
+		Pacing: pacing, Keep: config.KeepJobs, Settle: config.ResultSettle, WorkOf: node.workKey.Of,
 		OnWork: func() { node.controller.Wanted() }, Orders: func() bool { return node.controller.Near() },
 	})
 	node.peerClient = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, DialTimeout: relayDial})
--- a/internal/gatewaynode/upstream/body.go
+++ b/internal/gatewaynode/upstream/body.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -67,3 +68,42 @@
 	b.client.drop(b.conn, OpenCut)
 	return nil
 }
+
+// tracedBody tells how the reading of a body ended.
+type tracedBody struct {
+	io.ReadCloser
+	// ctx is that of the call.
+	ctx    context.Context
+	trace  Trace
+	status int
+	told   bool
+}
+
+// Read implements io.Reader.
+func (b *tracedBody) Read(buffer []byte) (int, error) {
+	count, err := b.ReadCloser.Read(buffer)
+	if count > 0 {
+		b.trace.Heard()
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		b.tell(EndWhole)
+	case err != nil:
+		b.tell(endOf(err, b.ctx.Err() != nil))
+	}
+	return count, err
+}
+
+// Close implements io.Closer.
+func (b *tracedBody) Close() error {
+	b.tell(EndGivenUp)
+	return b.ReadCloser.Close()
+}
+
+func (b *tracedBody) tell(end End) {
+	if b.told {
+		return
+	}
+	b.told = true
+	b.trace.End(end, b.status)
+}
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -25,6 +25,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 )
 
 // Fate is what became of a request.
@@ -72,6 +74,8 @@
 	// zero allows any. Connections fall silent together, without a reset, while new ones
 	// work: what follows an attempt without an answer must not wait on another of them.
 	ProvenSince time.Time
+	// Work is what the call asks for; calls of no work are not followed, see Witness.
+	Work fingerprint.Fingerprint
 	// Unnumbered calls have no id, and their answers need not carry one.
 	Unnumbered bool
 	// Until, if set, is when the call has to be over: what a socket still holds of it by
@@ -139,6 +143,14 @@
 // Error implements error.
 func (e *Error) Error() string { return "upstream: " + e.Fate.String() + ": " + e.Cause.Error() }
 
+// end returns how the call ended that failed, whose context is ctx.
+func (e *Error) end(ctx context.Context) End {
+	if e.Fate == NotRun {
+		return EndNotRun
+	}
+	return endOf(e.Cause, ctx.Err() != nil)
+}
+
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
@@ -180,6 +192,8 @@
 	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnOpen is told of each new connection; it may be nil.
 	OnOpen func(Opening)
+	// Witness, if it is set, is told of the calls that back ends may run.
+	Witness Witness
 	// MustAdmit tells that a call without Call.Admit is a broken invariant.
 	MustAdmit bool
 }
@@ -256,13 +270,17 @@
 		c.giveBack(conn)
 		return nil, &Error{Fate: NotSent, Cause: err, Withheld: true}
 	}
+	trace := c.begin(call, conn)
 	release := context.AfterFunc(ctx, func() { c.drop(conn, OpenCut) })
 	sent := time.Now()
 	answer, failure := c.exchange(conn, call, release)
 	if failure == nil {
+		trace.Heard()
 		answer.Sent = sent
+		answer.Body = &tracedBody{ReadCloser: answer.Body, ctx: ctx, trace: trace, status: answer.Status}
 		return answer, nil
 	}
+	trace.End(failure.end(ctx), failure.Status)
 	failure.Sent = sent
 	if !failure.kept {
 		release()
