--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -7,9 +7,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs/v2"
@@ -82,14 +84,19 @@
 		return nil, ctx.Err()
 	}
 	if !listening {
-		return nil, ErrRefused.Errorf("%s", address)
+		return nil, refused(address)
 	}
 	if target.queue(ctx, server) {
 		return client, nil
 	}
 	client.Close()
 	server.Close()
-	return nil, ErrRefused.Errorf("%s", address)
+	return nil, refused(address)
+}
+
+// refused returns an ErrRefused that is also the one of a real network.
+func refused(address string) error {
+	return ErrRefused.Wrap(fmt.Errorf("%s: %w", address, syscall.ECONNREFUSED))
 }
 
 // newPair is called with mu held, so that a Cut or Kill either prevents the
