quarantine: requests that end their back ends are held back by all nodes

Cause: attempts were bounded for each request by its id, at one node. Nothing was remembered of what a request asks for, so each time it came again, at any node, it began with a fresh bound, and nodes shared nothing of what had ended under it. Class: a bound that is counted by attempt where the harm is done by the work.

Ruled out: attempts of one node beyond the route's (no request was sent to more back ends than maxAttempts allows); ends for another reason (all of a burst show one fingerprint).

Change: after three ends no node sends the work on. Evidence is a row of the store for each work and back end, followed by all nodes; nodes tell each other directly while the store takes no writes. A success acquits; one trial of all nodes together after 10 s finds out whether it still ends what runs it; one end is forgotten each 10 minutes. Eligibility decides, when a back end is chosen and at the moment of sending: live requests, second attempts, streams, items, scores. Calls under way are cut. Callers get 503 and when to come back at once.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -94,6 +94,7 @@
 		}
 	}
 	detour.SetPeers(node.Peers)
+	detour.OnTold(node.Told)
 	working, endWork := context.WithCancel(context.Background())
 	defer endWork()
 	go node.Run(working)
@@ -168,7 +169,7 @@
 	}
 }
 
-func nodeConfig(cfg *settings.Gateway, store rowstore.Store, log *eventlog.Log, metrics *gatewaymetrics.Metrics) storenode.Config {
+func nodeConfig(cfg *settings.Gateway, store *storerelay.Detour, log *eventlog.Log, metrics *gatewaymetrics.Metrics) storenode.Config {
 	return storenode.Config{
 		Store: rowstore.NewGuard(rowstore.NewRecall(store)),
 		Limits: rowstore.Limits{
@@ -191,6 +192,7 @@
 		KeepJobs:      cfg.KeepJobs,
 		ResultSettle:  cfg.ResultSettle,
 		FreshMost:     cfg.ConfigApply,
+		Tell:          store.Tell,
 		AddressTTL:    cfg.AddressTTL,
 		Metering:      newMetering(cfg),
 		KeysConfirmed: keysConfirmed(cfg),
--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -40,6 +40,8 @@
 	Routes func() *routetable.Table
 	// WorkOf returns the fingerprint of a request.
 	WorkOf func(fingerprint.Work) fingerprint.Fingerprint
+	// Trials gives quarantined items out for a trial.
+	Trials Trials
 	// VersionField names the stream field that tells the weight version.
 	VersionField string
 	// Pacing says how often the store may be asked.
@@ -55,6 +57,14 @@
 	Settle time.Duration
 }
 
+// Trials says when quarantined requests may be sent on.
+type Trials interface {
+	// MayTry tells whether Try may be asked.
+	MayTry(work fingerprint.Fingerprint) bool
+	// Try tells whether this node may send a quarantined work on once. It asks the store.
+	Try(ctx context.Context, work fingerprint.Fingerprint) bool
+}
+
 // jobState is what a node knows of a job.
 type jobState struct {
 	id           string
--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -74,6 +74,10 @@
 		endSlot: r.manager.config.Fleet.Begin(backend.ID), priority: upstream.PriorityOf(r.rank(job.tenant, route), item.behind()),
 		request: r.requestOf(job, index, route), work: item.work, asked: r.unsent.begin(backend.ID),
 	}
+	if !item.trial {
+		started.request.Work = item.work
+	}
+	item.trial = false
 	if route.MaxQueue > 0 {
 		started.deadline = item.started.Add(max(route.MaxQueue-job.head.age(item.started), time.Second))
 	}
@@ -349,7 +353,7 @@
 	backends, now := r.manager.config.Fleet, time.Now()
 	switch {
 	case run.job.ctx.Err() != nil, errors.Is(err, errMoved), errors.Is(err, errStopping), errors.Is(err, errExpired),
-		errors.Is(err, errUndoable), errors.Is(err, errFailed):
+		errors.Is(err, errUndoable), errors.Is(err, errFailed), errors.Is(err, upstream.ErrCut):
 	case errors.Is(err, errOldVersion), errors.Is(err, errMixed):
 		backends.Suspend(run.backend.ID, "weights", now.Add(stalePause))
 	case upstream.FateOf(err) == upstream.NotRun && isUpstream(err):
--- a/internal/gatewaynode/batch/runner.go
+++ b/internal/gatewaynode/batch/runner.go
@@ -26,7 +26,9 @@
 	phase phase
 	text  text
 	// work is what the item asks for, whatever its id.
-	work     fingerprint.Fingerprint
+	work fingerprint.Fingerprint
+	// trial tells that its next run finds out whether the work still ends what runs it.
+	trial    bool
 	failures int
 	// backend runs it, while phaseRunning.
 	backend string
--- a/internal/gatewaynode/batch/schedule.go
+++ b/internal/gatewaynode/batch/schedule.go
@@ -65,6 +65,10 @@
 		c := candidate{job: job, index: index, route: route, priority: priority, rank: float64(job.spec.Items[index].LengthHint)}
 		switch item.phase {
 		case phaseWaiting:
+			if !item.trial && p.world.HeldEnds(item.work) > 0 {
+				r.noteQuarantined(job, index, p)
+				continue
+			}
 			if item.urgent {
 				c.rank += urgentRank
 			}
--- a/internal/gatewaynode/eligibility/eligibility.go
+++ b/internal/gatewaynode/eligibility/eligibility.go
@@ -19,12 +19,15 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/coldstart"
 	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 )
 
 // Request is what decides on the side of a request.
 type Request struct {
+	// Work is what it asks for, zero if it may run whatever ended under its like.
+	Work fingerprint.Fingerprint
 	// Regions are those that may serve it: of its route and its tenant, both bind.
 	Regions place.Regions
 	// Model is the model that has to answer, empty if any; MinVersion, the oldest version
@@ -47,6 +50,9 @@
 	Now time.Time
 	// Zones tells the region of each zone.
 	Zones place.Map
+	// Held returns how many back ends ended under a quarantined work, 0 for others; nil
+	// stands for that everywhere.
+	Held func(work fingerprint.Fingerprint) int
 	// Evacuations are those in force. Age is how long ago the store confirmed them last;
 	// up to AgeMost patient requests may rely on them, 0 sets no limit.
 	Evacuations  evacuation.Set
@@ -61,6 +67,9 @@
 
 // Decide returns why a back end may not get a request, nil if it may. It is pure.
 func (w *World) Decide(b *fleet.Backend, r Request) Reason {
+	if ends := w.HeldEnds(r.Work); ends > 0 {
+		return Quarantined{Ends: ends}
+	}
 	if reason := w.standing(b, r); reason != nil {
 		return reason
 	}
@@ -70,6 +79,14 @@
 	return w.cold(b, r)
 }
 
+// HeldEnds returns how many back ends ended under a quarantined work, 0 for others.
+func (w *World) HeldEnds(work fingerprint.Fingerprint) int {
+	if work.IsZero() || w.Held == nil {
+		return 0
+	}
+	return w.Held(work)
+}
+
 // May tells whether a back end may get a request.
 func (w *World) May(b *fleet.Backend, r Request) bool { return w.Decide(b, r) == nil }
 
--- a/internal/gatewaynode/eligibility/gate.go
+++ b/internal/gatewaynode/eligibility/gate.go
@@ -5,6 +5,7 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/coldstart"
 	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 )
@@ -14,6 +15,8 @@
 	Fleet       *fleet.Fleet
 	Evacuations *evacuation.Book
 	Zones       place.Map
+	// Held is World.Held.
+	Held func(work fingerprint.Fingerprint) int
 	// Age returns how long ago the store confirmed the evacuations last, and AgeMost the
 	// age up to which patient requests may rely on them, 0 for any.
 	Age     func(now time.Time) time.Duration
@@ -41,7 +44,7 @@
 // World returns what the node believes now.
 func (g *Gate) World(now time.Time) *World {
 	return &World{
-		Now: now, Zones: g.config.Zones, Evacuations: g.config.Evacuations.InForce(),
+		Now: now, Held: g.config.Held, Zones: g.config.Zones, Evacuations: g.config.Evacuations.InForce(),
 		Age: g.config.Age(now), AgeMost: g.config.AgeMost,
 		Turns:    func(b *fleet.Backend) int { return g.turns.Room(b.ID, g.config.Share(b, now), now) },
 		NextTurn: func(b *fleet.Backend) time.Duration { return g.nextTurn(b, now) },
--- a/internal/gatewaynode/eligibility/reason.go
+++ b/internal/gatewaynode/eligibility/reason.go
@@ -52,6 +52,20 @@
 	Left time.Duration
 }
 
+// Quarantined says that back ends ended under what the request asks for: none is to run it.
+type Quarantined struct{ Ends int }
+
+// Label implements Reason.
+func (Quarantined) Label() string { return LabelQuarantined }
+
+// LabelQuarantined is the label of Quarantined.
+const LabelQuarantined = "quarantined"
+
+// String implements fmt.Stringer.
+func (r Quarantined) String() string {
+	return fmt.Sprintf("%d back ends ended under requests like it", r.Ends)
+}
+
 // Label implements Reason.
 func (Gone) Label() string { return "gone" }
 
--- a/internal/gatewaynode/eventlog/eventlog.go
+++ b/internal/gatewaynode/eventlog/eventlog.go
@@ -63,9 +63,11 @@
 	RequestSuspected = "request_suspected"
 	RequestCleared   = "request_cleared"
 	Quarantined      = "request_quarantined"
+	QuarantineTrial  = "request_quarantine_trial"
 	QuarantineEnded  = "request_quarantine_ended"
 	SuspicionDropped = "suspicion_dropped"
 	EvidenceUnsent   = "evidence_unsent"
+	PeersTold        = "peers_told"
 
 	CallRelayed = "call_relayed"
 
--- a/internal/gatewaynode/fingerprint/fingerprint_test.go
+++ b/internal/gatewaynode/fingerprint/fingerprint_test.go
@@ -11,7 +11,9 @@
 func TestWorkIsTheSameByHostTargetTenantAndBody(t *testing.T) {
 	key := fingerprint.NewKey()
 	base := fingerprint.Work{Host: "h", Target: "/a/b", Tenant: "t", Body: []byte("body")}
-	if key.Of(base) != key.Of(base) {
+	copied := base
+	copied.Body = bytes.Clone(base.Body)
+	if key.Of(base) != key.Of(copied) {
 		t.Fatal("one work has two fingerprints")
 	}
 	others := map[string]fingerprint.Work{
--- a/internal/gatewaynode/forward/answer.go
+++ b/internal/gatewaynode/forward/answer.go
@@ -78,7 +78,10 @@
 func (t *try) refuse(w http.ResponseWriter, cause string) Report {
 	now := time.Now()
 	survey := t.survey(now)
-	if survey.Eligible == 0 {
+	switch {
+	case survey.Reasons[eligibility.LabelQuarantined] > 0:
+		cause = causeQuarantined
+	case survey.Eligible == 0:
 		cause = causeNoBackend
 	}
 	Fail(w, http.StatusServiceUnavailable, t.retryAfter(cause, survey, now))
@@ -98,7 +101,13 @@
 // is known.
 const causeNoBackend = "no back end"
 
+// causeQuarantined is why a request is refused under whose like back ends ended.
+const causeQuarantined = "back ends ended under requests like it"
+
 func (t *try) retryAfter(cause string, survey eligibility.Survey, now time.Time) time.Duration {
+	if cause == causeQuarantined {
+		return max(t.forwarder.config.Trials.Retry(t.work), retryLeast)
+	}
 	// Another node may have a turn where this one has none in the caller's time.
 	if cause == causeNoBackend && survey.Warm > 0 && survey.Warm < t.request.Deadline.Sub(now) {
 		return max(survey.Warm, retryLeast)
--- a/internal/gatewaynode/forward/eligible.go
+++ b/internal/gatewaynode/forward/eligible.go
@@ -11,7 +11,11 @@
 
 // wants returns what decides which back ends may get the request now.
 func (t *try) wants() eligibility.Request {
-	return eligibility.Request{Regions: t.regions(), Model: t.request.Model}
+	wants := eligibility.Request{Regions: t.regions(), Model: t.request.Model}
+	if !t.trial {
+		wants.Work = t.work
+	}
+	return wants
 }
 
 // regions returns where the request may be served: where it might when it came, and may by
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -103,10 +103,21 @@
 	Regions func(route, tenant string) place.Regions
 	// WorkOf returns the fingerprint of a request; nil follows none.
 	WorkOf func(fingerprint.Work) fingerprint.Fingerprint
+	// Trials gives quarantined requests out for a trial; it is nil if WorkOf is.
+	Trials Trials
 	// Observe is told how each request ended; it may be nil.
 	Observe func(kind routetable.Kind, report Report)
 }
 
+// Trials says when quarantined requests may be sent on.
+type Trials interface {
+	// Try tells whether this node may send a quarantined work on once. It asks the store if
+	// that may be.
+	Try(ctx context.Context, work fingerprint.Fingerprint) bool
+	// Retry returns after what time a quarantined work may come back.
+	Retry(work fingerprint.Fingerprint) time.Duration
+}
+
 // Reach tells how back ends can be reached.
 type Reach interface {
 	// Fill tells back ends how they can be reached now.
@@ -152,6 +163,9 @@
 	bounded, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
 	try := &try{ctx: ctx, forwarder: f, request: request, route: route, service: service, limit: limit, tried: make(map[string]int), work: f.workOf(request)}
+	if f.config.Trials != nil {
+		try.trial = f.config.Trials.Try(bounded, try.work)
+	}
 	var report Report
 	if route.Kind == routetable.KindStream {
 		report = try.stream(bounded, w)
@@ -222,6 +236,9 @@
 	limit     time.Time
 	// work is what the request asks for, whatever its id.
 	work fingerprint.Fingerprint
+	// trial tells that the request is the one that may find out whether its work still ends
+	// what runs it.
+	trial bool
 
 	// sends counts attempts that may have run; refusals those that did not.
 	sends    int
@@ -275,7 +292,12 @@
 }
 
 // attemptsMost is the number of attempts that may run.
-func (t *try) attemptsMost() int { return max(t.route.MaxAttempts, 1) }
+func (t *try) attemptsMost() int {
+	if t.trial {
+		return 1
+	}
+	return max(t.route.MaxAttempts, 1)
+}
 
 // maySend tells whether one more attempt is allowed.
 func (t *try) maySend() bool {
@@ -348,6 +370,10 @@
 	default:
 		t.uncertain = true
 		t.noteMaybe(err)
+		if errors.Is(err, upstream.ErrCut) {
+			// That says nothing of the back end.
+			break
+		}
 		if errors.Is(err, errQueued) {
 			t.forwarder.config.Fleet.Suspend(backend.ID, "queue", now.Add(refusedPause))
 			break
--- a/internal/gatewaynode/quarantine/book.go
+++ b/internal/gatewaynode/quarantine/book.go
@@ -12,6 +12,7 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
 
 // Config configures a Book.
@@ -23,6 +24,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Backend returns what the registry says of a back end.
 	Backend func(id string) Registered
+	// Store takes the evidence.
+	Store rowstore.Store
 	// OnHeld is called when a work was quarantined or cleared; it may be nil.
 	OnHeld func()
 }
@@ -40,6 +43,8 @@
 // concurrent use.
 type Book struct {
 	config Config
+	// key is what fingerprints are made with, nil until the store has told.
+	key atomic.Pointer[fingerprint.Key]
 
 	mu       sync.Mutex
 	backends map[string]*backend
@@ -95,7 +100,7 @@
 		b.config.Log.Info(eventlog.SuspicionDropped, eventlog.Fields{
 			eventlog.Work: k.Work.String(), eventlog.Backend: k.Backend, "seen_by": k.Node, eventlog.Cause: causeAnswered,
 		})
-		b.outbox.remove(k.End)
+		b.outbox.remove(keyOf(k.End))
 		return
 	}
 	b.add(k)
@@ -155,7 +160,7 @@
 		}
 		return
 	}
-	s.held = held
+	s.held, s.heldSince = held, now
 	fields := eventlog.Fields{eventlog.Work: s.work.String(), "ends": count, "backends": slices.Sorted(maps.Keys(s.ends))}
 	if !held {
 		b.setHeld(s.work, 0)
@@ -230,7 +235,10 @@
 func (b *Book) forget(s *suspect, everywhere bool) {
 	if everywhere {
 		for _, k := range s.ends {
-			b.outbox.remove(k.End)
+			b.outbox.remove(keyOf(k.End))
+		}
+		if s.trial == trialTaken {
+			b.outbox.remove(rowKey(trialID(s.work).Key))
 		}
 	}
 	delete(b.suspects, s.work)
@@ -286,7 +294,7 @@
 				b.config.Log.Info(eventlog.SuspicionDropped, eventlog.Fields{
 					eventlog.Work: s.work.String(), eventlog.Backend: id, eventlog.Cause: "the back end is in the registry again",
 				})
-				b.outbox.remove(k.End)
+				b.outbox.remove(keyOf(k.End))
 				b.withdraw(s, id, now)
 			}
 		}
@@ -311,7 +319,10 @@
 		b.config.Log.Info(eventlog.SuspicionDropped, eventlog.Fields{
 			eventlog.Work: s.work.String(), eventlog.Backend: old.Backend, "age_ms": now.Sub(s.changed).Milliseconds(), eventlog.Cause: "old",
 		})
-		b.outbox.remove(old.End)
+		b.outbox.remove(keyOf(old.End))
+		if s.trial == trialTaken {
+			b.outbox.remove(rowKey(trialID(s.work).Key))
+		}
 		b.withdraw(s, old.Backend, now)
 	}
 }
--- a/internal/gatewaynode/quarantine/evidence.go
+++ b/internal/gatewaynode/quarantine/evidence.go
@@ -60,8 +60,10 @@
 	ends map[string]known
 	// changed is when an end was added or taken away last.
 	changed time.Time
-	// held tells that the work was last seen to be quarantined.
-	held bool
+	// held tells that the work is quarantined, heldSince, since when this node has known it.
+	held      bool
+	heldSince time.Time
+	trial     trial
 }
 
 // count returns the number of back ends that ended under the work. It is pure.
--- a/internal/gatewaynode/quarantine/outbox.go
+++ b/internal/gatewaynode/quarantine/outbox.go
@@ -4,20 +4,28 @@
 // that end three back ends each.
 const outboxMost = 512
 
-// outbox is what waits to be written to the store.
-type outbox struct {
-	puts, deletes map[rowKey]End
-	dropped       int
-	wake          chan struct{}
-}
-
-// rowKey names the row of an end.
+// rowKey is the key of a row.
 type rowKey string
 
 func keyOf(end End) rowKey { return rowKey(end.Work.String() + "/" + end.Backend) }
 
+// unwritten is an end that waits to be written; told tells that other nodes were told of it
+// directly.
+type unwritten struct {
+	end  End
+	told bool
+}
+
+// outbox is what waits to be written to the store.
+type outbox struct {
+	puts    map[rowKey]unwritten
+	deletes map[rowKey]bool
+	dropped int
+	wake    chan struct{}
+}
+
 func newOutbox() outbox {
-	return outbox{puts: make(map[rowKey]End), deletes: make(map[rowKey]End), wake: make(chan struct{}, 1)}
+	return outbox{puts: make(map[rowKey]unwritten), deletes: make(map[rowKey]bool), wake: make(chan struct{}, 1)}
 }
 
 // put asks for an end to be written.
@@ -28,19 +36,18 @@
 		o.dropped++
 		return
 	}
-	o.puts[key] = end
+	o.puts[key] = unwritten{end: end}
 	o.kick()
 }
 
-// remove asks for an end to be taken away.
-func (o *outbox) remove(end End) {
-	key := keyOf(end)
+// remove asks for a row to be taken away.
+func (o *outbox) remove(key rowKey) {
 	delete(o.puts, key)
 	if len(o.deletes) >= outboxMost {
 		o.dropped++
 		return
 	}
-	o.deletes[key] = end
+	o.deletes[key] = true
 	o.kick()
 }
 
--- a/internal/gatewaynode/quarantine/rows.go
+++ b/internal/gatewaynode/quarantine/rows.go
@@ -20,9 +20,6 @@
 // Table is the table of the evidence. Its rows hold no body, path or key of a caller.
 const Table = "evidence"
 
-// keyRow is the row of the key that fingerprints are made with.
-const keyRow = "key"
-
 // row is the value of an end's row.
 type row struct {
 	Service string `json:"service"`
@@ -35,83 +32,46 @@
 
 // endOf reads the row of an end; of a deleted one, what its key says.
 func endOf(r rowstore.Row) (End, error) {
-	work, id, found := strings.Cut(r.Key, "/")
-	if !found {
-		return End{}, errRow
-	}
-	parsed, err := fingerprint.Parse(work)
-	if err != nil {
-		return End{}, err
-	}
-	end := End{Work: parsed, Backend: id}
-	if r.Deleted {
-		return end, nil
+	end, err := endOfKey(r.Key)
+	if err != nil || r.Deleted {
+		return end, err
 	}
 	var value row
 	if err := json.Unmarshal(r.Value, &value); err != nil {
 		return End{}, err
 	}
-	end.Service, end.How, end.Node = value.Service, value.How, value.Node
-	return end, nil
+	return value.with(end), nil
 }
 
-// rowOf returns the row of an end.
-func rowOf(end End) rowstore.Row {
-	value, err := json.Marshal(row{Service: end.Service, How: end.How, Node: end.Node})
-	if err != nil {
-		panic("quarantine: an end cannot be encoded: " + err.Error())
+// endOfKey returns what the key of an end's row says.
+func endOfKey(key string) (End, error) {
+	work, id, found := strings.Cut(key, "/")
+	if !found || id == "" {
+		return End{}, errRow
 	}
-	return rowstore.Row{RowID: rowID(end), Value: value}
+	parsed, err := fingerprint.Parse(work)
+	return End{Work: parsed, Backend: id}, err
 }
 
-func rowID(end End) rowstore.RowID { return rowstore.RowID{Table: Table, Key: string(keyOf(end))} }
-
-// keyRetry is the pause between attempts to read the key.
-const keyRetry = 100 * time.Millisecond
-
-// LoadKey returns the key that all nodes make fingerprints with: the one in the store or,
-// if there is none, a new one. It waits until the store answers or ctx ends.
-func LoadKey(ctx context.Context, store rowstore.Store) (fingerprint.Key, error) {
-	for {
-		key, err := loadKey(ctx, store)
-		if err == nil {
-			return key, nil
-		}
-		if !pause.For(ctx, keyRetry) {
-			return fingerprint.Key{}, ctx.Err()
-		}
-	}
+// with returns an end with what the value of its row says.
+func (r row) with(end End) End {
+	end.Service, end.How, end.Node = r.Service, r.How, r.Node
+	return end
 }
 
-// errNoKey says that the key is to be read again.
-var errNoKey = errors.New("quarantine: no key is known yet")
+func rowValue(end End) row { return row{Service: end.Service, How: end.How, Node: end.Node} }
 
-func loadKey(ctx context.Context, store rowstore.Store) (fingerprint.Key, error) {
-	var key fingerprint.Key
-	found, err := store.List(ctx, Table, "", keyRow, rowstore.KeyEnd(keyRow), 1)
-	if err != nil {
-		return key, err
-	}
-	if len(found.Rows) == 1 && copy(key[:], found.Rows[0].Value) == len(key) {
-		return key, nil
-	}
-	key = fingerprint.NewKey()
-	id := rowstore.RowID{Table: Table, Key: keyRow}
-	condition := rowstore.Condition{RowID: id}
-	if len(found.Rows) == 1 {
-		condition.Revision = found.Rows[0].Revision
-	}
-	_, err = store.Commit(ctx, rowstore.Transaction{
-		Conditions: []rowstore.Condition{condition}, Puts: []rowstore.Row{{RowID: id, Value: key[:]}},
-	})
+// rowOf returns the row of an end.
+func rowOf(end End) rowstore.Row {
+	value, err := json.Marshal(rowValue(end))
 	if err != nil {
-		// Also where the outcome is not known, or another node was first: what is there
-		// is read again.
-		return key, errors.Join(errNoKey, err)
+		panic("quarantine: an end cannot be encoded: " + err.Error())
 	}
-	return key, nil
+	return rowstore.Row{RowID: rowID(keyOf(end)), Value: value}
 }
 
+func rowID(key rowKey) rowstore.RowID { return rowstore.RowID{Table: Table, Key: string(key)} }
+
 // Apply takes rows of the table, as rowstore.ViewConfig.Apply.
 func (b *Book) Apply(rows []rowstore.Row, complete bool) {
 	b.mu.Lock()
@@ -120,6 +80,11 @@
 	present := make(map[rowKey]bool, len(rows))
 	for _, r := range rows {
 		if r.Key == keyRow {
+			b.takeKey(r.Value)
+			continue
+		}
+		if work, is := trialOf(r.Key); is {
+			b.sawTrial(work, r.Deleted)
 			continue
 		}
 		end, err := endOf(r)
@@ -137,6 +102,9 @@
 	if !complete {
 		return
 	}
+	if b.key.Load() == nil {
+		b.outbox.kick()
+	}
 	for _, s := range b.suspects {
 		for _, k := range s.ends {
 			if k.stored && !present[keyOf(k.End)] {
@@ -173,13 +141,12 @@
 	ageEvery = time.Second
 )
 
-// Writer is what a Book's evidence is written with.
+// Writer says how a Book's evidence is written.
 type Writer struct {
-	Store rowstore.Store
 	// Rest returns the time between two transactions where all nodes write.
 	Rest func() time.Duration
 	// Tell tells other nodes of ends that could not be written; it may be nil.
-	Tell func([]End)
+	Tell func(context.Context, []End)
 }
 
 // Run writes evidence and forgets what is old until ctx ends.
@@ -200,6 +167,9 @@
 		if limiter.Wait(ctx) != nil {
 			return
 		}
+		if b.key.Load() == nil {
+			b.makeKey(ctx)
+		}
 		b.write(ctx, w)
 	}
 }
@@ -214,16 +184,16 @@
 	for _, end := range puts {
 		transaction.Puts = append(transaction.Puts, rowOf(end))
 	}
-	for _, end := range deletes {
-		transaction.Deletes = append(transaction.Deletes, rowID(end))
+	for _, key := range deletes {
+		transaction.Deletes = append(transaction.Deletes, rowID(key))
 	}
 	bounded, cancel := context.WithTimeout(ctx, writeLimit)
-	_, err := w.Store.Commit(bounded, transaction)
+	_, err := b.config.Store.Commit(bounded, transaction)
 	cancel()
 	if err != nil {
 		b.config.Log.Warn(eventlog.EvidenceUnsent, eventlog.Fields{eventlog.Count: len(puts), "deletes": len(deletes), eventlog.Cause: err.Error()})
-		if w.Tell != nil && len(puts) > 0 {
-			w.Tell(puts)
+		if untold := b.untold(puts); w.Tell != nil && len(untold) > 0 {
+			w.Tell(ctx, untold)
 		}
 		pause.For(ctx, writeRetry)
 	}
@@ -231,24 +201,40 @@
 }
 
 // take returns what goes into the next transaction: works with the most ends first.
-func (b *Book) take() (puts, deletes []End) {
+func (b *Book) take() (puts []End, deletes []rowKey) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, end := range b.outbox.puts {
-		puts = append(puts, end)
+	for _, waiting := range b.outbox.puts {
+		puts = append(puts, waiting.end)
 	}
 	slices.SortFunc(puts, func(x, y End) int {
 		return cmp.Or(cmp.Compare(b.ends(y.Work), b.ends(x.Work)), cmp.Compare(keyOf(x), keyOf(y)))
 	})
 	puts = puts[:min(len(puts), rowsMost)]
-	for _, end := range b.outbox.deletes {
+	for key := range b.outbox.deletes {
 		if len(puts)+len(deletes) < rowsMost {
-			deletes = append(deletes, end)
+			deletes = append(deletes, key)
 		}
 	}
 	return puts, deletes
 }
 
+// untold returns the ends that other nodes were not told of yet, and notes that they are.
+func (b *Book) untold(puts []End) []End {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []End
+	for _, end := range puts {
+		waiting, found := b.outbox.puts[keyOf(end)]
+		if found && !waiting.told {
+			waiting.told = true
+			b.outbox.puts[keyOf(end)] = waiting
+			list = append(list, end)
+		}
+	}
+	return list
+}
+
 // ends returns how many ends are known of a work. The lock is held.
 func (b *Book) ends(work fingerprint.Fingerprint) int {
 	if s := b.suspects[work]; s != nil {
@@ -259,7 +245,7 @@
 
 // written takes what became of a transaction; what failed is written again: the rows are
 // the same, whatever became of the first time.
-func (b *Book) written(puts, deletes []End, done bool) {
+func (b *Book) written(puts []End, deletes []rowKey, done bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, end := range puts {
@@ -274,9 +260,9 @@
 			}
 		}
 	}
-	for _, end := range deletes {
+	for _, key := range deletes {
 		if done {
-			delete(b.outbox.deletes, keyOf(end))
+			delete(b.outbox.deletes, key)
 		}
 	}
 	if len(b.outbox.puts)+len(b.outbox.deletes) > 0 {
@@ -284,14 +270,41 @@
 	}
 }
 
+// message is an end as nodes tell each other.
+type message struct {
+	Key string `json:"key"`
+	row
+}
+
+// Message returns ends as Told takes them.
+func Message(ends []End) json.RawMessage {
+	list := make([]message, 0, len(ends))
+	for _, end := range ends {
+		list = append(list, message{Key: string(keyOf(end)), row: rowValue(end)})
+	}
+	encoded, err := json.Marshal(list)
+	if err != nil {
+		panic("quarantine: ends cannot be encoded: " + err.Error())
+	}
+	return encoded
+}
+
 // Told takes ends that another node saw and could not write.
-func (b *Book) Told(ends []End) {
+func (b *Book) Told(encoded json.RawMessage) {
+	var list []message
+	if err := json.Unmarshal(encoded, &list); err != nil {
+		b.config.Log.Warn(eventlog.RowUnreadable, eventlog.Fields{eventlog.Table: Table, eventlog.Cause: err.Error()})
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	for _, end := range ends {
-		if !end.Work.IsZero() && end.Backend != "" {
-			b.learn(known{End: end, at: now})
+	for _, m := range list {
+		end, err := endOfKey(m.Key)
+		if err != nil {
+			b.config.Log.Warn(eventlog.RowUnreadable, eventlog.Fields{eventlog.Table: Table, eventlog.Key: m.Key, eventlog.Cause: err.Error()})
+			continue
 		}
+		b.learn(known{End: m.with(end), at: now})
 	}
 }
--- a/internal/gatewaynode/rowstore/pacing.go
+++ b/internal/gatewaynode/rowstore/pacing.go
@@ -24,7 +24,7 @@
 	// idleWatches is how many other views a node has; while nothing changes they may
 	// use a quarter. They are no less fresh than the others in a small system: a
 	// connection that has gone silent is noticed only when a watch should have ended.
-	idleWatches = 4
+	idleWatches = 5
 	idleShare   = 0.25
 	// busyWatches is how many of them change often; they may use a third.
 	busyWatches = 3
@@ -101,6 +101,18 @@
 	return max(usageLeast, p.writeInterval(p.Nodes(), usageShare))
 }
 
+// EvidencePace returns the least time between two answers of a watch of the evidence
+// against requests: all nodes follow it, and changes come in bursts.
+func (p Pacing) EvidencePace() time.Duration { return max(p.BusyPace(), keenLeast) }
+
+// evidenceShare is the share of all writes that evidence may use while every node has
+// some to write.
+const evidenceShare = 0.1
+
+// EvidenceInterval returns the time between two writes of evidence by a node if all have
+// some to write.
+func (p Pacing) EvidenceInterval() time.Duration { return p.writeInterval(p.Nodes(), evidenceShare) }
+
 // beatShare is the share of all writes that the nodes' beats may use: at 330 nodes and
 // 1,200 writes a second, a beat each 1.8 s.
 const beatShare = 0.15
--- a/internal/gatewaynode/storenode/access.go
+++ b/internal/gatewaynode/storenode/access.go
@@ -19,7 +19,8 @@
 // Match looks the route of a request up.
 func (n *Node) Match(host, path string) Match {
 	table := n.table.Load()
-	if table == nil {
+	if table == nil || !n.knowsEvidence() {
+		// What is not known to end back ends must not be sent on.
 		return Match{}
 	}
 	if route := table.Match(host, path); route != nil {
--- a/internal/gatewaynode/storenode/quarantine.go
+++ b/internal/gatewaynode/storenode/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"time"
 
@@ -24,3 +25,16 @@
 
 // Quarantine returns what the node knows of requests that end their back ends.
 func (n *Node) Quarantine() *quarantine.Book { return n.quarantine }
+
+// tellEvidence tells other nodes of ends that could not be written to the store.
+func (n *Node) tellEvidence(ctx context.Context, ends []quarantine.End) {
+	if n.config.Tell != nil {
+		n.config.Tell(ctx, quarantine.Message(ends))
+	}
+}
+
+// Told takes what another node told by Config.Tell.
+func (n *Node) Told(message json.RawMessage) { n.quarantine.Told(message) }
+
+// knowsEvidence tells whether the node has read what it must not send on.
+func (n *Node) knowsEvidence() bool { return n.quarantine.Known() && n.evidence.Status().Loaded }
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"slices"
 	"sync"
@@ -19,7 +20,6 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
-	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/forward"
 	"github.com/sliplift/sliplift/internal/gatewaynode/metering"
@@ -90,6 +90,9 @@
 	ObserveOpening func(upstream.Opening)
 	// Metering says what is reported of the tenants' use.
 	Metering Metering
+	// Tell tells all other nodes something that the store does not take just now, see
+	// Node.Told; it may be nil.
+	Tell func(ctx context.Context, message json.RawMessage)
 	// AddressTTL is how long callers may keep the addresses they are told.
 	AddressTTL time.Duration
 	// Eligibility says which back ends may get what.
@@ -108,9 +111,7 @@
 	gate        *eligibility.Gate
 	shares      *coldShares
 	coldZones   coldZones
-	// workKey makes the fingerprints of requests; quarantine holds those under which back
-	// ends ended.
-	workKey    fingerprint.Key
+	// quarantine holds the requests under which back ends ended.
 	quarantine *quarantine.Book
 	client     *upstream.Client
 	distances  *place.Distances
@@ -126,6 +127,7 @@
 	reporter  *metering.Reporter
 	operator  *rowstore.View
 	instances *rowstore.View
+	evidence  *rowstore.View
 
 	table         atomic.Pointer[routetable.Table]
 	tableRevision int64
@@ -143,17 +145,18 @@
 		return nil, err
 	}
 	config.Self = presence.Succeed(config.Self, last, time.Now())
-	workKey, err := quarantine.LoadKey(ctx, config.Store)
-	if err != nil {
-		return nil, err
-	}
-	node := &Node{config: config, workKey: workKey}
+	node := &Node{config: config}
 	pacing := rowstore.Pacing{Limits: config.Limits, Fresh: config.FreshMost, Nodes: func() int { return node.presence.Size() }}
 	node.pacing = pacing
 	node.presence = presence.New(config.Log, config.Store, config.Self, began, pacing)
 	node.fleet = fleet.New(node.kick)
 	node.quarantine = quarantine.New(quarantine.Config{
 		Node: config.Self.Name, Log: config.Log, Dial: probeDialer(config.Dialer), Backend: node.registered,
+		Store: config.Store, OnHeld: node.kick,
+	})
+	node.evidence = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
+		Name: "evidence", Table: quarantine.Table, Partitions: []string{""}, Wait: pacing.IdleWait, Rest: pacing.IdleRest,
+		Pace: pacing.EvidencePace, Apply: node.quarantine.Apply,
 	})
 	node.decideBy()
 	node.client = upstream.NewClient(upstream.Config{
@@ -163,12 +166,13 @@
 	node.reach = reach.New(config.Self.Name, node.distances, node.client)
 	node.forwarder = forward.New(forward.Config{
 		Client: node.client, Fleet: node.fleet, Gate: node.gate, Log: config.Log, Reach: node.reach, VersionField: config.VersionField,
-		Observe: node.observe, Regions: node.servedIn, WorkOf: node.workKey.Of,
+		Observe: node.observe, Regions: node.servedIn, WorkOf: node.quarantine.Of,
+		Trials: node.quarantine,
 	})
 	node.jobs = batch.NewManager(batch.Config{
 		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client, Gate: node.gate,
 		Log: config.Log, Reach: node.reach, Routes: node.table.Load, VersionField: config.VersionField,
-		Pacing: pacing, Keep: config.KeepJobs, Settle: config.ResultSettle, WorkOf: node.workKey.Of,
+		Pacing: pacing, Keep: config.KeepJobs, Settle: config.ResultSettle, WorkOf: node.quarantine.Of, Trials: node.quarantine,
 		OnWork: func() { node.controller.Wanted() }, Orders: func() bool { return node.controller.Near() },
 	})
 	node.peerClient = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, DialTimeout: relayDial})
@@ -261,11 +265,15 @@
 	var group sync.WaitGroup
 	group.Go(func() { n.operator.Run(ctx) })
 	group.Go(func() { n.instances.Run(ctx) })
+	group.Go(func() { n.evidence.Run(ctx) })
+	group.Go(func() {
+		n.quarantine.Run(ctx, quarantine.Writer{Rest: n.pacing.EvidenceInterval, Tell: n.tellEvidence})
+	})
 	group.Go(func() { pause.Every(ctx, sweepEvery, nil, n.sweep) })
 	// Tables are read in the order in which they are needed: where hundreds of nodes
 	// start at once, the store takes seconds for all of them, and what a node serves
 	// with goes first.
-	if loaded(ctx, n.operator, n.instances) {
+	if loaded(ctx, n.operator, n.instances, n.evidence) {
 		group.Go(func() { n.presence.Run(ctx) })
 		group.Go(func() { n.presence.View().Run(ctx) })
 	}
@@ -305,7 +313,7 @@
 
 // Ready tells whether the node should get requests.
 func (n *Node) Ready() bool {
-	return !n.stopping.Load() && n.table.Load() != nil && n.instances.Status().Loaded
+	return !n.stopping.Load() && n.table.Load() != nil && n.instances.Status().Loaded && n.knowsEvidence()
 }
 
 // Stopping tells whether a planned stop has begun.
--- a/internal/gatewaynode/storerelay/detour.go
+++ b/internal/gatewaynode/storerelay/detour.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -74,6 +75,8 @@
 
 	mu    sync.Mutex
 	peers func() []presence.Node
+	// onTold takes what other nodes tell this one; it may be nil.
+	onTold func(message json.RawMessage)
 	// answered is when the store last answered this node directly.
 	answered clock.Millis
 	calls    map[*context.CancelCauseFunc]struct{}
--- a/internal/gatewaynode/storerelay/doc.go
+++ b/internal/gatewaynode/storerelay/doc.go
@@ -25,6 +25,7 @@
 package storerelay
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 
@@ -38,10 +39,12 @@
 	opCommit operation = "commit"
 	opList   operation = "list"
 	opWatch  operation = "watch"
+	// opTell tells the other node something that is not for the store.
+	opTell operation = "tell"
 )
 
 // request is a call. Transaction is that of a commit; a list has Partition, From, To
-// and Limit, a watch After and WaitMillis.
+// and Limit, a watch After and WaitMillis, a message Message.
 type request struct {
 	Operation   operation             `json:"operation"`
 	Transaction *rowstore.Transaction `json:"transaction,omitempty"`
@@ -52,6 +55,7 @@
 	Limit       int                   `json:"limit,omitempty"`
 	After       int64                 `json:"after,omitempty"`
 	WaitMillis  int64                 `json:"wait_ms,omitempty"`
+	Message     json.RawMessage       `json:"message,omitempty"`
 }
 
 // outcome names how a call ended.
--- a/internal/gatewaynode/storerelay/server.go
+++ b/internal/gatewaynode/storerelay/server.go
@@ -88,6 +88,9 @@
 
 // serveCall makes a call for another node, by this node's own way alone.
 func (d *Detour) serveCall(asked request, slots chan struct{}) answer {
+	if asked.Operation == opTell {
+		return d.takeTold(asked.Message)
+	}
 	if !d.works() {
 		return answer{Outcome: outcomeRefused, Cause: "this node does not reach the store either"}
 	}
--- a/internal/gatewaynode/upstream/connections.go
+++ b/internal/gatewaynode/upstream/connections.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -95,6 +96,8 @@
 	used   bool
 	// expires tells that what the socket holds is dropped in time, see expire.
 	expires bool
+	// cut tells that the call on the connection was ended for what it asks for, see Trace.
+	cut atomic.Bool
 	// ended is set once the connection is closed; the client's lock guards it.
 	ended bool
 }
--- a/internal/gatewaynode/upstream/trace.go
+++ b/internal/gatewaynode/upstream/trace.go
@@ -72,5 +72,8 @@
 	if c.config.Witness == nil || call.Work.IsZero() {
 		return untraced{}
 	}
-	return c.config.Witness.Begin(call, func() { c.drop(conn, OpenCut) })
+	return c.config.Witness.Begin(call, func() {
+		conn.cut.Store(true)
+		c.drop(conn, OpenCut)
+	})
 }
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -178,6 +178,8 @@
 	// ErrSilent, as the cause that the context of a call ended for, says that its caller
 	// gave the back end up because nothing came for too long.
 	ErrSilent = errors.New("nothing came for too long")
+	// ErrCut says that this node ended the call for what it asks for, see Witness.
+	ErrCut    = errors.New("ended by this node: others like it end their back ends")
 	errNotRun = errors.New("back end did not run it")
 )
 
@@ -280,6 +282,9 @@
 		answer.Body = &tracedBody{ReadCloser: answer.Body, ctx: ctx, trace: trace, status: answer.Status}
 		return answer, nil
 	}
+	if conn.cut.Load() {
+		failure.Cause = ErrCut
+	}
 	trace.End(failure.end(ctx), failure.Status)
 	failure.Sent = sent
 	if !failure.kept {
