quarantine: decisions by script, bounds, a way for operators to list and lift

Tests of single decisions (testdata/book): a reset, a planned stop, power that is lost, an entry that comes back, a stream that goes on, an address that gives no answer, success before and after, failures, forgetting, the trial. Each acts as written in doc.go; none failed a behaviour that was there, but two faults were seen on the way: every second drew anew when an end is forgotten, so that all nodes did at once, and a trial whose row came back through the view before the answer was lost.

First ends of works no longer make a line each; parts of streams take no lock. explain tells what ended under a request's work, and of a work. GET and DELETE of /quarantine/ at the address of the metrics list and lift.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -19,6 +19,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/gatewaymetrics"
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/quarantine"
 	"github.com/sliplift/sliplift/internal/gatewaynode/reload"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/gatewaynode/storenode"
@@ -101,7 +102,7 @@
 	metrics.Watch(node)
 	servers.serve(
 		callerconn.Handler(platform.NewFront(node), metrics.CallerLeft), callerconn.Handler(platform.NewReadiness(node), nil),
-		callerconn.Handler(platform.NewDirectory(node), nil), callerconn.Handler(metrics.Handler(), nil),
+		callerconn.Handler(platform.NewDirectory(node), nil), callerconn.Handler(forOperators(metrics, node), nil),
 	)
 	select {
 	case <-ctx.Done():
@@ -113,6 +114,14 @@
 	return exitOrder
 }
 
+// forOperators answers at the address of the metrics.
+func forOperators(metrics *gatewaymetrics.Metrics, node *storenode.Node) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(quarantine.HandlerPath, quarantine.Handler(node.Quarantine()))
+	mux.Handle("/", metrics.Handler())
+	return mux
+}
+
 // reloads notes changes of the settings file: all settings are read at the
 // start alone, so that a change takes effect with the next one.
 func reloads(ctx context.Context, log *eventlog.Log) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -126,7 +126,7 @@
 
 // namingFields are the fields by whose values lines are asked for.
 var namingFields = []string{
-	eventlog.Request, eventlog.Job, eventlog.Item, eventlog.Backend, eventlog.KeyDigest, eventlog.Window, eventlog.Lease, eventlog.Tenant,
+	eventlog.Request, eventlog.Job, eventlog.Item, eventlog.Backend, eventlog.KeyDigest, eventlog.Window, eventlog.Lease, eventlog.Tenant, eventlog.Work,
 }
 
 // mentions tells as what a line names an id.
@@ -150,7 +150,13 @@
 func (s *Story) around(lines []Line) {
 	first, last := s.Own[0].Time.Add(-margin), s.Own[len(s.Own)-1].Time.Add(margin)
 	nodes, backends, models := s.involved()
+	works := s.works()
 	for _, line := range lines {
+		if workEvents[line.Event] && works[line.text(eventlog.Work)] && mentions(line, s.ID) == "" {
+			// What ended under a work counts however long ago it was.
+			s.Around = append(s.Around, line)
+			continue
+		}
 		if line.Time.Before(first) || line.Time.After(last) || mentions(line, s.ID) != "" {
 			continue
 		}
@@ -165,7 +171,24 @@
 
 // backendEvents are events that concern all work of a back end.
 var backendEvents = map[string]bool{
-	eventlog.BackendCold: true, eventlog.BackendChanged: true, eventlog.BackendGone: true, eventlog.OrderSent: true, eventlog.OrderSettled: true,
+	eventlog.BackendEnded: true, eventlog.BackendCold: true, eventlog.BackendChanged: true, eventlog.BackendGone: true, eventlog.OrderSent: true, eventlog.OrderSettled: true,
+}
+
+// workEvents are events that concern all requests of a work.
+var workEvents = map[string]bool{
+	eventlog.RequestSuspected: true, eventlog.RequestCleared: true, eventlog.Quarantined: true,
+	eventlog.QuarantineEnded: true, eventlog.QuarantineTrial: true, eventlog.SuspicionDropped: true,
+}
+
+// works returns the works that the own lines of a request or an item name.
+func (s *Story) works() map[string]bool {
+	works := make(map[string]bool)
+	for _, line := range s.Own {
+		if work := line.text(eventlog.Work); work != "" {
+			works[work] = true
+		}
+	}
+	return works
 }
 
 // involved returns the nodes, back ends and models that the own lines name.
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -118,6 +118,8 @@
 	gauge("backends_suspended", "Back ends that this node leaves alone for a while.", func() float64 { return float64(node.Suspended()) })
 	gauge("works_quarantined", "Works that no back end is to run: several ended under them.", func() float64 { held, _ := node.Quarantine().HeldCount(); return float64(held) })
 	gauge("works_suspected", "Works under which a back end ended, also the quarantined ones.", func() float64 { _, suspected := node.Quarantine().HeldCount(); return float64(suspected) })
+	gauge("calls_unfollowed", "Calls since the start of which it was not followed whether their back ends ended under them.", func() float64 { calls, _ := node.Quarantine().Dropped(); return float64(calls) })
+	gauge("evidence_dropped", "Rows of evidence since the start that were not written for want of room.", func() float64 { _, rows := node.Quarantine().Dropped(); return float64(rows) })
 	gauge("evacuations", "Zones whose back ends are to get nothing.", func() float64 { return float64(len(node.Evacuations())) })
 	gauge("evacuation_age_seconds", "Time for which this node has known the oldest evacuation in force, 0 if there is none.", func() float64 { return node.EvacuationAge().Seconds() })
 	gauge("evacuations_confirmed_age_seconds", "Time since the evacuations were certain to be known whole.", func() float64 { return node.EvacuationsProvenAge().Seconds() })
--- a/internal/gatewaynode/quarantine/book.go
+++ b/internal/gatewaynode/quarantine/book.go
@@ -1,9 +1,10 @@
 package quarantine
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -89,7 +90,7 @@
 		return
 	}
 	if end.How != HowSilent {
-		b.outbox.put(end)
+		b.outbox.put(end, b.ends(end.Work) > 1)
 	}
 }
 
@@ -126,13 +127,23 @@
 		return false
 	}
 	s.ends[k.Backend] = k
-	s.changed = k.at
+	s.touch(k.at)
+	b.saySuspected(s, k)
+	b.judge(s, k.at)
+	return true
+}
+
+// saySuspected tells of an end under a work. First ends are told of by the line of the back
+// end: under one that has a hundred requests, all are suspected. The lock is held.
+func (b *Book) saySuspected(s *suspect, k known) {
+	count := s.count(k.at)
+	if count < 2 {
+		return
+	}
 	b.config.Log.Warn(eventlog.RequestSuspected, eventlog.Fields{
 		eventlog.Work: k.Work.String(), eventlog.Backend: k.Backend, eventlog.Service: k.Service, "how": string(k.How),
-		"seen_by": k.Node, "ends": s.count(k.at),
+		"seen_by": k.Node, "ends": count,
 	})
-	b.judge(s, k.at)
-	return true
 }
 
 // evict forgets the work with the fewest ends, of those the one that changed first. The
@@ -250,7 +261,7 @@
 // withdraw takes an end back. The lock is held.
 func (b *Book) withdraw(s *suspect, backend string, now time.Time) {
 	delete(s.ends, backend)
-	s.changed = now
+	s.touch(now)
 	if len(s.ends) == 0 {
 		b.forget(s, false)
 		return
@@ -271,7 +282,9 @@
 		}
 		list = append(list, told)
 	}
-	slices.SortFunc(list, func(x, y Suspect) int { return len(y.Ends) - len(x.Ends) })
+	slices.SortFunc(list, func(x, y Suspect) int {
+		return cmp.Or(cmp.Compare(len(y.Ends), len(x.Ends)), bytes.Compare(x.Work[:], y.Work[:]))
+	})
 	return list
 }
 
@@ -301,18 +314,17 @@
 	}
 }
 
-// keepSpread spreads over nodes when an end is forgotten: one of them takes the row away,
-// and the others see that.
-const keepSpread = KeepEnd / 10
-
 // age forgets what is old.
 func (b *Book) age(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
 	for _, s := range b.suspects {
-		b.judge(s, now)
-		if now.Sub(s.changed) < KeepEnd+rand.N(keepSpread) {
+		b.dropPresumed(s, now)
+		if b.suspects[s.work] == nil {
+			continue
+		}
+		if now.Before(s.forget) {
 			continue
 		}
 		old := s.oldest()
@@ -327,6 +339,23 @@
 	}
 }
 
+// dropPresumed takes back the ends that nothing has confirmed. The lock is held.
+func (b *Book) dropPresumed(s *suspect, now time.Time) {
+	for id, k := range s.ends {
+		if !k.counts(now) {
+			b.withdraw(s, id, now)
+		}
+	}
+}
+
+// Dropped returns how many calls were not followed, and how many rows not written, since
+// there was no room.
+func (b *Book) Dropped() (calls, rows int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unfollowed, b.outbox.dropped
+}
+
 // sayEnded tells of a back end that ended. The lock is held.
 func (b *Book) sayEnded(held *backend, how How, count int, works map[string]bool) {
 	if count == 0 {
--- /dev/null
+++ b/internal/gatewaynode/quarantine/book_test.go
@@ -0,0 +1,218 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
+)
+
+// scene is one node's book, with back ends whose state a script sets.
+type scene struct {
+	book     *Book
+	store    *rowstoretest.Store
+	backends map[string]Registered
+	// dials says how each back end takes a connection: "refused", "silent" or, by default,
+	// it does.
+	dials  map[string]string
+	traces map[string]upstream.Trace
+	cut    []string
+}
+
+func newScene() *scene {
+	s := &scene{
+		store: rowstoretest.New(), backends: make(map[string]Registered), dials: make(map[string]string),
+		traces: make(map[string]upstream.Trace),
+	}
+	s.book = New(Config{Node: "n1", Store: s.store, Dial: s.dial, Backend: func(id string) Registered { return s.backends[id] }})
+	return s
+}
+
+func (s *scene) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	switch s.dials[address] {
+	case "refused":
+		return nil, syscall.ECONNREFUSED
+	case "silent":
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	_ = far.Close()
+	return near, nil
+}
+
+// workOf returns a fingerprint that begins with a name.
+func workOf(name string) fingerprint.Fingerprint {
+	var f fingerprint.Fingerprint
+	copy(f[:], name)
+	return f
+}
+
+func nameOf(f fingerprint.Fingerprint) string { return strings.TrimRight(string(f[:]), "\x00") }
+
+var endNames = map[string]upstream.End{
+	"whole": upstream.EndWhole, "not-run": upstream.EndNotRun, "lost": upstream.EndLost, "given-up": upstream.EndGivenUp, "unusable": upstream.EndUnusable,
+}
+
+func arg(d *datadriven.TestData, name, otherwise string) string {
+	for _, a := range d.CmdArgs {
+		if a.Key == name && len(a.Vals) > 0 {
+			return a.Vals[0]
+		}
+	}
+	return otherwise
+}
+
+// act carries out one command of a script. The first argument names a call, a back end, a
+// work or a time.
+func (s *scene) act(d *datadriven.TestData) (string, error) {
+	name := ""
+	if len(d.CmdArgs) > 0 {
+		name = d.CmdArgs[0].Key
+	}
+	switch d.Cmd {
+	case "backend":
+		s.backends[name] = Registered{Present: arg(d, "registry", "present") != "gone", Leaving: arg(d, "registry", "") == "leaving"}
+		s.dials[name] = arg(d, "dial", "")
+		s.book.RegistryChanged()
+	case "begin":
+		at := arg(d, "at", "")
+		s.traces[name] = s.book.Begin(&upstream.Call{ID: name, Work: workOf(arg(d, "work", "")), Instance: at, Address: at}, func() { s.cut = append(s.cut, name) })
+	case "heard":
+		s.traces[name].Heard()
+	case "end":
+		status := 0
+		_, _ = fmt.Sscan(arg(d, "status", "0"), &status)
+		s.traces[name].End(endNames[arg(d, "as", "lost")], status)
+	case "row":
+		end := End{Work: workOf(arg(d, "work", "")), Backend: name, How: HowRefused, Node: "n2"}
+		row := rowOf(end)
+		row.Deleted = arg(d, "deleted", "") != ""
+		s.book.Apply([]rowstore.Row{row}, false)
+	case "told":
+		s.book.Told(Message([]End{{Work: workOf(arg(d, "work", "")), Backend: name, How: HowRefused, Node: "n2"}}))
+	case "age":
+		s.book.age(time.Now())
+	case "lift":
+		return fmt.Sprintln(s.book.Lift(workOf(name))), nil
+	case "try":
+		return fmt.Sprintln(s.book.Try(context.Background(), workOf(name))), nil
+	case "write":
+		s.book.write(context.Background(), Writer{})
+	case "sleep":
+		span, err := time.ParseDuration(name)
+		if err != nil {
+			return "", err
+		}
+		time.Sleep(span)
+	default:
+		return "", errors.New("unknown command " + d.Cmd)
+	}
+	synctest.Wait()
+	return s.show(), nil
+}
+
+// show tells what the book holds: works with their ends, what waits to be written, and the
+// calls that were cut.
+func (s *scene) show() string {
+	var out strings.Builder
+	for _, suspect := range s.book.Suspects() {
+		held := ""
+		if suspect.Held {
+			held = " quarantined"
+		}
+		fmt.Fprintf(&out, "%s:", nameOf(suspect.Work))
+		for _, end := range suspect.Ends {
+			fmt.Fprintf(&out, " %s/%s", end.Backend, end.How)
+		}
+		fmt.Fprintln(&out, held)
+	}
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	if puts, deletes := len(s.book.outbox.puts), len(s.book.outbox.deletes); puts+deletes > 0 {
+		fmt.Fprintf(&out, "to write: %d, to delete: %d\n", puts, deletes)
+	}
+	if len(s.cut) > 0 {
+		slices.Sort(s.cut)
+		fmt.Fprintf(&out, "cut: %s\n", strings.Join(s.cut, " "))
+		s.cut = nil
+	}
+	if out.Len() == 0 {
+		return "nothing\n"
+	}
+	return out.String()
+}
+
+// TestBook plays the scripts, each part between two lines of "new" in a book of its own and
+// in virtual time.
+func TestBook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene()
+		datadriven.RunTest(t, "testdata/book", func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "new" {
+				s = newScene()
+				return ""
+			}
+			got, err := s.act(d)
+			if err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			return got
+		})
+	})
+}
+
+// TestBoundsOfABook: what is over them is dropped and counted, and works with more ends are
+// kept.
+func TestBoundsOfABook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene()
+		for i := range 2 * suspectsMost {
+			for e := range 1 + 2*((i+1)%2)*((i+2)/2%2) {
+				s.book.Told(Message([]End{{Work: workOf(fmt.Sprint("w", i)), Backend: fmt.Sprint("b", e), How: HowRefused, Node: "n2"}}))
+			}
+		}
+		held, suspected := s.book.HeldCount()
+		if suspected != suspectsMost || held != suspectsMost/2 {
+			t.Errorf("%d works suspected, %d of them quarantined; want %d, %d", suspected, held, suspectsMost, suspectsMost/2)
+		}
+		if waiting := len(s.book.outbox.deletes); waiting > outboxMost {
+			t.Errorf("%d rows wait to be deleted", waiting)
+		}
+	})
+}
+
+// TestRowsAreWrittenOnceForEachEnd: two nodes that saw the same end write one row.
+func TestRowsAreWrittenOnceForEachEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene()
+		second := New(Config{Node: "n2", Store: s.store, Dial: s.dial, Backend: func(string) Registered { return Registered{Present: true} }})
+		s.backends["b1"], s.dials["b1"] = Registered{Present: true}, "refused"
+		for _, book := range []*Book{s.book, second} {
+			book.Begin(&upstream.Call{Work: workOf("w"), Instance: "b1", Address: "b1"}, func() {}).End(upstream.EndLost, 0)
+			synctest.Wait()
+			book.write(t.Context(), Writer{})
+		}
+		rows := s.store.Rows(Table)
+		if len(rows) != 1 {
+			t.Errorf("%d rows: %v", len(rows), rows)
+		}
+		if held := slices.Collect(maps.Keys(s.book.outbox.puts)); len(held) > 0 {
+			t.Errorf("still to write: %v", held)
+		}
+	})
+}
--- a/internal/gatewaynode/quarantine/evidence.go
+++ b/internal/gatewaynode/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,6 +15,9 @@
 	// KeepEnd is how long an end is remembered after the last change of what is known of
 	// the work.
 	KeepEnd = 10 * time.Minute
+	// keepSpread spreads over nodes when an end is forgotten: one of them takes the row away,
+	// and the others see that.
+	keepSpread = KeepEnd / 10
 	// silentKeep is how long an end that is only presumed counts: entries of the registry
 	// lapse within 3.5 s of the last sign of a back end.
 	silentKeep = 5 * time.Second
@@ -58,12 +62,20 @@
 	work fingerprint.Fingerprint
 	// ends are by back end.
 	ends map[string]known
-	// changed is when an end was added or taken away last.
-	changed time.Time
+	// changed is when an end was added or taken away last; forget, when one is forgotten if
+	// nothing changes.
+	changed, forget time.Time
 	// held tells that the work is quarantined, heldSince, since when this node has known it.
 	held      bool
 	heldSince time.Time
-	trial     trial
+	// trial is how far the trial of the work is; it is not asked for before askAgain.
+	trial    trial
+	askAgain time.Time
+}
+
+// touch records that an end was added or taken away.
+func (s *suspect) touch(now time.Time) {
+	s.changed, s.forget = now, now.Add(KeepEnd+rand.N(keepSpread))
 }
 
 // count returns the number of back ends that ended under the work. It is pure.
--- /dev/null
+++ b/internal/gatewaynode/quarantine/handler.go
@@ -0,0 +1,56 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
+)
+
+// HandlerPath is the path that Handler answers under.
+const HandlerPath = "/quarantine/"
+
+// told is a Suspect as operators see it.
+type told struct {
+	Work      string    `json:"work"`
+	Held      bool      `json:"held"`
+	ChangedMS int64     `json:"changed_ms_ago"`
+	Ends      []toldEnd `json:"ends"`
+}
+
+type toldEnd struct {
+	Backend string `json:"backend"`
+	row
+}
+
+// Handler lets operators list what is suspected (GET) and lift a work (DELETE, the work at
+// the end of the path). A lift is for all nodes.
+func Handler(b *Book) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+HandlerPath, func(w http.ResponseWriter, _ *http.Request) {
+		list := []told{}
+		for _, s := range b.Suspects() {
+			t := told{Work: s.Work.String(), Held: s.Held, ChangedMS: s.Changed.Milliseconds()}
+			for _, end := range s.Ends {
+				t.Ends = append(t.Ends, toldEnd{Backend: end.Backend, row: rowValue(end)})
+			}
+			list = append(list, t)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// An operator that has gone away needs no answer.
+		_ = json.NewEncoder(w).Encode(list)
+	})
+	mux.HandleFunc("DELETE "+HandlerPath+"{work}", func(w http.ResponseWriter, r *http.Request) {
+		work, err := fingerprint.Parse(r.PathValue("work"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if !b.Lift(work) {
+			http.Error(w, "nothing is known against this work", http.StatusNotFound)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/gatewaynode/quarantine/handler_test.go
@@ -0,0 +1,37 @@
+package quarantine
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+func TestOperatorsListAndLift(t *testing.T) {
+	s := newScene()
+	work := workOf("w")
+	for _, backend := range []string{"b1", "b2", "b3"} {
+		s.book.Told(Message([]End{{Work: work, Backend: backend, Service: "app", How: HowRefused, Node: "n2"}}))
+	}
+	handler := Handler(s.book)
+	ask := func(method, path string) (int, string) {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(method, path, nil))
+		return w.Code, w.Body.String()
+	}
+	status, list := ask(http.MethodGet, HandlerPath)
+	for _, want := range []string{work.String(), `"held":true`, `"backend":"b2"`, `"how":"refused"`, `"node":"n2"`} {
+		if status != http.StatusOK || !strings.Contains(list, want) {
+			t.Errorf("GET: %d, %s lacks %s", status, list, want)
+		}
+	}
+	if status, _ := ask(http.MethodDelete, HandlerPath+"nonsense"); status != http.StatusBadRequest {
+		t.Errorf("DELETE of nonsense: %d", status)
+	}
+	if status, _ := ask(http.MethodDelete, HandlerPath+work.String()); status != http.StatusNoContent || s.book.Held(work) > 0 {
+		t.Errorf("DELETE: %d, held %d", status, s.book.Held(work))
+	}
+	if status, _ := ask(http.MethodDelete, HandlerPath+work.String()); status != http.StatusNotFound {
+		t.Errorf("second DELETE: %d", status)
+	}
+}
--- a/internal/gatewaynode/quarantine/outbox.go
+++ b/internal/gatewaynode/quarantine/outbox.go
@@ -1,8 +1,13 @@
 package quarantine
 
-// outboxMost bounds the rows that wait to be written: what a hundred works leave behind
-// that end three back ends each.
-const outboxMost = 512
+const (
+	// outboxMost bounds the rows that wait to be written: what a hundred works leave behind
+	// that end three back ends each.
+	outboxMost = 512
+	// firstsMost bounds those of works under which one back end has ended: where a zone
+	// loses its power, thousands of harmless requests are among them.
+	firstsMost = outboxMost / 2
+)
 
 // rowKey is the key of a row.
 type rowKey string
@@ -28,11 +33,11 @@
 	return outbox{puts: make(map[rowKey]unwritten), deletes: make(map[rowKey]bool), wake: make(chan struct{}, 1)}
 }
 
-// put asks for an end to be written.
-func (o *outbox) put(end End) {
+// put asks for an end to be written; again tells that it is not the first of its work.
+func (o *outbox) put(end End, again bool) {
 	key := keyOf(end)
 	delete(o.deletes, key)
-	if len(o.puts) >= outboxMost {
+	if len(o.puts) >= outboxMost || !again && len(o.puts) >= firstsMost {
 		o.dropped++
 		return
 	}
--- a/internal/gatewaynode/quarantine/probe.go
+++ b/internal/gatewaynode/quarantine/probe.go
@@ -107,6 +107,8 @@
 // there. The lock is held.
 func (b *Book) endedUnder(held *backend, how How, now time.Time) {
 	works, count := make(map[string]bool), 0
+	// A call may have gone there before this node knew that it was leaving.
+	held.leaving = held.leaving || b.config.Backend(held.id).Leaving
 	for r := range held.runs {
 		if r.suspected(now) && (how == HowRefused || r.silent(now)) {
 			count++
--- a/internal/gatewaynode/quarantine/runs.go
+++ b/internal/gatewaynode/quarantine/runs.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"sync/atomic"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
@@ -25,8 +27,9 @@
 	call    *upstream.Call
 	cut     func()
 	sent    time.Time
-	// heard is when the last part of the answer came, zero if none did.
-	heard time.Time
+	// heard is when the last part of the answer came, 0 if none did. It is set without the
+	// book's lock: a stream has hundreds of parts.
+	heard atomic.Int64
 	// ended is when the call ended without an answer, zero while it is under way; lost
 	// tells that the other side ended it.
 	ended time.Time
@@ -37,8 +40,8 @@
 // before a moment.
 func (r *run) silent(now time.Time) bool {
 	last := r.sent
-	if r.heard.After(last) {
-		last = r.heard
+	if heard := r.heard.Load(); heard > 0 {
+		last = clock.Millis(heard).Time()
 	}
 	return now.Sub(last) >= heardWithin
 }
@@ -110,11 +113,7 @@
 }
 
 // Heard implements upstream.Trace.
-func (r *run) Heard() {
-	r.book.mu.Lock()
-	defer r.book.mu.Unlock()
-	r.heard = time.Now()
-}
+func (r *run) Heard() { r.heard.Store(int64(clock.Now())) }
 
 // successFrom and successBelow bound the statuses of answers that acquit a work. Others
 // do not show that it ran: a back end may give up a request that waited there.
--- a/internal/gatewaynode/quarantine/trial.go
+++ b/internal/gatewaynode/quarantine/trial.go
@@ -17,8 +17,10 @@
 	trialAfter = 10 * time.Second
 	// trialPrefix begins the keys of the rows of trials.
 	trialPrefix = "trial/"
-	// askLimit bounds the asking for a trial.
+	// askLimit bounds the asking for a trial, askRest is the least time between two: while
+	// the store gives no answer, few requests wait for it.
 	askLimit = 500 * time.Millisecond
+	askRest  = 5 * time.Second
 )
 
 // trial is how far the one trial of a quarantined work is.
@@ -84,7 +86,9 @@
 	if err != nil {
 		// Another node has it, or nobody knows: it may be asked for again, and is refused
 		// once its row is there.
-		s.trial = trialOpen
+		if s.trial == trialAsked {
+			s.trial, s.askAgain = trialOpen, time.Now().Add(askRest)
+		}
 		return false
 	}
 	s.trial = trialTaken
@@ -106,7 +110,7 @@
 
 // mayTry is MayTry of what is known of the work. The lock is held.
 func (b *Book) mayTry(s *suspect) bool {
-	return s != nil && s.held && s.trial == trialOpen && time.Since(s.heldSince) >= trialAfter
+	return s != nil && s.held && s.trial == trialOpen && time.Since(s.heldSince) >= trialAfter && !time.Now().Before(s.askAgain)
 }
 
 // ask tells whether the trial of a work may be asked for, and that it is.
