quarantine: a back end that starts again under its name ends once more

Evidence was one row for each work and back end. Where a back end comes back under its name, as one does that only restarts, a work that ends it again and again counted once and was never held back. Ends of one back end are told apart: what is seen of it within a second, or of its entry within five, is the same end.

--- a/internal/gatewaynode/quarantine/book.go
+++ b/internal/gatewaynode/quarantine/book.go
@@ -86,6 +86,9 @@
 		})
 		return
 	}
+	if s := b.suspects[end.Work]; s != nil {
+		end.Life = s.lifeOf(end.Backend, end.How, now)
+	}
 	if !b.add(known{End: end, at: now}) {
 		return
 	}
@@ -117,16 +120,16 @@
 		if len(b.suspects) >= suspectsMost {
 			b.evict()
 		}
-		s = &suspect{work: k.Work, ends: make(map[string]known)}
+		s = &suspect{work: k.Work, ends: make(map[endID]known)}
 		b.suspects[k.Work] = s
 	}
-	before, had := s.ends[k.Backend]
+	before, had := s.ends[k.id()]
 	if had && (before.How != HowSilent || k.How == HowSilent) {
 		before.stored = before.stored || k.stored
-		s.ends[k.Backend] = before
+		s.ends[k.id()] = before
 		return false
 	}
-	s.ends[k.Backend] = k
+	s.ends[k.id()] = k
 	s.touch(k.at)
 	b.saySuspected(s, k)
 	b.judge(s, k.at)
@@ -259,8 +262,8 @@
 }
 
 // withdraw takes an end back. The lock is held.
-func (b *Book) withdraw(s *suspect, backend string, now time.Time) {
-	delete(s.ends, backend)
+func (b *Book) withdraw(s *suspect, id endID, now time.Time) {
+	delete(s.ends, id)
 	s.touch(now)
 	if len(s.ends) == 0 {
 		b.forget(s, false)
@@ -303,9 +306,9 @@
 	}
 	for _, s := range b.suspects {
 		for id, k := range s.ends {
-			if k.How == HowGone && k.Node == b.config.Node && b.config.Backend(id).Present {
+			if k.How == HowGone && k.Node == b.config.Node && b.config.Backend(k.Backend).Present {
 				b.config.Log.Info(eventlog.SuspicionDropped, eventlog.Fields{
-					eventlog.Work: s.work.String(), eventlog.Backend: id, eventlog.Cause: "the back end is in the registry again",
+					eventlog.Work: s.work.String(), eventlog.Backend: k.Backend, eventlog.Cause: "the back end is in the registry again",
 				})
 				b.outbox.remove(keyOf(k.End))
 				b.withdraw(s, id, now)
@@ -335,7 +338,7 @@
 		if s.trial == trialTaken {
 			b.outbox.remove(rowKey(trialID(s.work).Key))
 		}
-		b.withdraw(s, old.Backend, now)
+		b.withdraw(s, old.id(), now)
 	}
 }
 
--- a/internal/gatewaynode/quarantine/book_test.go
+++ b/internal/gatewaynode/quarantine/book_test.go
@@ -137,7 +137,7 @@
 		}
 		fmt.Fprintf(&out, "%s:", nameOf(suspect.Work))
 		for _, end := range suspect.Ends {
-			fmt.Fprintf(&out, " %s/%s", end.Backend, end.How)
+			fmt.Fprintf(&out, " %s/%s", end.id(), end.How)
 		}
 		fmt.Fprintln(&out, held)
 	}
--- a/internal/gatewaynode/quarantine/doc.go
+++ b/internal/gatewaynode/quarantine/doc.go
@@ -22,7 +22,7 @@
 //
 // # Who knows
 //
-// Evidence is a row of the store, keyed by work and back end, so that writing it twice is
+// Evidence is a row of the store, keyed by work and end of a back end, so that writing it twice is
 // writing it once; every node follows the table and counts the rows with what it saw
 // itself. It holds no key, path or body of a caller. While the store cannot be written,
 // evidence is told to the other nodes directly and written later.
--- a/internal/gatewaynode/quarantine/evidence.go
+++ b/internal/gatewaynode/quarantine/evidence.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
@@ -37,12 +39,20 @@
 type End struct {
 	Work    fingerprint.Fingerprint
 	Backend string
+	// Life tells the ends of one back end apart, from 0 on: it may start again under its
+	// name.
+	Life    int
 	Service string
 	How     How
 	// Node is the node that saw it.
 	Node string
 }
 
+// endID names an end under its work.
+type endID string
+
+func (e End) id() endID { return endID(e.Backend + "/" + strconv.Itoa(e.Life)) }
+
 // known is an End as this node holds it.
 type known struct {
 	End
@@ -60,8 +70,7 @@
 // suspect is a work under which back ends ended.
 type suspect struct {
 	work fingerprint.Fingerprint
-	// ends are by back end.
-	ends map[string]known
+	ends map[endID]known
 	// changed is when an end was added or taken away last; forget, when one is forgotten if
 	// nothing changes.
 	changed, forget time.Time
@@ -90,13 +99,35 @@
 }
 
 // oldest returns the end that is forgotten first. Nodes learn of ends in different orders:
-// where it can be told, all choose the same.
-func (s *suspect) oldest() known {
-	backends := make([]string, 0, len(s.ends))
-	for backend := range s.ends {
-		backends = append(backends, backend)
+// all choose the same.
+func (s *suspect) oldest() known { return s.ends[slices.Min(slices.Collect(maps.Keys(s.ends)))] }
+
+const (
+	// restartsAfter is the least time between two ends of one back end; what is seen of it
+	// sooner is the same end.
+	restartsAfter = time.Second
+	// lapsesWithin is how long after an end the registry may still tell of it.
+	lapsesWithin = 5 * time.Second
+)
+
+// lifeOf returns which end of a back end is seen now: the last one that is known, if that
+// was just seen, or else one more.
+func (s *suspect) lifeOf(backend string, how How, now time.Time) int {
+	same := restartsAfter
+	if how != HowRefused {
+		same = lapsesWithin
+	}
+	life := 0
+	for _, k := range s.ends {
+		if k.Backend != backend {
+			continue
+		}
+		if now.Sub(k.at) < same || k.How == HowSilent {
+			return k.Life
+		}
+		life = max(life, k.Life+1)
 	}
-	return s.ends[slices.Min(backends)]
+	return life
 }
 
 // Suspect is what is known of a work, for operators.
--- a/internal/gatewaynode/quarantine/outbox.go
+++ b/internal/gatewaynode/quarantine/outbox.go
@@ -12,7 +12,7 @@
 // rowKey is the key of a row.
 type rowKey string
 
-func keyOf(end End) rowKey { return rowKey(end.Work.String() + "/" + end.Backend) }
+func keyOf(end End) rowKey { return rowKey(end.Work.String() + "/" + string(end.id())) }
 
 // unwritten is an end that waits to be written; told tells that other nodes were told of it
 // directly.
--- a/internal/gatewaynode/quarantine/rows.go
+++ b/internal/gatewaynode/quarantine/rows.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -45,12 +46,17 @@
 
 // endOfKey returns what the key of an end's row says.
 func endOfKey(key string) (End, error) {
-	work, id, found := strings.Cut(key, "/")
-	if !found || id == "" {
+	work, rest, _ := strings.Cut(key, "/")
+	last := strings.LastIndex(rest, "/")
+	if last <= 0 {
+		return End{}, errRow
+	}
+	life, err := strconv.Atoi(rest[last+1:])
+	if err != nil {
 		return End{}, errRow
 	}
 	parsed, err := fingerprint.Parse(work)
-	return End{Work: parsed, Backend: id}, err
+	return End{Work: parsed, Backend: rest[:last], Life: life}, err
 }
 
 // with returns an end with what the value of its row says.
@@ -121,11 +127,11 @@
 	if s == nil {
 		return
 	}
-	k, found := s.ends[end.Backend]
+	k, found := s.ends[end.id()]
 	if !found || !k.stored {
 		return
 	}
-	b.withdraw(s, end.Backend, now)
+	b.withdraw(s, end.id(), now)
 }
 
 const (
@@ -254,9 +260,9 @@
 		}
 		delete(b.outbox.puts, keyOf(end))
 		if s := b.suspects[end.Work]; s != nil {
-			if k, found := s.ends[end.Backend]; found {
+			if k, found := s.ends[end.id()]; found {
 				k.stored = true
-				s.ends[end.Backend] = k
+				s.ends[end.id()] = k
 			}
 		}
 	}
