soak: requests that end the back ends which run them

A spell of deadly requests, drawn by a stream of the seed of its own (the other faults of a seed stay as they were), goes to nodes by chance. Judged: after three ends whose node and the store were there, nodes in touch send a work on three times at most; harmless requests with one body are served at every node in the end.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -133,6 +133,8 @@
 		return s.changeKeys(f.variant)
 	case evacuateZone, coldSampler, coldReturn, zoneLoss, zoneCut:
 		return s.beginInZone(f)
+	case deadly:
+		return s.sendDeadly(f)
 	default:
 		return s.beginAtPlatform(f)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -51,6 +51,8 @@
 	// zoneLoss takes the power of a zone away, zoneCut cuts its nodes off from the store.
 	zoneLoss kind = "zone_loss"
 	zoneCut  kind = "zone_cut"
+	// deadly sends a request that ends the back ends which run it.
+	deadly kind = "deadly"
 )
 
 var kinds = []kind{
@@ -61,6 +63,9 @@
 // zoneKinds happen to zones and their back ends, beside the others.
 var zoneKinds = []kind{evacuateZone, coldSampler, coldReturn, zoneLoss, zoneCut}
 
+// workKinds are of what requests do to back ends.
+var workKinds = []kind{deadly}
+
 // fault is something that fails for a while.
 type fault struct {
 	at, lasts time.Duration
@@ -86,13 +91,16 @@
 	lastsMost = 5 * time.Second
 	// zoneGapMost is the most time between two faults of zones.
 	zoneGapMost = 8 * time.Second
+	// workGapMost is the most time between two spells of deadly requests.
+	workGapMost = 16 * time.Second
 )
 
-// draw returns the faults of a run that lasts so long, in order. Those of zones are drawn
-// by themselves, so that what else a seed gives does not depend on them.
+// draw returns the faults of a run that lasts so long, in order. Those of zones and of
+// requests are drawn by themselves, so that what else a seed gives does not depend on them.
 func draw(seed uint64, lasts time.Duration) []fault {
 	faults := drawKinds(rand.New(rand.NewPCG(seed, 1)), kinds, lasts, gapMost)
 	faults = append(faults, drawKinds(rand.New(rand.NewPCG(seed, 2)), zoneKinds, lasts, zoneGapMost)...)
+	faults = append(faults, drawKinds(rand.New(rand.NewPCG(seed, 3)), workKinds, lasts, workGapMost)...)
 	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return faults
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -33,14 +33,17 @@
 
 // proxy hands connections on to an address.
 type proxy struct {
-	listener net.Listener
-	to       string
+	to     string
+	listen string
 
-	mu      sync.Mutex
-	manner  manner
-	changed chan struct{}
-	open    map[net.Conn]struct{}
-	working sync.WaitGroup
+	mu       sync.Mutex
+	listener net.Listener
+	// dead tells that die was called last, closed, that close was.
+	dead, closed bool
+	manner       manner
+	changed      chan struct{}
+	open         map[net.Conn]struct{}
+	working      sync.WaitGroup
 }
 
 // newProxy returns a proxy on a free port of the loopback interface.
@@ -49,12 +52,40 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, to: to, changed: make(chan struct{}), open: make(map[net.Conn]struct{})}
-	p.working.Go(p.accept)
+	p := &proxy{
+		listener: listener, listen: listener.Addr().String(), to: to, changed: make(chan struct{}), open: make(map[net.Conn]struct{}),
+	}
+	p.working.Go(func() { p.accept(listener) })
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listen }
+
+// die ends the proxy's listener and all connections, as the end of a process does: the
+// system refuses new ones.
+func (p *proxy) die() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dead = true
+	_ = p.listener.Close()
+	p.cut()
+}
+
+// revive listens again where die ended that.
+func (p *proxy) revive() error {
+	listener, err := net.Listen("tcp", p.listen)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return listener.Close()
+	}
+	p.listener, p.dead = listener, false
+	p.working.Go(func() { p.accept(listener) })
+	return nil
+}
 
 // set changes the manner, also of connections that are open.
 func (p *proxy) set(m manner) {
@@ -94,9 +125,9 @@
 	return p.manner, p.changed
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -127,7 +158,7 @@
 func (p *proxy) keep(conn net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.manner == refusing {
+	if p.manner == refusing || p.dead {
 		return false
 	}
 	p.open[conn] = struct{}{}
@@ -180,7 +211,10 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.closed = true
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.set(refusing)
 	p.working.Wait()
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -69,6 +69,7 @@
 	err = s.play(ctx, faults)
 	load.stop()
 	s.settle(ctx, load)
+	s.judgeHarmless(ctx)
 	report.Breaches = s.verdict(load)
 	report.Counts = s.judge.Counts()
 	return report, err
@@ -103,6 +104,7 @@
 	}
 	s.judge.Runs(runs, load.tenantsOfItems())
 	s.judgePlaces(load, runs)
+	s.judgeDeadly(runs)
 	s.judge.Usage(s.duties.Usage(), s.duties.Breaches(), runs)
 	breaches := s.judge.Breaches()
 	for _, n := range s.nodes {
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -53,6 +53,8 @@
 	calm   time.Time
 	// evacuations are those that began.
 	evacuations []Evacuation
+	// deaths are the ends of back ends under deadly requests.
+	deaths []death
 }
 
 // backend is a sampler or an application instance behind its proxy.
@@ -62,6 +64,7 @@
 
 	mu     sync.Mutex
 	healed time.Time
+	dead   bool
 }
 
 // build starts the stand-in and the nodes.
@@ -130,8 +133,10 @@
 		id, service, versions = fmt.Sprintf("engine-%d", number), "pool", map[string]int64{"model": 1}
 	}
 	sampler := standin.NewSampler(s.rows, id, service, way.address(), zoneOf(number), versions)
+	b := &backend{Sampler: sampler, way: way}
+	sampler.Deadly, sampler.Die = isDeadly, func() { s.die(b) }
 	mux.Handle("/", sampler)
-	s.backends = append(s.backends, &backend{Sampler: sampler, way: way})
+	s.backends = append(s.backends, b)
 	return nil
 }
 
