soak: runs side by side listen at addresses of their own

While the node of one run was down, that of the other took the port ('listen tcp 127.0.0.1:15110: bind: address already in use' at both), and callers reached the other run's node. No fault of the product.

Each run now listens at an address of the loopback network by its process number.

--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -50,3 +51,16 @@
 		}
 	}
 }
+
+// TestRunsSideBySideShareNoAddress: the processes of a thousand runs have addresses of their
+// own.
+func TestRunsSideBySideShareNoAddress(t *testing.T) {
+	seen := make(map[string]bool)
+	for process := 300; process < 1300; process++ {
+		address := loopbackOf(process)
+		if seen[address] || net.ParseIP(address) == nil || !net.ParseIP(address).IsLoopback() {
+			t.Fatalf("process %d: %s", process, address)
+		}
+		seen[address] = true
+	}
+}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -42,6 +42,16 @@
 	portTries  = 100
 )
 
+// loopback is the address that all of this process listens at. Runs that are played side by
+// side have one each: while a node is down, a node of another run could take its port, and
+// would answer its callers.
+var loopback = loopbackOf(os.Getpid())
+
+// loopbackOf returns an address of the loopback network by the number of a process.
+func loopbackOf(process int) string {
+	return fmt.Sprintf("127.%d.%d.1", 1+process>>8&0x7f, process&0xff)
+}
+
 // freePorts returns ports of the loopback interface that nothing listens on now.
 func freePorts(count int) ([]int, error) {
 	var ports []int
@@ -50,7 +60,7 @@
 			return ports, nil
 		}
 		port := portsFirst + rand.IntN(portsCount)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, port))
 		if err != nil {
 			continue
 		}
@@ -81,15 +91,15 @@
 	}
 	n := &node{
 		name: name, zone: zone, program: program, directory: directory, store: store, duties: duties,
-		caller: fmt.Sprintf("127.0.0.1:%d", ports[0]), settings: filepath.Join(directory, name+".ini"),
+		caller: fmt.Sprintf("%s:%d", loopback, ports[0]), settings: filepath.Join(directory, name+".ini"),
 	}
 	content := fmt.Sprintf(`name = %s
 zone = %s
 region = %s
 caller-address = %s
-ready-address = 127.0.0.1:%d
-directory-address = 127.0.0.1:%d
-peer-address = 127.0.0.1:%d
+ready-address = %s:%d
+directory-address = %s:%d
+peer-address = %s:%d
 store-address = %s
 config-apply = %s
 lease-settle = %s
@@ -102,7 +112,7 @@
 evacuate-within = %s
 cold-overage = %g
 cold-slack = %d
-%s`, name, zone, regionOf(zone), n.caller, ports[1], ports[2], ports[3], store.address(), configApply, settleTime, stopGrace,
+%s`, name, zone, regionOf(zone), n.caller, loopback, ports[1], loopback, ports[2], loopback, ports[3], store.address(), configApply, settleTime, stopGrace,
 		duties.address(), usageWindow, usageWithin, evacuateWithin, coldOverage, coldSlack, zoneRegions())
 	return n, os.WriteFile(n.settings, []byte(content), 0o600)
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -48,7 +48,7 @@
 
 // newProxy returns a proxy on a free port of the loopback interface.
 func newProxy(to string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -96,7 +96,7 @@
 
 // serve answers on a free port of the loopback interface and returns its address.
 func (s *system) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
 		return "", err
 	}
