--- a/internal/gatewaynode/rowstore/pacing_test.go
+++ b/internal/gatewaynode/rowstore/pacing_test.go
@@ -45,7 +45,7 @@
 	perSecond := func(pace time.Duration) float64 { return 1 / pace.Seconds() }
 	for _, nodes := range []int{100, 300, 1000} {
 		p := Pacing{Limits: Limits{ReadsPerSecond: reads}, Fresh: 3 * time.Second, Nodes: func() int { return nodes }}
-		all := float64(nodes) * (perSecond(p.FreshWait()) + perSecond(p.RegistryPace()) + perSecond(p.BusyPace()))
+		all := float64(nodes) * (perSecond(p.FreshWait()) + perSecond(p.RegistryPace()) + perSecond(p.BusyPace()) + perSecond(p.EvidencePace()))
 		all += 3 * (keen*perSecond(p.InterestPace(true)) + float64(nodes-keen)*perSecond(p.InterestPace(false)))
 		if all > 0.8*reads+3*keen*perSecond(p.InterestPace(true)) {
 			t.Errorf("%d nodes: %.0f reads a second of %d", nodes, all, reads)
