--- a/internal/gatewaynode/quarantine/book.go
+++ b/internal/gatewaynode/quarantine/book.go
@@ -207,7 +207,7 @@
 	count := 0
 	for _, held := range b.backends {
 		for r := range held.runs {
-			if r.call.Work == work && r.ended.IsZero() {
+			if r.work == work && r.ended.IsZero() {
 				count++
 				go r.cut()
 			}
@@ -219,14 +219,14 @@
 // succeeded takes a whole answer with success: the work does not end what runs it. The
 // lock is held.
 func (b *Book) succeeded(r *run, now time.Time) {
-	work := r.call.Work
+	work := r.work
 	b.answered.add(work, now)
 	s := b.suspects[work]
 	if s == nil {
 		return
 	}
 	b.config.Log.Warn(eventlog.RequestCleared, eventlog.Fields{
-		eventlog.Work: work.String(), eventlog.Request: r.call.ID, eventlog.Backend: r.call.Instance, "ends": len(s.ends),
+		eventlog.Work: work.String(), eventlog.Request: r.request, eventlog.Backend: r.at, "ends": len(s.ends),
 		eventlog.Cause: "answered with success",
 	})
 	b.forget(s, true)
--- a/internal/gatewaynode/quarantine/book_test.go
+++ b/internal/gatewaynode/quarantine/book_test.go
@@ -196,6 +196,34 @@
 	})
 }
 
+// TestCallsOverTheBoundAreNotFollowed: a call for which there is no room is counted, its loss
+// is no evidence, and its success still clears its work.
+func TestCallsOverTheBoundAreNotFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene()
+		s.backends["b1"], s.dials["b1"] = Registered{Present: true}, "refused"
+		for range runsMost {
+			s.book.Begin(&upstream.Call{Work: workOf("other"), Instance: "b2", Address: "b2"}, func() {})
+		}
+		over := func() upstream.Trace {
+			return s.book.Begin(&upstream.Call{Work: workOf("w"), Instance: "b1", Address: "b1"}, func() {})
+		}
+		over().End(upstream.EndLost, 0)
+		synctest.Wait()
+		if _, suspected := s.book.HeldCount(); suspected > 0 {
+			t.Error("a call that is not followed is evidence")
+		}
+		s.book.Told(Message([]End{{Work: workOf("w"), Backend: "b3", How: HowRefused, Node: "n2"}}))
+		over().End(upstream.EndWhole, 200)
+		if _, suspected := s.book.HeldCount(); suspected > 0 {
+			t.Error("a success does not clear its work")
+		}
+		if calls, _ := s.book.Dropped(); calls != 2 {
+			t.Errorf("%d calls were not followed, want 2", calls)
+		}
+	})
+}
+
 // TestRowsAreWrittenOnceForEachEnd: two nodes that saw the same end write one row.
 func TestRowsAreWrittenOnceForEachEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gatewaynode/quarantine/probe.go
+++ b/internal/gatewaynode/quarantine/probe.go
@@ -98,7 +98,7 @@
 	}
 	for r := range held.runs {
 		if r.lost || !r.ended.IsZero() && r.silent(now) {
-			b.record(End{Work: r.call.Work, Backend: held.id, Service: held.service, How: HowSilent, Node: b.config.Node}, now)
+			b.record(End{Work: r.work, Backend: held.id, Service: held.service, How: HowSilent, Node: b.config.Node}, now)
 		}
 	}
 }
@@ -113,8 +113,8 @@
 		if r.suspected(now) && (how == HowRefused || r.silent(now)) {
 			count++
 			if !held.leaving {
-				works[r.call.Work.String()] = true
-				b.record(End{Work: r.call.Work, Backend: held.id, Service: held.service, How: how, Node: b.config.Node}, now)
+				works[r.work.String()] = true
+				b.record(End{Work: r.work, Backend: held.id, Service: held.service, How: how, Node: b.config.Node}, now)
 			}
 		}
 		b.drop(r)
--- a/internal/gatewaynode/quarantine/runs.go
+++ b/internal/gatewaynode/quarantine/runs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
@@ -22,11 +23,17 @@
 
 // run is a call to a back end that has not been answered.
 type run struct {
-	book    *Book
+	book *Book
+	// backend is nil for a run that is not followed for want of room.
 	backend *backend
-	call    *upstream.Call
-	cut     func()
-	sent    time.Time
+	// request and work are the call's id and what it asks for: the call itself, with its
+	// body, is not kept for as long.
+	request string
+	work    fingerprint.Fingerprint
+	// at is the id of the back end.
+	at   string
+	cut  func()
+	sent time.Time
 	// heard is when the last part of the answer came, 0 if none did. It is set without the
 	// book's lock: a stream has hundreds of parts.
 	heard atomic.Int64
@@ -73,7 +80,7 @@
 func (b *Book) Begin(call *upstream.Call, cut func()) upstream.Trace {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := &run{book: b, call: call, cut: cut, sent: time.Now()}
+	r := &run{book: b, request: call.ID, work: call.Work, at: call.Instance, cut: cut, sent: time.Now()}
 	if b.runs >= runsMost {
 		b.unfollowed++
 		return r
