soak: no port is given to two nodes

A port was free when it was drawn, since the node that had it before had not come up yet: with 20 ports of 20,000 once in a hundred runs. Each port is given once now; the test fails on the code before. No fault of the product.

--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -64,3 +64,21 @@
 		seen[address] = true
 	}
 }
+
+// TestNoPortIsGivenTwice: the nodes of a run get ports of their own, also while none of them
+// listens yet.
+func TestNoPortIsGivenTwice(t *testing.T) {
+	seen := make(map[int]bool)
+	for range 300 {
+		ports, err := freePorts(4)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, port := range ports {
+			if seen[port] {
+				t.Fatalf("port %d twice", port)
+			}
+			seen[port] = true
+		}
+	}
+}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -52,7 +52,12 @@
 	return fmt.Sprintf("127.%d.%d.1", 1+process>>8&0x7f, process&0xff)
 }
 
-// freePorts returns ports of the loopback interface that nothing listens on now.
+// handed are the ports that freePorts has returned: a node listens only once its process
+// has come up, and the next one must not get the same port meanwhile.
+var handed sync.Map
+
+// freePorts returns ports of the loopback interface that nothing listens on now, each of
+// them once.
 func freePorts(count int) ([]int, error) {
 	var ports []int
 	for range portTries {
@@ -64,6 +69,10 @@
 		if err != nil {
 			continue
 		}
+		if _, taken := handed.LoadOrStore(port, true); taken {
+			_ = listener.Close()
+			continue
+		}
 		// Held until all are chosen, so that none is chosen twice.
 		defer func() { _ = listener.Close() }()
 		ports = append(ports, port)
