batch: an item that runs for its trial is not moved

A move would have ended the run, and the item would have waited until an end is forgotten: the trial is not given twice. Seen on reading; no test of its own. Two long lines wrapped.

--- a/internal/gatewaynode/batch/schedule.go
+++ b/internal/gatewaynode/batch/schedule.go
@@ -74,7 +74,8 @@
 			}
 			list = append(list, c)
 		case phaseRunning:
-			if !p.of(route, index).uneven || !movable(item, p.now) {
+			// A quarantined item runs for its trial alone, which is not given twice.
+			if !p.of(route, index).uneven || !movable(item, p.now) || p.world.HeldEnds(item.work) > 0 {
 				continue
 			}
 			c.moving = true
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -71,7 +71,8 @@
 	limit := scoreLimit(&backend, route, state.cuts)
 	ctx, cancel := context.WithTimeout(job.ctx, limit.Duration())
 	c := &scoreCall{
-		runner: r, job: job, index: index, route: route, backend: backend, sent: now, limit: limit, request: request, asked: r.unsent.begin(backend.ID), work: state.work,
+		runner: r, job: job, index: index, route: route, backend: backend, sent: now, limit: limit, request: request, work: state.work,
+		asked: r.unsent.begin(backend.ID),
 		ctx: ctx, cancel: cancel, endSlot: r.manager.config.Fleet.Begin(backend.ID),
 	}
 	state.sends++
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -163,7 +163,10 @@
 	}
 	bounded, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
-	try := &try{ctx: ctx, began: clock.NewMark(), forwarder: f, request: request, route: route, service: service, limit: limit, tried: make(map[string]int), work: f.workOf(request)}
+	try := &try{
+		ctx: ctx, began: clock.NewMark(), forwarder: f, request: request, route: route, service: service, work: f.workOf(request),
+		limit: limit, tried: make(map[string]int),
+	}
 	if f.config.Trials != nil {
 		try.trial = f.config.Trials.Try(bounded, try.work)
 	}
