--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -73,7 +73,7 @@
 	c := &scoreCall{
 		runner: r, job: job, index: index, route: route, backend: backend, sent: now, limit: limit, request: request, work: state.work,
 		asked: r.unsent.begin(backend.ID),
-		ctx: ctx, cancel: cancel, endSlot: r.manager.config.Fleet.Begin(backend.ID),
+		ctx:   ctx, cancel: cancel, endSlot: r.manager.config.Fleet.Begin(backend.ID),
 	}
 	state.sends++
 	state.calls = append(state.calls, c)
