--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -109,6 +109,7 @@
 	s.mu.Lock()
 	place := len(s.evacuations)
 	s.evacuations = append(s.evacuations, began)
+	s.evacuating[zone]++
 	s.mu.Unlock()
 	return func() {
 		if !warm {
@@ -117,8 +118,13 @@
 		// What is sent once the operator has begun to take it back counts for nothing.
 		s.mu.Lock()
 		s.evacuations[place].TakenBack, s.evacuations[place].takenBackUnknown = time.Now(), false
+		s.evacuating[zone]--
+		last := s.evacuating[zone] == 0
 		s.mu.Unlock()
-		standin.EndEvacuation(s.rows, zone)
+		if last {
+			// The zone's row stands for all evacuations of it that overlap.
+			standin.EndEvacuation(s.rows, zone)
+		}
 	}
 }
 
--- a/internal/soak/places_test.go
+++ b/internal/soak/places_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 	"github.com/sliplift/sliplift/platform/standin"
 )
 
@@ -121,3 +122,19 @@
 		}
 	}
 }
+
+// TestOverlappingEvacuationsEndWithTheLast: what the first one takes back must not end the
+// second one, which is judged until its own end.
+func TestOverlappingEvacuationsEndWithTheLast(t *testing.T) {
+	s := &system{rows: rowstoretest.New(), evacuating: make(map[string]int)}
+	endFirst := s.evacuate("z1", true)
+	endSecond := s.evacuate("z1", true)
+	endFirst()
+	if rows := s.rows.Rows("op"); len(rows) != 1 {
+		t.Errorf("%d rows while one evacuation goes on", len(rows))
+	}
+	endSecond()
+	if rows := s.rows.Rows("op"); len(rows) != 0 {
+		t.Errorf("%d rows after the last end", len(rows))
+	}
+}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -53,6 +53,8 @@
 	calm   time.Time
 	// evacuations are those that began.
 	evacuations []Evacuation
+	// evacuating counts those of a zone that were not taken back.
+	evacuating map[string]int
 	// deaths are the ends of back ends under deadly requests.
 	deaths []death
 }
@@ -69,7 +71,10 @@
 
 // build starts the stand-in and the nodes.
 func build(config Config) (*system, error) {
-	s := &system{config: config, rows: rowstoretest.New(), duties: standin.NewDuties(), judge: NewJudge(), history: NewHistory()}
+	s := &system{
+		config: config, rows: rowstoretest.New(), duties: standin.NewDuties(), judge: NewJudge(), history: NewHistory(),
+		evacuating: make(map[string]int),
+	}
 	store, err := s.serve(standin.NewStore(s.rows))
 	if err != nil {
 		return s, err
