quarantine: evidence is bounded where hundreds of nodes lose the store or their connections

Suspected, by reading: a write that the store refuses, which it does now and then at that size, made its node tell all others at once (each node all others: 86,000 connections); entries that lapse together while the store is away made each node write rows for all it had under way; resets made it probe every back end at once.

Others are told after three failures in a row, 30 nodes a second, one telling at a time.

--- a/internal/gatewaynode/quarantine/book.go
+++ b/internal/gatewaynode/quarantine/book.go
@@ -51,9 +51,15 @@
 	backends map[string]*backend
 	// runs counts the runs of all backends; unfollowed, the calls that were not followed.
 	runs, unfollowed int
-	suspects         map[fingerprint.Fingerprint]*suspect
-	answered         *answered
-	outbox           outbox
+	// probes counts the probes under way.
+	probes   int
+	suspects map[fingerprint.Fingerprint]*suspect
+	answered *answered
+	outbox   outbox
+	// failures counts the writes that failed in a row, for Run alone; telling tells that
+	// other nodes are being told.
+	failures int
+	telling  atomic.Bool
 	// held is what Held reads; it is replaced, never changed.
 	held atomic.Pointer[map[fingerprint.Fingerprint]int]
 }
@@ -92,8 +98,19 @@
 	if !b.add(known{End: end, at: now}) {
 		return
 	}
-	if end.How != HowSilent {
-		b.outbox.put(end, b.ends(end.Work) > 1)
+	b.publish(b.suspects[end.Work])
+}
+
+// publish asks for the ends of a work to be written. A single end that only the registry
+// tells of stays with this node: entries lapse together while the store is away, and with
+// them all that each node has at its back ends. The lock is held.
+func (b *Book) publish(s *suspect) {
+	for _, k := range s.ends {
+		alone := len(s.ends) == 1
+		if k.stored || k.How == HowSilent || k.How == HowGone && alone {
+			continue
+		}
+		b.outbox.put(k.End, !alone)
 	}
 }
 
--- a/internal/gatewaynode/quarantine/outbox.go
+++ b/internal/gatewaynode/quarantine/outbox.go
@@ -6,7 +6,7 @@
 	outboxMost = 512
 	// firstsMost bounds those of works under which one back end has ended: where a zone
 	// loses its power, thousands of harmless requests are among them.
-	firstsMost = outboxMost / 2
+	firstsMost = 32
 )
 
 // rowKey is the key of a row.
--- a/internal/gatewaynode/quarantine/probe.go
+++ b/internal/gatewaynode/quarantine/probe.go
@@ -14,6 +14,10 @@
 	// probeAgain is after what time an address is tried once more that took a connection:
 	// a process that ends closes its sockets one after the other.
 	probeAgain = 100 * time.Millisecond
+	// probesMost bounds the probes of a node at a time: resets of all connections are no
+	// ends, and hundreds of nodes would probe hundreds of back ends. What is not probed is
+	// left to the registry.
+	probesMost = 16
 	// silentProbeRest is the least time between two probes of a back end that only was
 	// silent: each is a connection.
 	silentProbeRest = time.Second
@@ -30,10 +34,11 @@
 
 // probe finds out whether a back end has ended that a call was lost at. The lock is held.
 func (b *Book) probe(held *backend) {
-	if held.probing {
+	if held.probing || b.probes >= probesMost {
 		return
 	}
 	held.probing = true
+	b.probes++
 	go func() {
 		began := time.Now()
 		found := b.try(held.address)
@@ -45,6 +50,7 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		held.probing, held.probed = false, time.Now()
+		b.probes--
 		b.found(held, found, began, held.probed)
 	}()
 }
--- a/internal/gatewaynode/quarantine/writer.go
+++ b/internal/gatewaynode/quarantine/writer.go
@@ -23,6 +23,9 @@
 	// writeRetry is the pause after a transaction that failed, writeLimit bounds one.
 	writeRetry = 200 * time.Millisecond
 	writeLimit = 1500 * time.Millisecond
+	// tellAfter is after how many failures in a row other nodes are told directly: where many
+	// nodes share what the store takes, it refuses some of their writes now and then.
+	tellAfter = 3
 	// ageEvery is how often old evidence is sought.
 	ageEvery = time.Second
 )
@@ -78,11 +81,13 @@
 	cancel()
 	if err != nil {
 		b.config.Log.Warn(eventlog.EvidenceUnsent, eventlog.Fields{eventlog.Count: len(puts), "deletes": len(deletes), eventlog.Cause: err.Error()})
-		if untold := b.untold(puts); w.Tell != nil && len(untold) > 0 {
-			w.Tell(ctx, untold)
-		}
+		b.failures++
+		b.tell(ctx, w, puts)
 		pause.For(ctx, writeRetry)
 	}
+	if err == nil {
+		b.failures = 0
+	}
 	b.written(puts, deletes, err == nil)
 }
 
@@ -105,6 +110,21 @@
 	return puts, deletes
 }
 
+// tell tells other nodes of ends that could not be written, once the store has not taken
+// any for a while. One telling is under way at a time.
+func (b *Book) tell(ctx context.Context, w Writer, puts []End) {
+	if w.Tell == nil || b.failures < tellAfter || !b.telling.CompareAndSwap(false, true) {
+		return
+	}
+	untold := b.untold(puts)
+	go func() {
+		defer b.telling.Store(false)
+		if len(untold) > 0 {
+			w.Tell(ctx, untold)
+		}
+	}()
+}
+
 // untold returns the ends that other nodes were not told of yet, and notes that they are.
 func (b *Book) untold(puts []End) []End {
 	b.mu.Lock()
--- a/internal/gatewaynode/storerelay/tell.go
+++ b/internal/gatewaynode/storerelay/tell.go
@@ -5,11 +5,19 @@
 	"encoding/json"
 	"sync"
 
+	"golang.org/x/time/rate"
+
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 )
 
-// tellParallel is how many nodes are told at a time.
-const tellParallel = 16
+const (
+	// tellParallel is how many nodes are told at a time.
+	tellParallel = 16
+	// tellPerSecond bounds the nodes that one tells in a second: each is a connection. If all
+	// of 330 nodes tell all others, each makes and takes so many in a second, some 1% of a
+	// core, for eleven seconds.
+	tellPerSecond = 30
+)
 
 // OnTold gives the function that takes what other nodes tell this one.
 func (d *Detour) OnTold(take func(message json.RawMessage)) {
@@ -29,12 +37,16 @@
 	}
 	slots := make(chan struct{}, tellParallel)
 	var group sync.WaitGroup
+	pace := rate.NewLimiter(tellPerSecond, tellPerSecond)
 	told, failed := 0, 0
 	var mu sync.Mutex
 	for _, peer := range peers() {
 		if peer.PeerAddress == "" {
 			continue
 		}
+		if pace.Wait(ctx) != nil {
+			break
+		}
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
