storenode, quarantine: loaded without reading clocks; one removal of a trial's row

Found on reading the change once more; behaviour is the same. Each request asked the status of the evidence's view whether it was read, which reads the clocks for an age that does not count there: up to four readings of clocks a request. The view's own channel tells. The row of a trial was taken away by the same lines in two places. The package comment named a bound that does not exist.

Run: tests of quarantine, storenode, clock and platform, all passed.

--- a/internal/gatewaynode/quarantine/book.go
+++ b/internal/gatewaynode/quarantine/book.go
@@ -268,9 +268,7 @@
 		for _, k := range s.ends {
 			b.outbox.remove(keyOf(k.End))
 		}
-		if s.trial == trialTaken {
-			b.outbox.remove(rowKey(trialID(s.work).Key))
-		}
+		b.endTrial(s)
 	}
 	delete(b.suspects, s.work)
 	if s.held {
@@ -352,9 +350,7 @@
 			eventlog.Work: s.work.String(), eventlog.Backend: old.Backend, "age_ms": now.Sub(s.changed).Milliseconds(), eventlog.Cause: "old",
 		})
 		b.outbox.remove(keyOf(old.End))
-		if s.trial == trialTaken {
-			b.outbox.remove(rowKey(trialID(s.work).Key))
-		}
+		b.endTrial(s)
 		b.withdraw(s, old.id(), now)
 	}
 }
--- a/internal/gatewaynode/quarantine/doc.go
+++ b/internal/gatewaynode/quarantine/doc.go
@@ -22,8 +22,8 @@
 //
 // # Who knows
 //
-// Evidence is a row of the store, keyed by work and end of a back end, so that writing it twice is
-// writing it once; every node follows the table and counts the rows with what it saw
+// Evidence is a row of the store, keyed by work and end of a back end, so that writing it
+// twice is writing it once; every node follows the table and counts the rows with what it saw
 // itself. It holds no key, path or body of a caller. While the store cannot be written,
 // evidence is told to the other nodes directly and written later.
 //
@@ -35,6 +35,7 @@
 //
 // # Bounds
 //
-// A node remembers suspectsMost works and writes at most writesPerSecond rows in a second.
-// What is over these is dropped, counted and said; works with more ends go first.
+// A node remembers suspectsMost works, follows runsMost calls and keeps outboxMost rows to be
+// written, firstsMost of them of works with one end. What is over these is dropped and counted
+// (Book.Dropped); works with more ends go first.
 package quarantine
--- a/internal/gatewaynode/quarantine/trial.go
+++ b/internal/gatewaynode/quarantine/trial.go
@@ -38,6 +38,14 @@
 	return rowstore.RowID{Table: Table, Key: trialPrefix + work.String()}
 }
 
+// endTrial takes the row of a work's trial away, if there is one, so that there may be
+// another. The lock is held.
+func (b *Book) endTrial(s *suspect) {
+	if s.trial == trialTaken {
+		b.outbox.remove(rowKey(trialID(s.work).Key))
+	}
+}
+
 // trialOf returns the work of the row of a trial.
 func trialOf(key string) (fingerprint.Fingerprint, bool) {
 	text, found := strings.CutPrefix(key, trialPrefix)
--- a/internal/gatewaynode/storenode/quarantine.go
+++ b/internal/gatewaynode/storenode/quarantine.go
@@ -37,13 +37,24 @@
 func (n *Node) Told(message json.RawMessage) { n.quarantine.Told(message) }
 
 // knowsEvidence tells whether the node has read what it must not send on.
-func (n *Node) knowsEvidence() bool { return n.quarantine.Known() && n.evidence.Status().Loaded }
+func (n *Node) knowsEvidence() bool { return n.quarantine.Known() && n.evidenceLoaded() }
+
+// evidenceLoaded tells whether the evidence has been read whole. It is asked for each request:
+// a view's status would read the clocks for the view's age, which does not count here.
+func (n *Node) evidenceLoaded() bool {
+	select {
+	case <-n.evidence.Loaded():
+		return true
+	default:
+		return false
+	}
+}
 
 // evidenceRest is how long the reading of the evidence may rest after a failure: not at all
 // before it has been read, since the node serves nothing until then. Of 299 nodes that start
 // at once, many would be refused at first, and would serve up to three seconds later.
 func (n *Node) evidenceRest() time.Duration {
-	if !n.evidence.Status().Loaded {
+	if !n.evidenceLoaded() {
 		return 0
 	}
 	return n.pacing.IdleRest()
