digest: few nodes read the registry of back ends, the others follow what matters of it

Ways weighed: links between nodes (readers by rendezvous, a tree of two levels), which need followers, budgets, membership and a proof of freshness of their own; wider paces, which save no bytes, since a watch brings each changed entry once whatever its pace. Chosen: the digest is rows of the store, so a watch like any other carries it; no link has to be kept. Change: package digest. One of the keepers publishes, fenced by the revision of its proof; the proof carries the store's own clock, so that no clocks of machines are compared. Nodes that run jobs, give orders or may soon do so read the registry itself; where there are 400 nodes or fewer, all do, as before. Without a fresh proof nodes go back to the registry. A row of the registry that names no back end is none and is told of once (it was kept as it was before). A failed try: the first property test found a claim that was 0.3 ms too young (the store's clock is told in whole milliseconds), one of a node that had left the digest and claimed its age on, and publishers that replaced each other where the table was quiet.

--- a/internal/gatewaynode/clock/readings_test.go
+++ b/internal/gatewaynode/clock/readings_test.go
@@ -30,7 +30,7 @@
 	"eligibility.Gate.Admit": "cold back ends stay cold for longer; the age of evacuations is of a view's status, which counts time away",
 	"rowstore.Meter.Commit":  said, "rowstore.Meter.List": said, "rowstore.Meter.Watch": said,
 	"rowstore.NewRecall": pace, "rowstore.Recall.call": pace, "rowstore.Recall.note": pace, "rowstore.Recall.suspect": pace, "rowstore.Recall.probe": pace,
-	"rowstore.View.Run": pace, "rowstore.View.confirm": "since when a view is healthy without a gap: a wait of others for it", "rowstore.View.lose": said,
+	"rowstore.View.run": pace, "rowstore.View.confirm": "since when a view is healthy without a gap: a wait of others for it", "rowstore.View.lose": said,
 	"reload.Controller.carryOut": pace, "reload.Controller.settled": later, "reload.Controller.send": "the lease's permit decides",
 	"reload.Controller.awaitLoad": pace, "reload.Controller.noteAnnounced": later, "reload.Controller.beginTerm": later, "reload.Controller.noteLoad": later,
 	"reload.Controller.forgetGone": later, "reload.Controller.Stop": pace, "reload.Controller.giveOrders": "the lease's permit decides",
--- /dev/null
+++ b/internal/gatewaynode/digest/follower.go
@@ -0,0 +1,269 @@
+package digest
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
+	"github.com/sliplift/sliplift/internal/pause"
+)
+
+// Apply takes rows of a source: their keys, what matters of them as values, the revisions
+// of the rows that this was made from. complete marks all that there are.
+type Apply func(rows []rowstore.Row, complete bool)
+
+// Follower follows the digest. It is safe for concurrent use.
+type Follower struct {
+	log    *eventlog.Log
+	view   *rowstore.View
+	store  rowstore.Store
+	timing Timing
+	// peeked is closed once it is known whether the digest was fresh at the start, which
+	// fresh tells.
+	peeked chan struct{}
+	fresh  bool
+
+	// applying is held while rows are handed on, so that none comes between an Attach and
+	// what it stands on.
+	applying sync.Mutex
+	attached map[string]Apply
+	// passed holds, by source, the highest revision of the rows that were passed over, and
+	// passedAll that of a digest that was read whole.
+	passed    map[string]int64
+	passedAll int64
+
+	mu       sync.Mutex
+	standing Standing
+	known    bool
+	// unusable tells that the proof is of a format that this build does not know.
+	unusable bool
+}
+
+// Standing is what is published.
+type Standing struct {
+	Proof Proof
+	// Revision is that of the proof's row, 0 if there is none.
+	Revision int64
+	// FirstTaken is the store's clock when this node first looked.
+	FirstTaken int64
+}
+
+// NewFollower returns a follower that asks the store at the paces given.
+func NewFollower(log *eventlog.Log, store rowstore.Store, timing Timing, wait, pace func() time.Duration) *Follower {
+	f := &Follower{log: log, store: store, timing: timing, attached: make(map[string]Apply), passed: make(map[string]int64), peeked: make(chan struct{})}
+	f.view = rowstore.NewView(log, store, rowstore.ViewConfig{
+		Name: Table, Table: Table, Partitions: []string{Partition}, Wait: wait, Pace: pace, Apply: f.apply,
+	})
+	return f
+}
+
+// View returns the view of the digest's rows.
+func (f *Follower) View() *rowstore.View { return f.view }
+
+const (
+	// peekEvery is how often a node that needs a digest looks whether one is kept.
+	peekEvery = time.Second
+	// peekRetry is the pause after a look at the proof that failed.
+	peekRetry = 100 * time.Millisecond
+)
+
+// Run follows the digest until ctx ends: from the start if it is kept by somebody, or else
+// once it is and from wants it: changes are wanted from a revision on. A digest is not
+// followed while it is first written: all nodes would be sent what they have read already.
+func (f *Follower) Run(ctx context.Context, from func() (revision int64, wanted bool)) {
+	f.fresh = f.peek(ctx)
+	close(f.peeked)
+	if f.fresh {
+		f.view.Run(ctx)
+		return
+	}
+	for pause.For(ctx, peekEvery) {
+		if _, wanted := from(); !wanted || !f.peek(ctx) {
+			continue
+		}
+		if revision, wanted := from(); wanted {
+			f.view.RunFrom(ctx, revision)
+			return
+		}
+	}
+}
+
+// peek reads the proof alone and tells whether it is fresh.
+func (f *Follower) peek(ctx context.Context) bool {
+	for {
+		began := clock.NewMark()
+		snapshot, err := f.store.List(ctx, Table, Partition, keyProof, keyProof+"\x00", 1)
+		if err == nil {
+			f.note(snapshot.Rows)
+			return f.peekedAt(snapshot.Taken, began.Earlier())
+		}
+		if !pause.For(ctx, peekRetry) {
+			return false
+		}
+	}
+}
+
+// peekedAt tells whether the proof is fresh by an answer of the store that was asked for at
+// a time.
+func (f *Follower) peekedAt(taken int64, asked time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.known {
+		f.known, f.standing.FirstTaken = true, taken
+	}
+	fresh := false
+	for source := range f.standing.Proof.Reached {
+		age, known := f.age(source, rowstore.Moment{Taken: taken}, asked, time.Now())
+		fresh = known && age <= f.timing.usableMost()
+	}
+	return fresh
+}
+
+// Peeked waits until it is known whether the digest was fresh when this node started, and
+// tells so.
+func (f *Follower) Peeked(ctx context.Context) bool {
+	select {
+	case <-f.peeked:
+		return f.fresh
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Standing returns what is published, and whether that is known.
+func (f *Follower) Standing() (Standing, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.standing, f.known && !f.unusable
+}
+
+// Reached returns the moment up to which the digest of a source is whole.
+func (f *Follower) Reached(source string) rowstore.Moment {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.standing.Proof.Reached[source]
+}
+
+// Age returns how long ago the digest of a source was certain to hold all that was written,
+// and whether that is known.
+func (f *Follower) Age(source string, now time.Time) (time.Duration, bool) {
+	status := f.view.Status()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !status.Loaded {
+		return 0, false
+	}
+	return f.age(source, status.Reached, status.Proven, now)
+}
+
+// age is Age by the moment of an answer of the store that was asked for at a time. The lock
+// is held.
+func (f *Follower) age(source string, answered rowstore.Moment, asked, now time.Time) (time.Duration, bool) {
+	reached := f.standing.Proof.Reached[source]
+	if f.unusable || reached.Taken == 0 || answered.Taken == 0 {
+		return 0, false
+	}
+	// The store's clock stands now at what it showed and the time since the question at most.
+	age := time.Duration(answered.Taken-reached.Taken)*time.Millisecond + clockGrain + now.Sub(asked)
+	return age, age >= 0
+}
+
+// clockGrain is how much later the store's clock may stand than it shows.
+const clockGrain = time.Millisecond
+
+// Attach hands the rows of a source on from now on, for an owner that holds the source as of
+// a revision. It is false, and does nothing, if rows were passed over that the owner may not
+// have.
+func (f *Follower) Attach(source string, revision int64, apply Apply) bool {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if revision < max(f.passed[source], f.passedAll) {
+		return false
+	}
+	f.attached[source] = apply
+	return true
+}
+
+// Detach ends what Attach began. It returns the moment up to which the source was handed on
+// whole.
+func (f *Follower) Detach(source string) rowstore.Moment {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	delete(f.attached, source)
+	return f.Reached(source)
+}
+
+func (f *Follower) apply(rows []rowstore.Row, complete bool) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	bySource := make(map[string][]rowstore.Row)
+	for _, row := range rows {
+		if complete {
+			f.passedAll = max(f.passedAll, row.Revision)
+		}
+		source, key, ok := splitKey(row.Key)
+		if !ok {
+			continue
+		}
+		if f.attached[source] == nil {
+			f.passed[source] = max(f.passed[source], row.Revision)
+			continue
+		}
+		if read, ok := f.read(row, key); ok {
+			bySource[source] = append(bySource[source], read)
+		}
+	}
+	for source, apply := range f.attached {
+		if complete || len(bySource[source]) > 0 {
+			apply(bySource[source], complete)
+		}
+	}
+	// The proof comes last: what it covers has been handed on.
+	f.note(rows)
+}
+
+// read returns what a row of the digest says of a row of a source.
+func (f *Follower) read(row rowstore.Row, key string) (rowstore.Row, bool) {
+	source := rowstore.Row{RowID: rowstore.RowID{Key: key}, Revision: row.Revision, Deleted: row.Deleted}
+	if row.Deleted {
+		return source, true
+	}
+	var held entry
+	if err := json.Unmarshal(row.Value, &held); err != nil {
+		f.log.Warn(eventlog.RowUnreadable, eventlog.Fields{eventlog.Table: Table, eventlog.Key: row.Key, eventlog.Cause: err.Error()})
+		return rowstore.Row{}, false
+	}
+	source.Value, source.Revision = held.Content, held.Revision
+	return source, true
+}
+
+// note takes the proof if it is among rows.
+func (f *Follower) note(rows []rowstore.Row) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, row := range rows {
+		if row.Key != keyProof || row.Revision <= f.standing.Revision {
+			continue
+		}
+		f.standing.Revision = row.Revision
+		proof, err := decodeProof(row.Value)
+		f.unusable = err != nil && !row.Deleted
+		if f.unusable {
+			f.log.Warn(eventlog.RowUnreadable, eventlog.Fields{eventlog.Table: Table, eventlog.Key: row.Key, eventlog.Cause: err.Error()})
+			continue
+		}
+		if row.Deleted {
+			proof = Proof{}
+		}
+		if proof.Publisher != f.standing.Proof.Publisher {
+			f.log.Info(eventlog.DigestFollowed, eventlog.Fields{
+				"publisher": proof.Publisher, "before": f.standing.Proof.Publisher, eventlog.Revision: row.Revision,
+			})
+		}
+		f.standing.Proof = proof
+	}
+}
--- a/internal/gatewaynode/rowstore/rowstore.go
+++ b/internal/gatewaynode/rowstore/rowstore.go
@@ -99,6 +99,9 @@
 	Rows     []Row
 	More     bool
 	Revision int64
+	// Taken is the moment of the answer by the store's own steady clock, in milliseconds; 0
+	// if it is not told. Moments that different nodes were told may be compared.
+	Taken int64
 }
 
 // Limits are what the store takes in one call and from all nodes together.
--- a/internal/gatewaynode/rowstore/rowstoretest/store.go
+++ b/internal/gatewaynode/rowstore/rowstoretest/store.go
@@ -41,18 +41,20 @@
 
 // Store implements rowstore.Store in memory. It is safe for concurrent use.
 type Store struct {
-	mu        sync.Mutex
-	revision  int64
-	history   map[rowstore.RowID][]rowstore.Row
+	mu       sync.Mutex
+	revision int64
+	// history holds the versions of each row, by table.
+	history   map[string]map[rowstore.RowID][]rowstore.Row
 	compacted int64
-	changed   chan struct{}
-	faults    Faults
-	commits   int
+	// changed holds, by table, what is closed once the table changes.
+	changed map[string]chan struct{}
+	faults  Faults
+	commits int
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{history: make(map[rowstore.RowID][]rowstore.Row), changed: make(chan struct{})}
+	return &Store{history: make(map[string]map[rowstore.RowID][]rowstore.Row), changed: make(map[string]chan struct{})}
 }
 
 // SetFaults replaces the faults.
@@ -67,7 +69,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.compacted = s.revision
-	s.wake()
+	for table := range s.changed {
+		s.wake(table)
+	}
 }
 
 // Commits returns the number of commits that took effect.
@@ -85,6 +89,19 @@
 	return s.apply(rowstore.Transaction{Puts: []rowstore.Row{{RowID: id, Value: value}}})
 }
 
+// PutAll writes rows as Put does, each with a revision of its own.
+func (s *Store) PutAll(rows []rowstore.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range rows {
+		s.revision++
+		s.record(row.RowID, rowstore.Row{RowID: row.RowID, Value: row.Value, Revision: s.revision})
+	}
+	for _, row := range rows {
+		s.wake(row.Table)
+	}
+}
+
 // Delete removes a row without conditions and faults.
 func (s *Store) Delete(table, partition, key string) {
 	s.mu.Lock()
@@ -97,8 +114,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var rows []rowstore.Row
-	for id := range s.history {
-		if row := s.at(id, s.revision); id.Table == table && row.Revision > 0 {
+	for id := range s.history[table] {
+		if row := s.at(id, s.revision); row.Revision > 0 {
 			rows = append(rows, row)
 		}
 	}
@@ -221,25 +238,50 @@
 func (s *Store) apply(transaction rowstore.Transaction) int64 {
 	s.revision++
 	for _, put := range transaction.Puts {
-		row := rowstore.Row{RowID: put.RowID, Value: append([]byte(nil), put.Value...), Revision: s.revision}
-		s.history[put.RowID] = append(s.history[put.RowID], row)
+		s.record(put.RowID, rowstore.Row{RowID: put.RowID, Value: append([]byte(nil), put.Value...), Revision: s.revision})
+	}
+	for _, id := range transaction.Deletes {
+		s.record(id, rowstore.Row{RowID: id, Revision: s.revision, Deleted: true})
+	}
+	for _, put := range transaction.Puts {
+		s.wake(put.Table)
 	}
 	for _, id := range transaction.Deletes {
-		s.history[id] = append(s.history[id], rowstore.Row{RowID: id, Revision: s.revision, Deleted: true})
+		s.wake(id.Table)
 	}
-	s.wake()
 	return s.revision
 }
 
-func (s *Store) wake() {
-	close(s.changed)
-	s.changed = make(chan struct{})
+// record adds a version of a row. The lock is held.
+func (s *Store) record(id rowstore.RowID, row rowstore.Row) {
+	rows := s.history[id.Table]
+	if rows == nil {
+		rows = make(map[rowstore.RowID][]rowstore.Row)
+		s.history[id.Table] = rows
+	}
+	rows[id] = append(rows[id], row)
+}
+
+// wake ends the waiting of watches of a table. The lock is held.
+func (s *Store) wake(table string) {
+	if changed := s.changed[table]; changed != nil {
+		close(changed)
+		delete(s.changed, table)
+	}
+}
+
+// changes returns what is closed once a table changes. The lock is held.
+func (s *Store) changes(table string) <-chan struct{} {
+	if s.changed[table] == nil {
+		s.changed[table] = make(chan struct{})
+	}
+	return s.changed[table]
 }
 
 // at returns a row as of a revision; one that is not there has revision 0.
 func (s *Store) at(id rowstore.RowID, revision int64) rowstore.Row {
 	found := rowstore.Row{RowID: id}
-	for _, row := range s.history[id] {
+	for _, row := range s.history[id.Table][id] {
 		if row.Revision > revision {
 			break
 		}
@@ -266,9 +308,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	as := s.revision - faults.Behind
-	snapshot := rowstore.Snapshot{Revision: as}
-	for id := range s.history {
-		if id.Table != table || id.Partition != partition || id.Key < from || to != "" && id.Key >= to {
+	snapshot := rowstore.Snapshot{Revision: as, Taken: time.Now().UnixMilli()}
+	for id := range s.history[table] {
+		if id.Partition != partition || id.Key < from || to != "" && id.Key >= to {
 			continue
 		}
 		if row := s.at(id, as); row.Revision > 0 {
@@ -314,13 +356,13 @@
 	if after < s.compacted {
 		return rowstore.Snapshot{}, nil, rowstore.ErrCompacted
 	}
-	snapshot := rowstore.Snapshot{Revision: s.revision}
-	for id, versions := range s.history {
+	snapshot := rowstore.Snapshot{Revision: s.revision, Taken: time.Now().UnixMilli()}
+	for _, versions := range s.history[table] {
 		newest := versions[len(versions)-1]
-		if id.Table == table && newest.Revision > after {
+		if newest.Revision > after {
 			snapshot.Rows = append(snapshot.Rows, newest)
 		}
 	}
 	sort.Slice(snapshot.Rows, func(i, j int) bool { return snapshot.Rows[i].Revision < snapshot.Rows[j].Revision })
-	return snapshot, s.changed, nil
+	return snapshot, s.changes(table), nil
 }
--- a/internal/gatewaynode/rowstore/view.go
+++ b/internal/gatewaynode/rowstore/view.go
@@ -58,6 +58,8 @@
 
 	mu        sync.Mutex
 	revision  int64
+	taken     int64
+	reached   Moment
 	confirmed clock.Mark
 	proven    clock.Mark
 	loaded    bool
@@ -104,7 +106,10 @@
 func (v *View) Status() Status {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return Status{Loaded: v.loaded, Healthy: v.healthy, Confirmed: v.confirmed.Earlier(), Proven: v.proven.Earlier(), HealthySince: v.recovered, Revision: v.revision}
+	return Status{
+		Loaded: v.loaded, Healthy: v.healthy, Confirmed: v.confirmed.Earlier(), Proven: v.proven.Earlier(), HealthySince: v.recovered,
+		Revision: v.revision, Reached: v.reached,
+	}
 }
 
 // Status is the freshness of a view. Its times are of the steady clock, less the time that
@@ -119,6 +124,15 @@
 	Proven       time.Time
 	HealthySince time.Time
 	Revision     int64
+	// Reached is the moment of the store up to which all changes were applied.
+	Reached Moment
+}
+
+// Moment is a moment of the store: its newest revision, and its own steady clock in
+// milliseconds, 0 if the store did not tell.
+type Moment struct {
+	Revision int64 `json:"revision"`
+	Taken    int64 `json:"taken"`
 }
 
 // Age returns how long ago the store last confirmed the view.
@@ -138,9 +152,17 @@
 }
 
 // Run keeps the view up to date until ctx ends.
-func (v *View) Run(ctx context.Context) {
-	retry := retryFirst
-	reload, failed := true, false
+func (v *View) Run(ctx context.Context) { v.run(ctx, true) }
+
+// RunFrom is Run of a view whose owner holds the table as of a revision already: it is not
+// read whole, unless the history since is gone.
+func (v *View) RunFrom(ctx context.Context, revision int64) {
+	v.advance(revision, 0)
+	v.run(ctx, false)
+}
+
+func (v *View) run(ctx context.Context, reload bool) {
+	retry, failed := retryFirst, false
 	var compacted time.Time
 	for ctx.Err() == nil {
 		started := clock.NewMark()
@@ -203,7 +225,7 @@
 	if snapshot.Revision < v.at() {
 		return ErrStale
 	}
-	v.advance(snapshot.Revision)
+	v.advance(snapshot.Revision, snapshot.Taken)
 	if len(snapshot.Rows) > 0 {
 		v.config.Apply(snapshot.Rows, false)
 	}
@@ -214,21 +236,21 @@
 // so that nothing between two of them is missed.
 func (v *View) list(ctx context.Context) error {
 	var all []Row
-	oldest := int64(-1)
+	oldest := Moment{Revision: -1}
 	for _, partition := range v.config.Partitions {
-		rows, revision, err := v.listPartition(ctx, partition)
+		rows, first, err := v.listPartition(ctx, partition)
 		if err != nil {
 			return err
 		}
 		all = append(all, rows...)
-		if oldest < 0 || revision < oldest {
-			oldest = revision
+		if oldest.Revision < 0 || first.Revision < oldest.Revision {
+			oldest = first
 		}
 	}
-	if oldest < v.at() {
+	if oldest.Revision < v.at() {
 		return ErrStale
 	}
-	v.advance(oldest)
+	v.advance(oldest.Revision, oldest.Taken)
 	v.config.Apply(all, true)
 	return nil
 }
@@ -238,12 +260,12 @@
 
 // listPartition reads a partition, again if the store refuses it: what was read of the
 // others would have to be read anew, by each of the nodes that are refused together.
-func (v *View) listPartition(ctx context.Context, partition string) ([]Row, int64, error) {
+func (v *View) listPartition(ctx context.Context, partition string) ([]Row, Moment, error) {
 	retry := retryFirst
 	for try := 1; ; try++ {
-		rows, revision, err := ListAll(ctx, v.store, v.config.Table, partition, "", "")
+		rows, first, err := listAll(ctx, v.store, v.config.Table, partition, "", "")
 		if !errors.Is(err, ErrRefused) || try == listTries {
-			return rows, revision, err
+			return rows, first, err
 		}
 		v.lose(err)
 		pause.For(ctx, jitter(retry))
@@ -254,15 +276,21 @@
 // ListAll reads all rows of a partition with keys in [from, to), page by page,
 // and returns them with the revision of the first page.
 func ListAll(ctx context.Context, store Store, table, partition, from, to string) ([]Row, int64, error) {
+	rows, first, err := listAll(ctx, store, table, partition, from, to)
+	return rows, first.Revision, err
+}
+
+// listAll is ListAll; it returns the moment of the first page.
+func listAll(ctx context.Context, store Store, table, partition, from, to string) ([]Row, Moment, error) {
 	var rows []Row
-	first := int64(-1)
+	first := Moment{Revision: -1}
 	for {
 		snapshot, err := store.List(ctx, table, partition, from, to, listPage)
 		if err != nil {
-			return nil, 0, err
+			return nil, Moment{}, err
 		}
-		if first < 0 {
-			first = snapshot.Revision
+		if first.Revision < 0 {
+			first = Moment{Revision: snapshot.Revision, Taken: snapshot.Taken}
 		}
 		rows = append(rows, snapshot.Rows...)
 		if !snapshot.More || len(snapshot.Rows) == 0 {
@@ -278,16 +306,17 @@
 	return v.revision
 }
 
-func (v *View) advance(revision int64) {
+func (v *View) advance(revision, taken int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.revision = revision
+	v.revision, v.taken = revision, taken
 }
 
 func (v *View) confirm(started clock.Mark, listed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.proven = started
+	v.reached = Moment{Revision: v.revision, Taken: v.taken}
 	if listed {
 		// A read proves the state as of its start at the earliest.
 		v.confirmed = started
--- a/internal/gatewaynode/storenode/access.go
+++ b/internal/gatewaynode/storenode/access.go
@@ -68,5 +68,8 @@
 // ConfigAge returns when the configuration was last confirmed.
 func (n *Node) ConfigAge() time.Duration { return n.operator.Status().Age(time.Now()) }
 
-// RegistryAge returns when the registry of back ends was last confirmed.
-func (n *Node) RegistryAge() time.Duration { return n.instances.Status().Age(time.Now()) }
+// RegistryAge returns how long ago the registry of back ends was certain to be known whole.
+func (n *Node) RegistryAge() time.Duration {
+	age, _ := n.registry.Age(time.Now())
+	return age
+}
--- a/internal/gatewaynode/storenode/apply.go
+++ b/internal/gatewaynode/storenode/apply.go
@@ -36,7 +36,9 @@
 	}
 }
 
-func (n *Node) applyInstances(rows []rowstore.Row, complete bool) {
+// applyInstances takes rows that say what there is of back ends, as read reads them. A row
+// that names none is no back end, whatever it was before.
+func (n *Node) applyInstances(rows []rowstore.Row, complete bool, read func(rowstore.Row) (fleet.Instance, error)) {
 	var instances []fleet.Instance
 	var removed []string
 	first := complete && !n.registryRead
@@ -47,8 +49,10 @@
 			n.config.Log.Info(eventlog.BackendGone, eventlog.Fields{eventlog.Backend: row.Key, "revision": row.Revision})
 			continue
 		}
-		instance, err := n.config.Translator.Instance(row)
+		instance, err := read(row)
 		if err != nil {
+			n.noteUnreadable(row, err)
+			removed = append(removed, row.Key)
 			continue
 		}
 		instance.Cold = max(instance.Cold, n.coldZones.left(instance.Zone, time.Now()))
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -18,6 +18,7 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/batch"
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+	"github.com/sliplift/sliplift/internal/gatewaynode/digest"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/evacuation"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
@@ -125,11 +126,16 @@
 	leases     *rowlease.Leases
 	controller *reload.Controller
 	// counter and reporter are nil where no use is reported.
-	counter   *metering.Counter
-	reporter  *metering.Reporter
-	operator  *rowstore.View
+	counter  *metering.Counter
+	reporter *metering.Reporter
+	operator *rowstore.View
+	evidence *rowstore.View
+	// instances reads the registry of back ends itself; registry chooses between it and the
+	// digest, which publisher may keep.
 	instances *rowstore.View
-	evidence  *rowstore.View
+	digest    *digest.Follower
+	registry  *digest.Mirror
+	publisher *digest.Publisher
 
 	table         atomic.Pointer[routetable.Table]
 	tableRevision int64
@@ -195,10 +201,7 @@
 		Name: "operator", Table: config.OperatorTable, Partitions: []string{""},
 		Wait: config.Eligibility.paced(pacing).FreshWait, Apply: node.applyOperator,
 	})
-	node.instances = rowstore.NewView(config.Log, config.Store, rowstore.ViewConfig{
-		Name: "back ends", Table: config.InstanceTable, Partitions: []string{""}, Wait: pacing.FreshWait,
-		Pace: pacing.RegistryPace, Apply: node.applyInstances,
-	})
+	node.followRegistry()
 	return node, nil
 }
 
@@ -266,7 +269,8 @@
 func (n *Node) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { n.operator.Run(ctx) })
-	group.Go(func() { n.instances.Run(ctx) })
+	group.Go(func() { n.runRegistry(ctx) })
+	group.Go(func() { n.runDigest(ctx) })
 	group.Go(func() { n.evidence.Run(ctx) })
 	group.Go(func() {
 		n.quarantine.Run(ctx, quarantine.Writer{Rest: n.pacing.EvidenceInterval, Tell: n.tellEvidence})
@@ -277,7 +281,7 @@
 	// Tables are read in the order in which they are needed: where hundreds of nodes
 	// start at once, the store takes seconds for all of them, and what a node serves
 	// with goes first.
-	if loaded(ctx, n.operator, n.instances, n.evidence) {
+	if loaded(ctx, n.operator, n.registry, n.evidence) {
 		group.Go(func() { n.presence.Run(ctx) })
 		group.Go(func() { n.presence.View().Run(ctx) })
 	}
@@ -293,8 +297,14 @@
 	group.Wait()
 }
 
+// loading is a view that is being read.
+type loading interface {
+	// Loaded is closed once it has been read whole.
+	Loaded() <-chan struct{}
+}
+
 // loaded waits until views have been read, and tells whether they were before ctx ended.
-func loaded(ctx context.Context, views ...*rowstore.View) bool {
+func loaded(ctx context.Context, views ...loading) bool {
 	for _, view := range views {
 		select {
 		case <-view.Loaded():
@@ -317,7 +327,7 @@
 
 // Ready tells whether the node should get requests.
 func (n *Node) Ready() bool {
-	return !n.stopping.Load() && n.table.Load() != nil && n.instances.Status().Loaded && n.knowsEvidence()
+	return !n.stopping.Load() && n.table.Load() != nil && n.registry.Way() != digest.Unread && n.knowsEvidence()
 }
 
 // Stopping tells whether a planned stop has begun.
--- a/internal/gatewaynode/storerelay/doc.go
+++ b/internal/gatewaynode/storerelay/doc.go
@@ -76,6 +76,7 @@
 	Outcome  outcome        `json:"outcome"`
 	Cause    string         `json:"cause,omitempty"`
 	Revision int64          `json:"revision,omitempty"`
+	Taken    int64          `json:"taken,omitempty"`
 	Rows     []rowstore.Row `json:"rows,omitempty"`
 	More     bool           `json:"more,omitempty"`
 }
@@ -119,5 +120,5 @@
 }
 
 func (a answer) snapshot() rowstore.Snapshot {
-	return rowstore.Snapshot{Rows: a.Rows, More: a.More, Revision: a.Revision}
+	return rowstore.Snapshot{Rows: a.Rows, More: a.More, Revision: a.Revision, Taken: a.Taken}
 }
--- a/internal/gatewaynode/storerelay/server.go
+++ b/internal/gatewaynode/storerelay/server.go
@@ -121,7 +121,7 @@
 		default:
 			return rowstore.ErrInvalid
 		}
-		result = answer{Rows: snapshot.Rows, More: snapshot.More, Revision: snapshot.Revision}
+		result = answer{Rows: snapshot.Rows, More: snapshot.More, Revision: snapshot.Revision, Taken: snapshot.Taken}
 		return err
 	})
 	if err != nil {
