platform, fleet: a load of four figures is read, and its fourth weighed by its age

Cause: back ends that share their machines tell a fourth figure, how long work takes there at present; the decoder took exactly three and left the load of every such back end out. Change: what comes after three figures is read if it is known and passed over if not. How slow a back end says it is counts in the choice of whole requests and of scores, the less the longer ago (it changes several times a second): two thirds of it are gone after 0.5 s. What an answer took is learnt as of the usual pace. Not done: items take no note of it, since it is told once, with the head of a stream that lasts seconds.

--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -179,7 +179,7 @@
 // observeLoad takes the load that an answer of a back end reports.
 func (m *Manager) observeLoad(backend string, meta upstream.Meta) {
 	if meta.HasLoad {
-		m.config.Fleet.ObserveLoad(backend, meta.Running, meta.Waiting, time.Now())
+		m.config.Fleet.ObserveLoad(backend, meta.Load(), time.Now())
 	}
 }
 
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return scoreCut{err}
 	}
-	m.config.Fleet.ObserveScore(c.backend.ID, time.Since(started))
+	m.config.Fleet.ObserveScore(c.backend.ID, answer.Meta.Load().AsUsual(time.Since(started)))
 	return fateOfAnswer(answer.Status, answer.Meta)
 }
 
--- a/internal/gatewaynode/fleet/fleet.go
+++ b/internal/gatewaynode/fleet/fleet.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,9 @@
 	OthersRunning int
 	Waiting       int
 	LoadAt        time.Time
+	// Slowdown is how many times as long as usual work took there as of LoadAt by its own
+	// word, 0 if it does not say.
+	Slowdown float64
 	// Latency is a moving average of whole answers, each as if it were one of those that
 	// take the usual time; Pace of the time between two
 	// events of a stream. 0 means unknown.
@@ -50,6 +54,9 @@
 	ScoreLatency time.Duration
 	Pace         time.Duration
 	PaceAt       time.Time
+	// Settled is the pace over the last seconds: what shares its machine with others is
+	// slow for a moment now and then, which says nothing of the moments after.
+	Settled time.Duration
 	// Lasting is the pace over the instance's life.
 	Lasting LastingPace
 	// Failures counts failures in a row; until SuspendedUntil it gets no work
@@ -111,12 +118,35 @@
 	Reach  Reach
 }
 
+// SettledPace returns the pace over the last seconds, or the last one measured if that is all
+// there is; 0 if none is known.
+func (c Condition) SettledPace() time.Duration {
+	if c.Settled == 0 {
+		return c.Pace
+	}
+	return c.Settled
+}
+
 // Cold tells whether the back end is taken to be cold.
 func (b Backend) Cold(now time.Time) bool { return b.ColdUntil.After(now) }
 
 // Suspended tells whether the back end is to be left alone.
 func (b Backend) Suspended(now time.Time) bool { return now.Before(b.SuspendedUntil) }
 
+// slowdownFades is the time in which what a back end said of its pace loses two thirds of its
+// worth: what it shares its machine with changes several times a second.
+const slowdownFades = 500 * time.Millisecond
+
+// SlowNow returns how many times as long as usual work is expected to take: as the back end
+// said, the less the longer ago; 1 where it says nothing.
+func (b Backend) SlowNow(now time.Time) float64 {
+	if b.Slowdown <= 0 {
+		return 1
+	}
+	age := max(now.Sub(b.LoadAt), 0)
+	return 1 + (b.Slowdown-1)*math.Exp(-float64(age)/float64(slowdownFades))
+}
+
 // Load returns the share of the back end's slots that is in use, as far as
 // this node knows.
 func (b Backend) Load() float64 {
--- a/internal/gatewaynode/fleet/fleet_test.go
+++ b/internal/gatewaynode/fleet/fleet_test.go
@@ -74,7 +74,7 @@
 	fleet := New(nil)
 	fleet.Update([]Instance{instance("a", 1, false)}, nil)
 	end := fleet.Begin("a")
-	fleet.ObserveLoad("a", 3, 0, now)
+	fleet.ObserveLoad("a", Load{Running: 3, Waiting: 0}, now)
 	if got, _ := fleet.Get("a", now); got.Load() != 0.75 {
 		t.Fatalf("load %v", got.Load())
 	}
--- a/internal/gatewaynode/fleet/observe.go
+++ b/internal/gatewaynode/fleet/observe.go
@@ -10,15 +10,32 @@
 	suspendMost  = 4 * time.Second
 )
 
+// Load is what a back end said of itself in an answer.
+type Load struct {
+	Running, Waiting int
+	// Slowdown is how many times as long as usual work takes there, 0 if it does not say.
+	Slowdown float64
+}
+
 // ObserveLoad records the load that an answer reported.
-func (f *Fleet) ObserveLoad(id string, running, waiting int, now time.Time) {
+func (f *Fleet) ObserveLoad(id string, load Load, now time.Time) {
 	f.with(id, func(c *Condition) {
-		c.OthersRunning = max(0, running-c.InFlight)
-		c.Waiting = waiting
+		c.OthersRunning = max(0, load.Running-c.InFlight)
+		c.Waiting = load.Waiting
+		c.Slowdown = load.Slowdown
 		c.LoadAt = now
 	})
 }
 
+// AsUsual returns how long what took a time would have taken at the back end's usual pace, as
+// far as it said how slow it was.
+func (l Load) AsUsual(took time.Duration) time.Duration {
+	if l.Slowdown <= 0 {
+		return took
+	}
+	return time.Duration(float64(took) / l.Slowdown)
+}
+
 // ObserveLatency records the time of a whole answer.
 func (f *Fleet) ObserveLatency(id string, latency time.Duration) {
 	f.with(id, func(c *Condition) {
@@ -38,7 +55,9 @@
 // ObservePace records the time between two events of a stream.
 func (f *Fleet) ObservePace(id string, gap time.Duration, now time.Time) {
 	f.with(id, func(c *Condition) {
-		c.Pace = paceAverage(c.Pace, gap, now.Sub(c.PaceAt))
+		since := now.Sub(c.PaceAt)
+		c.Pace = paceAverage(c.Pace, gap, since, paceWindow)
+		c.Settled = paceAverage(c.Settled, gap, since, settledWindow)
 		c.PaceAt = now
 		c.Lasting = c.Lasting.observe(c.Pace, now)
 		c.Failures = 0
@@ -56,17 +75,21 @@
 // all its streams.
 const paceWindow = 400 * time.Millisecond
 
+// settledWindow is the time over which the settled pace is averaged: a machine that is slowed
+// two and a half times for 0.6 s by what it shares raises it by less than half.
+const settledWindow = 2 * time.Second
+
 // paceAverage weighs a gap by the time since the last measurement, so that many
-// streams at once do not make the average follow each single event.
-func paceAverage(old, gap, since time.Duration) time.Duration {
-	if old == 0 || since >= paceWindow {
+// streams at once do not make the average over a window follow each single event.
+func paceAverage(old, gap, since, window time.Duration) time.Duration {
+	if old == 0 || since >= window {
 		return gap
 	}
-	weight := max(float64(since)/float64(paceWindow), paceLeast)
+	weight := max(float64(since)/float64(window), paceLeast*float64(paceWindow)/float64(window))
 	return old + time.Duration(weight*float64(gap-old))
 }
 
-// paceLeast is the least weight of a measurement.
+// paceLeast is the least weight of a measurement in an average over paceWindow.
 const paceLeast = 0.005
 
 // ObserveFailure records a failure and leaves the instance alone for a time
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -429,6 +429,6 @@
 
 func observeLoad(backends *fleet.Fleet, id string, meta upstream.Meta) {
 	if meta.HasLoad {
-		backends.ObserveLoad(id, meta.Running, meta.Waiting, time.Now())
+		backends.ObserveLoad(id, meta.Load(), time.Now())
 	}
 }
--- a/internal/gatewaynode/forward/silence_test.go
+++ b/internal/gatewaynode/forward/silence_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
@@ -32,7 +33,7 @@
 				for range queueSlots {
 					q.slots <- struct{}{}
 				}
-				backends.ObserveLoad([]string{"b0", "b1"}[i], test.running, test.waiting, time.Now())
+				backends.ObserveLoad([]string{"b0", "b1"}[i], fleet.Load{Running: test.running, Waiting: test.waiting}, time.Now())
 			}
 			route := &routetable.Route{
 				Name: "stream", Kind: routetable.KindStream, Resumable: true, MaxAttempts: 1, Timeout: 5 * time.Second,
--- a/internal/gatewaynode/forward/subset_test.go
+++ b/internal/gatewaynode/forward/subset_test.go
@@ -55,7 +55,7 @@
 	}
 	end := s.fleet.Begin(b.ID)
 	return func(running, waiting int) {
-		s.fleet.ObserveLoad(b.ID, running, waiting, now)
+		s.fleet.ObserveLoad(b.ID, fleet.Load{Running: running, Waiting: waiting}, now)
 		end()
 		s.connections[peer]++
 		s.fleet.ObserveLatency(b.ID, usualLatency*time.Duration(1+waiting/b.Slots))
@@ -157,7 +157,7 @@
 			node.fleet.Update(nil, []string{kept.ID})
 		}},
 		{"the one that it keeps to is full", func(node *sender, kept fleet.Backend, now time.Time) {
-			node.fleet.ObserveLoad(kept.ID, kept.Slots, 3, now)
+			node.fleet.ObserveLoad(kept.ID, fleet.Load{Running: kept.Slots, Waiting: 3}, now)
 		}},
 		{"the one that it keeps to has become slow", func(node *sender, kept fleet.Backend, _ time.Time) {
 			for range 5 {
@@ -192,7 +192,7 @@
 	fill := func(zone string, waiting int) {
 		for _, b := range backends {
 			if b.Zone == zone {
-				node.fleet.ObserveLoad(b.ID, b.Slots, waiting, now)
+				node.fleet.ObserveLoad(b.ID, fleet.Load{Running: b.Slots, Waiting: waiting}, now)
 			}
 		}
 	}
--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -168,7 +168,8 @@
 	if result.whole {
 		_ = answer.Body.Close()
 		took := time.Since(started)
-		t.forwarder.config.Fleet.ObserveLatency(backend.ID, t.forwarder.latencies.relative(t.route.Name, took))
+		usual := answer.Meta.Load().AsUsual(took)
+		t.forwarder.config.Fleet.ObserveLatency(backend.ID, t.forwarder.latencies.relative(t.route.Name, usual))
 		t.forwarder.latencies.observe(t.route.Name, took, free(&backend))
 	}
 	return result
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 )
 
 // Fate is what became of a request.
@@ -111,12 +112,20 @@
 	// HasLoad tells whether Running, Waiting and Slots are set.
 	HasLoad                 bool
 	Running, Waiting, Slots int
+	// Slowdown is how many times as long as usual work takes there just now, 0 if the back
+	// end does not say.
+	Slowdown float64
 	// Version is the weight version that answers, 0 if it does not say.
 	Version int64
 	// Stamp is the back end's signature of the answer, empty if it gives none.
 	Stamp string
 }
 
+// Load returns the load that the answer reports.
+func (m Meta) Load() fleet.Load {
+	return fleet.Load{Running: m.Running, Waiting: m.Waiting, Slowdown: m.Slowdown}
+}
+
 // Codec translates calls and answers to and from the back ends' protocol.
 type Codec interface {
 	// Encode returns the header of a call: Call.Header and what the protocol adds.
