batch: a run is moved from a back end that stays slow, not from one that is slow for a moment

Cause: a run was moved as soon as the pace of its back end over 0.4 s was 1.6 times the usual one, 1.15 times once it had gone on for 1.5 s. Where back ends share their machines, each is two and a half times slower for 0.6 s now and then; by the time the run was read anew elsewhere that was over, and the other one slow. Ruled out: failures and silence of back ends (9 of 569). Change: the pace over two seconds has to be as slow as the one of the moment; the lower ratio for long runs is that of the pace over the back end's life.

--- a/internal/gatewaynode/batch/move.go
+++ b/internal/gatewaynode/batch/move.go
@@ -62,7 +62,9 @@
 // moveTarget returns the index of a back end that is so much faster than the
 // one that runs an item that moving it is worth while, or -1. The one that runs it
 // must be slow beside the typical pace of the pool too: against the best alone,
-// items would follow each wrong measurement. One that failed last has to show first
+// items would follow each wrong measurement. It must have been so for a while: where
+// machines are shared, each back end is slow for a moment now and then, and by the time a
+// moved item runs, that is over. One that failed last has to show first
 // that it is there. It is pure.
 func moveTarget(pool []fleet.Backend, current string, want need, typical time.Duration, world *eligibility.World) int {
 	now := world.Now
@@ -75,7 +77,8 @@
 	if from == nil || from.Pace == 0 || now.Sub(from.PaceAt) > paceFresh {
 		return -1
 	}
-	if float64(from.Pace) < want.moveRatio()*float64(typical) {
+	slow, ratio := slowFor(from, want, typical)
+	if slow == 0 {
 		return -1
 	}
 	best := -1
@@ -84,19 +87,37 @@
 		if b.Memory.Crowded(want.expected) > 1 || b.Failures > 0 || b.Cold(now) {
 			continue
 		}
-		if b.Pace == 0 || now.Sub(b.PaceAt) > paceMemory || float64(from.Pace) < want.moveRatio()*float64(b.Pace) {
+		if b.Pace == 0 || now.Sub(b.PaceAt) > paceMemory || float64(slow) < ratio*float64(b.SettledPace()) {
 			continue
 		}
-		if !worthMoving(from.Pace, b.Pace, want.left) {
+		if !worthMoving(slow, b.SettledPace(), want.left) {
 			continue
 		}
-		if (best < 0 || b.Pace < pool[best].Pace) && suits(b, want, world) {
+		if (best < 0 || b.SettledPace() < pool[best].SettledPace()) && suits(b, want, world) {
 			best = i
 		}
 	}
 	return best
 }
 
+// slowFor returns the pace of a back end that is slow enough for a run to be moved away, and
+// how many times faster another one must be; 0 if it is not. Much slower than usual over the
+// last seconds is enough. A run that has gone on for long goes on for long: it is moved from
+// one that is a little slower, but only if that one is so for good. It is pure.
+func slowFor(from *fleet.Backend, want need, typical time.Duration) (slow time.Duration, ratio float64) {
+	slow = min(from.Pace, from.SettledPace())
+	if float64(slow) >= moveRatio*float64(typical) {
+		return slow, moveRatio
+	}
+	if want.ran <= longRun || !from.Lasting.Known() {
+		return 0, 0
+	}
+	if slow = min(slow, from.Lasting.Pace); float64(slow) >= moveRatioLong*float64(typical) {
+		return slow, moveRatioLong
+	}
+	return 0, 0
+}
+
 // worthMoving tells whether a run that is expected to make so many events yet, 0 if
 // nothing is known, gains enough by a move from one pace to another. It is pure.
 func worthMoving(from, to time.Duration, left int) bool {
--- a/internal/gatewaynode/batch/place.go
+++ b/internal/gatewaynode/batch/place.go
@@ -27,16 +27,6 @@
 	held, expected int
 }
 
-// moveRatio returns how many times slower than the best its back end must be
-// for the item to be moved. One that has run for long is among those that its
-// step waits for, and goes on for long.
-func (n need) moveRatio() float64 {
-	if n.ran > longRun {
-		return moveRatioLong
-	}
-	return moveRatio
-}
-
 const (
 	// loadSlowdown is how much slower a full back end is taken to be.
 	loadSlowdown = 0.15
