rowstore, gatewaymetrics: rows and bytes read of each table, and how the registry is followed

Cause: what a node reads of which table could not be told from its metrics, only how many calls it made; docs/CAPACITY.md had to work it out. Change: sliplift_store_rows_read_total and sliplift_store_row_bytes_read_total by table, counted on the node's own way to the store; sliplift_registry_by_digest, sliplift_digest_published; the age of the registry is that of what was certain to be known. Not done: the share of rows that change nothing for their reader. Tests: gatewaymetrics TestFiguresAreServed.

--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/digest"
 	"github.com/sliplift/sliplift/internal/gatewaynode/forward"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/storenode"
@@ -32,6 +33,8 @@
 	attempts prometheus.Counter
 	openings *prometheus.CounterVec
 	calls    *prometheus.HistogramVec
+	rows     *prometheus.CounterVec
+	rowBytes *prometheus.CounterVec
 	withheld *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	cold     *prometheus.CounterVec
@@ -56,6 +59,12 @@
 	m.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "store_call_seconds", Help: "Calls to the row store by call and outcome.", Buckets: latencyBuckets,
 	}, []string{"call", "outcome"})
+	m.rows = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "store_rows_read_total", Help: "Rows that the row store has answered with, by table.",
+	}, []string{"table"})
+	m.rowBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "store_row_bytes_read_total", Help: "Bytes of the keys and values of these rows, by table.",
+	}, []string{"table"})
 	m.withheld = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "calls_withheld_total", Help: "Calls that were kept back at the moment of sending, by why the back end may not get them.",
 	}, []string{"reason"})
@@ -69,7 +78,7 @@
 		Namespace: namespace, Name: "caller_left_seconds", Buckets: leftBuckets,
 		Help: "Time from the end of a caller's connection to that of all work on its request.",
 	})
-	m.registry.MustRegister(m.events, m.requests, m.attempts, m.openings, m.calls, m.withheld, m.refused, m.cold, m.left)
+	m.registry.MustRegister(m.events, m.requests, m.attempts, m.openings, m.calls, m.rows, m.rowBytes, m.withheld, m.refused, m.cold, m.left)
 	return m
 }
 
@@ -104,13 +113,21 @@
 	m.calls.WithLabelValues(call, outcome).Observe(took.Seconds())
 }
 
+// StoreRead counts what a read of the row store brought.
+func (m *Metrics) StoreRead(table string, rows, bytes int) {
+	m.rows.WithLabelValues(table).Add(float64(rows))
+	m.rowBytes.WithLabelValues(table).Add(float64(bytes))
+}
+
 // Watch adds the figures that a node holds itself.
 func (m *Metrics) Watch(node *storenode.Node) {
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
 	}
 	gauge("config_age_seconds", "Time since the store last confirmed the configuration.", func() float64 { return node.ConfigAge().Seconds() })
-	gauge("registry_age_seconds", "Time since the store last confirmed the registry of back ends.", func() float64 { return node.RegistryAge().Seconds() })
+	gauge("registry_age_seconds", "Time since the registry of back ends was certain to be known whole.", func() float64 { return node.RegistryAge().Seconds() })
+	gauge("registry_by_digest", "1 while the registry of back ends is followed by its digest.", func() float64 { return oneIf(node.Registry().Way == digest.ByDigest) })
+	gauge("digest_published", "1 while this node publishes the digest of the registry.", func() float64 { return oneIf(node.Registry().Publishes) })
 	gauge("jobs_owned", "Batch jobs that this node runs.", func() float64 { jobs, _ := node.Jobs().Work(); return float64(jobs) })
 	gauge("items_running", "Items of batch jobs that run at back ends.", func() float64 { _, items := node.Jobs().Work(); return float64(items) })
 	gauge("texts_waiting", "Whole texts of batch jobs that wait for their score.", func() float64 { return float64(node.Jobs().WaitingForScore()) })
@@ -126,20 +143,24 @@
 	gauge("evacuations_confirmed_age_seconds", "Time since the evacuations were certain to be known whole.", func() float64 { return node.EvacuationsProvenAge().Seconds() })
 	gauge("backends_cold", "Back ends that are taken to be cold.", func() float64 { return float64(node.ColdBackends()) })
 	gauge("lease_held", "1 while this node gives orders to back ends.", func() float64 {
-		if _, held := node.Holder(); held {
-			return 1
-		}
-		return 0
+		_, held := node.Holder()
+		return oneIf(held)
 	})
 	gauge("metering_lease_held", "1 while this node reports the tenants' use.", func() float64 {
-		if _, held := node.MeteringHolder(); held {
-			return 1
-		}
-		return 0
+		_, held := node.MeteringHolder()
+		return oneIf(held)
 	})
 	gauge("log_lines_dropped", "Log lines that were not written since the start.", func() float64 { return float64(node.Log().Dropped()) })
 }
 
+// oneIf returns 1 for true, 0 for false.
+func oneIf(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // Handler serves the figures in the text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
--- a/internal/gatewaynode/rowstore/meter.go
+++ b/internal/gatewaynode/rowstore/meter.go
@@ -9,14 +9,30 @@
 // Observer is told of each call: what it was, how it ended and how long it took.
 type Observer func(call, outcome string, took time.Duration)
 
+// ReadObserver is told what the answer to a read brought of a table: how many rows, and how
+// many bytes their keys and values are.
+type ReadObserver func(table string, rows, bytes int)
+
 // Meter is a Store that tells an observer of every call.
 type Meter struct {
 	store   Store
 	observe Observer
+	read    ReadObserver
 }
 
 // NewMeter returns a meter over store.
-func NewMeter(store Store, observe Observer) *Meter { return &Meter{store: store, observe: observe} }
+func NewMeter(store Store, observe Observer, read ReadObserver) *Meter {
+	return &Meter{store: store, observe: observe, read: read}
+}
+
+// observeRead tells of the rows of an answer.
+func (m *Meter) observeRead(table string, rows []Row) {
+	bytes := 0
+	for i := range rows {
+		bytes += len(rows[i].Key) + len(rows[i].Value)
+	}
+	m.read(table, len(rows), bytes)
+}
 
 // Outcome names how a call ended, for logs and metrics.
 func Outcome(err error) string {
@@ -51,6 +67,7 @@
 	started := time.Now()
 	snapshot, err := m.store.List(ctx, table, partition, from, to, limit)
 	m.observe("list", Outcome(err), time.Since(started))
+	m.observeRead(table, snapshot.Rows)
 	return snapshot, err
 }
 
@@ -59,5 +76,6 @@
 	started := time.Now()
 	snapshot, err := m.store.Watch(ctx, table, after, wait)
 	m.observe("watch", Outcome(err), time.Since(started))
+	m.observeRead(table, snapshot.Rows)
 	return snapshot, err
 }
