--- a/internal/gatewaynode/fleet/fleet.go
+++ b/internal/gatewaynode/fleet/fleet.go
@@ -30,6 +30,9 @@
 	Models map[string]int64
 	// Cold is how much longer it stays cold from the entry's writing on.
 	Cold time.Duration
+	// Born is when it started, in milliseconds of its own clock; 0 if it does not say. One
+	// that starts again under its id holds nothing of what it held.
+	Born int64
 	// Revision is the store's revision of the entry.
 	Revision int64
 }
@@ -247,10 +250,20 @@
 	if newer := instance.Revision > held.instance.Revision; newer && instance.Cold > 0 {
 		held.condition.ColdUntil = later(held.condition.ColdUntil, time.Now().Add(instance.Cold))
 	}
+	if held.instance.Born != 0 && instance.Born != 0 && held.instance.Born != instance.Born {
+		held.startAnew()
+	}
 	held.instance = instance
 	held.merge()
 }
 
+// startAnew forgets what is known of an instance that ended: another one has its id. Requests
+// of this node that are under way end by themselves and are counted until then.
+func (e *entry) startAnew() {
+	e.loaded = nil
+	e.condition = Condition{InFlight: e.condition.InFlight, Share: e.condition.Share, ColdUntil: e.condition.ColdUntil}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/gatewaynode/fleet/fleet_test.go
+++ b/internal/gatewaynode/fleet/fleet_test.go
@@ -163,3 +163,30 @@
 		fleet.Service("s", now)
 	}
 }
+
+// TestSameIDAgain: what is known of a back end is of one life of it; another one under its id
+// has loaded nothing and has no pace, and is not left alone for what the one before did.
+func TestSameIDAgain(t *testing.T) {
+	backends, now := New(nil), time.Now()
+	entry := Instance{ID: "a", Service: "s", Slots: 4, Born: 1000, Revision: 1, Models: map[string]int64{"m": 1}}
+	backends.Update([]Instance{entry}, nil)
+	end := backends.Begin("a")
+	backends.MarkVersion("a", "m", 7)
+	backends.ObservePace("a", time.Second, now)
+	backends.ObserveFailure("a", "reset", now)
+	backends.MarkLoading("a", "m", now.Add(time.Minute))
+	entry.Revision = 2
+	backends.Update([]Instance{entry}, nil)
+	if b, _ := backends.Get("a", now); b.Models["m"] != 7 || b.Pace == 0 || b.Failures != 1 {
+		t.Errorf("the same life was forgotten: %+v", b)
+	}
+	entry.Revision, entry.Born = 3, 2000
+	backends.Update([]Instance{entry}, nil)
+	if b, _ := backends.Get("a", now); b.Models["m"] != 1 || b.Pace != 0 || b.Failures != 0 || b.Suspended(now) || b.LoadingModel != "" || b.InFlight != 1 {
+		t.Errorf("the life before is remembered: %+v", b)
+	}
+	end()
+	if b, _ := backends.Get("a", now); b.InFlight != 0 {
+		t.Errorf("%d in flight", b.InFlight)
+	}
+}
--- a/internal/gatewaynode/storenode/digest.go
+++ b/internal/gatewaynode/storenode/digest.go
@@ -104,6 +104,7 @@
 	Slots    int      `json:"slots"`
 	Draining bool     `json:"draining,omitempty"`
 	Models   []string `json:"models,omitempty"`
+	Born     int64    `json:"born,omitempty"`
 	// ColdMillis is for how much longer it stays cold from the entry's writing on.
 	ColdMillis int64 `json:"cold_ms,omitempty"`
 }
@@ -116,7 +117,7 @@
 	}
 	encoded, err := json.Marshal(backendDigest{
 		Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: b.Slots, Draining: b.Draining,
-		Models: slices.Sorted(maps.Keys(b.Instance.Models)), ColdMillis: b.Instance.Cold.Milliseconds(),
+		Models: slices.Sorted(maps.Keys(b.Instance.Models)), Born: b.Born, ColdMillis: b.Instance.Cold.Milliseconds(),
 	})
 	if err != nil {
 		panic("storenode: a back end cannot be encoded: " + err.Error())
@@ -136,7 +137,7 @@
 	}
 	instance := fleet.Instance{
 		ID: row.Key, Service: told.Service, Address: told.Address, Zone: told.Zone, Slots: told.Slots, Draining: told.Draining,
-		Cold: time.Duration(told.ColdMillis) * time.Millisecond, Revision: row.Revision,
+		Cold: time.Duration(told.ColdMillis) * time.Millisecond, Born: told.Born, Revision: row.Revision,
 	}
 	if len(told.Models) > 0 {
 		instance.Models = make(map[string]int64, len(told.Models))
