digest: a node serves as soon as the registry is read, and asks for the proof less and less often while it is refused

Cause: the mirror looked every 200 ms whether the table had been read, so that a start took up to that longer; and a look at the proof that was refused was tried again each 100 ms by every node, 3,000 times a second where 300 nodes start before a store of 2,000 reads. Change: the first reading is waited for; pauses double from 50 ms to 0.8 s and scatter. Tests: those of digest, storenode and platform TestRestAmongMany pass.

--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -67,8 +68,10 @@
 const (
 	// peekEvery is how often a node that needs a digest looks whether one is kept.
 	peekEvery = time.Second
-	// peekRetry is the pause after a look at the proof that failed.
-	peekRetry = 100 * time.Millisecond
+	// peekRetryFirst and peekRetryMost bound the pause after a look at the proof that failed:
+	// where hundreds of nodes start at once the store refuses most of them.
+	peekRetryFirst = 50 * time.Millisecond
+	peekRetryMost  = 800 * time.Millisecond
 )
 
 // Run follows the digest until ctx ends: from the start if it is kept by somebody, or else
@@ -94,14 +97,14 @@
 
 // peek reads the proof alone and tells whether it is fresh.
 func (f *Follower) peek(ctx context.Context) bool {
-	for {
+	for retry := peekRetryFirst; ; retry = min(2*retry, peekRetryMost) {
 		began := clock.NewMark()
 		snapshot, err := f.store.List(ctx, Table, Partition, keyProof, keyProof+"\x00", 1)
 		if err == nil {
 			f.note(snapshot.Rows)
 			return f.peekedAt(snapshot.Taken, began.Earlier())
 		}
-		if !pause.For(ctx, peekRetry) {
+		if !pause.For(ctx, retry/2+rand.N(retry)) {
 			return false
 		}
 	}
--- a/internal/gatewaynode/digest/mirror.go
+++ b/internal/gatewaynode/digest/mirror.go
@@ -203,7 +203,7 @@
 		cancel()
 		<-done
 	}()
-	for pause.For(ctx, lookEvery) {
+	for m.rest(ctx) {
 		status := m.config.View.Status()
 		if status.Reached == began {
 			continue
@@ -225,6 +225,20 @@
 	}
 }
 
+// rest waits until the view is to be looked at, at first until it has been read, since a node
+// serves nothing before that. It is false once ctx has ended.
+func (m *Mirror) rest(ctx context.Context) bool {
+	if m.config.View.Status().Loaded {
+		return pause.For(ctx, lookEvery)
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-m.config.View.Loaded():
+		return true
+	}
+}
+
 // follow tells whether the digest will do for who holds the table with a status.
 func (m *Mirror) follow(status rowstore.Status, now time.Time) bool {
 	age, known := m.config.Follower.Age(m.config.Source, now)
