--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,11 +32,12 @@
 
 // player is a node that follows the table.
 type player struct {
-	name  string
-	way   *rowstoretest.Way
-	late  *lateStore
-	rank  int
-	wants bool
+	name string
+	way  *rowstoretest.Way
+	late *lateStore
+	// rank is the node's place among those that could publish, wants, that it needs the table.
+	rank  atomic.Int64
+	wants atomic.Bool
 
 	mu sync.Mutex
 	// held is what the node believes: of each key what matters, and of which revision.
@@ -95,7 +97,9 @@
 
 // start starts a node; one that wants the table reads it, and publishes by its rank.
 func start(t *testing.T, store *rowstoretest.Store, name string, wants bool, rank int) *player {
-	p := &player{name: name, wants: wants, rank: rank, held: make(map[string]heldThing), t: t}
+	p := &player{name: name, held: make(map[string]heldThing), t: t}
+	p.rank.Store(int64(rank))
+	p.wants.Store(wants)
 	p.way = rowstoretest.NewWay(store, time.Second)
 	p.late = &lateStore{Store: p.way}
 	own := rowstore.NewGuard(p.late)
@@ -108,12 +112,12 @@
 	p.follower = NewFollower(nil, own, timing, wait, pace)
 	p.mirror = NewMirror(MirrorConfig{
 		Source: testSource, View: view, Apply: p.applyDigest, Follower: p.follower, Timing: timing,
-		Wanted: func(time.Time) bool { return p.wants },
+		Wanted: func(time.Time) bool { return p.wants.Load() },
 	})
 	p.publisher = NewPublisher(PublisherConfig{
 		Store: own, Self: name, Incarnation: time.Now().UnixNano(), Timing: timing, TransactionRows: 100, Follower: p.follower,
 		Source: Source{Name: testSource, Reached: p.mirror.Reached, Keys: p.keys, Entry: p.entry},
-		Rank:   func(string, time.Time) int { return p.rank },
+		Rank:   func(string, time.Time) int { return int(p.rank.Load()) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
@@ -329,8 +333,8 @@
 		"frozen":     func(p *player) { p.late.freeze(8 * time.Second) },
 		"refused":    func(p *player) { p.way.Set(rowstoretest.Refused) },
 		"silenced":   func(p *player) { p.way.Set(rowstoretest.Silenced) },
-		"no keeper":  func(p *player) { p.rank = -1 },
-		"turns away": func(p *player) { p.wants, p.rank = false, -1 },
+		"no keeper":  func(p *player) { p.rank.Store(-1) },
+		"turns away": func(p *player) { p.wants.Store(false); p.rank.Store(-1) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -359,7 +363,7 @@
 				first.way.Set(rowstoretest.Open)
 				time.Sleep(2 * testFresh)
 				if !second.publisher.Active() || name != "gone" && first.publisher.Active() {
-					t.Errorf("publishing: first %t %+v %s, second %t %+v %s", first.publisher.Active(), first.publisher.proof, first.mirror.Way(), second.publisher.Active(), second.follower.standing, second.mirror.Way())
+					t.Errorf("publishing: first %t, second %t", first.publisher.Active(), second.publisher.Active())
 				}
 				if way := follower.mirror.Way(); way != ByDigest {
 					t.Errorf("followed by %s", way)
@@ -386,7 +390,7 @@
 			t.Errorf("k001 is %d by %s", held["k001"], follower.mirror.Way())
 		}
 		// Who needs all of the table has to read it whole then.
-		follower.wants = true
+		follower.wants.Store(true)
 		time.Sleep(time.Second)
 		if way := follower.mirror.Way(); way != Whole {
 			t.Errorf("reads %s", way)
@@ -511,7 +515,7 @@
 		p.way.Set(rowstoretest.Open)
 	case 15:
 		p.stop()
-		players[i] = join(p.name, p.rank)
+		players[i] = join(p.name, int(p.rank.Load()))
 	case 16:
 		store.SetFaults(rowstoretest.Faults{LoseAnswers: true, Limit: 200 * time.Millisecond})
 	case 17:
