meshnode/claim: messages in the background may be waited for while more begin

A real race, older than this change: a message might have outlived the wait. Tried first: no message begins once closed, which two tests of the package use differently (Close as a barrier between claims).

--- a/internal/meshnode/claim/claimant.go
+++ b/internal/meshnode/claim/claimant.go
@@ -79,7 +79,7 @@
 	members := round.Members()
 	answers := make(chan answer, len(members))
 	for _, member := range members {
-		s.background.Go(func() {
+		s.background.begin(func() {
 			asking, stop := context.WithDeadline(context.WithoutCancel(ctx), round.deadline)
 			defer stop()
 			vote, err := s.ask(asking, member, request)
--- a/internal/meshnode/claim/service.go
+++ b/internal/meshnode/claim/service.go
@@ -67,7 +67,7 @@
 	sequence uint64
 	local    *localClaims
 
-	background sync.WaitGroup
+	background background
 }
 
 // NewService returns a service whose handlers are registered. Run must be
@@ -146,9 +146,9 @@
 	return s.replica.Votes(time.Now())
 }
 
-// Close waits for the messages of claims that are over, at most RoundTimeout.
-// Call it after the last Claim and Complete.
-func (s *Service) Close() { s.background.Wait() }
+// Close waits for the messages of claims that are over, at most RoundTimeout. Those of
+// claims that end meanwhile may go on after it.
+func (s *Service) Close() { s.background.wait() }
 
 // Claim asks for the right to dispatch the request of a key. An error is an
 // *api.Error with OutcomeRefused: nothing stands, and the request must not be
@@ -230,7 +230,7 @@
 			s.withReplica(local)
 			continue
 		}
-		s.background.Go(func() {
+		s.background.begin(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), s.config.RoundTimeout)
 			defer cancel()
 			if err := s.send(ctx, member, kind, body, &Acknowledgement{}); err != nil {
