--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -192,25 +192,52 @@
 	if testing.Short() {
 		t.Skip("plays for 35 s")
 	}
+	gateway := buildGateway(t)
+	for _, seed := range regressionSeeds {
+		playSeed(t, Config{Gateway: gateway, Nodes: 4, Seed: seed, For: 35 * time.Second})
+	}
+}
+
+// regressionSeeds are the runs of TestSoak.
+var regressionSeeds = []uint64{1}
+
+// TestSoakOfOpenSeeds plays seeds that showed a fault which is not mended, as they were
+// played when they did: each has an entry in KNOWN-RED.txt.
+func TestSoakOfOpenSeeds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays for 50 s")
+	}
+	gateway := buildGateway(t)
+	for _, seed := range openSeeds {
+		playSeed(t, Config{Gateway: gateway, Nodes: 6, Seed: seed, For: 50 * time.Second})
+	}
+}
+
+// openSeeds are the runs of TestSoakOfOpenSeeds. 4101: more requests of a tenant were reported
+// than had begun to run at any back end.
+var openSeeds = []uint64{4101}
+
+func buildGateway(t *testing.T) string {
+	t.Helper()
 	gateway := filepath.Join(t.TempDir(), "sliplift-gateway")
 	build := exec.Command("go", "build", "-o", gateway, "github.com/sliplift/sliplift/cmd/sliplift-gateway")
 	if output, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, output)
 	}
-	for _, seed := range regressionSeeds {
-		var out bytes.Buffer
-		report, err := Run(context.Background(), Config{
-			Gateway: gateway, Directory: t.TempDir(), Nodes: 4, Seed: seed, For: 35 * time.Second, Out: &out,
-		})
-		if err != nil {
-			t.Fatalf("seed %d: %v", seed, err)
-		}
-		if len(report.Breaches) > 0 || report.Counts["safe 200"] < 50 || report.Counts["submission 202"] < 5 {
-			_ = report.Write(&out)
-			t.Errorf("seed %d:\n%s", seed, out.String())
-		}
-	}
+	return gateway
 }
 
-// regressionSeeds are the runs of TestSoak.
-var regressionSeeds = []uint64{1}
+// playSeed plays a run, which has to break nothing.
+func playSeed(t *testing.T, config Config) {
+	t.Helper()
+	var out bytes.Buffer
+	config.Directory, config.Out = t.TempDir(), &out
+	report, err := Run(context.Background(), config)
+	if err != nil {
+		t.Fatalf("seed %d: %v", config.Seed, err)
+	}
+	if len(report.Breaches) > 0 || report.Counts["safe 200"] < 50 || report.Counts["submission 202"] < 5 {
+		_ = report.Write(&out)
+		t.Errorf("seed %d:\n%s", config.Seed, out.String())
+	}
+}
