digest: a node that starts among few nodes makes no call for a digest

Change: a node's row tells how many nodes it knew; the next process of that name looks for the digest at its start only where these were more than 400. A node that starts for the first time reads the registry, as it did before there were digests. Test: TestNodeReadsFirstWhatItServesWith, which failed.

--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -124,7 +124,7 @@
 	p.group.Go(func() { p.mirror.Run(ctx) })
 	p.group.Go(func() { p.publisher.Run(ctx) })
 	p.group.Go(func() {
-		p.follower.Run(ctx, func() (int64, bool) {
+		p.follower.Run(ctx, true, func() (int64, bool) {
 			reached, whole := p.mirror.Reached()
 			return reached.Revision, whole
 		})
--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -74,11 +74,12 @@
 	peekRetryMost  = 800 * time.Millisecond
 )
 
-// Run follows the digest until ctx ends: from the start if it is kept by somebody, or else
-// once it is and from wants it: changes are wanted from a revision on. A digest is not
-// followed while it is first written: all nodes would be sent what they have read already.
-func (f *Follower) Run(ctx context.Context, from func() (revision int64, wanted bool)) {
-	f.fresh = f.peek(ctx)
+// Run follows the digest until ctx ends: from the start if early tells to look for it and it
+// is kept by somebody, or else once it is and from wants it: changes are wanted from a
+// revision on. A digest is not followed while it is first written: all nodes would be sent
+// what they have read already.
+func (f *Follower) Run(ctx context.Context, early bool, from func() (revision int64, wanted bool)) {
+	f.fresh = early && f.peek(ctx)
 	close(f.peeked)
 	if f.fresh {
 		f.view.Run(ctx)
--- a/internal/gatewaynode/presence/members.go
+++ b/internal/gatewaynode/presence/members.go
@@ -111,9 +111,10 @@
 	return r.members
 }
 
-// sameMember tells whether two rows say the same of a node, whatever their beats.
+// sameMember tells whether two rows say the same of a node, whatever their beats and how many
+// others it knows.
 func sameMember(a, b Node) bool {
-	a.Beat = b.Beat
+	a.Beat, a.Nodes = b.Beat, b.Nodes
 	return a == b
 }
 
--- a/internal/gatewaynode/presence/presence.go
+++ b/internal/gatewaynode/presence/presence.go
@@ -51,6 +51,8 @@
 	// PlannedStarts counts the starts that followed a planned stop. While nodes
 	// are restarted one after the other, those that have been are ahead.
 	PlannedStarts int64 `json:"planned_starts,omitempty"`
+	// Nodes is how many rows of nodes it knew when it wrote this one.
+	Nodes int `json:"nodes,omitempty"`
 }
 
 const (
@@ -266,6 +268,7 @@
 func (r *Registry) write(ctx context.Context) error {
 	r.mu.Lock()
 	r.self.Beat++
+	r.self.Nodes = len(r.nodes)
 	value, err := json.Marshal(r.self)
 	name := r.self.Name
 	r.mu.Unlock()
--- a/internal/gatewaynode/storenode/digest.go
+++ b/internal/gatewaynode/storenode/digest.go
@@ -176,7 +176,7 @@
 		defer close(done)
 		n.publisher.Run(ctx)
 	}()
-	n.digest.Run(ctx, n.digestFrom)
+	n.digest.Run(ctx, n.startedAmong > directMost, n.digestFrom)
 	<-done
 }
 
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -137,6 +137,10 @@
 	registry  *digest.Mirror
 	publisher *digest.Publisher
 
+	// startedAmong is how many nodes the process before this one knew last, 0 if there was
+	// none: where they are few, a start makes no call for a digest.
+	startedAmong int
+
 	table         atomic.Pointer[routetable.Table]
 	tableRevision int64
 	// registryRead tells that the registry was read whole once.
@@ -153,7 +157,7 @@
 		return nil, err
 	}
 	config.Self = presence.Succeed(config.Self, last, time.Now())
-	node := &Node{config: config}
+	node := &Node{config: config, startedAmong: last.Nodes}
 	pacing := rowstore.Pacing{Limits: config.Limits, Fresh: config.FreshMost, Nodes: func() int { return node.presence.Size() }}
 	node.pacing = pacing
 	node.presence = presence.New(config.Log, config.Store, config.Self, began, pacing)
