forward, upstream: requests that no back end is likely to have begun are not reported as use

What tenants saw: while connections to back ends were ended as they were made, all requests without an answer were on their bill.

The judge takes runs of batch items, which no report counts, for begun requests, some hundred a tenant. So first: the line of a request's end says whether and why it counts (began), attempt_failed how long after its sending an attempt failed, and the soak joins these lines with the runs of back ends by id and names each that is wrong.

Cause: an attempt counted once it was written to a connection, and a caller that left counted also while a connection was being made.

Ruled out, by the ids: counted twice by nodes, restarts or rows written again; runs that the judge could not see.

Mend: an attempt that this node ended counts from when it left the process; one whose connection the other side ended, if that side read it whole before (an orderly end after which all bytes are acknowledged, SIOCOUTQ), or if the end came later than a round trip and 5 ms after the sending. What callers are told is as before. It holds since a system resets connections with unread bytes.

--- /dev/null
+++ b/internal/gatewaynode/forward/began_test.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
+)
+
+// Each row is an attempt without an answer, and whether its back end is taken to have begun.
+func TestLikelyBegan(t *testing.T) {
+	const far = 80 * time.Millisecond
+	lost := func(after, roundTrip time.Duration) error {
+		return &upstream.Error{Fate: upstream.Unknown, Cause: syscall.ECONNRESET, End: upstream.EndLost, After: after, RoundTrip: roundTrip}
+	}
+	taken := &upstream.Error{Fate: upstream.Unknown, Cause: io.ErrUnexpectedEOF, End: upstream.EndLost, Taken: true}
+	ended := func(end upstream.End, after time.Duration) error {
+		return &upstream.Error{Fate: upstream.Unknown, Cause: context.Canceled, End: end, After: after}
+	}
+	for _, test := range []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"lost at once", lost(100*time.Microsecond, 50*time.Microsecond), false},
+		{"lost at once, processes wait", lost(closeMost, 50*time.Microsecond), false},
+		{"lost at work", lost(closeMost+time.Millisecond, 50*time.Microsecond), true},
+		{"lost within a round trip, far away", lost(far, far), false},
+		{"lost at work, far away", lost(2*far, far), true},
+		{"lost at once, read whole", taken, true},
+		{"ended by this node at once", ended(upstream.EndGivenUp, 0), true},
+		{"ended by this node", ended(upstream.EndGivenUp, time.Second), true},
+		{"bytes that are no answer", ended(upstream.EndUnusable, time.Millisecond), true},
+		{"not an attempt's", errors.New("another"), false},
+	} {
+		if got := likelyBegan(test.err); got != test.want {
+			t.Errorf("%s: began %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// silentStream answers a call with the head of a stream and no event.
+func silentStream(ctx context.Context, _, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		buffer := make([]byte, 4096)
+		if _, err := far.Read(buffer); err != nil {
+			return
+		}
+		_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nId: r\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		_, _ = far.Read(buffer)
+	}()
+	return near, ctx.Err()
+}
+
+// TestStreamThatItsCallerLeavesCountsAsBegun: the back end was at work on its first event.
+func TestStreamThatItsCallerLeavesCountsAsBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOverload(t, 1, allowed)
+		defer o.close()
+		f := o.forwarders[0]
+		f.config.Client = upstream.NewClient(upstream.Config{Codec: queueCodec{}, Dialer: silentStream})
+		route := &routetable.Route{
+			Name: "stream", Kind: routetable.KindStream, MaxAttempts: 1, Timeout: 5 * time.Second,
+			Splits: []routetable.Split{{Service: "s", Weight: 1}},
+		}
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, leave)
+		began := time.Now()
+		report := f.Serve(ctx, httptest.NewRecorder(), &Request{
+			ID: "r", Method: http.MethodPost, Target: "/", Received: began, Deadline: began.Add(5 * time.Second),
+		}, route, 1)
+		if report.Outcome != OutcomeLeft || !report.Began.Equal(began) || report.BeganBy != EvidenceSent {
+			t.Errorf("%s, began %v by %q", report.Outcome, report.Began, report.BeganBy)
+		}
+	})
+}
+
+// TestAttemptThatIsNotSentDoesNotBegin: a caller that leaves while a connection is made
+// leaves nothing that counts.
+func TestAttemptThatIsNotSentDoesNotBegin(t *testing.T) {
+	hang := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	synctest.Test(t, func(t *testing.T) {
+		o := newOverload(t, 1, allowed)
+		defer o.close()
+		f := o.forwarders[0]
+		f.config.Client = upstream.NewClient(upstream.Config{Codec: queueCodec{}, Dialer: hang})
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(10*time.Millisecond, leave)
+		now := time.Now()
+		report := f.Serve(ctx, httptest.NewRecorder(), &Request{
+			ID: "r", Method: http.MethodPost, Target: "/", Received: now, Deadline: now.Add(time.Second),
+		}, routeOf(0, overloadTarget), 1)
+		if report.Outcome != OutcomeLeft || !report.Began.IsZero() || report.BeganBy != "" {
+			t.Errorf("%s, began %v by %q", report.Outcome, report.Began, report.BeganBy)
+		}
+	})
+}
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -85,9 +85,11 @@
 	// as it can be told, zero if none did. Back ends do not tell the moment. It is
 	// taken for the one at which the attempt was sent that an answer came to or, of a
 	// stream, at which its first event came; a request without any answer counts from
-	// the first attempt that may have run. A request that ran at several back ends
-	// counts once.
+	// the first attempt that likely ran, see likelyBegan. A request that ran at several
+	// back ends counts once.
 	Began time.Time
+	// BeganBy is what tells that it began, empty if it did not.
+	BeganBy Evidence
 }
 
 // Config configures a Forwarder.
@@ -180,7 +182,8 @@
 		report.Outcome = OutcomeLeft
 	}
 	report.Attempts = try.sends
-	report.Tenant, report.Began = request.Tenant, try.beganAt()
+	report.Tenant = request.Tenant
+	report.Began, report.BeganBy = try.beganAt()
 	report.Took = time.Since(request.Received)
 	f.note(try, report, configVersion)
 	if f.config.Observe != nil {
@@ -218,6 +221,9 @@
 	if report.Cause != "" {
 		fields[eventlog.Cause] = report.Cause
 	}
+	if !report.Began.IsZero() {
+		fields[eventlog.Began], fields[eventlog.BeganMillis] = report.BeganBy, time.Since(report.Began).Milliseconds()
+	}
 	if len(report.Reasons) > 0 {
 		fields[eventlog.Reasons] = report.Reasons
 	}
@@ -267,25 +273,10 @@
 	// last is the back end that was tried last.
 	last string
 	// answered is when the first attempt was sent that a back end answered, or its first
-	// event came; maybe is that of the first one without an answer that may have run.
+	// event came; maybe is that of the first one without an answer that likely ran.
 	answered, maybe time.Time
 }
 
-// beganAt returns when the request began to run, zero if it did not.
-func (t *try) beganAt() time.Time {
-	if !t.answered.IsZero() {
-		return t.answered
-	}
-	return t.maybe
-}
-
-// noteBegan records that a back end ran the request from a moment on.
-func (t *try) noteBegan(moment time.Time) {
-	if t.answered.IsZero() || moment.Before(t.answered) {
-		t.answered = moment
-	}
-}
-
 // repeatable tells whether the request may run more than once.
 func (t *try) repeatable() bool {
 	switch t.route.Kind {
@@ -404,26 +395,10 @@
 	t.forwarder.config.Log.Warn(eventlog.AttemptFailed, eventlog.Fields{
 		eventlog.Request: t.request.ID, eventlog.Backend: backend.ID, eventlog.Fate: fate.String(),
 		eventlog.Cause: t.cause, "in_flight": backend.InFlight, "others": backend.OthersRunning, eventlog.Work: t.work.String(),
+		eventlog.AfterMillis: milliseconds(afterSending(err)), eventlog.Began: fate == upstream.Unknown && likelyBegan(err),
 	})
 }
 
-// noteMaybe records an attempt without an answer that may have run.
-func (t *try) noteMaybe(err error) {
-	var failure *upstream.Error
-	if errors.As(err, &failure) {
-		if !errors.Is(err, errQueued) {
-			t.unanswered = failure.Sent
-		}
-		t.noteUnanswered(failure.Sent)
-	}
-}
-
-func (t *try) noteUnanswered(sent time.Time) {
-	if t.maybe.IsZero() {
-		t.maybe = sent
-	}
-}
-
 // refusedPause is how long a back end that refused a request is passed over.
 const refusedPause = 50 * time.Millisecond
 
--- a/internal/gatewaynode/forward/stream.go
+++ b/internal/gatewaynode/forward/stream.go
@@ -100,9 +100,12 @@
 		state.start(answer)
 	}
 	if err := t.pump(watchdog, state, backend, answer); err != nil {
-		if ctx.Err() == nil {
-			t.noteFailure(backend, endedBy(attempt, &upstream.Error{Fate: upstream.Unknown, Cause: err, Sent: answer.Sent}))
+		if ctx.Err() != nil {
+			// The back end was at work, though no event may have come yet.
+			t.noteUnanswered(answer.Sent)
+			return Report{}, false
 		}
+		t.noteFailure(backend, endedBy(attempt, &upstream.Error{Fate: upstream.Unknown, Cause: err, Sent: answer.Sent}))
 		return Report{}, false
 	}
 	return Report{Outcome: OutcomeAnswered, Status: answer.Status, Backend: backend.ID}, true
--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -15,6 +15,7 @@
 // attemptResult is what became of one attempt at a whole answer.
 type attemptResult struct {
 	backend fleet.Backend
+	sent    *sending
 	answer  *upstream.Answer
 	content []byte
 	whole   bool
@@ -26,7 +27,7 @@
 	attempts, end := lingering(ctx)
 	defer end()
 	results := make(chan attemptResult, t.attemptsMost()+refusalsRoomy+withheldMost+1)
-	pending := 0
+	pending := make(map[*sending]bool)
 	var launched time.Time
 	var spare *attemptResult
 	// beside tells that another attempt is under way: one more is worth a free place only.
@@ -38,12 +39,17 @@
 		t.sends++
 		t.tried[backend.ID]++
 		t.last = backend.ID
-		if pending == 0 {
+		if len(pending) == 0 {
 			launched = time.Now()
 		}
-		pending++
-		call := t.call(backend)
-		go func() { results <- t.attempt(attempts, backend, call) }()
+		call, sent := t.call(backend), &sending{}
+		sent.follow(call)
+		pending[sent] = true
+		go func() {
+			result := t.attempt(attempts, backend, call)
+			result.sent = sent
+			results <- result
+		}()
 		return true
 	}
 	if !launch(false) {
@@ -54,7 +60,7 @@
 	for {
 		select {
 		case result := <-results:
-			pending--
+			delete(pending, result.sent)
 			if t.settled(result) {
 				return t.pass(w, result)
 			}
@@ -64,7 +70,7 @@
 			if ctx.Err() == nil && launch(false) {
 				continue
 			}
-			if pending > 0 {
+			if len(pending) > 0 {
 				continue
 			}
 			if spare != nil {
@@ -89,9 +95,9 @@
 			if spare != nil {
 				return t.pass(w, *spare)
 			}
-			if pending > 0 {
+			for sent := range pending {
 				t.uncertain = true
-				t.noteUnanswered(launched)
+				t.noteSent(sent)
 			}
 			return t.giveUp(w, ctx.Err())
 		}
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -37,6 +37,7 @@
 	rowBytes *prometheus.CounterVec
 	withheld *prometheus.CounterVec
 	refused  *prometheus.CounterVec
+	begun    *prometheus.CounterVec
 	cold     *prometheus.CounterVec
 	left     prometheus.Histogram
 }
@@ -71,6 +72,9 @@
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "requests_ineligible_total", Help: "Refused live requests, by each reason for which back ends might not get them.",
 	}, []string{"reason"})
+	m.begun = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "requests_begun_total", Help: "Live requests that count as begun at a back end, by what tells it.",
+	}, []string{"evidence"})
 	m.cold = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "cold_turns_total", Help: "Calls that went to cold back ends, by service.",
 	}, []string{"service"})
@@ -78,7 +82,7 @@
 		Namespace: namespace, Name: "caller_left_seconds", Buckets: leftBuckets,
 		Help: "Time from the end of a caller's connection to that of all work on its request.",
 	})
-	m.registry.MustRegister(m.events, m.requests, m.attempts, m.openings, m.calls, m.rows, m.rowBytes, m.withheld, m.refused, m.cold, m.left)
+	m.registry.MustRegister(m.events, m.requests, m.attempts, m.openings, m.calls, m.rows, m.rowBytes, m.withheld, m.refused, m.begun, m.cold, m.left)
 	return m
 }
 
@@ -89,6 +93,9 @@
 func (m *Metrics) Request(kind routetable.Kind, report forward.Report) {
 	m.requests.WithLabelValues(string(kind), string(report.Outcome)).Observe(report.Took.Seconds())
 	m.attempts.Add(float64(report.Attempts))
+	if report.BeganBy != "" {
+		m.begun.WithLabelValues(string(report.BeganBy)).Inc()
+	}
 	for reason := range report.Reasons {
 		m.refused.WithLabelValues(reason).Inc()
 	}
--- a/internal/gatewaynode/upstream/connections.go
+++ b/internal/gatewaynode/upstream/connections.go
@@ -90,6 +90,8 @@
 	net.Conn
 	peer   Peer
 	reader *bufio.Reader
+	// roundTrip is how long it took to be made.
+	roundTrip time.Duration
 	// keep is how long the back end keeps the connection idle, 0 if unknown.
 	keep   time.Duration
 	parked time.Time
@@ -127,8 +129,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c.opened(call, id, time.Since(started))
-	return &connection{Conn: raw, peer: id, reader: bufio.NewReaderSize(raw, 4096)}, nil
+	took := time.Since(started)
+	c.opened(call, id, took)
+	return &connection{Conn: raw, peer: id, reader: bufio.NewReaderSize(raw, 4096), roundTrip: took}, nil
 }
 
 // opened counts a new connection and tells of it.
--- /dev/null
+++ b/internal/gatewaynode/upstream/taken_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package upstream
+
+import "syscall"
+
+// acknowledged is not known here.
+func acknowledged(syscall.Conn) bool { return false }
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -140,8 +140,17 @@
 	Cause error
 	// Status is of the answer that said NotRun, if Fate is NotRun.
 	Status int
-	// Sent is when the call was written, zero if Fate is NotSent.
-	Sent time.Time
+	// Sent is when the call was written, zero if Fate is NotSent; After, how long after
+	// that it failed.
+	Sent  time.Time
+	After time.Duration
+	// End is how the call ended, if Fate is not NotSent.
+	End End
+	// Taken tells that the other side of the connection read all of the call before it ended
+	// the connection; that it did not is not told.
+	Taken bool
+	// RoundTrip is how long the connection took to be made: about a round trip.
+	RoundTrip time.Duration
 	// Withheld tells that Call.Admit kept the call back: that says nothing of the back
 	// end.
 	Withheld bool
@@ -294,8 +303,9 @@
 	if conn.cut.Load() {
 		failure.Cause = ErrCut
 	}
-	trace.End(failure.end(ctx), failure.Status)
-	failure.Sent = sent
+	failure.Sent, failure.After, failure.RoundTrip = sent, time.Since(sent), conn.roundTrip
+	failure.End, failure.Taken = failure.end(ctx), taken(conn.Conn, failure.Cause)
+	trace.End(failure.End, failure.Status)
 	if !failure.kept {
 		release()
 		c.drop(conn, OpenCut)
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -26,7 +26,7 @@
 //   - Back ends learn the tenant of a request, and no key.
 //   - Orders to a back end come from one holder at a time, and fencing tokens rise.
 //   - No window of the tenants' use is reported with two counts, and none with more than
-//     began.
+//     began. Which requests a node counts is off by no more than usageOff.
 //   - Within a bound nothing more comes to the samplers of an evacuated zone.
 //   - What is bound to regions comes to no sampler of another one. Which nodes had its
 //     body is not seen.
@@ -40,6 +40,9 @@
 	answers   map[string]Answer
 	left      map[string]departure
 	counts    map[string]int
+	// misjudged are the requests of each tenant that count and did not begin, and the other
+	// way round.
+	misjudged map[string][]Metered
 }
 
 // Result is a result of a batch job as it was read.
@@ -68,6 +71,7 @@
 	return &Judge{
 		positions: make(map[string]map[int]Result), places: make(map[string]map[string]int),
 		answers: make(map[string]Answer), left: make(map[string]departure), counts: make(map[string]int),
+		misjudged: make(map[string][]Metered),
 	}
 }
 
@@ -273,7 +277,7 @@
 	}
 	for tenant, count := range reported {
 		if count > int64(len(began[tenant])) {
-			j.breach("reports of use: %d requests of %s, %d began", count, tenant, len(began[tenant]))
+			j.breach("reports of use: %d requests of %s, %d began; misjudged: %s", count, tenant, len(began[tenant]), j.wrongOf(tenant))
 		}
 	}
 }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -84,7 +84,7 @@
 
 // lastLine returns the last line of a node's log.
 func (n *node) lastLine() string {
-	content, err := os.ReadFile(filepath.Join(n.directory, n.name+".log"))
+	content, err := os.ReadFile(n.log())
 	if err != nil {
 		return err.Error()
 	}
@@ -131,7 +131,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.starts++
-	output, err := os.OpenFile(filepath.Join(n.directory, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	output, err := os.OpenFile(n.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -105,6 +105,7 @@
 	s.judge.Runs(runs, load.tenantsOfItems())
 	s.judgePlaces(load, runs)
 	s.judgeDeadly(runs)
+	s.judgeMetered(runs)
 	s.judge.Usage(s.duties.Usage(), s.duties.Breaches(), runs)
 	breaches := s.judge.Breaches()
 	for _, n := range s.nodes {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -195,14 +195,22 @@
 // regressionSeeds are the runs of TestSoak.
 var regressionSeeds = []uint64{1}
 
-// TestSoakOfOpenSeeds plays seeds that showed a fault which is not mended, as they were
-// played when they did: each has an entry in KNOWN-RED.txt.
+// TestSoakOfOpenSeeds plays seeds that showed a fault, as they were played when they did; one
+// whose fault is not mended has an entry in KNOWN-RED.txt.
+//
+// 4101: more requests of a tenant were reported than had begun to run at any back end, 283
+// against 277 in one run beside load, and none in others. Requests without an answer counted
+// as begun once they were sent, also where the back end's side had ended the connection
+// without reading them. With the lines of the nodes' logs beside the runs of the back ends,
+// three runs had 2,842 requests that counted and 2,318 that began, and 524 ids that counted and
+// never came, each after "connection reset by peer" or "unexpected EOF". The judge saw the
+// excess only where it was greater than the runs of batch items, which it takes for begun
+// requests; Judge.Metered, which does not, broke for each tenant in each run.
 func TestSoakOfOpenSeeds(t *testing.T) {
 	playSeeds(t, openSeeds, Config{Nodes: 6, For: 50 * time.Second})
 }
 
-// openSeeds are the runs of TestSoakOfOpenSeeds. 4101: more requests of a tenant were reported
-// than had begun to run at any back end.
+// openSeeds are the runs of TestSoakOfOpenSeeds.
 var openSeeds = []uint64{4101}
 
 // playSeeds plays a run of each seed over processes that are built here.
