forward: the line of a request whose caller left says so as its cause

The cause of the caller's context is said now. Found while the requests without an answer were traced. Two tests of requests left hold it.

--- a/internal/gatewaynode/forward/began_test.go
+++ b/internal/gatewaynode/forward/began_test.go
@@ -73,8 +73,9 @@
 			Name: "stream", Kind: routetable.KindStream, MaxAttempts: 1, Timeout: 5 * time.Second,
 			Splits: []routetable.Split{{Service: "s", Weight: 1}},
 		}
-		ctx, leave := context.WithCancel(t.Context())
-		time.AfterFunc(100*time.Millisecond, leave)
+		errLeft := errors.New("caller left")
+		ctx, leave := context.WithCancelCause(t.Context())
+		time.AfterFunc(100*time.Millisecond, func() { leave(errLeft) })
 		began := time.Now()
 		report := f.Serve(ctx, httptest.NewRecorder(), &Request{
 			ID: "r", Method: http.MethodPost, Target: "/", Received: began, Deadline: began.Add(5 * time.Second),
@@ -82,6 +83,9 @@
 		if report.Outcome != OutcomeLeft || !report.Began.Equal(began) || report.BeganBy != EvidenceSent {
 			t.Errorf("%s, began %v by %q", report.Outcome, report.Began, report.BeganBy)
 		}
+		if report.Cause != errLeft.Error() {
+			t.Errorf("ended for %q, want %q", report.Cause, errLeft)
+		}
 	})
 }
 
@@ -97,8 +101,9 @@
 		defer o.close()
 		f := o.forwarders[0]
 		f.config.Client = upstream.NewClient(upstream.Config{Codec: queueCodec{}, Dialer: hang})
-		ctx, leave := context.WithCancel(t.Context())
-		time.AfterFunc(10*time.Millisecond, leave)
+		errLeft := errors.New("caller left")
+		ctx, leave := context.WithCancelCause(t.Context())
+		time.AfterFunc(10*time.Millisecond, func() { leave(errLeft) })
 		now := time.Now()
 		report := f.Serve(ctx, httptest.NewRecorder(), &Request{
 			ID: "r", Method: http.MethodPost, Target: "/", Received: now, Deadline: now.Add(time.Second),
@@ -106,5 +111,8 @@
 		if report.Outcome != OutcomeLeft || !report.Began.IsZero() || report.BeganBy != "" {
 			t.Errorf("%s, began %v by %q", report.Outcome, report.Began, report.BeganBy)
 		}
+		if report.Cause != errLeft.Error() {
+			t.Errorf("ended for %q, want %q", report.Cause, errLeft)
+		}
 	})
 }
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -179,7 +179,7 @@
 		report = try.whole(bounded, w)
 	}
 	if ctx.Err() != nil && report.Outcome != OutcomeAnswered {
-		report.Outcome = OutcomeLeft
+		report.Outcome, report.Cause = OutcomeLeft, context.Cause(ctx).Error()
 	}
 	report.Attempts = try.sends
 	report.Tenant = request.Tenant
