storerelay: the end of one call's context cuts no other call's connection

What nodes saw, where the store turns them away and they use it through another: a call whose context ended as its answer came left behind a connection with that end still under way; the next call on it could fail with its outcome unknown, and a commit then had to be settled by reading.

Such a connection is not kept. The test brings the order of events about, and fails without the change ("i/o timeout" of the next call).

--- a/internal/gatewaynode/storerelay/client.go
+++ b/internal/gatewaynode/storerelay/client.go
@@ -29,6 +29,8 @@
 type link struct {
 	net.Conn
 	lines *bufio.Scanner
+	// ended tells that the end of a call's context may still end the connection's reads.
+	ended bool
 }
 
 // client makes calls to one other node. It is safe for concurrent use.
@@ -76,7 +78,8 @@
 func (c *client) put(l *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || len(c.idle) >= idleKept {
+	// The end of a context that came with the answer would cut the next call's short.
+	if c.closed || l.ended || len(c.idle) >= idleKept {
 		_ = l.Close()
 		return
 	}
@@ -109,7 +112,7 @@
 		return answer{}, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.SetDeadline(time.Now()) })
-	defer stop()
+	defer func() { l.ended = !stop() }()
 	if _, err := l.Write(line); err != nil {
 		return answer{}, err
 	}
