forward, upstream, soak: one way to tell of an answer that broke off, one type for each field

Read as a newcomer: three places made the failure of a broken answer by hand, and left out when it broke (after_ms was 0); Answer.Broken makes it. The field began was a word on lines of requests and a yes or no on those of attempts; that of attempts is likely_began. An attempt's result is made whole in one place.

--- a/internal/gatewaynode/eventlog/eventlog.go
+++ b/internal/gatewaynode/eventlog/eventlog.go
@@ -130,12 +130,13 @@
 	Version    = "version"
 	TookMillis = "took_ms"
 	LeftMillis = "left_ms"
-	// Began is what tells that a request began to run, of an attempt whether it likely did;
-	// BeganMillis, how long ago.
+	// Began is what tells that a request began to run, BeganMillis, how long ago.
 	Began       = "began"
 	BeganMillis = "began_ms_ago"
-	// AfterMillis is how long after its sending an attempt failed.
+	// AfterMillis is how long after its sending an attempt failed, LikelyBegan, whether its
+	// back end is taken to have begun it.
 	AfterMillis = "after_ms"
+	LikelyBegan = "likely_began"
 	Count       = "count"
 	View        = "view"
 	Revision    = "revision"
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -395,7 +395,7 @@
 	t.forwarder.config.Log.Warn(eventlog.AttemptFailed, eventlog.Fields{
 		eventlog.Request: t.request.ID, eventlog.Backend: backend.ID, eventlog.Fate: fate.String(),
 		eventlog.Cause: t.cause, "in_flight": backend.InFlight, "others": backend.OthersRunning, eventlog.Work: t.work.String(),
-		eventlog.AfterMillis: milliseconds(afterSending(err)), eventlog.Began: fate == upstream.Unknown && likelyBegan(err),
+		eventlog.AfterMillis: milliseconds(afterSending(err)), eventlog.LikelyBegan: fate == upstream.Unknown && likelyBegan(err),
 	})
 }
 
--- a/internal/gatewaynode/forward/stream.go
+++ b/internal/gatewaynode/forward/stream.go
@@ -105,7 +105,7 @@
 			t.noteUnanswered(answer.Sent)
 			return Report{}, false
 		}
-		t.noteFailure(backend, endedBy(attempt, &upstream.Error{Fate: upstream.Unknown, Cause: err, Sent: answer.Sent}))
+		t.noteFailure(backend, endedBy(attempt, answer.Broken(err)))
 		return Report{}, false
 	}
 	return Report{Outcome: OutcomeAnswered, Status: answer.Status, Backend: backend.ID}, true
@@ -123,7 +123,7 @@
 		err = errors.New("back end answered " + http.StatusText(answer.Status))
 	}
 	if err != nil {
-		t.noteFailure(backend, &upstream.Error{Fate: upstream.Unknown, Cause: err, Sent: answer.Sent})
+		t.noteFailure(backend, answer.Broken(err))
 		return Report{}, false
 	}
 	t.noteBegan(answer.Sent)
--- a/internal/gatewaynode/forward/whole.go
+++ b/internal/gatewaynode/forward/whole.go
@@ -45,11 +45,7 @@
 		call, sent := t.call(backend), &sending{}
 		sent.follow(call)
 		pending[sent] = true
-		go func() {
-			result := t.attempt(attempts, backend, call)
-			result.sent = sent
-			results <- result
-		}()
+		go func() { results <- t.attempt(attempts, backend, call, sent) }()
 		return true
 	}
 	if !launch(false) {
@@ -158,11 +154,11 @@
 
 // attempt sends a call and returns what became of it. It runs beside the rest of the try,
 // of which it changes nothing.
-func (t *try) attempt(ctx context.Context, backend fleet.Backend, call *upstream.Call) attemptResult {
+func (t *try) attempt(ctx context.Context, backend fleet.Backend, call *upstream.Call, sent *sending) attemptResult {
 	started := time.Now()
 	end := t.forwarder.config.Fleet.Begin(backend.ID)
 	defer end()
-	result := attemptResult{backend: backend}
+	result := attemptResult{backend: backend, sent: sent}
 	answer, err := t.forwarder.config.Client.Do(ctx, call)
 	if err != nil {
 		result.err = err
@@ -172,7 +168,7 @@
 	content, err := io.ReadAll(io.LimitReader(answer.Body, bufferMost+1))
 	if err != nil {
 		_ = answer.Body.Close()
-		result.err = &upstream.Error{Fate: upstream.Unknown, Cause: err, Sent: answer.Sent}
+		result.err = answer.Broken(err)
 		return result
 	}
 	result.answer, result.content, result.whole = answer, content, len(content) <= bufferMost
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -270,6 +270,11 @@
 	Body   io.ReadCloser
 }
 
+// Broken returns the failure of a call whose answer ended before its end.
+func (a *Answer) Broken(cause error) *Error {
+	return &Error{Fate: Unknown, Cause: cause, Sent: a.Sent, After: time.Since(a.Sent), End: EndUnusable, Taken: true}
+}
+
 // Do sends the call and returns its answer once the head has come, or an
 // *Error. The end of ctx closes the connection, which ends the run.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
--- a/internal/soak/usage.go
+++ b/internal/soak/usage.go
@@ -60,15 +60,13 @@
 // line may be cut by the end of its process.
 func meteredOf(line []byte) (Metered, bool) {
 	var head struct {
-		Event, Request, Tenant string
-		Time                   time.Time
-		Began                  any
+		Event, Request, Tenant, Began string
+		Time                          time.Time
 	}
 	if err := json.Unmarshal(line, &head); err != nil || head.Tenant == "" || !slices.Contains(requestEnds, head.Event) {
 		return Metered{}, false
 	}
-	evidence, _ := head.Began.(string)
-	return Metered{ID: head.Request, Tenant: head.Tenant, Evidence: evidence, At: head.Time}, true
+	return Metered{ID: head.Request, Tenant: head.Tenant, Evidence: head.Began, At: head.Time}, true
 }
 
 // log returns the file that the node's processes write to.
--- a/internal/soak/usage_test.go
+++ b/internal/soak/usage_test.go
@@ -68,7 +68,7 @@
 		{`{"event":"request_failed","request":"r","tenant":"t","began":"sent","time":"2020-01-01T10:00:00Z"}`, "r at , 10:00:00.000 (sent)"},
 		{`{"event":"request_refused","request":"r","tenant":"t","time":"2020-01-01T10:00:00Z"}`, "r at , 10:00:00.000 (not counted)"},
 		{`{"event":"request_failed","request":"r","began":"sent"}`, ""},
-		{`{"event":"attempt_failed","request":"r","tenant":"t","began":true}`, ""},
+		{`{"event":"attempt_failed","request":"r","tenant":"t","likely_began":true}`, ""},
 		{`{"event":"request_failed","request":"r","ten`, ""},
 	} {
 		decided, found := meteredOf([]byte(test.line))
