forward: an attempt that was not sent, or not run, never counts as begun

Once a caller has left, each failed attempt is weighed for whether its request counts as use, also one that was not sent or that the back end said it did not run. Such a one counted; and one that was not sent, whose moment of sending is zero, could take the place of an earlier attempt that counts, so that the request was left out.

Only an unknown fate may have begun: likelyBegan says so itself.

Two rows of TestLikelyBegan fail without it. Run: the tests of forward and docs, of platform those of use and of callers that leave, vet and staticcheck of what was touched.

--- a/internal/gatewaynode/forward/began.go
+++ b/internal/gatewaynode/forward/began.go
@@ -30,7 +30,7 @@
 )
 
 // likelyBegan tells whether the back end is taken to have begun the call that failed with
-// an error of an unknown fate; usual is how long answers of its route usually take, 0 if that
+// an error; only one of an unknown fate may have begun. usual is how long answers of its route usually take, 0 if that
 // is not known. It never tells that a call has not run: that takes a word of the back end. It
 // is pure.
 //
@@ -45,7 +45,7 @@
 //     lasts, one that breaks down at work those under way, once.
 func likelyBegan(err error, usual time.Duration) bool {
 	var failure *upstream.Error
-	if !errors.As(err, &failure) {
+	if !errors.As(err, &failure) || failure.Fate != upstream.Unknown {
 		return false
 	}
 	after := failure.After - failure.RoundTrip
--- a/internal/gatewaynode/forward/began_test.go
+++ b/internal/gatewaynode/forward/began_test.go
@@ -53,6 +53,8 @@
 		{"ended by this node at once", ended(upstream.EndGivenUp, 0), 0, true},
 		{"ended by this node", ended(upstream.EndGivenUp, time.Second), 0, true},
 		{"bytes that are no answer", ended(upstream.EndUnusable, time.Millisecond), 0, true},
+		{"not sent", &upstream.Error{Fate: upstream.NotSent, Cause: context.Canceled}, 0, false},
+		{"not run", &upstream.Error{Fate: upstream.NotRun, Cause: context.Canceled, End: upstream.EndNotRun}, 0, false},
 		{"not an attempt's", errors.New("another"), 0, false},
 	} {
 		if got := likelyBegan(test.err, test.usual); got != test.want {
