rowstore, gatewaymetrics: tell of answers that were cut off, and of how much had arrived

On the fleet, view_lost of the registry said 'context deadline exceeded' alike for a store that does not answer and for an answer of megabytes that was given up halfway, so that an overloaded link could not be told from an outage. The error now says how many bytes had arrived, and two counters add them up.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -156,7 +156,7 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: storeIdleMost, IdleConnTimeout: storeIdleLimit, DisableCompression: true,
 	}}
 	store := platform.NewStore(client, cfg.StoreAddress, platform.StoreLimits{Call: storeCallLimit, WatchSlack: storeWatchSlack})
-	return rowstore.NewMeter(store, metrics.StoreCall, metrics.StoreRead)
+	return rowstore.NewMeter(store, metrics.StoreCall, metrics.StoreRead, metrics.StoreCut)
 }
 
 // Limits of calls of duties.
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics.go
@@ -35,6 +35,8 @@
 	calls    *prometheus.HistogramVec
 	rows     *prometheus.CounterVec
 	rowBytes *prometheus.CounterVec
+	cuts     prometheus.Counter
+	cutBytes prometheus.Counter
 	withheld *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	begun    *prometheus.CounterVec
@@ -66,6 +68,12 @@
 	m.rowBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "store_row_bytes_read_total", Help: "Bytes of the keys and values of these rows, by table.",
 	}, []string{"table"})
+	m.cuts = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "store_answers_cut_total", Help: "Answers of the row store that were given up before they were whole.",
+	})
+	m.cutBytes = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "store_answers_cut_bytes_total", Help: "Bytes that had arrived of these answers.",
+	})
 	m.withheld = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "calls_withheld_total", Help: "Calls that were kept back at the moment of sending, by why the back end may not get them.",
 	}, []string{"reason"})
@@ -82,7 +90,7 @@
 		Namespace: namespace, Name: "caller_left_seconds", Buckets: leftBuckets,
 		Help: "Time from the end of a caller's connection to that of all work on its request.",
 	})
-	m.registry.MustRegister(m.events, m.requests, m.attempts, m.openings, m.calls, m.rows, m.rowBytes, m.withheld, m.refused, m.begun, m.cold, m.left)
+	m.registry.MustRegister(m.events, m.requests, m.attempts, m.openings, m.calls, m.rows, m.rowBytes, m.cuts, m.cutBytes, m.withheld, m.refused, m.begun, m.cold, m.left)
 	return m
 }
 
@@ -126,6 +134,12 @@
 	m.rowBytes.WithLabelValues(table).Add(float64(bytes))
 }
 
+// StoreCut counts an answer of the row store that was given up before it was whole.
+func (m *Metrics) StoreCut(bytes int) {
+	m.cuts.Inc()
+	m.cutBytes.Add(float64(bytes))
+}
+
 // Watch adds the figures that a node holds itself.
 func (m *Metrics) Watch(node *storenode.Node) {
 	gauge := func(name, help string, value func() float64) {
--- a/internal/gatewaynode/gatewaymetrics/gatewaymetrics_test.go
+++ b/internal/gatewaynode/gatewaymetrics/gatewaymetrics_test.go
@@ -20,6 +20,7 @@
 	metrics.Opening(upstream.Opening{Purpose: upstream.PurposeItem, Cause: upstream.OpenBusy})
 	metrics.StoreCall("commit", "unknown", time.Second)
 	metrics.StoreRead("nodes", 3, 700)
+	metrics.StoreCut(4096)
 	recorder := httptest.NewRecorder()
 	metrics.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	for _, want := range []string{
@@ -29,6 +30,8 @@
 		`sliplift_backend_connections_total{cause="busy",purpose="item"} 1`,
 		`sliplift_store_rows_read_total{table="nodes"} 3`,
 		`sliplift_store_row_bytes_read_total{table="nodes"} 700`,
+		`sliplift_store_answers_cut_total 1`,
+		`sliplift_store_answers_cut_bytes_total 4096`,
 		`sliplift_store_call_seconds_count{call="commit",outcome="unknown"} 1`,
 	} {
 		if !strings.Contains(recorder.Body.String(), want) {
--- a/internal/gatewaynode/rowstore/meter.go
+++ b/internal/gatewaynode/rowstore/meter.go
@@ -13,16 +13,30 @@
 // many bytes their keys and values are.
 type ReadObserver func(table string, rows, bytes int)
 
+// CutObserver is told of each answer that was given up before it was whole, by how many
+// bytes of it had arrived.
+type CutObserver func(bytes int)
+
 // Meter is a Store that tells an observer of every call.
 type Meter struct {
 	store   Store
 	observe Observer
 	read    ReadObserver
+	cut     CutObserver
 }
 
 // NewMeter returns a meter over store.
-func NewMeter(store Store, observe Observer, read ReadObserver) *Meter {
-	return &Meter{store: store, observe: observe, read: read}
+func NewMeter(store Store, observe Observer, read ReadObserver, cut CutObserver) *Meter {
+	return &Meter{store: store, observe: observe, read: read, cut: cut}
+}
+
+// observeCall tells of a call that has ended.
+func (m *Meter) observeCall(call string, err error, took time.Duration) {
+	m.observe(call, Outcome(err), took)
+	var cut *CutError
+	if errors.As(err, &cut) {
+		m.cut(cut.Received)
+	}
 }
 
 // observeRead tells of the rows of an answer.
@@ -58,7 +72,7 @@
 func (m *Meter) Commit(ctx context.Context, transaction Transaction) (int64, error) {
 	started := time.Now()
 	revision, err := m.store.Commit(ctx, transaction)
-	m.observe("commit", Outcome(err), time.Since(started))
+	m.observeCall("commit", err, time.Since(started))
 	return revision, err
 }
 
@@ -66,7 +80,7 @@
 func (m *Meter) List(ctx context.Context, table, partition, from, to string, limit int) (Snapshot, error) {
 	started := time.Now()
 	snapshot, err := m.store.List(ctx, table, partition, from, to, limit)
-	m.observe("list", Outcome(err), time.Since(started))
+	m.observeCall("list", err, time.Since(started))
 	m.observeRead(table, snapshot.Rows)
 	return snapshot, err
 }
@@ -75,7 +89,7 @@
 func (m *Meter) Watch(ctx context.Context, table string, after int64, wait time.Duration) (Snapshot, error) {
 	started := time.Now()
 	snapshot, err := m.store.Watch(ctx, table, after, wait)
-	m.observe("watch", Outcome(err), time.Since(started))
+	m.observeCall("watch", err, time.Since(started))
 	m.observeRead(table, snapshot.Rows)
 	return snapshot, err
 }
--- a/internal/gatewaynode/rowstore/rowstore.go
+++ b/internal/gatewaynode/rowstore/rowstore.go
@@ -47,6 +47,21 @@
 	return fmt.Sprintf("rowstore: condition failed, %d rows differ", len(e.Rows))
 }
 
+// CutError says that the answer to a call was given up before it was whole.
+type CutError struct {
+	// Received is how much of the answer had arrived, in bytes.
+	Received int
+	Cause    error
+}
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("answer cut off after %d bytes: %s", e.Received, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CutError) Unwrap() error { return e.Cause }
+
 // RowID names a row.
 type RowID struct {
 	Table     string
