platform, rowstore, storerelay: give up calls to the store for silence, not for the size of the answer

What callers saw: requests to back ends that had said they were leaving, by nodes whose registry was older than the bound by seconds.

Cause: a watch had its waiting time and 0.7 s for its whole answer, 0.72 s after a failure. Where all nodes of a fleet are to be sent megabytes over one link, no answer is whole by then. It was cut off and asked for again, with what had changed since added to it, so that the link was full and nothing arrived: a retry that costs more than the try that failed, under a limit that does not grow. Two layers made it worse. Recall took a call whose answer was arriving for one sent into a silence and ended it as soon as a probe was answered; Detour took the node to be cut off and ended all its calls, those for the configuration and for the nodes too.

What has arrived is told up the layers by a function in the call's context.

--- a/internal/gatewaynode/rowstore/recall.go
+++ b/internal/gatewaynode/rowstore/recall.go
@@ -18,7 +18,8 @@
 // was answered meanwhile, by the store or for the call's partition, small reads
 // probe it until one is. The first answer shows that it is back: calls that began
 // before, and since the last answer before the silence, are ended with ErrUnknown;
-// a List is sent again.
+// a List is sent again. A call whose answer is arriving (see WithProgress) counts as answered
+// and begun anew with each part of it.
 type Recall struct {
 	store Store
 
@@ -38,7 +39,8 @@
 }
 
 type pendingCall struct {
-	part   string
+	part string
+	// began is when the call began, or when more of its answer last arrived.
 	began  clock.Millis
 	cancel context.CancelCauseFunc
 }
@@ -110,7 +112,7 @@
 	r.calls[c] = struct{}{}
 	r.mu.Unlock()
 	suspect := time.AfterFunc((wait + suspectAfter).Duration(), func() { r.suspect(part) })
-	err := do(bounded)
+	err := do(WithProgress(bounded, func() { r.progress(c) }))
 	suspect.Stop()
 	r.mu.Lock()
 	delete(r.calls, c)
@@ -124,6 +126,19 @@
 	return err
 }
 
+// progress notes that more of the answer to a call has arrived.
+func (r *Recall) progress(c *pendingCall) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := clock.Now()
+	c.began = now
+	for _, s := range []*silence{&r.whole, r.parts[c.part]} {
+		if !s.silent {
+			s.answered = now
+		}
+	}
+}
+
 // Answered tells whether a call's outcome shows that the store works.
 func Answered(err error) bool {
 	var conflict *ConflictError
--- a/internal/gatewaynode/rowstore/recall_test.go
+++ b/internal/gatewaynode/rowstore/recall_test.go
@@ -123,3 +123,16 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestCallWhoseAnswerArrivesIsNotTakenForSilent guards against large answers that are ended as
+// soon as a small one overtakes them.
+func TestCallWhoseAnswerArrivesIsNotTakenForSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := rowstoretest.New()
+		rows.Put("t", "", "k", []byte("v"))
+		store := rowstore.NewRecall(&rowstoretest.Arriving{Store: rows, Takes: 5 * time.Second, Every: 100 * time.Millisecond})
+		if snapshot, err := store.Watch(t.Context(), "t", 0, 0); err != nil || len(snapshot.Rows) != 1 {
+			t.Errorf("%d rows, %v", len(snapshot.Rows), err)
+		}
+	})
+}
--- a/internal/gatewaynode/storerelay/detour.go
+++ b/internal/gatewaynode/storerelay/detour.go
@@ -192,14 +192,14 @@
 	d.calls[&cancel] = struct{}{}
 	d.mu.Unlock()
 	silence := time.AfterFunc(wait+silentAfter, d.suspect)
-	err := do(bounded)
+	err := do(rowstore.WithProgress(bounded, d.noteAnswered))
 	silence.Stop()
 	d.mu.Lock()
 	delete(d.calls, &cancel)
+	d.mu.Unlock()
 	if rowstore.Answered(err) {
-		d.answered = clock.Now()
+		d.noteAnswered()
 	}
-	d.mu.Unlock()
 	if !rowstore.Answered(err) && ctx.Err() == nil {
 		d.suspect()
 	}
@@ -209,6 +209,13 @@
 	return err
 }
 
+// noteAnswered notes that the store answers this node directly.
+func (d *Detour) noteAnswered() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answered = clock.Now()
+}
+
 // suspect asks other nodes whether they reach the store, if this one does not.
 func (d *Detour) suspect() {
 	d.mu.Lock()
@@ -333,9 +340,7 @@
 		}
 		good++
 	}
-	d.mu.Lock()
-	d.answered = clock.Now()
-	d.mu.Unlock()
+	d.noteAnswered()
 	d.leave(via, "the store answers this node again")
 }
 
--- a/internal/gatewaynode/storerelay/detour_test.go
+++ b/internal/gatewaynode/storerelay/detour_test.go
@@ -246,3 +246,25 @@
 		}
 	}
 }
+
+// TestNodeWhoseAnswersArriveKeepsItsWay guards against nodes that take a busy link for an outage
+// and end the calls whose answers are arriving.
+func TestNodeWhoseAnswersArriveKeepsItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		ctx, cancel := context.WithCancel(t.Context())
+		f.work(ctx, f.nodes[1:])
+		f.store.Put("t", "", "k", []byte("v"))
+		f.nodes[0].config.Store = &rowstoretest.Arriving{
+			Store: f.store, Takes: 5 * time.Second, Every: 100 * time.Millisecond, OtherCalls: 2 * probeMost,
+		}
+		if _, err := f.nodes[0].Watch(t.Context(), "t", 0, 0); err != nil {
+			t.Error(err)
+		}
+		if via := f.nodes[0].Away(); via != "" {
+			t.Errorf("calls go through %s", via)
+		}
+		cancel()
+		f.stop()
+	})
+}
