storerelay: an answer through another node may take as long as it arrives

The same cause elsewhere: a call through another node had 2 s for its whole answer, and the answer's line 2 s to be written, however large. The node that makes the call now writes a blank while the answer arrives from the store, which readers of JSON pass over, so that older builds are not disturbed; both ends bound the pauses. If the asking node is gone, its call is ended.

TestLargeAnswerThroughAnotherNodeIsNotCutOff fails before (unknown after 2 s).

--- a/internal/gatewaynode/storerelay/client.go
+++ b/internal/gatewaynode/storerelay/client.go
@@ -18,8 +18,9 @@
 const (
 	// dialMost bounds a connection to another node.
 	dialMost = 300 * time.Millisecond
-	// callMost bounds a call through another node, beyond the time that a watch may
-	// rightly wait: that node's own limit, and the way there.
+	// callMost bounds the time until something of the answer to a call through another node
+	// arrives, beyond the time that a watch may rightly wait, and each pause in it: that
+	// node's own limit, and the way there.
 	callMost = 2 * time.Second
 	// idleKept is how many connections to one node are kept.
 	idleKept = 8
@@ -29,6 +30,8 @@
 type link struct {
 	net.Conn
 	lines *bufio.Scanner
+	// arrived is called when more of an answer has arrived; it may be nil.
+	arrived func()
 	// ended tells that the end of a call's context may still end the connection's reads.
 	ended bool
 }
@@ -70,9 +73,19 @@
 	if err != nil {
 		return nil, err
 	}
-	lines := bufio.NewScanner(connection)
-	lines.Buffer(nil, answerMost)
-	return &link{Conn: connection, lines: lines}, nil
+	l := &link{Conn: connection}
+	l.lines = bufio.NewScanner(l)
+	l.lines.Buffer(nil, answerMost)
+	return l, nil
+}
+
+// Read implements io.Reader.
+func (l *link) Read(content []byte) (int, error) {
+	n, err := l.Conn.Read(content)
+	if n > 0 && l.arrived != nil {
+		l.arrived()
+	}
+	return n, err
 }
 
 func (c *client) put(l *link) {
@@ -106,13 +119,14 @@
 	return got, nil
 }
 
-// exchange sends a line and reads the answer, within a limit and until ctx ends.
+// exchange sends a line and reads the answer, which begins within a limit, until ctx ends.
 func (l *link) exchange(ctx context.Context, line []byte, limit time.Duration) (answer, error) {
 	if err := l.SetDeadline(time.Now().Add(limit)); err != nil {
 		return answer{}, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.SetDeadline(time.Now()) })
 	defer func() { l.ended = !stop() }()
+	l.arrived = func() { l.extend(ctx) }
 	if _, err := l.Write(line); err != nil {
 		return answer{}, err
 	}
@@ -128,3 +142,13 @@
 	}
 	return got, nil
 }
+
+// extend allows for more of the answer to a call, of which some has arrived, unless the context
+// of the call has ended.
+func (l *link) extend(ctx context.Context) {
+	rowstore.NoteProgress(ctx)
+	_ = l.SetDeadline(time.Now().Add(callMost))
+	if ctx.Err() != nil {
+		_ = l.SetDeadline(time.Now())
+	}
+}
--- a/internal/gatewaynode/storerelay/client_test.go
+++ b/internal/gatewaynode/storerelay/client_test.go
@@ -73,3 +73,33 @@
 		<-served
 	})
 }
+
+// TestLargeAnswerThroughAnotherNodeIsNotCutOff guards against nodes that give up, while it is
+// arriving, what another one reads for them.
+func TestLargeAnswerThroughAnotherNodeIsNotCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := eventlog.New(logrus.New(), io.Discard)
+		defer log.Close()
+		network := memnet.NewNetwork()
+		listener, err := network.Listen("n0:90")
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows := rowstoretest.New()
+		rows.Put("t", "", "k", make([]byte, 2*writePiece))
+		served := make(chan error)
+		d := New(Config{
+			Store: &rowstoretest.Arriving{Store: rows, Takes: 3 * callMost, Every: 100 * time.Millisecond},
+			Dial:  network.Dialer("n0"), Log: log,
+		})
+		go func() { served <- d.Serve(listener) }()
+		c := &client{address: "n0:90", dial: network.Dialer("n1")}
+		got, err := c.call(t.Context(), request{Operation: opWatch, Table: "t"})
+		if err != nil || got.Outcome != outcomeOK || len(got.Rows) != 1 {
+			t.Errorf("%s, %d rows, %v", got.Outcome, len(got.Rows), err)
+		}
+		c.close()
+		_ = listener.Close()
+		<-served
+	})
+}
--- a/internal/gatewaynode/storerelay/doc.go
+++ b/internal/gatewaynode/storerelay/doc.go
@@ -4,7 +4,8 @@
 // Protocol. A connection between two nodes carries one call at a time: a request as
 // a line of JSON, then its answer as a line of JSON. The node that gets a request
 // makes the call by its own way to the store, never through a third node, and refuses
-// at once while that way does not work.
+// at once while that way does not work. While the answer arrives from the store it writes a
+// blank now and then, so that a call is given up for silence and not for its size.
 //
 // Decision. A node counts as away from the store when a call was refused, or has
 // waited for longer than an answer takes, nothing else was answered meanwhile, and
--- a/internal/gatewaynode/storerelay/server.go
+++ b/internal/gatewaynode/storerelay/server.go
@@ -25,8 +25,12 @@
 	idleMost = 10 * time.Second
 	// acceptPause is the pause after a listener failed for want of something.
 	acceptPause = 50 * time.Millisecond
-	// writeMost bounds the time in which the other node takes an answer.
-	writeMost = 2 * time.Second
+	// writeMost bounds the time in which the other node takes a piece of an answer of up to
+	// writePiece bytes.
+	writeMost  = 2 * time.Second
+	writePiece = 64 << 10
+	// markEvery is the least time between two marks before an answer, see marker.
+	markEvery = 250 * time.Millisecond
 )
 
 // Serve answers other nodes on a listener until it is closed.
@@ -73,21 +77,62 @@
 			d.config.Log.Warn(eventlog.StoreRelayed, eventlog.Fields{"peer": connection.RemoteAddr().String(), eventlog.Cause: err.Error()})
 			return
 		}
-		line, err := json.Marshal(d.serveCall(asked, slots))
+		line, err := json.Marshal(d.serveMarked(connection, asked, slots))
 		if err != nil {
 			panic("storerelay: an answer cannot be encoded: " + err.Error())
 		}
-		if connection.SetWriteDeadline(time.Now().Add(writeMost)) != nil {
+		if writeLine(connection, append(line, '\n')) != nil {
 			return
 		}
-		if _, err := connection.Write(append(line, '\n')); err != nil {
-			return
+	}
+}
+
+// writeLine writes a line, however long, as long as the other node takes it.
+func writeLine(connection net.Conn, line []byte) error {
+	for len(line) > 0 {
+		if err := connection.SetWriteDeadline(time.Now().Add(writeMost)); err != nil {
+			return err
+		}
+		n, err := connection.Write(line[:min(len(line), writePiece)])
+		if err != nil {
+			return err
 		}
+		line = line[n:]
 	}
+	return nil
+}
+
+// marker writes a blank before an answer now and then while that arrives from the store, so
+// that the other node does not take this one for silent. Readers of JSON pass over it.
+type marker struct {
+	connection net.Conn
+	last       time.Time
+	// lost is called if the other node takes nothing any more.
+	lost context.CancelCauseFunc
+}
+
+func (m *marker) mark() {
+	now := time.Now()
+	if now.Sub(m.last) < markEvery {
+		return
+	}
+	m.last = now
+	if err := writeLine(m.connection, []byte{' '}); err != nil {
+		m.lost(err)
+	}
+}
+
+// serveMarked makes a call for the node at the other end of a connection, and tells it while the
+// answer is arriving.
+func (d *Detour) serveMarked(connection net.Conn, asked request, slots chan struct{}) answer {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	m := &marker{connection: connection, last: time.Now(), lost: cancel}
+	return d.serveCall(rowstore.WithProgress(ctx, m.mark), asked, slots)
 }
 
 // serveCall makes a call for another node, by this node's own way alone.
-func (d *Detour) serveCall(asked request, slots chan struct{}) answer {
+func (d *Detour) serveCall(ctx context.Context, asked request, slots chan struct{}) answer {
 	if asked.Operation == opTell {
 		return d.takeTold(asked.Message)
 	}
@@ -100,7 +145,7 @@
 	default:
 		return answer{Outcome: outcomeRefused, Cause: "too many calls for other nodes"}
 	}
-	return d.makeCall(context.Background(), asked)
+	return d.makeCall(ctx, asked)
 }
 
 // makeCall makes a call by this node's own way to the store, whose answers and
