digest, storenode: nodes that need no registry leave it as soon as they know that nodes are many

Cause: a node followed the registry itself until a digest of it was kept by somebody. A digest is kept by a node that follows the registry closely. Where all nodes start together nobody can: they all read it, 690 MB a second over a link of 500. Nothing led out of that state but the digest, which it kept from coming about. The same way led back into it: a digest that was 3.5 to 4.5 s behind, for whatever reason, sent all nodes to the table at once, also after each outage of the store of that length, when all had it read from before the outage on.

A node that does not need the table leaves it once it knows that nodes are many, and waits for the digest with what it has; it says how old that is. A digest is given up when its publisher writes no more, as far as answers of the store tell, and not for being behind: whoever of the readers is ahead replaces the publisher, and if nobody is, reading the table oneself takes longer still. While no answers come, or since a moment only, nothing is given up. Whoever reads the table after all and gets it later than the bound leaves it again, for twice the time. The first digest is begun at once.

TestManyNodesLeaveTheTableBeforeADigestIsThere and TestTableThatArrivesTooLateIsLeftAgain name what does not exist before (Waiting, mayWait).

--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -112,7 +112,7 @@
 	p.follower = NewFollower(nil, own, timing, wait, pace)
 	p.mirror = NewMirror(MirrorConfig{
 		Source: testSource, View: view, Apply: p.applyDigest, Follower: p.follower, Timing: timing,
-		Wanted: func(time.Time) bool { return p.wants.Load() },
+		Wanted: func(time.Time) bool { return p.wants.Load() }, Crowded: func() bool { return true },
 	})
 	p.publisher = NewPublisher(PublisherConfig{
 		Store: own, Self: name, Incarnation: time.Now().UnixNano(), Timing: timing, TransactionRows: 100, Follower: p.follower,
@@ -124,10 +124,7 @@
 	p.group.Go(func() { p.mirror.Run(ctx) })
 	p.group.Go(func() { p.publisher.Run(ctx) })
 	p.group.Go(func() {
-		p.follower.Run(ctx, true, func() (int64, bool) {
-			reached, whole := p.mirror.Reached()
-			return reached.Revision, whole
-		})
+		p.follower.Run(ctx, true, p.mirror.FollowFrom)
 	})
 	return p
 }
@@ -526,3 +523,55 @@
 		store.Compact()
 	}
 }
+
+// TestManyNodesLeaveTheTableBeforeADigestIsThere guards against all nodes reading a table for
+// whose digest that very reading leaves no room.
+func TestManyNodesLeaveTheTableBeforeADigestIsThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		w := newWorld(store, 20)
+		follower := start(t, store, "follower", false, -1)
+		defer follower.stop()
+		time.Sleep(3 * lookEvery)
+		if way := follower.mirror.Way(); way != Waiting {
+			t.Errorf("follows by %s with no digest there", way)
+		}
+		w.put("k001", thing{Matters: 5})
+		time.Sleep(time.Second)
+		if held, _, _ := follower.believes(time.Now()); held["k001"] == 5 {
+			t.Error("the table is read while the digest is waited for")
+		}
+		time.Sleep(testFresh)
+		if held, _, _ := follower.believes(time.Now()); held["k001"] != 5 {
+			t.Errorf("k001 is %d by %s: nobody publishes, and the table is not read", held["k001"], follower.mirror.Way())
+		}
+	})
+}
+
+// TestTableThatArrivesTooLateIsLeftAgain guards against nodes that go on reading a table which
+// their reading together makes old.
+func TestTableThatArrivesTooLateIsLeftAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		newWorld(store, 20)
+		follower := start(t, store, "follower", false, -1)
+		defer follower.stop()
+		time.Sleep(2 * testFresh)
+		m := follower.mirror
+		if way := m.Way(); way != Since {
+			t.Fatalf("follows by %s", way)
+		}
+		now, first := time.Now(), m.patience()
+		if m.mayWait(rowstore.Status{Proven: now.Add(-time.Second)}, now) {
+			t.Error("a table that arrives in time is left")
+		}
+		late := rowstore.Status{Proven: now.Add(-testFresh - time.Second)}
+		if !m.mayWait(late, now) {
+			t.Error("a table that arrives too late is not left")
+		}
+		m.wait(late)
+		if again := m.patience(); again != 2*first {
+			t.Errorf("waits for %s, %s at first", again, first)
+		}
+	})
+}
--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -23,6 +23,8 @@
 	view   *rowstore.View
 	store  rowstore.Store
 	timing Timing
+	// wait returns how long a watch stays open.
+	wait func() time.Duration
 	// peeked is closed once it is known whether the digest was fresh at the start, which
 	// fresh tells.
 	peeked chan struct{}
@@ -37,9 +39,13 @@
 	passed    map[string]int64
 	passedAll int64
 
-	mu       sync.Mutex
-	standing Standing
-	known    bool
+	mu sync.Mutex
+	// handed tells, by source, that rows were handed on since Attach.
+	handed map[string]bool
+	// following tells that the view runs.
+	following bool
+	standing  Standing
+	known     bool
 	// unusable tells that the proof is of a format that this build does not know.
 	unusable bool
 }
@@ -49,13 +55,15 @@
 	Proof Proof
 	// Revision is that of the proof's row, 0 if there is none.
 	Revision int64
-	// FirstTaken is the store's clock when this node first looked.
-	FirstTaken int64
+	// FirstTaken is the store's clock when this node first looked, WrittenTaken in the answer
+	// that brought the proof, and PublisherTaken in the one that brought the first proof of
+	// its publisher.
+	FirstTaken, WrittenTaken, PublisherTaken int64
 }
 
 // NewFollower returns a follower that asks the store at the paces given.
 func NewFollower(log *eventlog.Log, store rowstore.Store, timing Timing, wait, pace func() time.Duration) *Follower {
-	f := &Follower{log: log, store: store, timing: timing, attached: make(map[string]Apply), passed: make(map[string]int64), peeked: make(chan struct{})}
+	f := &Follower{log: log, store: store, timing: timing, wait: wait, attached: make(map[string]Apply), passed: make(map[string]int64), handed: make(map[string]bool), peeked: make(chan struct{})}
 	f.view = rowstore.NewView(log, store, rowstore.ViewConfig{
 		Name: Table, Table: Table, Partitions: []string{Partition}, Wait: wait, Pace: pace, Apply: f.apply,
 	})
@@ -63,8 +71,6 @@
 }
 
 const (
-	// peekEvery is how often a node that needs a digest looks whether one is kept.
-	peekEvery = time.Second
 	// peekRetryFirst and peekRetryMost bound the pause after a look at the proof that failed:
 	// where hundreds of nodes start at once the store refuses most of them.
 	peekRetryFirst = 50 * time.Millisecond
@@ -79,27 +85,35 @@
 	f.fresh = early && f.peek(ctx)
 	close(f.peeked)
 	if f.fresh {
+		f.noteFollowing()
 		f.view.Run(ctx)
 		return
 	}
-	for pause.For(ctx, peekEvery) {
+	for pause.For(ctx, f.timing.peekEvery()) {
 		if _, wanted := from(); !wanted || !f.peek(ctx) {
 			continue
 		}
 		if revision, wanted := from(); wanted {
+			f.noteFollowing()
 			f.view.RunFrom(ctx, revision)
 			return
 		}
 	}
 }
 
+func (f *Follower) noteFollowing() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.following = true
+}
+
 // peek reads the proof alone and tells whether it is fresh.
 func (f *Follower) peek(ctx context.Context) bool {
 	for retry := peekRetryFirst; ; retry = min(2*retry, peekRetryMost) {
 		began := clock.NewMark()
 		snapshot, err := f.store.List(ctx, Table, Partition, keyProof, keyProof+"\x00", 1)
 		if err == nil {
-			f.note(snapshot.Rows)
+			f.note(snapshot.Rows, snapshot.Taken)
 			return f.peekedAt(snapshot.Taken, began.Earlier())
 		}
 		if !pause.For(ctx, retry/2+rand.N(retry)) {
@@ -142,6 +156,13 @@
 	return f.standing, f.known && !f.unusable
 }
 
+// Usable tells whether this build can read the digest, as far as is known.
+func (f *Follower) Usable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.unusable
+}
+
 // Reached returns the moment up to which the digest of a source is whole.
 func (f *Follower) Reached(source string) rowstore.Moment {
 	f.mu.Lock()
@@ -173,6 +194,42 @@
 	return age, age >= 0
 }
 
+// Kept tells whether the digest of a source is worth waiting for, for a node that has held on
+// to it since a time: its publisher wrote within most of the store's last answer to this node,
+// or answers have come for so short a time that it cannot have written yet. A publisher that
+// writes and is behind is followed on: whoever of the others that read the table is ahead of it
+// takes its place, and if none is, reading the table takes longer still. While no answers come,
+// the table cannot be read either.
+func (f *Follower) Kept(most time.Duration, since, now time.Time) bool {
+	status := f.view.Status()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.unusable:
+		return false
+	case !f.following:
+		return now.Sub(since) <= most
+	case !status.Loaded || !status.Healthy || now.Sub(status.HealthySince) <= f.timing.usableMost():
+		return true
+	}
+	// An answer that takes longer than a watch stays open is a large one that is arriving.
+	open := min(status.ProvenAge(now), f.wait())
+	return time.Duration(status.Reached.Taken-f.standing.WrittenTaken)*time.Millisecond+open <= most
+}
+
+// HandedOn tells whether rows of a source were handed on since Attach.
+func (f *Follower) HandedOn(source string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.handed[source]
+}
+
+func (f *Follower) setHanded(source string, handed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.handed[source] = handed
+}
+
 // clockGrain is how much later the store's clock may stand than it shows.
 const clockGrain = time.Millisecond
 
@@ -186,6 +243,7 @@
 		return false
 	}
 	f.attached[source] = apply
+	f.setHanded(source, false)
 	return true
 }
 
@@ -220,11 +278,12 @@
 	}
 	for source, apply := range f.attached {
 		if complete || len(bySource[source]) > 0 {
+			f.setHanded(source, true)
 			apply(bySource[source], complete)
 		}
 	}
 	// The proof comes last: what it covers has been handed on.
-	f.note(rows)
+	f.note(rows, f.view.Status().Answered.Taken)
 }
 
 // read returns what a row of the digest says of a row of a source.
@@ -242,15 +301,15 @@
 	return source, true
 }
 
-// note takes the proof if it is among rows.
-func (f *Follower) note(rows []rowstore.Row) {
+// note takes the proof if it is among rows of an answer that the store gave at a moment.
+func (f *Follower) note(rows []rowstore.Row, taken int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, row := range rows {
 		if row.Key != keyProof || row.Revision <= f.standing.Revision {
 			continue
 		}
-		f.standing.Revision = row.Revision
+		f.standing.Revision, f.standing.WrittenTaken = row.Revision, taken
 		proof, err := decodeProof(row.Value)
 		f.unusable = err != nil && !row.Deleted
 		if f.unusable {
@@ -260,7 +319,8 @@
 		if row.Deleted {
 			proof = Proof{}
 		}
-		if proof.Publisher != f.standing.Proof.Publisher {
+		if proof.Publisher != f.standing.Proof.Publisher || proof.Incarnation != f.standing.Proof.Incarnation {
+			f.standing.PublisherTaken = taken
 			f.log.Info(eventlog.DigestFollowed, eventlog.Fields{
 				"publisher": proof.Publisher, "before": f.standing.Proof.Publisher, eventlog.Revision: row.Revision,
 			})
--- a/internal/gatewaynode/digest/mirror.go
+++ b/internal/gatewaynode/digest/mirror.go
@@ -28,9 +28,11 @@
 	ByDigest
 	// Between: the digest is left and the table not read yet.
 	Between
+	// Waiting: the table was left for a digest that is not whole yet.
+	Waiting
 )
 
-var wayNames = map[Way]string{Unread: "unread", Whole: "table", Since: "table since the digest", ByDigest: "digest", Between: "none"}
+var wayNames = map[Way]string{Unread: "unread", Whole: "table", Since: "table since the digest", ByDigest: "digest", Between: "none", Waiting: "waiting for the digest"}
 
 // String returns the way for logs.
 func (w Way) String() string { return wayNames[w] }
@@ -48,6 +50,9 @@
 	Timing   Timing
 	// Wanted tells whether this node needs all of the table.
 	Wanted func(now time.Time) bool
+	// Crowded tells whether nodes are too many for those that do not need all of the table to
+	// read it while there is no digest yet.
+	Crowded func() bool
 }
 
 // Mirror follows a source in the way that fits: by the digest where that is kept and all of
@@ -62,9 +67,12 @@
 	mu     sync.Mutex
 	way    Way
 	loaded bool
-	// left is when the digest was left, leftAge how old it was then.
+	// left is when the digest, or the table for it, was left, leftAge how old what is held
+	// was then.
 	left    clock.Mark
 	leftAge time.Duration
+	// waits counts how often the table was left for the digest since that was last followed.
+	waits int
 }
 
 // NewMirror returns a mirror that Run keeps up to date. It is made before the follower runs.
@@ -94,11 +102,38 @@
 	case ByDigest:
 		return m.config.Follower.Age(m.config.Source, now)
 	case Between:
-		return m.leftAge + now.Sub(m.left.Earlier()), true
+		return m.ageSinceLeft(now), true
+	case Waiting:
+		return m.waitingAge(now)
 	}
 	return m.config.View.Status().ProvenAge(now), true
 }
 
+// ageSinceLeft returns the age of what was held when the digest or the table was left. The
+// lock is held.
+func (m *Mirror) ageSinceLeft(now time.Time) time.Duration {
+	return m.leftAge + now.Sub(m.left.Earlier())
+}
+
+// waitingAge is Age of a node that waits for the digest, whose rows may be older than the
+// table was when it was left. The lock is held.
+func (m *Mirror) waitingAge(now time.Time) (time.Duration, bool) {
+	since := m.ageSinceLeft(now)
+	if !m.config.Follower.HandedOn(m.config.Source) {
+		return since, true
+	}
+	age, known := m.config.Follower.Age(m.config.Source, now)
+	return max(age, since), known
+}
+
+// FollowFrom returns the revision from which on this node needs the digest, and whether it
+// may follow it from there: it holds the table as of then.
+func (m *Mirror) FollowFrom() (revision int64, ok bool) {
+	status := m.config.View.Status()
+	way := m.Way()
+	return status.Reached.Revision, status.Loaded && (way == Whole || way == Waiting)
+}
+
 // Reached returns the moment up to which all of the table was read, and whether that is
 // what this node does.
 func (m *Mirror) Reached() (rowstore.Moment, bool) {
@@ -110,6 +145,9 @@
 	m.mu.Lock()
 	before := m.way
 	m.way = way
+	if way == ByDigest {
+		m.waits = 0
+	}
 	if way != Unread && !m.loaded {
 		m.loaded = true
 		close(m.onLoaded)
@@ -124,34 +162,36 @@
 	})
 }
 
-const (
-	// lookEvery is how often it is looked whether another way fits.
-	lookEvery = 200 * time.Millisecond
-	// firstMost is how long a node that starts waits for the digest, which takes as long as
-	// the table itself to be read, before it reads that.
-	firstMost = 2 * time.Second
-)
+// lookEvery is how often it is looked whether another way fits.
+const lookEvery = 200 * time.Millisecond
 
 // Run keeps the source up to date until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	whole, from := true, int64(0)
 	if m.config.Follower.Peeked(ctx) {
-		whole = m.byDigest(ctx, time.Now().Add(firstMost))
+		whole = m.byDigest(ctx)
 	}
 	for {
-		from = m.leave().Revision
+		from = m.leave()
 		if ctx.Err() != nil {
 			return
 		}
 		m.direct(ctx, whole, from)
-		whole = m.byDigest(ctx, time.Time{})
+		whole = m.byDigest(ctx)
 	}
 }
 
-// leave ends the following of the digest and returns the moment up to which it was followed.
-func (m *Mirror) leave() rowstore.Moment {
+// leave ends the following of the digest and returns the revision from which on the table has
+// to be read.
+func (m *Mirror) leave() int64 {
+	waiting := m.Way() == Waiting
 	m.noteLeft()
-	return m.config.Follower.Detach(m.config.Source)
+	digested := m.config.Follower.Detach(m.config.Source).Revision
+	if waiting {
+		// The digest was never whole: its proof says nothing of what this node holds.
+		return m.config.View.Status().Reached.Revision
+	}
+	return digested
 }
 
 // noteLeft notes how old the digest is when it is left: it claims to be no younger from then
@@ -159,11 +199,17 @@
 func (m *Mirror) noteLeft() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.way != ByDigest {
+	left := clock.NewMark()
+	var age time.Duration
+	var known bool
+	switch m.way {
+	case ByDigest:
+		age, known = m.config.Follower.Age(m.config.Source, left.At())
+	case Waiting:
+		age, known = m.waitingAge(left.At())
+	default:
 		return
 	}
-	left := clock.NewMark()
-	age, known := m.config.Follower.Age(m.config.Source, left.At())
 	m.way, m.left, m.leftAge = Between, left, age
 	if !known {
 		// The store's clock went back.
@@ -172,18 +218,57 @@
 }
 
 // direct follows the table itself, which is read whole or from a revision on, until the
-// digest will do, to which it is attached then.
+// digest will do or is to be waited for, to which it is attached then.
 func (m *Mirror) direct(ctx context.Context, whole bool, from int64) {
 	for ctx.Err() == nil {
 		m.run(ctx, whole, from)
 		// The view has ended, and goes on from where it was if need be.
-		reached := m.config.View.Status().Reached.Revision
-		whole, from = m.Way() != Whole && m.config.Wanted(time.Now()), reached
-		if !whole && m.config.Follower.Attach(m.config.Source, reached, m.config.Apply) {
+		status, now := m.config.View.Status(), time.Now()
+		whole, from = m.Way() != Whole && m.config.Wanted(now), status.Reached.Revision
+		if whole || !m.config.Follower.Attach(m.config.Source, from, m.config.Apply) {
+			continue
+		}
+		if m.fresh(now) {
 			m.set(ByDigest, "the digest is kept")
-			return
+		} else {
+			m.wait(status)
 		}
+		return
+	}
+}
+
+// wait leaves the table, held with a status, for a digest that is not whole yet.
+func (m *Mirror) wait(status rowstore.Status) {
+	m.mu.Lock()
+	m.left = clock.NewMark()
+	m.leftAge = status.ProvenAge(m.left.At())
+	m.waits++
+	m.mu.Unlock()
+	m.set(Waiting, "nodes are many, and this one does not need the table")
+}
+
+// mayWait tells whether the table, of which more was just read and is held with a status, is to
+// be left for a digest that is not whole yet: once at first, and again if so many read the table
+// that it is old by the time it arrives. Whoever is to publish the digest has to read it too.
+func (m *Mirror) mayWait(status rowstore.Status, now time.Time) bool {
+	if !m.config.Crowded() || !m.config.Follower.Usable() {
+		return false
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.waits == 0 || status.ProvenAge(now) > m.config.Timing.Fresh
+}
+
+// maxPatienceDoublings bounds the growth of the time for which the digest is waited for.
+const maxPatienceDoublings = 3
+
+// patience returns for how long the digest is waited for. It doubles with each wait in vain, so
+// that nodes which all read a table too large for the store's link leave room for the publisher.
+func (m *Mirror) patience() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	doublings := min(max(m.waits-1, 0), maxPatienceDoublings)
+	return m.config.Timing.staleAfter(m.spread) << doublings
 }
 
 // run runs the view of the table until another way fits.
@@ -203,11 +288,14 @@
 		cancel()
 		<-done
 	}()
+	last := began
 	for m.rest(ctx) {
 		status := m.config.View.Status()
 		if status.Reached == began {
 			continue
 		}
+		more := status.Reached != last
+		last = status.Reached
 		if whole {
 			m.set(Whole, "the table was read whole")
 		} else if m.Way() != Whole {
@@ -219,7 +307,7 @@
 			if m.Way() == Since {
 				return
 			}
-		case m.follow(status, now):
+		case more && m.mayWait(status, now), status.Healthy && m.fresh(now):
 			return
 		}
 	}
@@ -239,34 +327,29 @@
 	}
 }
 
-// follow tells whether the digest will do for who holds the table with a status.
-func (m *Mirror) follow(status rowstore.Status, now time.Time) bool {
+// fresh tells whether the digest is fresh enough to be begun to be followed.
+func (m *Mirror) fresh(now time.Time) bool {
 	age, known := m.config.Follower.Age(m.config.Source, now)
-	return known && status.Healthy && age <= m.config.Timing.usableMost()
+	return known && age <= m.config.Timing.usableMost()
 }
 
-// byDigest follows the digest until that will not do. It tells whether the table has to be
-// read whole then. first, if it is not zero, is until when the digest has to be whole.
-func (m *Mirror) byDigest(ctx context.Context, first time.Time) (whole bool) {
+// byDigest follows the digest, or waits for it to be whole, for as long as it is kept. It tells
+// whether the table has to be read whole then.
+func (m *Mirror) byDigest(ctx context.Context) (whole bool) {
+	began := clock.NewMark()
+	most := m.patience()
 	for pause.For(ctx, lookEvery) {
 		now := time.Now()
 		age, known := m.config.Follower.Age(m.config.Source, now)
-		known = known && age <= m.config.Timing.staleAfter(m.spread)
-		switch {
-		case known && !first.IsZero():
-			m.set(ByDigest, "the digest was kept at the start")
-			first = time.Time{}
-		case !first.IsZero():
-			if now.After(first) {
-				return true
-			}
-			continue
-		case !known:
-			return false
+		if known && age <= m.config.Timing.staleAfter(m.spread) {
+			m.set(ByDigest, "the digest is whole")
 		}
 		if m.config.Wanted(now) {
 			return true
 		}
+		if !m.config.Follower.Kept(most, began.Earlier(), now) {
+			return m.Way() == Unread
+		}
 	}
 	return false
 }
--- a/internal/gatewaynode/digest/publisher.go
+++ b/internal/gatewaynode/digest/publisher.go
@@ -156,6 +156,9 @@
 		since = standing.FirstTaken
 	}
 	lead := time.Duration(reached.Taken-since) * time.Millisecond
+	if standing.Revision == 0 {
+		return lead > p.config.Timing.stagger(rank)
+	}
 	return lead > p.config.Timing.takeOverAfter(rank)
 }
 
--- a/internal/gatewaynode/digest/timing.go
+++ b/internal/gatewaynode/digest/timing.go
@@ -27,6 +27,8 @@
 	// spreadShare is over how much time the nodes begin to read a table themselves whose
 	// digest is old: all at once would ask the store for seconds of changes each.
 	spreadShare = 0.2
+	// peekShare is a small part of the time for which a node waits for a digest.
+	peekShare = 0.2
 	// staggerShare separates the nodes that could take the publishing over.
 	staggerShare = 0.05
 )
@@ -36,15 +38,19 @@
 // proofEvery is the time between two proofs while nothing changes.
 func (t Timing) proofEvery() time.Duration { return t.of(proofShare) }
 
+// peekEvery is how often a node that needs a digest looks whether one is kept.
+func (t Timing) peekEvery() time.Duration { return t.of(peekShare) }
+
 // WatchWait is how long a watch of the table stays open: a table in which nothing changes
 // makes no digest old.
 func (t Timing) WatchWait() time.Duration { return t.of(watchShare) }
 
 // takeOverAfter is by how much the node of a rank has to be ahead of the proof to take the
 // publishing over.
-func (t Timing) takeOverAfter(rank int) time.Duration {
-	return t.of(takeOverShare) + time.Duration(rank)*t.of(staggerShare)
-}
+func (t Timing) takeOverAfter(rank int) time.Duration { return t.of(takeOverShare) + t.stagger(rank) }
+
+// stagger is after how long the node of a rank begins a digest that nobody has kept yet.
+func (t Timing) stagger(rank int) time.Duration { return time.Duration(rank) * t.of(staggerShare) }
 
 // staleAfter is the age from which on a follower reads the table itself; at stands for the
 // node's place in the spread, from 0 to 1.
--- a/internal/gatewaynode/rowstore/view.go
+++ b/internal/gatewaynode/rowstore/view.go
@@ -108,7 +108,7 @@
 	defer v.mu.Unlock()
 	return Status{
 		Loaded: v.loaded, Healthy: v.healthy, Confirmed: v.confirmed.Earlier(), Proven: v.proven.Earlier(), HealthySince: v.recovered,
-		Revision: v.revision, Reached: v.reached,
+		Revision: v.revision, Reached: v.reached, Answered: Moment{Revision: v.revision, Taken: v.taken},
 	}
 }
 
@@ -126,6 +126,8 @@
 	Revision     int64
 	// Reached is the moment of the store up to which all changes were applied.
 	Reached Moment
+	// Answered is the moment of the newest answer, whose changes may not be applied yet.
+	Answered Moment
 }
 
 // Moment is a moment of the store: its newest revision, and its own steady clock in
--- a/internal/gatewaynode/storenode/digest.go
+++ b/internal/gatewaynode/storenode/digest.go
@@ -34,7 +34,7 @@
 	n.digest = digest.NewFollower(n.config.Log, n.config.Store, timing, n.pacing.FreshWait, n.pacing.RegistryPace)
 	n.registry = digest.NewMirror(digest.MirrorConfig{
 		Source: sourceBackends, View: n.instances, Apply: n.applyDigest, Follower: n.digest, Log: n.config.Log, Timing: timing,
-		Wanted: n.needsRegistry,
+		Wanted: n.needsRegistry, Crowded: n.crowded,
 	})
 	n.publisher = digest.NewPublisher(digest.PublisherConfig{
 		Store: n.config.Store, Log: n.config.Log, Self: n.config.Self.Name, Incarnation: n.config.Self.Incarnation,
@@ -64,11 +64,16 @@
 	return n.presence.Size() <= directMost || n.jobs.IsKeeper(now) || n.jobs.OwnsJobs() || n.controller.Near()
 }
 
+// crowded tells whether nodes are known to be too many for all to read the registry.
+func (n *Node) crowded() bool {
+	return n.presence.View().Status().Loaded && n.presence.Size() > directMost
+}
+
 // digestFrom returns from which revision on this node wants the digest, if it does: once the
 // registry was read, where nodes are many.
 func (n *Node) digestFrom() (revision int64, wanted bool) {
-	reached, whole := n.registry.Reached()
-	return reached.Revision, whole && n.presence.View().Status().Loaded && n.presence.Size() > directMost
+	revision, ok := n.registry.FollowFrom()
+	return revision, ok && n.crowded()
 }
 
 // digestKey is what nodes are ranked by for the publishing of the digest.
