digest: a publisher that reads the digest or writes a part of its changes is not replaced

Cause: whoever takes the publishing over writes the proof, reads the digest and then writes what has changed, and the moment up to which the digest is whole moves only with the last of these writes. The other keepers judged by that moment alone. Where all of it takes longer than two seconds, the next one took over before the first had written anything, and read the digest itself.

Change: a takeover, and a write that says that more of it follows, count as the publisher's work for as long as a proof does. A publisher that writes and stays behind is replaced as before. Older builds ignore the new field.

TestBusyPublisherIsNotReplaced: two of its cases fail with the one line of mayTakeOver as it was.

--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -575,3 +575,44 @@
 		}
 	})
 }
+
+// TestBusyPublisherIsNotReplaced guards against keepers that take the publishing over from each
+// other in turn and never publish.
+func TestBusyPublisherIsNotReplaced(t *testing.T) {
+	const (
+		now  = 100_000
+		old  = now - 60_000
+		late = now - 1000
+	)
+	proof := func(publisher string, round int64, unfinished bool) Proof {
+		return Proof{Format: Format, Publisher: publisher, Round: round, Unfinished: unfinished, Reached: map[string]rowstore.Moment{testSource: {Taken: old}}}
+	}
+	for _, test := range []struct {
+		name   string
+		proofs []Proof
+		// taken is the store's clock as each of the proofs is seen.
+		taken []int64
+		want  bool
+	}{
+		{"nobody ever published", nil, nil, true},
+		{"publisher is silent", []Proof{proof("a", 1, false)}, []int64{old}, true},
+		{"publisher writes and is far behind", []Proof{proof("a", 1, false), proof("a", 2, false)}, []int64{old, late}, true},
+		{"publisher has just taken over", []Proof{proof("a", 9, false), proof("b", 1, false)}, []int64{old, late}, false},
+		{"publisher wrote a part of its changes", []Proof{proof("a", 1, false), proof("a", 2, true)}, []int64{old, late}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := NewFollower(nil, nil, Timing{Fresh: testFresh}, nil, nil)
+			f.standing.FirstTaken, f.known = late, true
+			for i := range test.proofs {
+				f.note([]rowstore.Row{{RowID: proofID(), Value: encode(test.proofs[i]), Revision: int64(i + 1)}}, test.taken[i])
+			}
+			p := NewPublisher(PublisherConfig{
+				Source: Source{Name: testSource}, Timing: Timing{Fresh: testFresh}, Follower: f,
+				Rank: func(string, time.Time) int { return 0 },
+			})
+			if got := p.mayTakeOver(rowstore.Moment{Taken: now}, time.Now()); got != test.want {
+				t.Errorf("takes over: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/gatewaynode/digest/doc.go
+++ b/internal/gatewaynode/digest/doc.go
@@ -62,6 +62,8 @@
 	Incarnation int64  `json:"incarnation"`
 	// Round counts the writes of this publisher.
 	Round int64 `json:"round"`
+	// Unfinished tells that the write held a part of what had changed, and more follows.
+	Unfinished bool `json:"unfinished,omitempty"`
 	// Reached holds, by source, the moment of the store up to which the digest is whole.
 	Reached map[string]rowstore.Moment `json:"reached"`
 }
--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -56,9 +56,9 @@
 	// Revision is that of the proof's row, 0 if there is none.
 	Revision int64
 	// FirstTaken is the store's clock when this node first looked, WrittenTaken in the answer
-	// that brought the proof, and PublisherTaken in the one that brought the first proof of
-	// its publisher.
-	FirstTaken, WrittenTaken, PublisherTaken int64
+	// that brought the proof, and BusyTaken in the last one that showed the publisher at work
+	// which no proof of being whole shows: it took over, or wrote a part of its changes.
+	FirstTaken, WrittenTaken, BusyTaken int64
 }
 
 // NewFollower returns a follower that asks the store at the paces given.
@@ -319,8 +319,11 @@
 		if row.Deleted {
 			proof = Proof{}
 		}
-		if proof.Publisher != f.standing.Proof.Publisher || proof.Incarnation != f.standing.Proof.Incarnation {
-			f.standing.PublisherTaken = taken
+		replaced := proof.Publisher != f.standing.Proof.Publisher || proof.Incarnation != f.standing.Proof.Incarnation
+		if replaced || proof.Unfinished {
+			f.standing.BusyTaken = taken
+		}
+		if replaced {
 			f.log.Info(eventlog.DigestFollowed, eventlog.Fields{
 				"publisher": proof.Publisher, "before": f.standing.Proof.Publisher, eventlog.Revision: row.Revision,
 			})
--- a/internal/gatewaynode/digest/publisher.go
+++ b/internal/gatewaynode/digest/publisher.go
@@ -151,7 +151,9 @@
 	if rank < 0 {
 		return false
 	}
-	since := standing.Proof.Reached[p.config.Source.Name].Taken
+	// One that has just taken over reads the digest before it writes, and what it writes then
+	// takes many transactions; replacing it meanwhile would only begin that anew.
+	since := max(standing.Proof.Reached[p.config.Source.Name].Taken, standing.BusyTaken)
 	if since == 0 {
 		since = standing.FirstTaken
 	}
@@ -168,6 +170,7 @@
 	standing, _ := p.config.Follower.Standing()
 	next := standing.Proof
 	next.Format, next.Publisher, next.Incarnation, next.Round = Format, p.config.Self, p.config.Incarnation, 1
+	next.Unfinished = false
 	if next.Reached == nil {
 		next.Reached = map[string]rowstore.Moment{}
 	}
@@ -286,6 +289,7 @@
 func (p *Publisher) commit(ctx context.Context, part []change, reached rowstore.Moment, last bool) bool {
 	next := p.proof
 	next.Round++
+	next.Unfinished = !last
 	if last {
 		next.Reached = map[string]rowstore.Moment{p.config.Source.Name: reached}
 	}
