rowstore: a view that stays lost says why, every two seconds

Only the first failure of a view was logged, so that it could not be told why the later tries failed. TestViewThatStaysLostSaysSoAgain fails before (event unknown).

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -142,7 +142,7 @@
 // surrounding are events that concern whatever a node does at the time.
 var surrounding = map[string]bool{
 	eventlog.Started: true, eventlog.Stopping: true, eventlog.Stopped: true,
-	eventlog.ViewLost: true, eventlog.ViewRegained: true, eventlog.NodeLapsed: true,
+	eventlog.ViewLost: true, eventlog.ViewStillLost: true, eventlog.ViewRegained: true, eventlog.NodeLapsed: true,
 	eventlog.LeaseTaken: true, eventlog.LeaseLost: true, eventlog.UsageUnwritten: true, eventlog.LinesDropped: true, eventlog.ConfigApplied: true,
 	eventlog.EvacuationBegun: true, eventlog.EvacuationEnded: true, eventlog.BackendsCold: true,
 }
--- a/internal/gatewaynode/eventlog/eventlog.go
+++ b/internal/gatewaynode/eventlog/eventlog.go
@@ -26,6 +26,7 @@
 	MachineAway     = "machine_away"
 
 	ViewLost        = "view_lost"
+	ViewStillLost   = "view_still_lost"
 	ViewRegained    = "view_regained"
 	ConfigApplied   = "config_applied"
 	VersionNamed    = "version_named"
--- a/internal/gatewaynode/rowstore/view.go
+++ b/internal/gatewaynode/rowstore/view.go
@@ -64,9 +64,11 @@
 	proven    clock.Mark
 	loaded    bool
 	healthy   bool
-	onLoaded  chan struct{}
-	recovered time.Time
-	wakes     chan struct{}
+	// lost is when the view was lost, told when that was last logged.
+	lost, told time.Time
+	onLoaded   chan struct{}
+	recovered  time.Time
+	wakes      chan struct{}
 }
 
 // NewView returns a view that Run keeps up to date.
@@ -336,15 +338,28 @@
 	}
 }
 
+// lostEvery is the time between two lines about a view that stays lost. Without them it cannot
+// be told why a view that is tried again and again does not come back.
+const lostEvery = 2 * time.Second
+
 func (v *View) lose(err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	now := time.Now()
 	if !v.healthy {
+		if v.loaded && now.Sub(v.told) >= lostEvery {
+			v.told = now
+			v.logLost(eventlog.ViewStillLost, err, eventlog.Fields{"lost_ms_ago": now.Sub(v.lost).Milliseconds()})
+		}
 		return
 	}
-	v.healthy = false
-	v.log.Warn(eventlog.ViewLost, eventlog.Fields{
-		eventlog.View: v.config.Name, eventlog.Revision: v.revision, eventlog.Cause: err.Error(),
-		"confirmed_ms_ago": time.Since(v.confirmed.Earlier()).Milliseconds(),
-	})
+	v.healthy, v.lost, v.told = false, now, now
+	v.logLost(eventlog.ViewLost, err, eventlog.Fields{})
+}
+
+// logLost logs that the view does not follow the store. The lock is held.
+func (v *View) logLost(event string, err error, fields eventlog.Fields) {
+	fields[eventlog.View], fields[eventlog.Revision], fields[eventlog.Cause] = v.config.Name, v.revision, err.Error()
+	fields["confirmed_ms_ago"] = time.Since(v.confirmed.Earlier()).Milliseconds()
+	v.log.Warn(event, fields)
 }
--- a/internal/gatewaynode/rowstore/view_test.go
+++ b/internal/gatewaynode/rowstore/view_test.go
@@ -1,6 +1,7 @@
 package rowstore_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -12,7 +13,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
+
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 )
@@ -137,6 +141,35 @@
 	})
 }
 
+// TestViewThatStaysLostSaysSoAgain guards against failures of which only the first is told.
+func TestViewThatStaysLostSaysSoAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var output bytes.Buffer
+		logger := logrus.New()
+		logger.SetFormatter(&logrus.JSONFormatter{})
+		log := eventlog.New(logger, &output)
+		store := rowstoretest.New()
+		view := rowstore.NewView(log, store, rowstore.ViewConfig{
+			Name: "t", Table: "t", Partitions: []string{""}, Wait: func() time.Duration { return time.Second }, Apply: func([]rowstore.Row, bool) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			view.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		store.SetFaults(rowstoretest.Faults{Silent: true})
+		time.Sleep(9 * time.Second)
+		cancel()
+		<-done
+		log.Close()
+		if lost, again := strings.Count(output.String(), `"view_lost"`), strings.Count(output.String(), `"view_still_lost"`); lost != 1 || again < 2 || again > 4 {
+			t.Errorf("%d lines about the loss, %d about its lasting", lost, again)
+		}
+	})
+}
+
 // TestViewIsAsOldAsTimeAwayMakesIt: the machine is suspended; by its steady clock the view
 // was confirmed a moment ago.
 func TestViewIsAsOldAsTimeAwayMakesIt(t *testing.T) {
