--- a/internal/gatewaynode/rowstore/view_test.go
+++ b/internal/gatewaynode/rowstore/view_test.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
