--- a/internal/gatewaynode/digest/doc.go
+++ b/internal/gatewaynode/digest/doc.go
@@ -28,6 +28,16 @@
 // well after that of the proof, the first in rank first. Nothing rests on there being one
 // publisher at a time.
 //
+// A publisher at work is left alone: one that has just taken over reads the digest first, and
+// one that writes many changes needs many transactions.
+//
+// # Waiting
+//
+// Whoever does not need the table leaves it as soon as nodes are known to be many, also before
+// there is a digest: if all read the table, its publisher cannot. It then waits for the digest
+// with what it has read, and says how old that is. A digest is given up once nobody writes it,
+// not for being behind, and the table is given up again if it arrives too late to be of use.
+//
 // # Rows
 //
 // All rows stand in the table Table, in the partition of the tables that others write, so
--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -194,12 +194,13 @@
 	return age, age >= 0
 }
 
-// Kept tells whether the digest of a source is worth waiting for, for a node that has held on
-// to it since a time: its publisher wrote within most of the store's last answer to this node,
-// or answers have come for so short a time that it cannot have written yet. A publisher that
-// writes and is behind is followed on: whoever of the others that read the table is ahead of it
-// takes its place, and if none is, reading the table takes longer still. While no answers come,
-// the table cannot be read either.
+// Kept tells whether the digest is worth waiting for, for a node that has waited for it or
+// followed it since a time. It is if its publisher wrote within most of the store's last answer
+// to this node, or if answers have come for so short a time that it cannot have written yet.
+//
+// A publisher that writes and is behind is followed on: whoever of the others that read the
+// table is ahead of it takes its place, and if none is, reading the table takes longer still.
+// While no answers come, the table cannot be read either.
 func (f *Follower) Kept(most time.Duration, since, now time.Time) bool {
 	status := f.view.Status()
 	f.mu.Lock()
