--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -55,10 +55,13 @@
 	Proof Proof
 	// Revision is that of the proof's row, 0 if there is none.
 	Revision int64
-	// FirstTaken is the store's clock when this node first looked, WrittenTaken in the answer
-	// that brought the proof, and BusyTaken in the last one that showed the publisher at work
-	// which no proof of being whole shows: it took over, or wrote a part of its changes.
-	FirstTaken, WrittenTaken, BusyTaken int64
+	// FirstTaken is the store's clock when this node first looked.
+	FirstTaken int64
+	// WrittenTaken is the store's clock in the answer that brought Proof.
+	WrittenTaken int64
+	// BusyTaken is the store's clock when the publisher was last seen to take over, or to
+	// write a part of its changes.
+	BusyTaken int64
 }
 
 // NewFollower returns a follower that asks the store at the paces given.
--- a/internal/gatewaynode/digest/timing.go
+++ b/internal/gatewaynode/digest/timing.go
@@ -27,7 +27,7 @@
 	// spreadShare is over how much time the nodes begin to read a table themselves whose
 	// digest is old: all at once would ask the store for seconds of changes each.
 	spreadShare = 0.2
-	// peekShare is a small part of the time for which a node waits for a digest.
+	// peekShare lets a node look at the proof several times while it waits for a digest.
 	peekShare = 0.2
 	// staggerShare separates the nodes that could take the publishing over.
 	staggerShare = 0.05
