digest: time in which nobody could publish is not held against the publisher

The lead is counted by the store's clock, an outage included, so the reader that catches up first takes over from a publisher that has done nothing wrong, and reads the whole digest for it; by then the other one is as much ahead.

TestBusyPublisherIsNotReplaced, "an outage is just over", fails without the change.

Change: after an outage that is longer than the lead, a reader counts the time from the moment at which it follows the table again. Shorter losses count as before, so that a store which refuses some of all calls does not protect a publisher that is dead.

--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -116,7 +116,7 @@
 	})
 	p.publisher = NewPublisher(PublisherConfig{
 		Store: own, Self: name, Incarnation: time.Now().UnixNano(), Timing: timing, TransactionRows: 100, Follower: p.follower,
-		Source: Source{Name: testSource, Reached: p.mirror.Reached, Keys: p.keys, Entry: p.entry},
+		Source: Source{Name: testSource, Reached: p.mirror.Reached, Outage: p.mirror.Outage, Keys: p.keys, Entry: p.entry},
 		Rank:   func(string, time.Time) int { return int(p.rank.Load()) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -592,13 +592,18 @@
 		proofs []Proof
 		// taken is the store's clock as each of the proofs is seen.
 		taken []int64
-		want  bool
+		// outage is how long the table was lost until it was read again a while ago.
+		outage, ago time.Duration
+		want        bool
 	}{
-		{"nobody ever published", nil, nil, true},
-		{"publisher is silent", []Proof{proof("a", 1, false)}, []int64{old}, true},
-		{"publisher writes and is far behind", []Proof{proof("a", 1, false), proof("a", 2, false)}, []int64{old, late}, true},
-		{"publisher has just taken over", []Proof{proof("a", 9, false), proof("b", 1, false)}, []int64{old, late}, false},
-		{"publisher wrote a part of its changes", []Proof{proof("a", 1, false), proof("a", 2, true)}, []int64{old, late}, false},
+		{"nobody ever published", nil, nil, 0, 0, true},
+		{"publisher is silent", []Proof{proof("a", 1, false)}, []int64{old}, 0, 0, true},
+		{"publisher writes and is far behind", []Proof{proof("a", 1, false), proof("a", 2, false)}, []int64{old, late}, 0, 0, true},
+		{"publisher has just taken over", []Proof{proof("a", 9, false), proof("b", 1, false)}, []int64{old, late}, 0, 0, false},
+		{"publisher wrote a part of its changes", []Proof{proof("a", 1, false), proof("a", 2, true)}, []int64{old, late}, 0, 0, false},
+		{"an outage is just over", []Proof{proof("a", 1, false)}, []int64{old}, 7 * time.Second, time.Second, false},
+		{"an outage has been over for long", []Proof{proof("a", 1, false)}, []int64{old}, 7 * time.Second, 4 * time.Second, true},
+		{"a call failed now and then", []Proof{proof("a", 1, false)}, []int64{old}, 400 * time.Millisecond, time.Second, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := NewFollower(nil, nil, Timing{Fresh: testFresh}, nil, nil)
@@ -607,8 +612,8 @@
 				f.note([]rowstore.Row{{RowID: proofID(), Value: encode(test.proofs[i]), Revision: int64(i + 1)}}, test.taken[i])
 			}
 			p := NewPublisher(PublisherConfig{
-				Source: Source{Name: testSource}, Timing: Timing{Fresh: testFresh}, Follower: f,
-				Rank: func(string, time.Time) int { return 0 },
+				Source: Source{Name: testSource, Outage: func() (time.Duration, time.Time) { return test.outage, time.Now().Add(-test.ago) }},
+				Timing: Timing{Fresh: testFresh}, Follower: f, Rank: func(string, time.Time) int { return 0 },
 			})
 			if got := p.mayTakeOver(rowstore.Moment{Taken: now}, time.Now()); got != test.want {
 				t.Errorf("takes over: %t, want %t", got, test.want)
--- a/internal/gatewaynode/digest/mirror.go
+++ b/internal/gatewaynode/digest/mirror.go
@@ -141,6 +141,12 @@
 	return status.Reached, m.Way() == Whole && status.Loaded
 }
 
+// Outage returns for how long the table could not be read at last, and when that ended.
+func (m *Mirror) Outage() (lasted time.Duration, ended time.Time) {
+	status := m.config.View.Status()
+	return status.LostFor, status.HealthySince
+}
+
 func (m *Mirror) set(way Way, cause string) {
 	m.mu.Lock()
 	before := m.way
--- a/internal/gatewaynode/digest/publisher.go
+++ b/internal/gatewaynode/digest/publisher.go
@@ -20,6 +20,8 @@
 	// Reached returns the moment up to which all changes were taken, and whether the table
 	// is read whole just now.
 	Reached func() (rowstore.Moment, bool)
+	// Outage returns for how long the table could not be read at last, and when that ended.
+	Outage func() (lasted time.Duration, ended time.Time)
 	// Keys returns the keys of all rows.
 	Keys func() []string
 	// Entry returns what matters of a row, and its revision; false if there is none.
@@ -151,6 +153,9 @@
 	if rank < 0 {
 		return false
 	}
+	if standing.Revision > 0 && p.waitsForPublisher(rank, now) {
+		return false
+	}
 	// One that has just taken over reads the digest before it writes, and what it writes then
 	// takes many transactions; replacing it meanwhile would only begin that anew.
 	since := max(standing.Proof.Reached[p.config.Source.Name].Taken, standing.BusyTaken)
@@ -164,6 +169,13 @@
 	return lead > p.config.Timing.takeOverAfter(rank)
 }
 
+// waitsForPublisher tells whether an outage that the publisher had as well, as far as is known,
+// ended so lately that it cannot be blamed for being behind.
+func (p *Publisher) waitsForPublisher(rank int, now time.Time) bool {
+	lasted, ended := p.config.Source.Outage()
+	return lasted > p.config.Timing.takeOverAfter(0) && now.Sub(ended) <= p.config.Timing.takeOverAfter(rank)
+}
+
 // takeOver makes this node the publisher: from the write of the proof on nobody else can
 // write, so that what is read then is what the digest holds.
 func (p *Publisher) takeOver(ctx context.Context) {
--- a/internal/gatewaynode/rowstore/view.go
+++ b/internal/gatewaynode/rowstore/view.go
@@ -66,9 +66,11 @@
 	healthy   bool
 	// lost is when the view was lost, told when that was last logged.
 	lost, told time.Time
-	onLoaded   chan struct{}
-	recovered  time.Time
-	wakes      chan struct{}
+	// lostFor is how long it was lost the last time that it came back.
+	lostFor   time.Duration
+	onLoaded  chan struct{}
+	recovered time.Time
+	wakes     chan struct{}
 }
 
 // NewView returns a view that Run keeps up to date.
@@ -110,6 +112,7 @@
 	defer v.mu.Unlock()
 	return Status{
 		Loaded: v.loaded, Healthy: v.healthy, Confirmed: v.confirmed.Earlier(), Proven: v.proven.Earlier(), HealthySince: v.recovered,
+		LostFor:  v.lostFor,
 		Revision: v.revision, Reached: v.reached, Answered: Moment{Revision: v.revision, Taken: v.taken},
 	}
 }
@@ -125,7 +128,9 @@
 	// after it was given.
 	Proven       time.Time
 	HealthySince time.Time
-	Revision     int64
+	// LostFor is how long the view was lost before HealthySince, 0 if it never was.
+	LostFor  time.Duration
+	Revision int64
 	// Reached is the moment of the store up to which all changes were applied.
 	Reached Moment
 	// Answered is the moment of the newest answer, whose changes may not be applied yet.
@@ -330,6 +335,9 @@
 	if !v.healthy {
 		v.healthy = true
 		v.recovered = time.Now()
+		if v.loaded {
+			v.lostFor = v.recovered.Sub(v.lost)
+		}
 		v.log.Info(eventlog.ViewRegained, eventlog.Fields{eventlog.View: v.config.Name, eventlog.Revision: v.revision})
 	}
 	if !v.loaded {
--- a/internal/gatewaynode/storenode/digest.go
+++ b/internal/gatewaynode/storenode/digest.go
@@ -39,7 +39,7 @@
 	n.publisher = digest.NewPublisher(digest.PublisherConfig{
 		Store: n.config.Store, Log: n.config.Log, Self: n.config.Self.Name, Incarnation: n.config.Self.Incarnation,
 		Source: digest.Source{
-			Name: sourceBackends, Reached: n.registry.Reached, Keys: n.backendIDs, Entry: n.digestEntry,
+			Name: sourceBackends, Reached: n.registry.Reached, Outage: n.registry.Outage, Keys: n.backendIDs, Entry: n.digestEntry,
 		},
 		Timing: timing, TransactionRows: n.config.Limits.TransactionRows, Follower: n.digest, Rank: n.digestRank,
 	})
