digest: a publisher that reads the digest renews its claim meanwhile

Two readers of the registry took the publishing over from each other once a second, also without an outage (one run of TestNarrowerLinkDelaysNoChanges, "outage": four times from 13 to 16 s, before it).

Cause: a node that has taken the publishing over is left alone for 0.45 of the time for changes, counted from its one write. It then reads the whole digest, 4,607 rows, which takes a second and more over a link that is half full. The next reader takes over before it has written anything.

Change: it writes its proof again each 0.15 of that time while it reads, as it does for changes that need several transactions. A reading that takes longer than a digest may be old ends, and is left to others.

Not chosen: to take over without reading, from rows followed before. It saves the second, and needs a copy of the digest on every node that might publish.

--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -62,6 +62,35 @@
 	rowstore.Store
 	mu   sync.Mutex
 	thaw time.Time
+	// slow is the table that is listed in a time of slowness, listed how often it was since.
+	slow     string
+	slowness time.Duration
+	listed   int
+}
+
+// slowListing lets each reading of more than one row of a table take a time from now on.
+func (s *lateStore) slowListing(table string, slowness time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow, s.slowness, s.listed = table, slowness, 0
+}
+
+// listings returns how often the table of slowListing was read.
+func (s *lateStore) listings() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed
+}
+
+// slownessOf returns how long a reading of up to some rows of a table takes, and counts it.
+func (s *lateStore) slownessOf(table string, limit int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if table != s.slow || limit <= 1 {
+		return 0
+	}
+	s.listed++
+	return s.slowness
 }
 
 func (s *lateStore) freeze(duration time.Duration) {
@@ -86,6 +115,7 @@
 func (s *lateStore) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
 	s.wait()
 	defer s.wait()
+	time.Sleep(s.slownessOf(table, limit))
 	return s.Store.List(ctx, table, partition, from, to, limit)
 }
 
@@ -370,6 +400,37 @@
 	}
 }
 
+// TestSlowReadingOfTheDigestKeepsThePublishing guards against readers that take the publishing
+// over from one which has taken it over and is still reading the digest.
+func TestSlowReadingOfTheDigestKeepsThePublishing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		w := newWorld(store, 150)
+		first := start(t, store, "first", true, 0)
+		time.Sleep(settled)
+		readers := []*player{start(t, store, "second", true, 1), start(t, store, "third", true, 2)}
+		for _, p := range readers {
+			defer p.stop()
+		}
+		follower := start(t, store, "follower", false, -1)
+		defer follower.stop()
+		time.Sleep(settled)
+		for _, p := range readers {
+			p.late.slowListing(Table, 4*testFresh/5)
+		}
+		first.stop()
+		time.Sleep(3 * testFresh)
+		w.put("k003", thing{Matters: 9})
+		time.Sleep(testFresh)
+		if held, age, _ := follower.believes(time.Now()); held["k003"] != 9 || follower.mirror.Way() != ByDigest {
+			t.Errorf("k003 is %d, %s old, followed by %s", held["k003"], age, follower.mirror.Way())
+		}
+		if takeovers := readers[0].late.listings() + readers[1].late.listings(); takeovers != 1 {
+			t.Errorf("the digest was read by %d readers to take it over", takeovers)
+		}
+	})
+}
+
 // TestNobodyPublishes: without a publisher, followers read the table itself.
 func TestNobodyPublishes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gatewaynode/digest/doc.go
+++ b/internal/gatewaynode/digest/doc.go
@@ -29,7 +29,8 @@
 // publisher at a time.
 //
 // A publisher at work is left alone: one that has just taken over reads the digest first, and
-// one that writes many changes needs many transactions.
+// one that writes many changes needs many transactions. It renews its claim meanwhile. After an
+// outage of the store it has as long as a new one to catch up.
 //
 // # Waiting
 //
--- a/internal/gatewaynode/digest/publisher.go
+++ b/internal/gatewaynode/digest/publisher.go
@@ -51,7 +51,7 @@
 	config PublisherConfig
 
 	mu sync.Mutex
-	// active tells that this node publishes; dirty holds the keys that have changed since
+	// active tells that this node publishes, or reads the digest in order to; dirty holds the keys that have changed since
 	// they were written, published what was written.
 	active    bool
 	dirty     map[string]bool
@@ -195,23 +195,65 @@
 		// is found out by the follower's view.
 		return
 	}
-	rows, _, err := rowstore.ListAll(ctx, p.config.Store, Table, Partition, p.config.Source.Name+"/", rowstore.KeyEnd(p.config.Source.Name+"/"))
-	if err != nil {
-		p.config.Log.Warn(eventlog.DigestLeft, eventlog.Fields{eventlog.Cause: "digest not read: " + err.Error()})
+	p.claim(next, written)
+	rows, err := p.readDigest(ctx)
+	switch {
+	case !p.Active():
+		// Another node has taken the publishing over meanwhile.
+		return
+	case err != nil:
+		p.stepDown("digest not read: " + err.Error())
 		return
 	}
-	p.begin(next, written, rows)
+	p.begin(rows)
 	p.config.Log.Warn(eventlog.DigestTaken, eventlog.Fields{
 		eventlog.Table: p.config.Source.Name, "before": standing.Proof.Publisher, eventlog.Count: len(rows), eventlog.Revision: written,
 	})
 }
 
-// begin starts publishing from what the digest holds.
-func (p *Publisher) begin(proof Proof, revision int64, rows []rowstore.Row) {
+// claim notes that this node is the publisher by the proof that it has written.
+func (p *Publisher) claim(proof Proof, revision int64) {
 	p.proof, p.revision, p.wrote = proof, revision, time.Time{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.active, p.dirty, p.published = true, make(map[string]bool), make(map[string]string, len(rows))
+	p.active, p.dirty, p.published = true, make(map[string]bool), make(map[string]string)
+}
+
+// readDigest returns what the digest holds. It renews the claim of this node meanwhile: others
+// would take the publishing over from it while it reads, and each of them begin that anew. A
+// reading that takes longer than a digest may be old is left to them.
+func (p *Publisher) readDigest(ctx context.Context) ([]rowstore.Row, error) {
+	bounded, cancel := context.WithTimeout(ctx, p.config.Timing.readMost())
+	defer cancel()
+	var rows []rowstore.Row
+	var err error
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		prefix := p.config.Source.Name + "/"
+		rows, _, err = rowstore.ListAll(bounded, p.config.Store, Table, Partition, prefix, rowstore.KeyEnd(prefix))
+	}()
+	renewal := time.NewTicker(p.config.Timing.proofEvery())
+	defer renewal.Stop()
+	for {
+		select {
+		case <-read:
+			return rows, err
+		case <-renewal.C:
+		}
+		p.commit(ctx, nil, rowstore.Moment{}, false)
+		if !p.Active() {
+			cancel()
+			<-read
+			return nil, context.Canceled
+		}
+	}
+}
+
+// begin starts publishing from what the digest holds.
+func (p *Publisher) begin(rows []rowstore.Row) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, row := range rows {
 		_, key, _ := splitKey(row.Key)
 		var held entry
--- a/internal/gatewaynode/digest/timing.go
+++ b/internal/gatewaynode/digest/timing.go
@@ -58,5 +58,9 @@
 	return t.of(staleShare) + time.Duration(at*float64(t.of(spreadShare)))
 }
 
+// readMost bounds the reading of the digest by a node that has taken the publishing over, which
+// nobody takes over from it meanwhile.
+func (t Timing) readMost() time.Duration { return t.Fresh }
+
 // usableMost is the age up to which a digest is begun to be followed.
 func (t Timing) usableMost() time.Duration { return t.of(takeOverShare) }
