digest: nodes do not read the registry again before its publisher can have

Cause, from a trace: all read the registry until 5 s, learned at 7 s that nodes are many, and let go of it at 12 s only, when an answer asked for at 5 s had arrived. Then they waited for the digest for 1.4 to 1.8 s. Its publisher had to read the registry once more, over the same link. It had not begun when they all read the registry again, which took them 7 s.

Change: a node leaves the table while an answer is under way. It waits for the digest for as long as the table took it to read, and while the proof shows that the digest is written.

TestDigestIsWaitedForAsLongAsTheTableTook and TestDigestInTheMakingIsWaitedFor fail without their part of the change. TestTableIsLeftWhileMoreOfItArrives passed on the old rule too as first tried (a lost view counts as an answer): it guards the new one and proves nothing of the old.

--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sliplift/sliplift/internal/gatewaynode/clock"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore/rowstoretest"
 )
@@ -35,9 +36,11 @@
 	name string
 	way  *rowstoretest.Way
 	late *lateStore
-	// rank is the node's place among those that could publish, wants, that it needs the table.
-	rank  atomic.Int64
-	wants atomic.Bool
+	// rank is the node's place among those that could publish, wants, that it needs the table,
+	// crowded, that nodes are known to be many.
+	rank    atomic.Int64
+	wants   atomic.Bool
+	crowded atomic.Bool
 
 	mu sync.Mutex
 	// held is what the node believes: of each key what matters, and of which revision.
@@ -130,6 +133,7 @@
 	p := &player{name: name, held: make(map[string]heldThing), t: t}
 	p.rank.Store(int64(rank))
 	p.wants.Store(wants)
+	p.crowded.Store(true)
 	p.way = rowstoretest.NewWay(store, time.Second)
 	p.late = &lateStore{Store: p.way}
 	own := rowstore.NewGuard(p.late)
@@ -142,7 +146,7 @@
 	p.follower = NewFollower(nil, own, timing, wait, pace)
 	p.mirror = NewMirror(MirrorConfig{
 		Source: testSource, View: view, Apply: p.applyDigest, Follower: p.follower, Timing: timing,
-		Wanted: func(time.Time) bool { return p.wants.Load() }, Crowded: func() bool { return true },
+		Wanted: func(time.Time) bool { return p.wants.Load() }, Crowded: p.crowded.Load,
 	})
 	p.publisher = NewPublisher(PublisherConfig{
 		Store: own, Self: name, Incarnation: time.Now().UnixNano(), Timing: timing, TransactionRows: 100, Follower: p.follower,
@@ -609,6 +613,73 @@
 	})
 }
 
+// TestTableIsLeftWhileMoreOfItArrives guards against nodes that learn how many they are while an
+// answer is under way, and take all of it.
+func TestTableIsLeftWhileMoreOfItArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		newWorld(store, 20)
+		follower := start(t, store, "follower", false, -1)
+		defer follower.stop()
+		follower.crowded.Store(false)
+		time.Sleep(2 * lookEvery)
+		follower.way.Set(rowstoretest.Silenced)
+		time.Sleep(2 * lookEvery)
+		follower.crowded.Store(true)
+		time.Sleep(2 * lookEvery)
+		if way := follower.mirror.Way(); way != Waiting {
+			t.Errorf("follows by %s", way)
+		}
+	})
+}
+
+// TestDigestIsWaitedForAsLongAsTheTableTook guards against nodes that read the table again before
+// its publisher can have read it.
+func TestDigestIsWaitedForAsLongAsTheTableTook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const took = 4 * testFresh
+		store := rowstoretest.New()
+		newWorld(store, 20)
+		follower := start(t, store, "follower", false, -1)
+		defer follower.stop()
+		time.Sleep(2 * testFresh)
+		m := follower.mirror
+		m.wait(rowstore.Status{Proven: time.Now().Add(-took)})
+		if patience := m.patience(); patience < took {
+			t.Errorf("waits for %s after a reading that took %s", patience, took)
+		}
+	})
+}
+
+// TestDigestInTheMakingIsWaitedFor guards against nodes that read the table again while its
+// publisher writes the digest.
+func TestDigestInTheMakingIsWaitedFor(t *testing.T) {
+	const now = 100_000
+	most := testFresh
+	for _, test := range []struct {
+		name string
+		// written is the store's clock when a proof was written, 0 for never.
+		written int64
+		want    bool
+	}{
+		{"nobody has begun one", 0, false},
+		{"the publisher writes", now - 1000, true},
+		{"the publisher has stopped", now - 20_000, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := NewFollower(nil, nil, Timing{Fresh: testFresh}, nil, nil)
+			if test.written > 0 {
+				proof := Proof{Format: Format, Publisher: "a", Round: 2, Unfinished: true}
+				f.note([]rowstore.Row{{RowID: proofID(), Value: encode(proof), Revision: 1}}, test.written)
+			}
+			f.peekedAt(now, clock.NewMark())
+			if got := f.Kept(most, time.Now().Add(-4*testFresh), time.Now()); got != test.want {
+				t.Errorf("kept: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
 // TestTableThatArrivesTooLateIsLeftAgain guards against nodes that go on reading a table which
 // their reading together makes old.
 func TestTableThatArrivesTooLateIsLeftAgain(t *testing.T) {
@@ -623,11 +694,14 @@
 			t.Fatalf("follows by %s", way)
 		}
 		now, first := time.Now(), m.patience()
-		if m.mayWait(rowstore.Status{Proven: now.Add(-time.Second)}, now) {
+		if m.mayWait(rowstore.Status{Proven: now.Add(-time.Second)}, true, now) {
 			t.Error("a table that arrives in time is left")
 		}
 		late := rowstore.Status{Proven: now.Add(-testFresh - time.Second)}
-		if !m.mayWait(late, now) {
+		if m.mayWait(late, false, now) {
+			t.Error("a table is left again before more of it has arrived")
+		}
+		if !m.mayWait(late, true, now) {
 			t.Error("a table that arrives too late is not left")
 		}
 		m.wait(late)
--- a/internal/gatewaynode/digest/doc.go
+++ b/internal/gatewaynode/digest/doc.go
@@ -35,9 +35,11 @@
 // # Waiting
 //
 // Whoever does not need the table leaves it as soon as nodes are known to be many, also before
-// there is a digest: if all read the table, its publisher cannot. It then waits for the digest
-// with what it has read, and says how old that is. A digest is given up once nobody writes it,
-// not for being behind, and the table is given up again if it arrives too late to be of use.
+// there is a digest, and while more of the table arrives: if all read it, its publisher cannot. It
+// then waits for the digest with what it has read, and says how old that is. It waits for as long
+// as the table took to arrive, which the publisher has to read as well, and while the digest is
+// written. A digest is given up once nobody writes it, not for being behind, and the table is given
+// up again if it arrives too late to be of use.
 //
 // # Rows
 //
--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -44,8 +45,12 @@
 	handed map[string]bool
 	// following tells that the view runs.
 	following bool
-	standing  Standing
-	known     bool
+	// peekedTaken is the store's clock in the last answer to a look at the proof alone,
+	// peekedAsked is when that was asked for.
+	peekedTaken int64
+	peekedAsked clock.Mark
+	standing    Standing
+	known       bool
 	// unusable tells that the proof is of a format that this build does not know.
 	unusable bool
 }
@@ -117,7 +122,7 @@
 		snapshot, err := f.store.List(ctx, Table, Partition, keyProof, keyProof+"\x00", 1)
 		if err == nil {
 			f.note(snapshot.Rows, snapshot.Taken)
-			return f.peekedAt(snapshot.Taken, began.Earlier())
+			return f.peekedAt(snapshot.Taken, began)
 		}
 		if !pause.For(ctx, retry/2+rand.N(retry)) {
 			return false
@@ -127,15 +132,16 @@
 
 // peekedAt tells whether the proof is fresh by an answer of the store that was asked for at
 // a time.
-func (f *Follower) peekedAt(taken int64, asked time.Time) bool {
+func (f *Follower) peekedAt(taken int64, asked clock.Mark) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.peekedTaken, f.peekedAsked = taken, asked
 	if !f.known {
 		f.known, f.standing.FirstTaken = true, taken
 	}
 	fresh := false
 	for source := range f.standing.Proof.Reached {
-		age, known := f.age(source, rowstore.Moment{Taken: taken}, asked, time.Now())
+		age, known := f.age(source, rowstore.Moment{Taken: taken}, asked.Earlier(), time.Now())
 		fresh = known && age <= f.timing.usableMost()
 	}
 	return fresh
@@ -212,7 +218,7 @@
 	case f.unusable:
 		return false
 	case !f.following:
-		return now.Sub(since) <= most
+		return now.Sub(since) <= most || f.peekedWriting(now) <= most
 	case !status.Loaded || !status.Healthy || now.Sub(status.HealthySince) <= f.timing.usableMost():
 		return true
 	}
@@ -223,6 +229,15 @@
 	return silent+open+f.timing.WatchWait() <= most
 }
 
+// peekedWriting returns how long ago the proof was written, as far as it was looked at, since the
+// beginning of time if it never was. The lock is held.
+func (f *Follower) peekedWriting(now time.Time) time.Duration {
+	if f.standing.Revision == 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(f.peekedTaken-f.standing.WrittenTaken)*time.Millisecond + now.Sub(f.peekedAsked.Earlier())
+}
+
 // HandedOn tells whether rows of a source were handed on since Attach.
 func (f *Follower) HandedOn(source string) bool {
 	f.mu.Lock()
--- a/internal/gatewaynode/digest/mirror.go
+++ b/internal/gatewaynode/digest/mirror.go
@@ -253,16 +253,17 @@
 	m.set(Waiting, "nodes are many, and this one does not need the table")
 }
 
-// mayWait tells whether the table, of which more was just read and is held with a status, is to
-// be left for a digest that is not whole yet: once at first, and again if so many read the table
-// that it is old by the time it arrives. Whoever is to publish the digest has to read it too.
-func (m *Mirror) mayWait(status rowstore.Status, now time.Time) bool {
+// mayWait tells whether the table, held with a status, is to be left for a digest that is not
+// whole yet: once at first, whatever of it is still arriving, and again if so many read the table
+// that it is old by the time that more of it has arrived. Whoever is to publish the digest has to
+// read it too.
+func (m *Mirror) mayWait(status rowstore.Status, more bool, now time.Time) bool {
 	if !m.config.Crowded() || !m.config.Follower.Usable() {
 		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.waits == 0 || status.ProvenAge(now) > m.config.Timing.Fresh
+	return m.waits == 0 || more && status.ProvenAge(now) > m.config.Timing.Fresh
 }
 
 // maxPatienceDoublings bounds the growth of the time for which the digest is waited for.
@@ -270,11 +271,16 @@
 
 // patience returns for how long the digest is waited for. It doubles with each wait in vain, so
 // that nodes which all read a table too large for the store's link leave room for the publisher.
+// The publisher reads the table too, which takes as long as it took this node.
 func (m *Mirror) patience() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	doublings := min(max(m.waits-1, 0), maxPatienceDoublings)
-	return m.config.Timing.staleAfter(m.spread) << doublings
+	patience := m.config.Timing.staleAfter(m.spread) << doublings
+	if m.way == Waiting {
+		return max(patience, m.leftAge)
+	}
+	return patience
 }
 
 // run runs the view of the table until another way fits.
@@ -313,7 +319,7 @@
 			if m.Way() == Since {
 				return
 			}
-		case more && m.mayWait(status, now), status.Healthy && m.fresh(now):
+		case m.mayWait(status, more, now), status.Healthy && m.fresh(now):
 			return
 		}
 	}
