--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -624,7 +624,8 @@
 		follower.crowded.Store(false)
 		time.Sleep(2 * lookEvery)
 		follower.way.Set(rowstoretest.Silenced)
-		time.Sleep(2 * lookEvery)
+		// Watches that were sent before are answered.
+		time.Sleep(testFresh / 2)
 		follower.crowded.Store(true)
 		time.Sleep(2 * lookEvery)
 		if way := follower.mirror.Way(); way != Waiting {
