digest: a node that leaves the table compares sums before it trusts the digest

What callers saw: a back end could stay in a node's view for good after it was gone or leaving, so that requests were still sent there (DRAIN), or be missing there.

Cause: a node that leaves the table holds it as of a later moment than the digest. What came in between and went before the publisher looked is in no change of the digest, whose proof then covers the node's view all the same. It needs a publisher that is behind: after an outage, at a change of publishers, at a start.

Trace of one: the publisher is at 7.8 s; a row is put at 11.5 s, read by a node that starts at 12.4 s, removed at 13.0 s; the publisher catches up at 13.2 s and has nothing to write; the node holds the row and claims 0.25 s.

Change: proofs carry a sum over ids, addresses and states. Until a proof covers what a node held when it left the table, and the sums agree, its age is the time since then. If they differ it reads the digest whole (digest_differs). Publishers of earlier builds tell no sum; followers go on by their proofs as before.

TestRowThatCameAndWentIsNotHeldForGood fails without the comparison, 5 of 5 runs.

The test's own node told a content for rows it does not hold, so that its publisher wrote removals of rows it had never published, which the product does not: corrected, stricter.

--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -145,12 +146,12 @@
 	})
 	p.follower = NewFollower(nil, own, timing, wait, pace)
 	p.mirror = NewMirror(MirrorConfig{
-		Source: testSource, View: view, Apply: p.applyDigest, Follower: p.follower, Timing: timing,
+		Source: testSource, View: view, Apply: p.applyDigest, Sum: p.sum, Follower: p.follower, Timing: timing,
 		Wanted: func(time.Time) bool { return p.wants.Load() }, Crowded: p.crowded.Load,
 	})
 	p.publisher = NewPublisher(PublisherConfig{
 		Store: own, Self: name, Incarnation: time.Now().UnixNano(), Timing: timing, TransactionRows: 100, Follower: p.follower,
-		Source: Source{Name: testSource, Reached: p.mirror.Reached, Outage: p.mirror.Outage, Keys: p.keys, Entry: p.entry},
+		Source: Source{Name: testSource, Reached: p.mirror.Reached, Outage: p.mirror.Outage, Keys: p.keys, Entry: p.entry, Sum: thingSum},
 		Rank:   func(string, time.Time) int { return int(p.rank.Load()) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -229,7 +230,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	held, present := p.held[key]
-	return encode(held.matters), held.revision, present
+	if !present {
+		return nil, 0, false
+	}
+	return encode(held.matters), held.revision, true
+}
+
+// thingSum is what a row adds to the sum of a digest.
+func thingSum(key string, content json.RawMessage) uint64 {
+	hash := fnv.New64a()
+	_, _ = fmt.Fprintf(hash, "%s %s", key, content)
+	return hash.Sum64()
+}
+
+func (p *player) sum() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sum := uint64(0)
+	for key, held := range p.held {
+		sum += thingSum(key, encode(held.matters))
+	}
+	return sum
 }
 
 // believes returns what a node holds and how old it claims that to be.
@@ -435,6 +456,44 @@
 	})
 }
 
+// TestRowThatCameAndWentIsNotHeldForGood guards against nodes that read a row from the table which
+// came and went while the publisher was behind, so that no change of the digest tells of it.
+func TestRowThatCameAndWentIsNotHeldForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstoretest.New()
+		w := newWorld(store, 20)
+		reader := start(t, store, "reader", true, 0)
+		defer reader.stop()
+		time.Sleep(settled)
+		reader.way.Set(rowstoretest.Refused)
+		// The digest is too old to be followed from the start.
+		time.Sleep(3 * time.Second)
+		w.put("brief", thing{Matters: 1})
+		follower := start(t, store, "follower", false, -1)
+		defer follower.stop()
+		follower.crowded.Store(false)
+		time.Sleep(time.Second)
+		if held, _, _ := follower.believes(time.Now()); held["brief"] != 1 {
+			t.Fatalf("follows by %s and has not read the row", follower.mirror.Way())
+		}
+		follower.crowded.Store(true)
+		time.Sleep(2 * lookEvery)
+		w.remove("brief")
+		reader.way.Set(rowstoretest.Open)
+		for range 40 {
+			time.Sleep(testFresh / 20)
+			now := time.Now()
+			held, age, known := follower.believes(now)
+			if wrong := w.heldSince(held, now.Add(-age)); known && wrong != "" {
+				t.Fatalf("by %s, %s old: %s", follower.mirror.Way(), age, wrong)
+			}
+		}
+		if held, _, _ := follower.believes(time.Now()); held["brief"] != 0 || follower.mirror.Way() != ByDigest {
+			t.Errorf("the row that is gone is %d, by %s", held["brief"], follower.mirror.Way())
+		}
+	})
+}
+
 // TestNobodyPublishes: without a publisher, followers read the table itself.
 func TestNobodyPublishes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -645,7 +704,7 @@
 		defer follower.stop()
 		time.Sleep(2 * testFresh)
 		m := follower.mirror
-		m.wait(rowstore.Status{Proven: time.Now().Add(-took)})
+		m.wait(rowstore.Status{Proven: time.Now().Add(-took)}, false)
 		if patience := m.patience(); patience < took {
 			t.Errorf("waits for %s after a reading that took %s", patience, took)
 		}
@@ -705,7 +764,7 @@
 		if !m.mayWait(late, true, now) {
 			t.Error("a table that arrives too late is not left")
 		}
-		m.wait(late)
+		m.wait(late, false)
 		if again := m.patience(); again != 2*first {
 			t.Errorf("waits for %s, %s at first", again, first)
 		}
--- a/internal/gatewaynode/digest/doc.go
+++ b/internal/gatewaynode/digest/doc.go
@@ -41,6 +41,14 @@
 // written. A digest is given up once nobody writes it, not for being behind, and the table is given
 // up again if it arrives too late to be of use.
 //
+// # From the table to the digest
+//
+// A node that leaves the table holds it as of a later moment than the digest does. What had
+// changed in between, and changed back before the publisher looked, is in no change of the
+// digest: the node would hold a back end for good that came and went. So it claims no more than
+// before until a proof covers what it holds, and the sums of both are the same. If they are not,
+// it reads the digest whole.
+//
 // # Rows
 //
 // All rows stand in the table Table, in the partition of the tables that others write, so
@@ -79,6 +87,9 @@
 	Unfinished bool `json:"unfinished,omitempty"`
 	// Reached holds, by source, the moment of the store up to which the digest is whole.
 	Reached map[string]rowstore.Moment `json:"reached"`
+	// Sum is the sum of what the digest holds of the source, nil if it is not known; builds
+	// before this field do not tell it.
+	Sum *uint64 `json:"sum,omitempty"`
 }
 
 // entry is what the digest holds of a row.
--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -41,8 +41,9 @@
 	passedAll int64
 
 	mu sync.Mutex
-	// handed tells, by source, that rows were handed on since Attach.
-	handed map[string]bool
+	// handed tells, by source, that rows were handed on since Attach, handedWhole, that all of
+	// the digest was.
+	handed, handedWhole map[string]bool
 	// following tells that the view runs.
 	following bool
 	// peekedTaken is the store's clock in the last answer to a look at the proof alone,
@@ -71,7 +72,7 @@
 
 // NewFollower returns a follower that asks the store at the paces given.
 func NewFollower(log *eventlog.Log, store rowstore.Store, timing Timing, wait, pace func() time.Duration) *Follower {
-	f := &Follower{log: log, store: store, timing: timing, wait: wait, attached: make(map[string]Apply), passed: make(map[string]int64), handed: make(map[string]bool), peeked: make(chan struct{})}
+	f := &Follower{log: log, store: store, timing: timing, wait: wait, attached: make(map[string]Apply), passed: make(map[string]int64), handed: make(map[string]bool), handedWhole: make(map[string]bool), peeked: make(chan struct{})}
 	f.view = rowstore.NewView(log, store, rowstore.ViewConfig{
 		Name: Table, Table: Table, Partitions: []string{Partition}, Wait: wait, Pace: pace, Apply: f.apply,
 	})
@@ -245,12 +246,39 @@
 	return f.handed[source]
 }
 
-func (f *Follower) setHanded(source string, handed bool) {
+// HandedWhole tells whether all of the digest of a source was handed on since Attach.
+func (f *Follower) HandedWhole(source string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.handed[source] = handed
+	return f.handedWhole[source]
 }
 
+func (f *Follower) setHanded(source string, handed, whole bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.handed[source], f.handedWhole[source] = handed, whole
+}
+
+// Compare tells whether an owner of a source, who held it as of a revision at Attach and whose
+// sum is told, holds what the digest does, and whether that is known.
+func (f *Follower) Compare(source string, revision int64, sum func() uint64) (same, known bool) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if f.HandedWhole(source) {
+		return true, true
+	}
+	loaded := f.view.Status().Loaded
+	standing, usable := f.Standing()
+	proof := standing.Proof
+	if !loaded || !usable || proof.Unfinished || proof.Reached[source].Revision < revision {
+		return false, false
+	}
+	return proof.Sum == nil || sum() == *proof.Sum, true
+}
+
+// Reload lets the digest be read whole.
+func (f *Follower) Reload() { f.view.Reload() }
+
 // clockGrain is how much later the store's clock may stand than it shows.
 const clockGrain = time.Millisecond
 
@@ -264,7 +292,7 @@
 		return false
 	}
 	f.attached[source] = apply
-	f.setHanded(source, false)
+	f.setHanded(source, false, false)
 	return true
 }
 
@@ -299,7 +327,7 @@
 	}
 	for source, apply := range f.attached {
 		if complete || len(bySource[source]) > 0 {
-			f.setHanded(source, true)
+			f.setHanded(source, true, complete || f.HandedWhole(source))
 			apply(bySource[source], complete)
 		}
 	}
--- a/internal/gatewaynode/digest/mirror.go
+++ b/internal/gatewaynode/digest/mirror.go
@@ -44,7 +44,10 @@
 	// View mirrors the table itself; it is run by the Mirror alone.
 	View *rowstore.View
 	// Apply takes what the digest says.
-	Apply    Apply
+	Apply Apply
+	// Sum returns the sum over all rows that are held of what has to be right in each, such
+	// as the key and the address.
+	Sum      func() uint64
 	Follower *Follower
 	Log      *eventlog.Log
 	Timing   Timing
@@ -71,6 +74,8 @@
 	// was then.
 	left    clock.Mark
 	leftAge time.Duration
+	// base is the revision as of which the table was held when it was left last.
+	base int64
 	// waits counts how often the table was left for the digest since that was last followed.
 	waits int
 }
@@ -193,7 +198,7 @@
 	waiting := m.Way() == Waiting
 	m.noteLeft()
 	digested := m.config.Follower.Detach(m.config.Source).Revision
-	if waiting {
+	if waiting && !m.config.Follower.HandedWhole(m.config.Source) {
 		// The digest was never whole: its proof says nothing of what this node holds.
 		return m.config.View.Status().Reached.Revision
 	}
@@ -234,23 +239,42 @@
 		if whole || !m.config.Follower.Attach(m.config.Source, from, m.config.Apply) {
 			continue
 		}
-		if m.fresh(now) {
-			m.set(ByDigest, "the digest is kept")
-		} else {
-			m.wait(status)
-		}
+		m.wait(status, m.fresh(now))
 		return
 	}
 }
 
-// wait leaves the table, held with a status, for a digest that is not whole yet.
-func (m *Mirror) wait(status rowstore.Status) {
+// wait leaves the table, held with a status, for the digest, which may be fresh, or not whole
+// yet.
+func (m *Mirror) wait(status rowstore.Status, fresh bool) {
+	cause := "the digest is kept"
 	m.mu.Lock()
 	m.left = clock.NewMark()
 	m.leftAge = status.ProvenAge(m.left.At())
-	m.waits++
+	m.base = status.Reached.Revision
+	if !fresh {
+		m.waits++
+		cause = "nodes are many, and this one does not need the table"
+	}
 	m.mu.Unlock()
-	m.set(Waiting, "nodes are many, and this one does not need the table")
+	m.set(Waiting, cause)
+}
+
+// matches tells whether what is held is what the digest holds, after the table was left for it.
+// If it is not, the digest is read whole.
+func (m *Mirror) matches() bool {
+	m.mu.Lock()
+	way, base := m.way, m.base
+	m.mu.Unlock()
+	if way == ByDigest {
+		return true
+	}
+	same, known := m.config.Follower.Compare(m.config.Source, base, m.config.Sum)
+	if known && !same {
+		m.config.Log.Warn(eventlog.DigestDiffers, eventlog.Fields{eventlog.View: m.config.Source, eventlog.Revision: base})
+		m.config.Follower.Reload()
+	}
+	return known && same
 }
 
 // mayWait tells whether the table, held with a status, is to be left for a digest that is not
@@ -353,7 +377,7 @@
 	for pause.For(ctx, lookEvery) {
 		now := time.Now()
 		age, known := m.config.Follower.Age(m.config.Source, now)
-		if known && age <= m.config.Timing.staleAfter(m.spread) {
+		if known && age <= m.config.Timing.staleAfter(m.spread) && m.matches() {
 			m.set(ByDigest, "the digest is whole")
 		}
 		if m.config.Wanted(now) {
--- a/internal/gatewaynode/digest/publisher.go
+++ b/internal/gatewaynode/digest/publisher.go
@@ -26,6 +26,8 @@
 	Keys func() []string
 	// Entry returns what matters of a row, and its revision; false if there is none.
 	Entry func(key string) (content json.RawMessage, revision int64, present bool)
+	// Sum returns what a row adds to the sum of a digest, see MirrorConfig.Sum.
+	Sum func(key string, content json.RawMessage) uint64
 }
 
 // PublisherConfig configures a Publisher.
@@ -55,7 +57,7 @@
 	// they were written, published what was written.
 	active    bool
 	dirty     map[string]bool
-	published map[string]string
+	published map[string]publishedEntry
 
 	// Of Run alone: the proof as it was written last, when, and its revision.
 	proof    Proof
@@ -182,7 +184,7 @@
 	standing, _ := p.config.Follower.Standing()
 	next := standing.Proof
 	next.Format, next.Publisher, next.Incarnation, next.Round = Format, p.config.Self, p.config.Incarnation, 1
-	next.Unfinished = false
+	next.Unfinished, next.Sum = false, nil
 	if next.Reached == nil {
 		next.Reached = map[string]rowstore.Moment{}
 	}
@@ -216,7 +218,7 @@
 	p.proof, p.revision, p.wrote = proof, revision, time.Time{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.active, p.dirty, p.published = true, make(map[string]bool), make(map[string]string)
+	p.active, p.dirty, p.published = true, make(map[string]bool), make(map[string]publishedEntry)
 }
 
 // readDigest returns what the digest holds. It renews the claim of this node meanwhile: others
@@ -259,14 +261,24 @@
 		var held entry
 		if err := json.Unmarshal(row.Value, &held); err != nil {
 			p.config.Log.Warn(eventlog.RowUnreadable, eventlog.Fields{eventlog.Table: Table, eventlog.Key: row.Key, eventlog.Cause: err.Error()})
-			p.published[key] = uncertain
+			p.published[key] = publishedEntry{content: uncertain}
 			continue
 		}
-		p.published[key] = string(held.Content)
+		p.published[key] = p.entry(key, held.Content)
 	}
 	p.dirtyAll()
 }
 
+// publishedEntry is what the digest holds of a row: its content, and what that adds to the sum.
+type publishedEntry struct {
+	content string
+	sum     uint64
+}
+
+func (p *Publisher) entry(key string, content json.RawMessage) publishedEntry {
+	return publishedEntry{content: string(content), sum: p.config.Source.Sum(key, content)}
+}
+
 // uncertain stands for what was published where that is not known. It is no entry's
 // content, so that the row is written or removed once more.
 const uncertain = "?"
@@ -293,8 +305,8 @@
 
 // change is what is to be written of a key.
 type change struct {
+	publishedEntry
 	key     string
-	content string
 	present bool
 	row     rowstore.Row
 }
@@ -307,11 +319,12 @@
 	for _, key := range keys {
 		content, revision, present := p.config.Source.Entry(key)
 		before, written := p.published[key]
-		if present == written && string(content) == before {
+		if present == written && string(content) == before.content {
 			continue
 		}
-		c := change{key: key, content: string(content), present: present, row: rowstore.Row{RowID: entryID(p.config.Source.Name, key)}}
+		c := change{key: key, present: present, row: rowstore.Row{RowID: entryID(p.config.Source.Name, key)}}
 		if present {
+			c.publishedEntry = p.entry(key, content)
 			c.row.Value = encode(entry{Revision: revision, Content: content})
 		}
 		found = append(found, c)
@@ -343,9 +356,10 @@
 func (p *Publisher) commit(ctx context.Context, part []change, reached rowstore.Moment, last bool) bool {
 	next := p.proof
 	next.Round++
-	next.Unfinished = !last
+	next.Unfinished, next.Sum = !last, nil
 	if last {
 		next.Reached = map[string]rowstore.Moment{p.config.Source.Name: reached}
+		next.Sum = p.sumWith(part)
 	}
 	transaction := rowstore.Transaction{
 		Conditions: []rowstore.Condition{{RowID: proofID(), Revision: p.revision}},
@@ -375,6 +389,30 @@
 	return false
 }
 
+// sumWith returns the sum of the digest once changes are written, nil if it is not known.
+func (p *Publisher) sumWith(part []change) *uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := make(map[string]bool, len(part))
+	sum := uint64(0)
+	for _, c := range part {
+		changed[c.key] = true
+		if c.present {
+			sum += c.sum
+		}
+	}
+	for key, held := range p.published {
+		switch {
+		case changed[key]:
+		case held.content == uncertain:
+			return nil
+		default:
+			sum += held.sum
+		}
+	}
+	return &sum
+}
+
 // adopt takes the proof of a conflict if it is that of a write of this process in a round
 // whose answer was lost, and tells so.
 func (p *Publisher) adopt(conflict *rowstore.ConflictError, round int64) bool {
@@ -394,7 +432,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range part {
-		p.published[c.key] = uncertain
+		p.published[c.key] = publishedEntry{content: uncertain}
 	}
 }
 
@@ -403,7 +441,7 @@
 	defer p.mu.Unlock()
 	for _, c := range part {
 		if c.present {
-			p.published[c.key] = c.content
+			p.published[c.key] = c.publishedEntry
 		} else {
 			delete(p.published, c.key)
 		}
--- a/internal/gatewaynode/eventlog/eventlog.go
+++ b/internal/gatewaynode/eventlog/eventlog.go
@@ -34,6 +34,7 @@
 	DigestTaken     = "digest_publishing_taken"
 	DigestLeft      = "digest_publishing_left"
 	DigestFollowed  = "digest_publisher_changed"
+	DigestDiffers   = "digest_differs"
 	WayChanged      = "view_way_changed"
 	BackendChanged  = "backend_changed"
 	BackendGone     = "backend_gone"
--- a/internal/gatewaynode/rowstore/view.go
+++ b/internal/gatewaynode/rowstore/view.go
@@ -67,7 +67,9 @@
 	// lost is when the view was lost, told when that was last logged.
 	lost, told time.Time
 	// lostFor is how long it was lost the last time that it came back.
-	lostFor   time.Duration
+	lostFor time.Duration
+	// reload tells that the table is to be read whole next.
+	reload    bool
 	onLoaded  chan struct{}
 	recovered time.Time
 	wakes     chan struct{}
@@ -101,6 +103,22 @@
 	}
 }
 
+// Reload lets the view read the table whole next.
+func (v *View) Reload() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.reload = true
+}
+
+// takeReload tells whether Reload was called since it was last asked.
+func (v *View) takeReload() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	reload := v.reload
+	v.reload = false
+	return reload
+}
+
 // Loaded is closed once the view has been read whole for the first time.
 func (v *View) Loaded() <-chan struct{} { return v.onLoaded }
 
@@ -175,6 +193,7 @@
 	var compacted time.Time
 	for ctx.Err() == nil {
 		started := clock.NewMark()
+		reload = v.takeReload() || reload
 		err := v.step(ctx, reload, failed)
 		if err == nil {
 			v.confirm(started, reload)
--- a/internal/gatewaynode/storenode/digest.go
+++ b/internal/gatewaynode/storenode/digest.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -33,13 +35,14 @@
 	})
 	n.digest = digest.NewFollower(n.config.Log, n.config.Store, timing, n.pacing.FreshWait, n.pacing.RegistryPace)
 	n.registry = digest.NewMirror(digest.MirrorConfig{
-		Source: sourceBackends, View: n.instances, Apply: n.applyDigest, Follower: n.digest, Log: n.config.Log, Timing: timing,
+		Source: sourceBackends, View: n.instances, Apply: n.applyDigest, Sum: n.backendsSum, Follower: n.digest, Log: n.config.Log, Timing: timing,
 		Wanted: n.needsRegistry, Crowded: n.crowded,
 	})
 	n.publisher = digest.NewPublisher(digest.PublisherConfig{
 		Store: n.config.Store, Log: n.config.Log, Self: n.config.Self.Name, Incarnation: n.config.Self.Incarnation,
 		Source: digest.Source{
 			Name: sourceBackends, Reached: n.registry.Reached, Outage: n.registry.Outage, Keys: n.backendIDs, Entry: n.digestEntry,
+			Sum: digestSum,
 		},
 		Timing: timing, TransactionRows: n.config.Limits.TransactionRows, Follower: n.digest, Rank: n.digestRank,
 	})
@@ -130,6 +133,34 @@
 	return encoded, b.Revision, true
 }
 
+// backendSum is what a back end adds to the sum of a digest. How long it stays cold is left out: it
+// changes by itself.
+func backendSum(id, address string, draining bool) uint64 {
+	hash := fnv.New64a()
+	// Writing to a hash does not fail.
+	_, _ = fmt.Fprintf(hash, "%s %s %t", id, address, draining)
+	return hash.Sum64()
+}
+
+// digestSum is backendSum of what the digest says of a back end.
+func digestSum(id string, content json.RawMessage) uint64 {
+	var told backendDigest
+	if err := json.Unmarshal(content, &told); err != nil {
+		// Whoever follows the digest drops such a row.
+		return 0
+	}
+	return backendSum(id, told.Address, told.Draining)
+}
+
+// backendsSum returns the sum of all back ends.
+func (n *Node) backendsSum() uint64 {
+	sum := uint64(0)
+	for _, b := range n.fleet.All(time.Now()) {
+		sum += backendSum(b.ID, b.Address, b.Draining)
+	}
+	return sum
+}
+
 // unknownVersion stands for the version of weights that a digest does not tell: older than
 // any that an item wants.
 const unknownVersion = 0
