digest: a proof read after the rows of a digest does not cover them

What callers saw: nothing that was reported.

Cause: a digest of more than 500 rows is read in pages, and the key "proof" stands behind "backends/...". A proof that is written between the pages covers changes to rows that were read before it.

Change: of a whole reading, a row that is newer than its first page is not taken for the proof; the next watch brings it again with what it covers.

--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -494,6 +494,74 @@
 	})
 }
 
+// pagedStore calls between after the first page of a table.
+type pagedStore struct {
+	rowstore.Store
+	between func()
+}
+
+func (s *pagedStore) List(ctx context.Context, table, partition, from, to string, limit int) (rowstore.Snapshot, error) {
+	snapshot, err := s.Store.List(ctx, table, partition, from, to, limit)
+	if table == Table && snapshot.More {
+		s.between()
+	}
+	return snapshot, err
+}
+
+// TestProofOfALaterPageCoversNoEarlierPage guards against a digest that is read in pages, and
+// whose proof on the last page covers changes to rows on the first.
+func TestProofOfALaterPageCoversNoEarlierPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const source, key = "backends", "k0000"
+		store := rowstoretest.New()
+		put := func(round int64) {
+			store.Put(Table, Partition, source+"/"+key, encode(entry{Revision: round, Content: encode(round)}))
+			proof := Proof{Format: Format, Publisher: "a", Round: round, Reached: map[string]rowstore.Moment{source: {Revision: round, Taken: time.Now().UnixMilli()}}}
+			store.Put(Table, Partition, keyProof, encode(proof))
+		}
+		put(1)
+		for i := range 600 {
+			store.Put(Table, Partition, fmt.Sprintf("%s/m%04d", source, i), encode(entry{Revision: 1, Content: encode(0)}))
+		}
+		var held atomic.Int64
+		late := false
+		paged := &pagedStore{Store: store, between: func() {
+			if !late {
+				late = true
+				put(2)
+			}
+		}}
+		pace := func() time.Duration { return time.Second }
+		f := NewFollower(nil, paged, Timing{Fresh: testFresh}, pace, pace)
+		f.Attach(source, 0, func(rows []rowstore.Row, _ bool) {
+			for _, row := range rows {
+				if row.Key == key {
+					held.Store(row.Revision)
+				}
+			}
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.view.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			if proven := f.Reached(source).Revision; proven > held.Load() {
+				t.Fatalf("proven up to %d, held as of %d", proven, held.Load())
+			}
+		}
+		if held.Load() != 2 || f.Reached(source).Revision != 2 {
+			t.Errorf("proven up to %d, held as of %d", f.Reached(source).Revision, held.Load())
+		}
+	})
+}
+
 // TestNobodyPublishes: without a publisher, followers read the table itself.
 func TestNobodyPublishes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -332,7 +333,17 @@
 		}
 	}
 	// The proof comes last: what it covers has been handed on.
-	f.note(rows, f.view.Status().Answered.Taken)
+	f.note(covered(rows, complete, f.view.Status().Revision), f.view.Status().Answered.Taken)
+}
+
+// covered returns rows without those of a whole reading that are newer than its beginning, a
+// revision: a proof on its last page may cover changes to what was read on the first. The next
+// watch brings them again.
+func covered(rows []rowstore.Row, complete bool, began int64) []rowstore.Row {
+	if !complete {
+		return rows
+	}
+	return slices.DeleteFunc(slices.Clone(rows), func(row rowstore.Row) bool { return row.Revision > began })
 }
 
 // read returns what a row of the digest says of a row of a source.
