storerelay: errors say that a call went through another node only where it did

What was seen: all errors of the store said "through another node", also on nodes that go their own way.

Change: an answer knows whether it was relayed. The text of the sentinel, which stood there twice, stands there once. TestErrorsTellTheWayOfACall does not build without it.

--- a/internal/gatewaynode/storerelay/client.go
+++ b/internal/gatewaynode/storerelay/client.go
@@ -116,6 +116,7 @@
 		return answer{}, fmt.Errorf("%w: call through another node: %w", rowstore.ErrUnknown, err)
 	}
 	c.put(l)
+	got.relayed = true
 	return got, nil
 }
 
--- a/internal/gatewaynode/storerelay/detour_test.go
+++ b/internal/gatewaynode/storerelay/detour_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -233,6 +234,33 @@
 	}
 }
 
+// TestErrorsTellTheWayOfACall guards against log lines that say of a call which the store refused
+// to this node that it went through another one.
+func TestErrorsTellTheWayOfACall(t *testing.T) {
+	const way = "through another node"
+	refused := answerOf(fmt.Errorf("%w: status 429", rowstore.ErrRefused))
+	if got, want := refused.err().Error(), rowstore.ErrRefused.Error()+": status 429"; got != want {
+		t.Errorf("own way: %q, want %q", got, want)
+	}
+	refused.relayed = true
+	if got := refused.err().Error(); !strings.Contains(got, way) {
+		t.Errorf("relayed: %q does not contain %q", got, way)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.stop()
+		for i, d := range f.nodes {
+			if i == 0 {
+				f.ways[i].Set(rowstoretest.Refused)
+			}
+			_, err := d.List(t.Context(), "t", "", "", "", 1)
+			if err != nil && strings.Contains(err.Error(), way) {
+				t.Errorf("call by the node's own way: %v", err)
+			}
+		}
+	})
+}
+
 // TestQuietTimeFollowsTheTurns: the more nodes share the store, the longer one of them may
 // go without an answer before it asks others.
 func TestQuietTimeFollowsTheTurns(t *testing.T) {
--- a/internal/gatewaynode/storerelay/doc.go
+++ b/internal/gatewaynode/storerelay/doc.go
@@ -29,6 +29,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 )
@@ -80,6 +81,8 @@
 	Taken    int64          `json:"taken,omitempty"`
 	Rows     []rowstore.Row `json:"rows,omitempty"`
 	More     bool           `json:"more,omitempty"`
+	// relayed tells that the answer came through another node.
+	relayed bool
 }
 
 // sentinels are the errors of a store by the outcome that names them.
@@ -117,7 +120,11 @@
 	if sentinel == nil {
 		sentinel = rowstore.ErrUnknown
 	}
-	return fmt.Errorf("%w: through another node: %s", sentinel, a.Cause)
+	cause := strings.TrimPrefix(a.Cause, sentinel.Error()+": ")
+	if a.relayed {
+		return fmt.Errorf("%w: through another node: %s", sentinel, cause)
+	}
+	return fmt.Errorf("%w: %s", sentinel, cause)
 }
 
 func (a answer) snapshot() rowstore.Snapshot {
