digest: a digest that is whole and behind is not waited for beyond its time

- A node that waits for its first digest went on waiting as long as somebody wrote it.
A publisher that is behind for good, by more than a digest may be old to be begun with, would have kept it on an old table for good.
Only a digest that is not whole yet is waited for beyond the usual time.
- A node whose sum differs asked for a whole reading every 0.2 s until one had arrived, and so for two where that takes longer.
It asks once.

TestDigestInTheMakingIsWaitedFor has the case "writes and is far behind", which fails without the change.

--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -788,16 +788,22 @@
 		name string
 		// written is the store's clock when a proof was written, 0 for never.
 		written int64
+		// reached is up to where the digest is whole, 0 if it never was.
+		reached int64
 		want    bool
 	}{
-		{"nobody has begun one", 0, false},
-		{"the publisher writes", now - 1000, true},
-		{"the publisher has stopped", now - 20_000, false},
+		{"nobody has begun one", 0, 0, false},
+		{"the publisher writes", now - 1000, 0, true},
+		{"the publisher has stopped", now - 20_000, 0, false},
+		{"the publisher writes and is far behind", now - 1000, now - 60_000, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := NewFollower(nil, nil, Timing{Fresh: testFresh}, nil, nil)
 			if test.written > 0 {
-				proof := Proof{Format: Format, Publisher: "a", Round: 2, Unfinished: true}
+				proof := Proof{Format: Format, Publisher: "a", Round: 2, Unfinished: test.reached == 0}
+				if test.reached > 0 {
+					proof.Reached = map[string]rowstore.Moment{testSource: {Taken: test.reached}}
+				}
 				f.note([]rowstore.Row{{RowID: proofID(), Value: encode(proof), Revision: 1}}, test.written)
 			}
 			f.peekedAt(now, clock.NewMark())
--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -220,7 +220,7 @@
 	case f.unusable:
 		return false
 	case !f.following:
-		return now.Sub(since) <= most || f.peekedWriting(now) <= most
+		return now.Sub(since) <= most || f.firstWritten(now) <= most
 	case !status.Loaded || !status.Healthy || now.Sub(status.HealthySince) <= f.timing.usableMost():
 		return true
 	}
@@ -231,10 +231,12 @@
 	return silent+open+f.timing.WatchWait() <= most
 }
 
-// peekedWriting returns how long ago the proof was written, as far as it was looked at, since the
-// beginning of time if it never was. The lock is held.
-func (f *Follower) peekedWriting(now time.Time) time.Duration {
-	if f.standing.Revision == 0 {
+// firstWritten returns how long ago more was written of a digest that is not whole yet, by the last
+// look at its proof, math.MaxInt64 if none is written. One that is whole and behind is not waited
+// for: nobody knows for how long. The lock is held.
+func (f *Follower) firstWritten(now time.Time) time.Duration {
+	proof := f.standing.Proof
+	if f.standing.Revision == 0 || len(proof.Reached) > 0 && !proof.Unfinished {
 		return math.MaxInt64
 	}
 	return time.Duration(f.peekedTaken-f.standing.WrittenTaken)*time.Millisecond + now.Sub(f.peekedAsked.Earlier())
--- a/internal/gatewaynode/digest/mirror.go
+++ b/internal/gatewaynode/digest/mirror.go
@@ -76,6 +76,8 @@
 	leftAge time.Duration
 	// base is the revision as of which the table was held when it was left last.
 	base int64
+	// reloaded tells that the digest was to be read whole since, which is not asked for twice.
+	reloaded bool
 	// waits counts how often the table was left for the digest since that was last followed.
 	waits int
 }
@@ -251,7 +253,7 @@
 	m.mu.Lock()
 	m.left = clock.NewMark()
 	m.leftAge = status.ProvenAge(m.left.At())
-	m.base = status.Reached.Revision
+	m.base, m.reloaded = status.Reached.Revision, false
 	if !fresh {
 		m.waits++
 		cause = "nodes are many, and this one does not need the table"
@@ -260,9 +262,9 @@
 	m.set(Waiting, cause)
 }
 
-// matches tells whether what is held is what the digest holds, after the table was left for it.
+// verified tells whether what is held is what the digest holds, after the table was left for it.
 // If it is not, the digest is read whole.
-func (m *Mirror) matches() bool {
+func (m *Mirror) verified() bool {
 	m.mu.Lock()
 	way, base := m.way, m.base
 	m.mu.Unlock()
@@ -270,7 +272,8 @@
 		return true
 	}
 	same, known := m.config.Follower.Compare(m.config.Source, base, m.config.Sum)
-	if known && !same {
+	if known && !same && !m.reloaded {
+		m.reloaded = true
 		m.config.Log.Warn(eventlog.DigestDiffers, eventlog.Fields{eventlog.View: m.config.Source, eventlog.Revision: base})
 		m.config.Follower.Reload()
 	}
@@ -377,7 +380,7 @@
 	for pause.For(ctx, lookEvery) {
 		now := time.Now()
 		age, known := m.config.Follower.Age(m.config.Source, now)
-		if known && age <= m.config.Timing.staleAfter(m.spread) && m.matches() {
+		if known && age <= m.config.Timing.staleAfter(m.spread) && m.verified() {
 			m.set(ByDigest, "the digest is whole")
 		}
 		if m.config.Wanted(now) {
