digest: the proof of a node that has just taken over proves nothing

Found by reading the takeover once more; nobody saw it. The first proof of a new publisher told no sum and was not unfinished, like those of builds before sums. A node that waited for its sum to be compared would have trusted the digest without. It is unfinished now until the node has written what the digest lacks.

--- a/internal/gatewaynode/digest/digest_test.go
+++ b/internal/gatewaynode/digest/digest_test.go
@@ -444,7 +444,12 @@
 			p.late.slowListing(Table, 4*testFresh/5)
 		}
 		first.stop()
-		time.Sleep(3 * testFresh)
+		for began := time.Now(); time.Since(began) < 3*testFresh; {
+			time.Sleep(testFresh / 50)
+			if standing, _ := follower.follower.Standing(); standing.Proof.Round == 1 && !standing.Proof.Unfinished {
+				t.Fatalf("%s has read nothing yet, and its proof is finished", standing.Proof.Publisher)
+			}
+		}
 		w.put("k003", thing{Matters: 9})
 		time.Sleep(testFresh)
 		if held, age, _ := follower.believes(time.Now()); held["k003"] != 9 || follower.mirror.Way() != ByDigest {
--- a/internal/gatewaynode/digest/takeover.go
+++ b/internal/gatewaynode/digest/takeover.go
@@ -49,7 +49,8 @@
 	standing, _ := p.config.Follower.Standing()
 	next := standing.Proof
 	next.Format, next.Publisher, next.Incarnation, next.Round = Format, p.config.Self, p.config.Incarnation, 1
-	next.Unfinished, next.Sum = false, nil
+	// It proves nothing until this node has read the digest and written what it lacks.
+	next.Unfinished, next.Sum = true, nil
 	if next.Reached == nil {
 		next.Reached = map[string]rowstore.Moment{}
 	}
