digest: comments that had fallen behind the code

The way Waiting and the count of waits said what held before sums were compared; one line was too long, one sentence had to be read twice. No code changed.

--- a/internal/gatewaynode/digest/follower.go
+++ b/internal/gatewaynode/digest/follower.go
@@ -262,8 +262,8 @@
 	f.handed[source], f.handedWhole[source] = handed, whole
 }
 
-// Compare tells whether an owner of a source, who held it as of a revision at Attach and whose
-// sum is told, holds what the digest does, and whether that is known.
+// Compare tells whether an owner of a source holds what the digest does, and whether that is
+// known. The owner held the table as of a revision at Attach; sum returns the sum of what it holds.
 func (f *Follower) Compare(source string, revision int64, sum func() uint64) (same, known bool) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
--- a/internal/gatewaynode/digest/mirror.go
+++ b/internal/gatewaynode/digest/mirror.go
@@ -28,7 +28,8 @@
 	ByDigest
 	// Between: the digest is left and the table not read yet.
 	Between
-	// Waiting: the table was left for a digest that is not whole yet.
+	// Waiting: the table was left for a digest that is not whole yet, or was not compared with
+	// what is held.
 	Waiting
 )
 
@@ -76,9 +77,10 @@
 	leftAge time.Duration
 	// base is the revision as of which the table was held when it was left last.
 	base int64
-	// reloaded tells that the digest was to be read whole since, which is not asked for twice.
+	// reloaded tells that the digest was asked to be read whole since then.
 	reloaded bool
-	// waits counts how often the table was left for the digest since that was last followed.
+	// waits counts how often the table was left for a digest that was not fresh since the digest
+	// was last followed.
 	waits int
 }
 
--- a/internal/gatewaynode/digest/publisher.go
+++ b/internal/gatewaynode/digest/publisher.go
@@ -53,8 +53,8 @@
 	config PublisherConfig
 
 	mu sync.Mutex
-	// active tells that this node publishes, or reads the digest in order to; dirty holds the keys that have changed since
-	// they were written, published what was written.
+	// active tells that this node publishes, or reads the digest in order to. dirty holds the
+	// keys that have changed since they were written, published what was written.
 	active    bool
 	dirty     map[string]bool
 	published map[string]publishedEntry
