--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -20,7 +20,7 @@
 		os.Exit(exitFailed)
 	}
 	commands := map[string]func([]string) int{
-		"store": runStore, "sampler": runSampler, "crashes": runCrashes, "grey": runGrey, "surplus": runSurplus, "smuggle": runSmuggle,
+		"store": runStore, "sampler": runSampler, "crashes": runCrashes, "grey": runGrey, "plain": runPlain, "surplus": runSurplus, "smuggle": runSmuggle,
 	}
 	command, known := commands[os.Args[1]]
 	if !known {
--- a/review/tools/sampler.go
+++ b/review/tools/sampler.go
@@ -30,11 +30,15 @@
 	id, address, service, model string
 	slots                       int
 	gap                         time.Duration
+	// failBytes is the length of the body with which two requests of five are answered with
+	// 500, 0 for none.
+	failBytes int
 
 	mu      sync.Mutex
 	version int64
 	taken   int64
 	running int
+	served  int
 	record  *json.Encoder
 }
 
@@ -47,6 +51,7 @@
 	flags.StringVar(&s.model, "model", "model", "model")
 	flags.IntVar(&s.slots, "slots", 12, "slots")
 	flags.DurationVar(&s.gap, "gap", 40*time.Millisecond, "time between two events")
+	flags.IntVar(&s.failBytes, "fail-bytes", 0, "length of the body of answers of 500 to two requests of five")
 	store := flags.String("store", "", "IP:port of the store")
 	record := flags.String("record", "", "file that runs are appended to")
 	if flags.Parse(arguments) != nil {
@@ -150,6 +155,14 @@
 	s.running--
 }
 
+// fails tells whether the next request is answered with 500: two of five are.
+func (s *sampler) fails() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served++
+	return s.failBytes > 0 && s.served%5 >= 3
+}
+
 // eventsOf returns how many events the text of a path has.
 func eventsOf(path string) int {
 	parts := strings.Split(path, "/")
@@ -175,8 +188,15 @@
 	made := after
 	s.note("begin", id, after, made)
 	defer func() { s.note("end", id, after, made) }()
-	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Response-Stamp", "stamp-"+s.id+"-"+id)
+	if s.fails() {
+		s.note("answers 500", id, after, made)
+		w.Header().Set("Content-Length", strconv.Itoa(s.failBytes))
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, strings.Repeat("f", s.failBytes))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weight-Versions", strconv.FormatInt(version, 10))
 	w.WriteHeader(http.StatusOK)
 	flusher, _ := w.(http.Flusher)
--- a/review/tools/system.go
+++ b/review/tools/system.go
@@ -6,12 +6,16 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -26,6 +30,7 @@
 	record   *os.File
 	began    time.Time
 	store    string
+	mu       sync.Mutex
 	running  map[*exec.Cmd]bool
 	gateways []gatewayNode
 	samplers map[string]*samplerProcess
@@ -57,6 +62,7 @@
 		folder: folder, gateway: os.Getenv("GATEWAY"), record: record, began: time.Now(),
 		running: make(map[*exec.Cmd]bool), samplers: make(map[string]*samplerProcess),
 	}
+	go s.stopOnSignal()
 	s.store = freeAddress()
 	_, err = s.start("store", os.Args[0], "store", s.store)
 	if err != nil {
@@ -83,20 +89,39 @@
 		return nil, err
 	}
 	_ = output.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.running[command] = true
 	return command, nil
 }
 
+// stopOnSignal ends all processes if this one is told to end.
+func (s *system) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	s.mu.Lock()
+	for command := range s.running {
+		_ = command.Process.Kill()
+	}
+	os.Exit(exitFailed)
+}
+
 // kill ends a process by SIGKILL and waits for its end.
 func (s *system) kill(command *exec.Cmd) {
 	_ = command.Process.Signal(syscall.SIGKILL)
 	_ = command.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.running, command)
 }
 
 // stop ends all processes and removes the folder.
 func (s *system) stop() {
-	for command := range s.running {
+	s.mu.Lock()
+	commands := slices.Collect(maps.Keys(s.running))
+	s.mu.Unlock()
+	for _, command := range commands {
 		s.kill(command)
 	}
 	if os.Getenv("KEEP") != "" {
