quarantine: requests of jobs are never held back

Cause: three back ends that ended while they ran a work quarantined it on all nodes for ten minutes, also where it is an item or the call that scores one. An item runs for seconds and is sent again after each crash, so it meets three by chance; the one trial comes after 10 s of the 12 that a step has, and is used up by the end of the job.

Change: items and scoring calls are neither held back nor cut. Their ends still count against live requests of the same work, and are marked as durable in rows, so that what nodes of an earlier version wrote holds no item back.

Why this works: nothing decides any more that an accepted item is not sent; the pause is a function of the evidence with a maximum, the same on the next owner and after a restart.

--- a/internal/gatewaynode/batch/held.go
+++ b/internal/gatewaynode/batch/held.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 )
 
 // heldLogInterval is the minimum interval between log entries about the held items of a job.
@@ -27,34 +27,27 @@
 	})
 }
 
-// noteQuarantined logs that an item is held because backends crashed while running the same
-// work, and requests a trial run if one is allowed. The caller holds r.mu.
-func (r *runner) noteQuarantined(job *ownedJob, index int, p *schedulingRound) {
-	if r.manager.config.Trials.MayTry(job.items[index].work) {
-		go r.askTrial(job, index)
+// backoffLabel is the logged reason of an item that waits for the end of a backoff.
+const backoffLabel = "backoff"
+
+// backsOff reports whether a request of an item, its run or its scoring call, has to wait since
+// backends failed while they ran it. The caller holds r.mu.
+func (r *runner) backsOff(job *ownedJob, index int, work fingerprint.Fingerprint, p *schedulingRound) bool {
+	if p.backoff == nil {
+		return false
+	}
+	backoff := p.backoff(work)
+	if backoff.Left(p.now) == 0 {
+		return false
 	}
 	if p.now.Sub(job.heldLoggedAt) < heldLogInterval {
-		return
+		return true
 	}
 	job.heldLoggedAt = p.now
-	work := job.items[index].work
 	r.manager.config.Log.Warn(eventlog.JobHeld, eventlog.Fields{
 		eventlog.Job: job.id, eventlog.Item: job.spec.Items[index].ID, eventlog.Work: work.String(),
-		eventlog.Reasons: map[string]int{eligibility.LabelQuarantined: p.snapshot.QuarantineFailures(work)}, "left": job.unfinished,
+		eventlog.Reasons: map[string]int{backoffLabel: backoff.Failures}, "left": job.unfinished,
+		"room_in_ms": backoff.Left(p.now).Milliseconds(),
 	})
-}
-
-// askTrial permits one run of a quarantined item if this node is granted the trial of its work.
-// It blocks until that is decided. The caller must not hold r.mu.
-func (r *runner) askTrial(job *ownedJob, index int) {
-	r.mu.Lock()
-	work := job.items[index].work
-	r.mu.Unlock()
-	if !r.manager.config.Trials.Try(job.ctx, work) {
-		return
-	}
-	r.mu.Lock()
-	job.items[index].trial = true
-	r.mu.Unlock()
-	r.kick()
+	return true
 }
--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -12,6 +12,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/presence"
+	"github.com/sliplift/sliplift/internal/gatewaynode/quarantine"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 	"github.com/sliplift/sliplift/internal/gatewaynode/rowstore"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
@@ -39,8 +40,8 @@
 	Routes func() *routetable.Table
 	// WorkOf returns the fingerprint of a request.
 	WorkOf func(fingerprint.Input) fingerprint.Fingerprint
-	// Trials grants trial runs of quarantined items.
-	Trials Trials
+	// Backoff returns the backoff of a request under which backends failed.
+	Backoff func(fingerprint.Fingerprint) quarantine.Backoff
 	// VersionField is the name of the event field that carries the weight version.
 	VersionField string
 	// Pacing limits how often the store is read.
@@ -59,15 +60,6 @@
 	VisibilityDelay time.Duration
 }
 
-// Trials grants trial runs of quarantined requests.
-type Trials interface {
-	// MayTry reports whether a trial may be due. Try is called only then.
-	MayTry(work fingerprint.Fingerprint) bool
-	// Try reports whether this node may send a quarantined request once. It accesses
-	// the store.
-	Try(ctx context.Context, work fingerprint.Fingerprint) bool
-}
-
 // jobState is a node's view of a job.
 type jobState struct {
 	id           string
--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -75,10 +75,6 @@
 		releaseSlot: r.manager.config.Fleet.Begin(backend.ID), priority: upstream.PriorityOf(r.priority(job.tenant, route), item.priorityOffset()),
 		request: r.requestOf(job, index, route), work: item.work, markSent: r.unsent.begin(backend.ID),
 	}
-	if !item.trial {
-		started.request.Fingerprint = item.work
-	}
-	item.trial = false
 	if route.MaxQueue > 0 {
 		started.deadline = item.started.Add(max(route.MaxQueue-job.head.age(item.started), time.Second))
 	}
@@ -370,7 +366,7 @@
 	backends, now := r.manager.config.Fleet, time.Now()
 	switch {
 	case run.job.ctx.Err() != nil, errors.Is(err, errMoved), errors.Is(err, errStopping), errors.Is(err, errExpired),
-		errors.Is(err, errUnprocessable), errors.Is(err, errServerError), errors.Is(err, upstream.ErrQuarantined):
+		errors.Is(err, errUnprocessable), errors.Is(err, errServerError):
 	case errors.Is(err, errOldVersion), errors.Is(err, errVersionChanged):
 		backends.Suspend(run.backend.ID, "weights", now.Add(staleVersionPause))
 	case upstream.FateOf(err) == upstream.NotRun && isUpstream(err):
--- a/internal/gatewaynode/batch/runner.go
+++ b/internal/gatewaynode/batch/runner.go
@@ -28,9 +28,6 @@
 	text  text
 	// work is the fingerprint of the item's request, which does not depend on its ID.
 	work fingerprint.Fingerprint
-	// trial is set if the next run tests whether the quarantined request still crashes
-	// its backend.
-	trial bool
 	// failures counts the runs that ended in a server error.
 	failures int
 	// backend is the ID of the backend of the last run.
--- a/internal/gatewaynode/batch/schedule.go
+++ b/internal/gatewaynode/batch/schedule.go
@@ -7,8 +7,10 @@
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/coldstart"
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fingerprint"
 	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
 	"github.com/sliplift/sliplift/internal/gatewaynode/place"
+	"github.com/sliplift/sliplift/internal/gatewaynode/quarantine"
 	"github.com/sliplift/sliplift/internal/gatewaynode/routetable"
 )
 
@@ -68,8 +70,7 @@
 		c := candidate{job: job, index: index, route: route, priority: priority, weight: float64(job.spec.Items[index].LengthHint)}
 		switch item.phase {
 		case phaseWaiting:
-			if !item.trial && p.snapshot.QuarantineFailures(item.work) > 0 {
-				r.noteQuarantined(job, index, p)
+			if r.backsOff(job, index, item.work, p) {
 				continue
 			}
 			if item.urgent {
@@ -77,9 +78,7 @@
 			}
 			list = append(list, c)
 		case phaseRunning:
-			// The run of a quarantined item is its trial run, which is granted only once.
-			// Moving it would start it a second time.
-			if !p.of(route, index).uneven || !movable(item, p.now) || p.snapshot.QuarantineFailures(item.work) > 0 {
+			if !p.of(route, index).uneven || !movable(item, p.now) {
 				continue
 			}
 			c.moving = true
@@ -130,6 +129,9 @@
 	// round and have not been sent yet. eligibility.Snapshot.ColdRequestsLeft does not count
 	// them, so coldRequestsLeft subtracts them.
 	assigned map[string]int
+	// backoff returns the backoff of a request under which backends failed; nil means that there
+	// is none.
+	backoff func(fingerprint.Fingerprint) quarantine.Backoff
 	// demands holds the remaining work of each job.
 	demands map[*ownedJob]*demand
 }
@@ -153,7 +155,7 @@
 	p := &schedulingRound{
 		fleet: r.manager.config.Fleet, reach: r.manager.config.Reach, now: now, services: make(map[string]*serviceBackends),
 		config: r.manager.config.Routes(), used: r.usages(), demands: make(map[*ownedJob]*demand),
-		snapshot: r.manager.config.Gate.Snapshot(now), assigned: r.unsent.snapshot(),
+		snapshot: r.manager.config.Gate.Snapshot(now), assigned: r.unsent.snapshot(), backoff: r.manager.config.Backoff,
 	}
 	p.snapshot.ColdRequestsLeft = p.coldRequestsLeft(p.snapshot.ColdRequestsLeft)
 	return p
--- a/internal/gatewaynode/batch/score.go
+++ b/internal/gatewaynode/batch/score.go
@@ -108,8 +108,10 @@
 		return
 	}
 	pool := p.service(route.Pick(uint64(index+state.sends), 0)).backends
+	if r.backsOff(job, index, state.work, p) {
+		return
+	}
 	request := r.scoreRequest(job, route)
-	request.Fingerprint = state.work
 	want := scorerWant{Request: request}
 	if len(state.calls) > 0 {
 		first := state.calls[0]
--- a/internal/gatewaynode/quarantine/doc.go
+++ b/internal/gatewaynode/quarantine/doc.go
@@ -1,4 +1,4 @@
-// Package quarantine stops requests that crash the backends running them from reaching
+// Package quarantine stops live requests that crash the backends running them from reaching
 // more backends: once QuarantineThreshold backends have failed while running the same work,
 // no node forwards that work until enough of the failures are forgotten.
 //
@@ -24,6 +24,13 @@
 // therefore not quarantined while backends fail for other reasons, and a request that ran
 // beside a deadly one collects single failures only.
 //
+// # Requests of jobs
+//
+// A job that was accepted has to be completed, so its requests, the runs of items and the calls
+// that score them, are never quarantined. They run for long and are sent again until they succeed,
+// and thus meet several failures by chance. After many of them, Tracker.Backoff bounds the rate at
+// which they are sent. Their failures still count against a live request of the same work.
+//
 // # Replication
 //
 // Each failure is a row of the store, keyed by work and failure, so that writing it twice
--- a/internal/gatewaynode/quarantine/evidence.go
+++ b/internal/gatewaynode/quarantine/evidence.go
@@ -48,6 +48,8 @@
 	Kind     FailureKind
 	// Node is the name of the node that detected the failure.
 	Node string
+	// Durable reports whether the backend ran the work for a job, not for a live request.
+	Durable bool
 }
 
 // endID identifies a Failure among those of its work.
@@ -80,6 +82,9 @@
 	// changed on this node.
 	held      bool
 	heldSince time.Time
+	// lost is when this node last lost the connection of a request of a job. The failure of the
+	// backend is known only later, after the next run would have begun.
+	lost time.Time
 	// trial is the state of the work's trial; it is not requested before askAgain.
 	trial    trial
 	askAgain time.Time
@@ -101,6 +106,22 @@
 	return count
 }
 
+// durable returns the number of failures under requests of jobs that count as evidence at time
+// now, and when this node learned of the last of them or last lost such a request.
+func (s *suspect) durable(now time.Time) (count int, last time.Time) {
+	last = s.lost
+	for _, k := range s.failures {
+		if !k.Durable || !k.counts(now) {
+			continue
+		}
+		count++
+		if k.at.After(last) {
+			last = k.at
+		}
+	}
+	return count, last
+}
+
 // oldest returns the failure that expires first. It orders by id rather than by time, since
 // nodes learn of failures in different orders and must all choose the same one.
 func (s *suspect) oldest() known {
--- a/internal/gatewaynode/quarantine/probe.go
+++ b/internal/gatewaynode/quarantine/probe.go
@@ -109,11 +109,16 @@
 	}
 	for r := range held.runs {
 		if r.lost || !r.ended.IsZero() && r.silent(now) {
-			t.record(Failure{Work: r.work, Backend: held.id, Service: held.service, Kind: FailureUnresponsive, Node: t.config.Node}, now)
+			t.record(t.failureOf(r, held, FailureUnresponsive), now)
 		}
 	}
 }
 
+// failureOf returns the failure of a backend for one of its calls.
+func (t *Tracker) failureOf(r *run, held *backend, how FailureKind) Failure {
+	return Failure{Work: r.work, Backend: held.id, Service: held.service, Kind: how, Node: t.config.Node, Durable: r.durable}
+}
+
 // endedUnder records the failure of a backend for the calls that may have been running
 // there, unless it was draining, and follows its calls no longer. The caller holds t.mu.
 func (t *Tracker) endedUnder(held *backend, how FailureKind, now time.Time) {
@@ -125,7 +130,7 @@
 			count++
 			if !held.leaving {
 				works[r.work.String()] = true
-				t.record(Failure{Work: r.work, Backend: held.id, Service: held.service, Kind: how, Node: t.config.Node}, now)
+				t.record(t.failureOf(r, held, how), now)
 			}
 		}
 		t.drop(r)
--- a/internal/gatewaynode/quarantine/rows.go
+++ b/internal/gatewaynode/quarantine/rows.go
@@ -21,6 +21,9 @@
 	Service string      `json:"service"`
 	Kind    FailureKind `json:"how"`
 	Node    string      `json:"node"`
+	// Durable is absent from rows of nodes that do not know it. Their failures count as those
+	// of live requests.
+	Durable bool `json:"durable,omitempty"`
 }
 
 // errRow reports a malformed row key.
@@ -57,12 +60,12 @@
 
 // with returns failure with the fields of the row value set.
 func (r row) with(failure Failure) Failure {
-	failure.Service, failure.Kind, failure.Node = r.Service, r.Kind, r.Node
+	failure.Service, failure.Kind, failure.Node, failure.Durable = r.Service, r.Kind, r.Node, r.Durable
 	return failure
 }
 
 func rowValue(failure Failure) row {
-	return row{Service: failure.Service, Kind: failure.Kind, Node: failure.Node}
+	return row{Service: failure.Service, Kind: failure.Kind, Node: failure.Node, Durable: failure.Durable}
 }
 
 // rowOf encodes a failure as a row.
--- a/internal/gatewaynode/quarantine/runs.go
+++ b/internal/gatewaynode/quarantine/runs.go
@@ -30,6 +30,8 @@
 	// so that its body can be freed.
 	request string
 	work    fingerprint.Fingerprint
+	// durable reports whether the call is made for a job.
+	durable bool
 	// at is the id of the backend.
 	at string
 	// cut cancels the call.
@@ -81,7 +83,7 @@
 func (t *Tracker) Begin(call *upstream.Call, cut func()) upstream.Trace {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := &run{tracker: t, request: call.ID, work: call.Work, at: call.Instance, cut: cut, sent: time.Now()}
+	r := &run{tracker: t, request: call.ID, work: call.Work, durable: call.Purpose.Durable(), at: call.Instance, cut: cut, sent: time.Now()}
 	if t.runs >= maxRuns {
 		t.unfollowed++
 		return r
@@ -146,6 +148,7 @@
 		t.drop(r)
 	case upstream.EndLost:
 		r.ended, r.lost = now, true
+		t.noteLost(r, now)
 	case upstream.EndCancelled:
 		r.ended = now
 	}
@@ -154,6 +157,16 @@
 	}
 }
 
+// noteLost restarts the backoff of a work if its run was lost. The caller holds t.mu.
+func (t *Tracker) noteLost(r *run, now time.Time) {
+	s := t.suspects[r.work]
+	if s == nil || !r.durable {
+		return
+	}
+	s.lost = now
+	t.setBackoff(s.work, backoffOf(s.durable(now)))
+}
+
 // sweep stops following ended calls that are no longer suspected, including lost ones after
 // silentRunKeep. The caller holds t.mu.
 func (t *Tracker) sweep(now time.Time) {
--- a/internal/gatewaynode/quarantine/tracker.go
+++ b/internal/gatewaynode/quarantine/tracker.go
@@ -65,6 +65,8 @@
 	// held maps quarantined works to their number of failures. It is copied on write, so that
 	// Held needs no lock.
 	held atomic.Pointer[map[fingerprint.Fingerprint]int]
+	// backoffs maps works to the end of their backoff. It is copied on write like held.
+	backoffs atomic.Pointer[map[fingerprint.Fingerprint]Backoff]
 }
 
 // New returns an empty Tracker.
@@ -74,6 +76,7 @@
 		answered: newAnswered(), outbox: newOutbox(),
 	}
 	t.held.Store(&map[fingerprint.Fingerprint]int{})
+	t.backoffs.Store(&map[fingerprint.Fingerprint]Backoff{})
 	return t
 }
 
@@ -136,8 +139,8 @@
 // causeAnswered is the logged cause when a recent success overrules a failure.
 const causeAnswered = "answered with success recently"
 
-// add adds a failure and reports whether it is new, or confirms an unresponsive
-// one. The caller holds t.mu.
+// add adds a failure and reports whether it is new, confirms an unresponsive one, or was so far
+// known under requests of jobs only. The caller holds t.mu.
 func (t *Tracker) add(k known) bool {
 	s := t.suspects[k.Work]
 	if s == nil {
@@ -149,9 +152,11 @@
 	}
 	before, had := s.failures[k.id()]
 	if had && (before.Kind != FailureUnresponsive || k.Kind == FailureUnresponsive) {
-		before.stored = before.stored || k.stored
+		live := before.Durable && !k.Durable
+		before.stored = k.stored || before.stored && !live
+		before.Durable = before.Durable && k.Durable
 		s.failures[k.id()] = before
-		return false
+		return live
 	}
 	s.failures[k.id()] = k
 	s.touch(k.at)
@@ -170,7 +175,7 @@
 	}
 	t.config.Log.Warn(eventlog.RequestSuspected, eventlog.Fields{
 		eventlog.Work: k.Work.String(), eventlog.Backend: k.Backend, eventlog.Service: k.Service, "how": string(k.Kind),
-		"seen_by": k.Node, "ends": count,
+		"seen_by": k.Node, "ends": count, "durable": k.Durable,
 	})
 }
 
@@ -191,6 +196,7 @@
 
 // judge quarantines or releases a work by its number of failures. The caller holds t.mu.
 func (t *Tracker) judge(s *suspect, now time.Time) {
+	t.setBackoff(s.work, backoffOf(s.durable(now)))
 	count := s.count(now)
 	held := count >= QuarantineThreshold
 	if held == s.held {
@@ -200,7 +206,10 @@
 		return
 	}
 	s.held, s.heldSince = held, now
-	fields := eventlog.Fields{eventlog.Work: s.work.String(), "ends": count, "backends": slices.Sorted(maps.Keys(s.failures))}
+	durable, _ := s.durable(now)
+	fields := eventlog.Fields{
+		eventlog.Work: s.work.String(), "ends": count, "durable": durable, "backends": slices.Sorted(maps.Keys(s.failures)),
+	}
 	if !held {
 		t.setHeld(s.work, 0)
 		t.config.Log.Warn(eventlog.QuarantineEnded, fields)
@@ -226,13 +235,13 @@
 	}
 }
 
-// cutRuns cancels the calls of a work that are in progress, as they may still be queued at
+// cutRuns cancels the live calls of a work that are in progress, as they may still be queued at
 // their backends. It returns their number. The caller holds t.mu.
 func (t *Tracker) cutRuns(work fingerprint.Fingerprint) int {
 	count := 0
 	for _, held := range t.backends {
 		for r := range held.runs {
-			if r.work == work && r.ended.IsZero() {
+			if r.work == work && !r.durable && r.ended.IsZero() {
 				count++
 				go r.cut()
 			}
@@ -282,6 +291,7 @@
 		t.endTrial(s)
 	}
 	delete(t.suspects, s.work)
+	t.setBackoff(s.work, Backoff{})
 	if s.held {
 		t.setHeld(s.work, 0)
 	}
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -184,7 +184,7 @@
 	node.jobs = batch.NewManager(batch.Config{
 		Store: config.Store, Limits: config.Limits, Presence: node.presence, Fleet: node.fleet, Client: node.client, Gate: node.gate,
 		Log: config.Log, Reach: node.reach, Routes: node.table.Load, VersionField: config.VersionField,
-		Pacing: pacing, Retention: config.KeepJobs, VisibilityDelay: config.ResultSettle, WorkOf: node.quarantine.Of, Trials: node.quarantine,
+		Pacing: pacing, Retention: config.KeepJobs, VisibilityDelay: config.ResultSettle, WorkOf: node.quarantine.Of, Backoff: node.quarantine.Backoff,
 		OnActive: func() { node.controller.Wanted() }, OrdersLoads: func() bool { return node.controller.Near() },
 	})
 	node.peerClient = upstream.NewClient(upstream.Config{Codec: config.Codec, Dialer: config.Dialer, DialTimeout: relayDial})
--- a/internal/gatewaynode/upstream/connections.go
+++ b/internal/gatewaynode/upstream/connections.go
@@ -21,6 +21,10 @@
 	PurposePeer  Purpose = "peer"
 )
 
+// Durable reports whether calls with the purpose are requests of jobs, which survive the loss of
+// this node.
+func (p Purpose) Durable() bool { return p == PurposeItem || p == PurposeScore }
+
 // OpenCause is why a call opened a connection instead of reusing one.
 type OpenCause string
 
