quarantine: the success of an item clears nothing that is known of live requests

Cause: any success of a work cleared all of its evidence, and overruled new evidence for 10 s. An item and a live request with the same host, path and body are one work, though what they are sent with differs.

Change: the success of a request of a job clears, and overrules, only what requests of jobs met. A back end that failed under both counts as failed under the live one. A live success clears all, as before.

--- a/internal/gatewaynode/quarantine/answered.go
+++ b/internal/gatewaynode/quarantine/answered.go
@@ -15,9 +15,16 @@
 	answeredKeep = 10 * time.Second
 )
 
+// success holds when a work last succeeded.
+type success struct {
+	// any is the time of the last success, live that of the last one of a live request, zero if
+	// there is none.
+	any, live time.Time
+}
+
 // answered holds the works that succeeded last.
 type answered struct {
-	at map[fingerprint.Fingerprint]time.Time
+	at map[fingerprint.Fingerprint]success
 	// ring holds the keys of at in the order of their insertion, the oldest at next once
 	// it is full.
 	ring []fingerprint.Fingerprint
@@ -25,13 +32,17 @@
 }
 
 func newAnswered() *answered {
-	return &answered{at: make(map[fingerprint.Fingerprint]time.Time)}
+	return &answered{at: make(map[fingerprint.Fingerprint]success)}
 }
 
-// add records a success.
-func (a *answered) add(work fingerprint.Fingerprint, now time.Time) {
-	_, known := a.at[work]
-	a.at[work] = now
+// add records a success; durable means that it is one of a request of a job.
+func (a *answered) add(work fingerprint.Fingerprint, durable bool, now time.Time) {
+	last, known := a.at[work]
+	last.any = now
+	if !durable {
+		last.live = now
+	}
+	a.at[work] = last
 	if known {
 		return
 	}
@@ -44,8 +55,13 @@
 	a.next = (a.next + 1) % maxAnswered
 }
 
-// lately reports whether a work succeeded within answeredKeep before now.
-func (a *answered) lately(work fingerprint.Fingerprint, now time.Time) bool {
-	at, known := a.at[work]
-	return known && now.Sub(at) < answeredKeep
+// overrules reports whether a success of its work within answeredKeep before now speaks against
+// a failure. Only that of a live request speaks against the failure of a live request.
+func (a *answered) overrules(failure Failure, now time.Time) bool {
+	last := a.at[failure.Work]
+	at := last.live
+	if failure.Durable {
+		at = last.any
+	}
+	return !at.IsZero() && now.Sub(at) < answeredKeep
 }
--- a/internal/gatewaynode/quarantine/doc.go
+++ b/internal/gatewaynode/quarantine/doc.go
@@ -30,6 +30,8 @@
 // that score them, are never quarantined. They run for long and are sent again until they succeed,
 // and thus meet several failures by chance. After many of them, Tracker.Backoff bounds the rate at
 // which they are sent. Their failures still count against a live request of the same work.
+// Their success clears only failures under requests of jobs, so that a live request of the
+// same work stays quarantined.
 //
 // # Replication
 //
--- a/internal/gatewaynode/quarantine/tracker.go
+++ b/internal/gatewaynode/quarantine/tracker.go
@@ -95,7 +95,7 @@
 // record adds a failure that this node detected, unless a recent success speaks against it.
 // The caller holds t.mu.
 func (t *Tracker) record(failure Failure, now time.Time) {
-	if t.answered.lately(failure.Work, now) {
+	if t.answered.overrules(failure, now) {
 		t.config.Log.Info(eventlog.SuspicionDropped, eventlog.Fields{
 			eventlog.Work: failure.Work.String(), eventlog.Backend: failure.Backend, "how": string(failure.Kind), eventlog.Cause: causeAnswered,
 		})
@@ -126,7 +126,7 @@
 // learn adds a failure that comes from another node or from the store. If this node recently
 // received a success for the work, it deletes the row instead. The caller holds t.mu.
 func (t *Tracker) learn(k known) {
-	if t.answered.lately(k.Work, k.at) {
+	if t.answered.overrules(k.Failure, k.at) {
 		t.config.Log.Info(eventlog.SuspicionDropped, eventlog.Fields{
 			eventlog.Work: k.Work.String(), eventlog.Backend: k.Backend, "seen_by": k.Node, eventlog.Cause: causeAnswered,
 		})
@@ -250,14 +250,20 @@
 	return count
 }
 
-// succeeded clears a work after a complete 2xx response. The caller holds t.mu.
+// succeeded clears a work after a complete 2xx response. The success of a request of a job
+// clears the failures under requests of jobs only. The caller holds t.mu.
 func (t *Tracker) succeeded(r *run, now time.Time) {
 	work := r.work
-	t.answered.add(work, now)
+	t.answered.add(work, r.durable, now)
 	s := t.suspects[work]
 	if s == nil {
 		return
 	}
+	durable, _ := s.durable(now)
+	if r.durable && durable < len(s.failures) {
+		t.clearDurable(s, now)
+		return
+	}
 	t.config.Log.Warn(eventlog.RequestCleared, eventlog.Fields{
 		eventlog.Work: work.String(), eventlog.Request: r.request, eventlog.Backend: r.at, "ends": len(s.failures),
 		eventlog.Cause: "answered with success",
@@ -265,6 +271,17 @@
 	t.forget(s, true)
 }
 
+// clearDurable removes the failures of a work under requests of jobs on all nodes. The caller
+// holds t.mu.
+func (t *Tracker) clearDurable(s *suspect, now time.Time) {
+	for id, k := range s.failures {
+		if k.Durable {
+			t.outbox.remove(keyOf(k.Failure))
+			t.withdraw(s, id, now)
+		}
+	}
+}
+
 // Clear removes all failures of a work on all nodes at an operator's request and
 // reports whether it was suspected.
 func (t *Tracker) Clear(work fingerprint.Fingerprint) bool {
