upstream: a connection carries each id once

Cause: an answer counts for a call if it bears its id, and a back end may send an answer once more, later, on the same connection. Further runs of an item, second attempts, resumed streams and repeated calls for a score bear the same id, orders bear none: the copy was taken for the answer of the next call.

Change: a connection remembers the ids that it has carried and is passed over for a call with one of them; a call without an id takes a connection that has carried none. Polls of a back end's state share connections, since a late copy of an older state is an older state. Reports of use go to a service that is not said to answer twice, and keep their connection (RepeatIDs).

Why this works: within a connection, an id then names one exchange, whatever comes late.

Tests, each failed without the check: TestLateCopyIsNotTakenForTheNextAnswer, TestLateCopyOfAFailureIsNoFailureOfTheNextRun (items), TestLateCopyOfAFailedScoreIsNoFailureOfTheNext, TestLateCopyOfAFailureIsNoAnswerOfTheNextAttempt (live, stream).

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -171,7 +171,7 @@
 		return storenode.Metering{}
 	}
 	client := upstream.NewClient(upstream.Config{
-		Codec: platform.Codec{}, DialTimeout: dutyDialLimit, IdleTimeout: dutyIdleLimit, MustAdmit: true,
+		Codec: platform.Codec{}, DialTimeout: dutyDialLimit, IdleTimeout: dutyIdleLimit, MustAdmit: true, RepeatIDs: true,
 	})
 	return storenode.Metering{
 		Sink: platform.NewDuties(client, cfg.DutyAddress), Window: cfg.UsageWindow, Due: cfg.UsageWithin,
--- a/internal/gatewaynode/upstream/connections.go
+++ b/internal/gatewaynode/upstream/connections.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -41,6 +42,8 @@
 	OpenAborted OpenCause = "cut"
 	// OpenForced means that Call.NewConnection was set.
 	OpenForced OpenCause = "fresh"
+	// OpenRepeated means that all idle connections have carried a call with the same id.
+	OpenRepeated OpenCause = "repeated"
 )
 
 // Opening describes a new connection.
@@ -108,6 +111,8 @@
 	used bool
 	// expires reports whether expire set a limit on the socket.
 	expires bool
+	// carried holds the ids of its calls.
+	carried carried
 	// cut reports whether the Observer cancelled the call.
 	cut atomic.Bool
 	// ended is set once the connection is closed. Client.mu guards it.
@@ -141,10 +146,13 @@
 // connect returns an idle connection for a call, or opens one.
 func (c *Client) connect(ctx context.Context, call *Call) (*connection, error) {
 	id := Peer{Address: call.Address, Instance: call.Instance}
+	repeated := false
 	if !call.NewConnection {
-		if conn := c.takeIdle(id, call.ProvenSince); conn != nil {
+		conn, passed := c.takeIdle(id, call)
+		if conn != nil {
 			return conn, nil
 		}
+		repeated = passed
 	}
 	dialing, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
 	defer cancel()
@@ -154,15 +162,19 @@
 		return nil, err
 	}
 	took := time.Since(started)
-	c.opened(call, id, took)
+	c.opened(call, id, took, repeated)
 	return &connection{Conn: raw, peer: id, reader: bufio.NewReaderSize(raw, 4096), roundTrip: took}, nil
 }
 
-// opened counts a new connection and reports it to Config.OnOpen.
-func (c *Client) opened(call *Call, id Peer, took time.Duration) {
+// opened counts a new connection and reports it to Config.OnOpen. repeated means that idle
+// connections were passed over since they have carried the call's id.
+func (c *Client) opened(call *Call, id Peer, took time.Duration, repeated bool) {
 	c.mu.Lock()
 	held := c.of(id)
-	cause := held.cause(call.NewConnection)
+	cause := OpenRepeated
+	if !repeated {
+		cause = held.cause(call.NewConnection)
+	}
 	held.busy++
 	c.mu.Unlock()
 	if c.config.OnOpen != nil {
@@ -186,13 +198,14 @@
 	return OpenFirst
 }
 
-// takeIdle returns the most recently used idle connection that is still reusable, or nil if
-// none was used since the given time.
-func (c *Client) takeIdle(id Peer, since time.Time) *connection {
+// takeIdle returns the most recently used idle connection that is still reusable for a call, or
+// nil if there is none. passed reports whether any was passed over since it has carried the
+// call's id.
+func (c *Client) takeIdle(id Peer, call *Call) (conn *connection, passed bool) {
 	for {
-		conn := c.popIdle(id, since)
+		conn, passed = c.popIdle(id, call)
 		if conn == nil {
-			return nil
+			return nil, passed
 		}
 		if time.Since(conn.idleSince) >= c.idleLimit(conn) {
 			c.drop(conn, OpenExpired)
@@ -202,23 +215,32 @@
 			c.drop(conn, OpenClosed)
 			continue
 		}
-		return conn
+		return conn, passed
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil if none was
-// used since the given time.
-func (c *Client) popIdle(id Peer, since time.Time) *connection {
+// popIdle removes and returns the most recently used idle connection that has not carried the
+// call's id, or nil if none was used since Call.ProvenSince. passed is as in takeIdle.
+func (c *Client) popIdle(id Peer, call *Call) (conn *connection, passed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held := c.peers[id]
-	if held == nil || len(held.idle) == 0 || held.idle[len(held.idle)-1].idleSince.Before(since) {
-		return nil
+	if held == nil {
+		return nil, false
 	}
-	conn := held.idle[len(held.idle)-1]
-	held.idle = held.idle[:len(held.idle)-1]
-	held.busy++
-	return conn
+	for i, conn := range slices.Backward(held.idle) {
+		if conn.idleSince.Before(call.ProvenSince) {
+			break
+		}
+		if !c.config.RepeatIDs && !call.Poll && conn.carried.has(call.ID) {
+			passed = true
+			continue
+		}
+		held.idle = slices.Delete(held.idle, i, i+1)
+		held.busy++
+		return conn, passed
+	}
+	return nil, passed
 }
 
 // idleLimit returns how long a connection may stay idle. It is shorter than the timeout that
@@ -233,7 +255,7 @@
 // recycle returns a connection to the pool after a complete answer, or closes it if it cannot
 // be reused.
 func (c *Client) recycle(conn *connection, response *http.Response) {
-	if response.Close || conn.reader.Buffered() > 0 || !silent(conn) {
+	if response.Close || conn.carried.full() || conn.reader.Buffered() > 0 || !silent(conn) {
 		c.drop(conn, OpenClosed)
 		return
 	}
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -12,7 +12,9 @@
 //
 // An answer belongs to a request if it echoes the request's id. A complete answer with
 // another id is surplus: it is discarded, and the connection is not reused. A connection is
-// reused only after a complete answer that is followed by no further bytes.
+// reused only after a complete answer that is followed by no further bytes, and only for requests
+// with an id that it has not carried: a surplus answer to one run of a request would be taken for
+// the answer to the next.
 package upstream
 
 import (
@@ -82,8 +84,12 @@
 	// Work is the fingerprint of the request. Calls without one are not reported to the
 	// Observer.
 	Work fingerprint.Fingerprint
-	// Unnumbered calls have no id, and their answers need not carry one.
+	// Unnumbered calls have no id, and their answers need not carry one. Each takes a connection
+	// that has carried none before, unless Poll or Config.RepeatIDs is set.
 	Unnumbered bool
+	// Poll marks an Unnumbered call that reads a state which may be outdated, so that a late answer
+	// to an earlier poll does no harm. Polls share connections.
+	Poll bool
 	// Until, if set, is when the call expires: bytes still unsent in the socket then are
 	// discarded, even if this process has stopped; see expire.
 	Until time.Time
@@ -223,6 +229,9 @@
 	OnOpen func(Opening)
 	// Observer, if not nil, observes the calls that backends may run.
 	Observer Observer
+	// RepeatIDs lets a connection carry several calls with the same id, or without any. Set it
+	// only if the backend sends no surplus answers.
+	RepeatIDs bool
 	// MustAdmit makes Do panic on a call without Call.Admit.
 	MustAdmit bool
 }
@@ -360,6 +369,9 @@
 
 // exchange writes a call and reads the head of its answer.
 func (c *Client) exchange(conn *connection, call *Call, release func() bool) (*Answer, *Error) {
+	if !c.config.RepeatIDs {
+		conn.carried.add(call.ID)
+	}
 	head := c.head(call)
 	written, err := send(conn, head, call.Body)
 	if err != nil {
