upstream: answers are bounded in their head and their body

Cause: http.ReadResponse leaves bounds to its caller, and there were none for heads and 1xx answers; a body beyond 1 MiB was passed on for as long as the request lasted, and a write to a caller that takes nothing had 10 s of its own.

Change: a meter below a connection's buffer bounds a head to 64 KiB and a body with its framing to 16 MiB; an answer that says it is longer fails at once. An event is bounded to 1 MiB, the text of an item to 4 MiB, and an item's events need the next id. Writes of long answers and streams end with their request. A back end that fails while its long answer is passed on counts as failed and is suspended.

Why this works: every byte that a parser accumulates or passes over is counted where it arrives.

--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -33,6 +33,7 @@
 	errVersionChanged = errors.New("weight version differs from that of the output so far")
 	errNoStream       = errors.New("response is not an event stream")
 	errEmptyStream    = errors.New("stream ended without events")
+	errTextTooLong    = errors.New("output too long")
 	errUnprocessable  = errors.New("backend rejected the item as unprocessable")
 	errServerError    = errors.New("backend returned a server error")
 )
@@ -205,7 +206,7 @@
 		if event.Version > 0 {
 			version = event.Version
 		}
-		if event.HasID && event.ID != int64(count)+1 {
+		if !event.HasID || event.ID != int64(count)+1 {
 			return errEventGap
 		}
 		now := time.Now()
@@ -267,6 +268,14 @@
 
 func (w *watchdog) stop() { w.timer.Stop() }
 
+const (
+	// maxTextBytes bounds the output of an item that this node receives, several times what a
+	// result can hold. A backend may send events without end.
+	maxTextBytes = 4 << 20
+	// eventOverhead is about what an event takes in memory besides its data.
+	eventOverhead = 64
+)
+
 // take adds an event to the item's output. It returns an error if the run was canceled
 // or the weight version is not allowed.
 func (r *runner) take(run *run, event eventstream.Event, version int64) error {
@@ -285,6 +294,11 @@
 	}
 	item.text.events = append(item.text.events, event.Data)
 	item.text.versions = append(item.text.versions, version)
+	item.received += len(event.Data) + eventOverhead
+	if item.received > maxTextBytes {
+		item.resetText()
+		return errTextTooLong
+	}
 	return nil
 }
 
@@ -292,7 +306,7 @@
 func (i *itemState) resetText() {
 	i.text = text{}
 	i.sequence++
-	i.savedEvents, i.savedComplete = 0, false
+	i.received, i.savedEvents, i.savedComplete = 0, 0, false
 }
 
 // finishRun handles the end of a run: it completes or fails the item, or leaves it waiting
--- a/internal/gatewaynode/batch/runner.go
+++ b/internal/gatewaynode/batch/runner.go
@@ -43,6 +43,8 @@
 	// sequence counts how often the output was started over; savedEvents is the number of
 	// events of the current sequence that are stored.
 	sequence, savedEvents int
+	// received is the size in bytes of what this node received of the current sequence.
+	received int
 	// savedComplete is set if the complete output is stored.
 	savedComplete bool
 	// moved is when the item was last moved to another backend, and avoid the backend
--- a/internal/gatewaynode/callerconn/callerconn.go
+++ b/internal/gatewaynode/callerconn/callerconn.go
@@ -68,6 +68,8 @@
 	left time.Time
 	// deadline is what net/http set for its reads.
 	deadline time.Time
+	// writeBy is what SetWriteDeadline set, zero for no limit.
+	writeBy time.Time
 	// behind says that net/http's read behind a request's end has got its byte before the
 	// handler began.
 	behind bool
@@ -212,12 +214,31 @@
 	return c.SetWriteDeadline(deadline)
 }
 
+// SetWriteDeadline implements net.Conn. Write fails by then, or earlier.
+func (c *Conn) SetWriteDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	c.writeBy = deadline
+	c.mu.Unlock()
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// writeLimit returns when a write that begins now has to end.
+func (c *Conn) writeLimit() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := time.Now().Add(writeMost)
+	if !c.writeBy.IsZero() && c.writeBy.Before(limit) {
+		return c.writeBy
+	}
+	return limit
+}
+
 // Write implements net.Conn. A caller that takes nothing for writeMost has fallen silent.
 func (c *Conn) Write(content []byte) (int, error) {
 	written := 0
 	for {
 		part := content[written:min(len(content), written+writePart)]
-		if err := c.SetWriteDeadline(time.Now().Add(writeMost)); err != nil {
+		if err := c.Conn.SetWriteDeadline(c.writeLimit()); err != nil {
 			return written, err
 		}
 		count, err := c.Conn.Write(part)
--- a/internal/gatewaynode/callerconn/callerconn_test.go
+++ b/internal/gatewaynode/callerconn/callerconn_test.go
@@ -137,6 +137,31 @@
 	}
 }
 
+// TestWriteDeadlineOfAResponse guards against a caller that takes nothing and so keeps a request
+// beyond its end.
+func TestWriteDeadlineOfAResponse(t *testing.T) {
+	const limit = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		started, failed := time.Now(), time.Duration(0)
+		_, connect := serve(t, 0, func(w http.ResponseWriter, _ *http.Request) {
+			if err := http.NewResponseController(w).SetWriteDeadline(started.Add(limit)); err != nil {
+				t.Error(err)
+			}
+			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+				failed = time.Since(started)
+			}
+		}, nil)
+		conn := connect()
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, head("/"))
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if failed != limit {
+			t.Errorf("the answer failed after %s, want %s", failed, limit)
+		}
+	})
+}
+
 // A caller falls silent while it gets a long answer: it holds the request for a bounded
 // time.
 func TestCallerThatTakesNothing(t *testing.T) {
--- a/internal/gatewaynode/eventstream/eventstream.go
+++ b/internal/gatewaynode/eventstream/eventstream.go
@@ -10,8 +10,9 @@
 	"strconv"
 )
 
-// MaxEventBytes bounds one event.
-const MaxEventBytes = 4 << 20
+// MaxEventBytes bounds one event. An event is held in memory until it is whole, and a body without
+// a line feed is an event that never ends.
+const MaxEventBytes = 1 << 20
 
 // Errors of a Reader.
 var (
--- a/internal/gatewaynode/forward/answer.go
+++ b/internal/gatewaynode/forward/answer.go
@@ -1,12 +1,16 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/eligibility"
+	"github.com/sliplift/sliplift/internal/gatewaynode/eventlog"
+	"github.com/sliplift/sliplift/internal/gatewaynode/fleet"
+	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 )
 
 // relay writes a backend's response to the caller.
@@ -19,19 +23,72 @@
 		_, _ = w.Write(result.content)
 		return report
 	}
+	if err := x.passOn(w, result); err != nil {
+		report.Outcome, report.Cause = OutcomeBroken, err.Error()
+	}
+	return report
+}
+
+// passOn writes a response that is too long to be buffered as it arrives. It ends when the
+// request does, also if the caller takes nothing at that time.
+func (x *try) passOn(w http.ResponseWriter, result attemptResult) error {
 	defer func() { _ = result.answer.Body.Close() }()
 	if result.answer.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(result.answer.Length, 10))
 	}
+	release, err := boundWrites(w, x.endTime())
+	if err != nil {
+		return err
+	}
 	w.WriteHeader(result.answer.Status)
-	_, err := w.Write(result.content)
-	if err == nil {
-		_, err = io.Copy(w, result.answer.Body)
+	if _, err := w.Write(result.content); err != nil {
+		return err
 	}
-	if err != nil {
-		report.Outcome, report.Cause = OutcomeBroken, err.Error()
+	body := &sourceReader{source: result.answer.Body}
+	if _, err := io.Copy(w, body); err != nil {
+		x.recordBrokenBody(result.backend, body.failure)
+		return err
 	}
-	return report
+	return release()
+}
+
+// recordBrokenBody records that a response failed while it was passed on, unless the caller or
+// the end of the request ended it. failure is nil if the backend did not fail.
+func (x *try) recordBrokenBody(backend fleet.Backend, failure error) {
+	if failure == nil || x.ctx.Err() != nil || !time.Now().Before(x.endTime()) {
+		return
+	}
+	x.forwarder.config.Fleet.ObserveFailure(backend.ID, failure.Error(), time.Now())
+	x.forwarder.config.Log.Warn(eventlog.AttemptFailed, eventlog.Fields{
+		eventlog.Request: x.request.ID, eventlog.Backend: backend.ID, eventlog.Fate: upstream.Answered.String(),
+		eventlog.Cause: failure.Error(), eventlog.Work: x.fingerprint.String(),
+	})
+}
+
+// sourceReader remembers the error of a reader, to tell it from that of a writer in io.Copy.
+type sourceReader struct {
+	source  io.Reader
+	failure error
+}
+
+// Read implements io.Reader.
+func (r *sourceReader) Read(content []byte) (int, error) {
+	n, err := r.source.Read(content)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.failure = err
+	}
+	return n, err
+}
+
+// boundWrites makes writes to a caller fail after until. release lifts the bound, so that the
+// connection can carry further requests. Writers without deadlines are not bounded.
+func boundWrites(w http.ResponseWriter, until time.Time) (release func() error, err error) {
+	controller := http.NewResponseController(w)
+	err = controller.SetWriteDeadline(until)
+	if errors.Is(err, http.ErrNotSupported) {
+		return func() error { return nil }, nil
+	}
+	return func() error { return controller.SetWriteDeadline(time.Time{}) }, err
 }
 
 // setContentLength sets the length of a complete response. For a HEAD request it is that which
--- a/internal/gatewaynode/forward/stream.go
+++ b/internal/gatewaynode/forward/stream.go
@@ -33,6 +33,8 @@
 	started bool
 	last    int64
 	hasLast bool
+	// release lifts the bound of the writes to the caller, once started.
+	release func() error
 }
 
 // serveStream serves requests whose response is an event stream, and passes complete events on
@@ -96,7 +98,10 @@
 		return x.relayPlain(state, backend, answer)
 	}
 	if !state.started {
-		state.start(answer)
+		if err := state.start(answer, x.endTime()); err != nil {
+			x.cause = err.Error()
+			return Report{Outcome: OutcomeBroken, Cause: x.cause, Backend: backend.ID}, true
+		}
 	}
 	if err := x.pump(watchdog, state, backend, answer); err != nil {
 		if ctx.Err() != nil {
@@ -107,6 +112,9 @@
 		x.recordFailure(backend, endedBy(attempt, answer.BodyError(err)))
 		return Report{}, false
 	}
+	if err := state.release(); err != nil {
+		return Report{Outcome: OutcomeBroken, Cause: err.Error(), Backend: backend.ID}, true
+	}
 	return Report{Outcome: OutcomeAnswered, Status: answer.Status, Backend: backend.ID}, true
 }
 
@@ -135,11 +143,17 @@
 	return x.relay(state.writer, result), true
 }
 
-func (s *streamState) start(answer *upstream.Answer) {
+// start writes the head of the response. Writes to the caller fail after until.
+func (s *streamState) start(answer *upstream.Answer, until time.Time) (err error) {
+	s.release, err = boundWrites(s.writer, until)
+	if err != nil {
+		return err
+	}
 	copyHeader(s.writer.Header(), answer.Header)
 	s.writer.WriteHeader(answer.Status)
 	s.started = true
 	s.flush()
+	return nil
 }
 
 func (s *streamState) flush() {
--- a/internal/gatewaynode/upstream/connections.go
+++ b/internal/gatewaynode/upstream/connections.go
@@ -98,7 +98,9 @@
 // connection is a connection of a Client, used by one call at a time.
 type connection struct {
 	net.Conn
-	peer   Peer
+	peer Peer
+	// meter bounds what reader reads.
+	meter  *meter
 	reader *bufio.Reader
 	// roundTrip is the time that it took to connect.
 	roundTrip time.Duration
@@ -143,6 +145,9 @@
 	return held
 }
 
+// readBuffer is the size in bytes of a connection's buffer. It also bounds lines within a body.
+const readBuffer = 4096
+
 // connect returns an idle connection for a call, or opens one.
 func (c *Client) connect(ctx context.Context, call *Call) (*connection, error) {
 	id := Peer{Address: call.Address, Instance: call.Instance}
@@ -163,7 +168,8 @@
 	}
 	took := time.Since(started)
 	c.opened(call, id, took, repeated)
-	return &connection{Conn: raw, peer: id, reader: bufio.NewReaderSize(raw, 4096), roundTrip: took}, nil
+	meter := &meter{source: raw}
+	return &connection{Conn: raw, peer: id, meter: meter, reader: bufio.NewReaderSize(meter, readBuffer), roundTrip: took}, nil
 }
 
 // opened counts a new connection and reports it to Config.OnOpen. repeated means that idle
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -207,6 +207,8 @@
 	ErrSurplus = errors.New("answer belongs to another request")
 	// ErrTruncated means that an answer ended early or was too long to discard.
 	ErrTruncated = errors.New("answer cut short")
+	// ErrTooLong means that an answer is longer than one may be, in its head or its body.
+	ErrTooLong = errors.New("answer too long")
 	// ErrSilent is the cause with which a caller cancels the context of a call if the backend
 	// sent nothing for too long.
 	ErrSilent = errors.New("nothing came for too long")
@@ -232,6 +234,9 @@
 	// RepeatIDs lets a connection carry several calls with the same id, or without any. Set it
 	// only if the backend sends no surplus answers.
 	RepeatIDs bool
+	// MaxAnswer bounds the body of an answer in bytes, with its framing; 0 means 16 MiB. A longer
+	// one fails with ErrTooLong.
+	MaxAnswer int
 	// MustAdmit makes Do panic on a call without Call.Admit.
 	MustAdmit bool
 }
@@ -271,6 +276,9 @@
 	if config.IdleTimeout == 0 {
 		config.IdleTimeout = defaultIdle
 	}
+	if config.MaxAnswer == 0 {
+		config.MaxAnswer = defaultMaxAnswer
+	}
 	if config.Dialer == nil {
 		dialer := &net.Dialer{KeepAlive: -1}
 		config.Dialer = dialer.DialContext
@@ -388,6 +396,7 @@
 		if c.belongs(conn, call, meta, response.StatusCode, surplus) {
 			return c.answer(conn, call, response, meta, surplus > 0, written, release)
 		}
+		conn.meter.allow(surplusBytes + readBuffer)
 		if surplus >= maxSurplus || discard(response.Body) != nil || response.Close {
 			return nil, &Error{Fate: Unknown, Cause: ErrSurplus}
 		}
@@ -414,6 +423,7 @@
 	conn *connection, call *Call, response *http.Response, meta Meta, sawSurplus bool,
 	written <-chan error, release func() bool,
 ) (*Answer, *Error) {
+	conn.meter.allow(c.config.MaxAnswer)
 	if meta.NotRun || meta.WrongInstance {
 		failure := &Error{Fate: NotRun, Cause: errNotRun, Status: response.StatusCode}
 		if discard(response.Body) == nil && !sawSurplus && finished(written) && release() {
@@ -422,6 +432,9 @@
 		}
 		return nil, failure
 	}
+	if response.ContentLength > int64(c.config.MaxAnswer) {
+		return nil, &Error{Fate: Unknown, Cause: ErrTooLong}
+	}
 	body := &answerBody{
 		client: c, conn: conn, response: response, sawSurplus: sawSurplus, written: written,
 		release: release,
@@ -490,6 +503,7 @@
 // readHead reads the head of the next answer, skipping informational (1xx) ones.
 func readHead(conn *connection, method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
+	conn.meter.allow(maxHeadBytes)
 	for {
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
