forward: a long answer that is no stream is passed on whole on stream routes

Callers saw: 1,048,576 bytes with that length where a back end had answered with more, on a route of streams: a cut answer that looks whole, also where the answer never ended.

Cause: relayPlain read 1 MiB at most and took that for all.

Change: it reads one byte more, and passes a longer answer on as other routes do: as it arrives, with its own length if it has one, cut visibly if it fails. The watchdog for silence between events does not apply to it.

Test: TestLongPlainAnswerOnAStreamRouteIsWhole, 1,048,576 of 1,572,864 bytes on the code before.

--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -13,8 +13,7 @@
 // not run. Others are retried after any failure, and hedged once if an attempt is slow, within
 // the route's number of attempts. A response of up to maxBufferedBody bytes is buffered until
 // it is complete, so that the node never passes on a part of it as complete; event streams and
-// longer responses are passed on as they arrive, until the request ends. On a stream route, a response
-// that is not an event stream is cut at maxBufferedBody bytes and passed on as if it were complete.
+// longer responses are passed on as they arrive, until the request ends.
 package forward
 
 import (
--- a/internal/gatewaynode/forward/stream.go
+++ b/internal/gatewaynode/forward/stream.go
@@ -95,7 +95,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	observeLoad(x.forwarder.config.Fleet, backend.ID, answer.Meta)
 	if !isEventStream(answer) {
-		return x.relayPlain(state, backend, answer)
+		return x.relayPlain(watchdog, state, backend, answer)
 	}
 	if !state.started {
 		if err := state.start(answer, x.endTime()); err != nil {
@@ -123,10 +123,10 @@
 	return answer.Status == http.StatusOK && strings.HasPrefix(kind, "text/event-stream")
 }
 
-// relayPlain handles a response that is not an event stream, usually an error. It cuts the
-// body at maxBufferedBody bytes and passes it on as a complete response.
-func (x *try) relayPlain(state *streamState, backend fleet.Backend, answer *upstream.Answer) (Report, bool) {
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBody))
+// relayPlain handles a response that is not an event stream, usually an error. One of more than
+// maxBufferedBody bytes is passed on as it arrives.
+func (x *try) relayPlain(watchdog *watchdog, state *streamState, backend fleet.Backend, answer *upstream.Answer) (Report, bool) {
+	content, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBody+1))
 	if err == nil && state.started {
 		err = errors.New("backend responded with " + http.StatusText(answer.Status))
 	}
@@ -139,7 +139,8 @@
 		x.mayHaveRun = true
 		return Report{}, false
 	}
-	result := attemptResult{backend: backend, answer: answer, content: content, complete: true}
+	watchdog.timer.Stop()
+	result := attemptResult{backend: backend, answer: answer, content: content, complete: len(content) <= maxBufferedBody}
 	return x.relay(state.writer, result), true
 }
 
