batch: a failure counts against an item once its answer is whole

Callers saw: items listed as dead while a back end sent 500s whose bodies never ended, which are no answers: five of 24 in TestEndlessBytesOfOneSamplerHurtNoItem.

Cause: the status in the head decided, whatever became of the body. Calls for scores read 1 MiB at most, so that a longer failure, though whole, never counted.

Change: the rest of a failed run's answer is read first, within the bounds of upstream and the silence limit of the run; if it does not end well, the run is broken and not failed. Scores are read likewise.

Test: the row "failure" of endlessBytes; failed before with the bounds in place.

--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -165,7 +165,10 @@
 	defer func() { _ = answer.Body.Close() }()
 	m.observeLoad(r.backend.ID, answer.Meta)
 	if answer.Status != http.StatusOK {
-		answer.Drain()
+		// A failure whose body does not end is no answer, and does not count against the item.
+		if err := answer.Drain(); err != nil {
+			return answer.BodyError(err)
+		}
 	}
 	switch {
 	case answer.Status == http.StatusUnprocessableEntity:
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -106,9 +105,6 @@
 	return c.job.tenant
 }
 
-// maxScoreAnswerBytes is the size in bytes from which a response body counts as truncated.
-const maxScoreAnswerBytes = 1 << 20
-
 // send sends the call and reads its response.
 func (c *scoreCall) send() scoreFate {
 	m, scorer := c.runner.manager, c.scorer()
@@ -124,11 +120,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	m.observeLoad(c.backend.ID, answer.Meta)
-	size, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxScoreAnswerBytes))
-	if err == nil && size >= maxScoreAnswerBytes {
-		err = upstream.ErrTruncated
-	}
-	if err != nil {
+	if err := answer.Drain(); err != nil {
 		return scoreCut{err}
 	}
 	m.config.Fleet.ObserveScore(c.backend.ID, answer.Meta.Load().Normalize(time.Since(started)))
--- a/internal/gatewaynode/upstream/body.go
+++ b/internal/gatewaynode/upstream/body.go
@@ -50,15 +50,11 @@
 	b.client.recycle(b.conn, b.response)
 }
 
-// maxDrain is the longest body, in bytes, that Drain reads.
-const maxDrain = 64 << 10
-
-// Drain discards the rest of a short body, so that the connection can be reused. It does not
-// close the body.
-func (a *Answer) Drain() {
-	if a.Length <= maxDrain {
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxDrain))
-	}
+// Drain reads the rest of the body and discards it, so that the connection can be reused. An error
+// means that the answer is not complete. It does not close the body.
+func (a *Answer) Drain() error {
+	_, err := io.Copy(io.Discard, a.Body)
+	return err
 }
 
 // Linger is how long a caller lets a call continue whose answer is no longer needed. If the
--- a/internal/gatewaynode/upstream/connections_test.go
+++ b/internal/gatewaynode/upstream/connections_test.go
@@ -149,7 +149,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			answer.Drain()
+			if err := answer.Drain(); err != nil {
+				t.Fatal(err)
+			}
 			_ = answer.Body.Close()
 		}
 		if !slices.Equal(*causes, []OpenCause{OpenFirst}) {
