--- a/internal/gatewaynode/digest/mirror_test.go
+++ b/internal/gatewaynode/digest/mirror_test.go
@@ -101,8 +101,9 @@
 		store := rowstoretest.New()
 		newWorld(store, 20)
 		follower := start(t, store, "follower", false, -1)
-		defer follower.stop()
 		time.Sleep(2 * testFresh)
+		// The mirror's own goroutine would go on between the two calls.
+		follower.stop()
 		m := follower.mirror
 		m.wait(rowstore.Status{Proven: time.Now().Add(-took)}, false)
 		if patience := m.patience(); patience < took {
