quarantine: an item's row does not replace that of a live request

Callers would see: a live request that crashes servers allowed more of them by nodes that start later, where an item that asks for the same ran at one of these servers when it crashed.

Cause: both failures have one row. A node that had queued it for the item kept it queued after it had learned of the row for the live request, and wrote it over that one; the success of an item then cleared it.

Change: the queued row is dropped when the failure turns out to be one of a live request too, and queued again only where this node itself saw that.

--- a/internal/gatewaynode/quarantine/tracker.go
+++ b/internal/gatewaynode/quarantine/tracker.go
@@ -153,8 +153,12 @@
 	before, had := s.failures[k.id()]
 	if had && (before.Kind != FailureUnresponsive || k.Kind == FailureUnresponsive) {
 		live := before.Durable && !k.Durable
-		before.stored = k.stored || before.stored && !live
-		before.Durable = before.Durable && k.Durable
+		if live {
+			// Its row would hide that the backend failed under a live request as well.
+			delete(t.outbox.puts, keyOf(before.Failure))
+			before.Durable, before.stored = false, false
+		}
+		before.stored = before.stored || k.stored
 		s.failures[k.id()] = before
 		return live
 	}
