quarantine: a success that ends a quarantine ends its trial, and is logged

Callers would see: a live request that is quarantined a second time within ten minutes waits without a trial, where the success of an item that asks for the same had ended the first. Found by reading, shown by the test.

Cause: the success of an item withdraws failures one by one, and left the row of the trial. It logged nothing, and it counted failures in two ways, so that an expired one made it take the wrong branch.

Change: what a success clears is collected once, logged as request_cleared with what is left, and the trial ends with the quarantine.

--- a/internal/gatewaynode/quarantine/tracker.go
+++ b/internal/gatewaynode/quarantine/tracker.go
@@ -65,7 +65,7 @@
 	// held maps quarantined works to their number of failures. It is copied on write, so that
 	// Held needs no lock.
 	held atomic.Pointer[map[fingerprint.Fingerprint]int]
-	// backoffs maps works to the end of their backoff. It is copied on write like held.
+	// backoffs maps works to their backoff. It is copied on write like held.
 	backoffs atomic.Pointer[map[fingerprint.Fingerprint]Backoff]
 }
 
@@ -198,7 +198,8 @@
 	t.forget(least, true)
 }
 
-// judge quarantines or releases a work by its number of failures. The caller holds t.mu.
+// judge quarantines or releases a work by its number of failures, and sets its backoff. The caller
+// holds t.mu.
 func (t *Tracker) judge(s *suspect, now time.Time) {
 	t.setBackoff(s.work, backoffOf(s.durable(now)))
 	count := s.count(now)
@@ -263,26 +264,35 @@
 	if s == nil {
 		return
 	}
-	durable, _ := s.durable(now)
-	if r.durable && durable < len(s.failures) {
-		t.clearDurable(s, now)
+	var cleared []known
+	for _, k := range s.failures {
+		if k.Durable || !r.durable {
+			cleared = append(cleared, k)
+		}
+	}
+	if len(cleared) == 0 {
 		return
 	}
 	t.config.Log.Warn(eventlog.RequestCleared, eventlog.Fields{
-		eventlog.Work: work.String(), eventlog.Request: r.request, eventlog.Backend: r.at, "ends": len(s.failures),
-		eventlog.Cause: "answered with success",
+		eventlog.Work: work.String(), eventlog.Request: r.request, eventlog.Backend: r.at, "ends": len(cleared),
+		"left": len(s.failures) - len(cleared), eventlog.Cause: "answered with success",
 	})
-	t.forget(s, true)
+	if len(cleared) == len(s.failures) {
+		t.forget(s, true)
+		return
+	}
+	t.clear(s, cleared, now)
 }
 
-// clearDurable removes the failures of a work under requests of jobs on all nodes. The caller
-// holds t.mu.
-func (t *Tracker) clearDurable(s *suspect, now time.Time) {
-	for id, k := range s.failures {
-		if k.Durable {
-			t.outbox.remove(keyOf(k.Failure))
-			t.withdraw(s, id, now)
-		}
+// clear removes some of the failures of a work on all nodes, and ends its trial if that ends its
+// quarantine. The caller holds t.mu.
+func (t *Tracker) clear(s *suspect, cleared []known, now time.Time) {
+	for _, k := range cleared {
+		t.outbox.remove(keyOf(k.Failure))
+		t.withdraw(s, k.id(), now)
+	}
+	if !s.held {
+		t.endTrial(s)
 	}
 }
 
