upstream: an answer without a body is not too long; exchange.go; one error for too long

Callers would see: HEAD of something longer than 16 MiB fail with 502, since its Content-Length is that of a body which does not come.

Change: the length counts where there is a body. ErrTruncated, left in one place where an answer is too long to be discarded, is ErrTooLong.

--- a/internal/gatewaynode/upstream/connections.go
+++ b/internal/gatewaynode/upstream/connections.go
@@ -145,7 +145,8 @@
 	return held
 }
 
-// readBuffer is the size in bytes of a connection's buffer. It also bounds lines within a body.
+// readBuffer is the size in bytes of a connection's buffer. net/http fails on a line of a chunked
+// body that is longer.
 const readBuffer = 4096
 
 // connect returns an idle connection for a call, or opens one.
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -18,13 +18,11 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -205,8 +203,6 @@
 var (
 	// ErrSurplus means that only answers to other requests were received.
 	ErrSurplus = errors.New("answer belongs to another request")
-	// ErrTruncated means that an answer ended early or was too long to discard.
-	ErrTruncated = errors.New("answer cut short")
 	// ErrTooLong means that an answer is longer than one may be, in its head or its body.
 	ErrTooLong = errors.New("answer too long")
 	// ErrSilent is the cause with which a caller cancels the context of a call if the backend
@@ -374,152 +370,3 @@
 	}
 	return nil
 }
-
-// exchange writes a call and reads the head of its answer.
-func (c *Client) exchange(conn *connection, call *Call, release func() bool) (*Answer, *Error) {
-	if !c.config.RepeatIDs {
-		conn.carried.add(call.ID)
-	}
-	head := c.head(call)
-	written, err := send(conn, head, call.Body)
-	if err != nil {
-		// A failed write may still have delivered the complete request.
-		return nil, &Error{Fate: Unknown, Cause: err}
-	}
-	for surplus := 0; ; surplus++ {
-		response, err := readHead(conn, call.Method)
-		if err != nil {
-			return nil, &Error{Fate: Unknown, Cause: err}
-		}
-		c.noteHeard(conn.peer)
-		meta := c.config.Codec.Decode(response.StatusCode, response.Header)
-		if c.belongs(conn, call, meta, response.StatusCode, surplus) {
-			return c.answer(conn, call, response, meta, surplus > 0, written, release)
-		}
-		conn.meter.allow(surplusBytes + readBuffer)
-		if surplus >= maxSurplus || discard(response.Body) != nil || response.Close {
-			return nil, &Error{Fate: Unknown, Cause: ErrSurplus}
-		}
-	}
-}
-
-// belongs reports whether an answer is that of the call. One without an id is accepted only
-// if its status is no success and it is the first on its connection, where no other request
-// was sent.
-func (c *Client) belongs(conn *connection, call *Call, meta Meta, status, surplus int) bool {
-	if meta.ID != "" {
-		return meta.ID == call.ID
-	}
-	if call.Unnumbered {
-		return true
-	}
-	return status >= http.StatusMultipleChoices && !conn.used && surplus == 0
-}
-
-// answer returns the Answer of a response, or a NotRun error if the response refuses the
-// call. The connection of a refusal is kept if it is reusable. sawSurplus means that surplus
-// answers came before.
-func (c *Client) answer(
-	conn *connection, call *Call, response *http.Response, meta Meta, sawSurplus bool,
-	written <-chan error, release func() bool,
-) (*Answer, *Error) {
-	conn.meter.allow(c.config.MaxAnswer)
-	if meta.NotRun || meta.WrongInstance {
-		failure := &Error{Fate: NotRun, Cause: errNotRun, Status: response.StatusCode}
-		if discard(response.Body) == nil && !sawSurplus && finished(written) && release() {
-			c.recycle(conn, response)
-			failure.kept = true
-		}
-		return nil, failure
-	}
-	if response.ContentLength > int64(c.config.MaxAnswer) {
-		return nil, &Error{Fate: Unknown, Cause: ErrTooLong}
-	}
-	body := &answerBody{
-		client: c, conn: conn, response: response, sawSurplus: sawSurplus, written: written,
-		release: release,
-	}
-	return &Answer{
-		Meta:   meta,
-		Status: response.StatusCode,
-		Header: response.Header,
-		Length: response.ContentLength,
-		Body:   body,
-	}, nil
-}
-
-// finished reports whether the request body was written without an error. A nil channel
-// means that it was written before the answer was read.
-func finished(written <-chan error) bool {
-	if written == nil {
-		return true
-	}
-	select {
-	case err := <-written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
-// head encodes the request line and header of a call.
-func (c *Client) head(call *Call) []byte {
-	var buffer bytes.Buffer
-	header := c.config.Codec.Encode(call, time.Now())
-	buffer.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
-	if len(call.Body) > 0 || bodyExpected(call.Method) {
-		buffer.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
-	}
-	_ = header.Write(&buffer)
-	buffer.WriteString("\r\n")
-	return buffer.Bytes()
-}
-
-// bodyExpected reports whether a request with the method states its Content-Length even if
-// its body is empty (RFC 9110, section 8.6).
-func bodyExpected(method string) bool {
-	return method != http.MethodGet && method != http.MethodHead && method != http.MethodDelete
-}
-
-// send writes a request. A body longer than inlineBody is written in the background, since
-// the answer may come before the body was read; the channel then receives the result of the
-// write.
-func send(conn net.Conn, head, body []byte) (<-chan error, error) {
-	if len(body) <= inlineBody {
-		_, err := conn.Write(append(head, body...))
-		return nil, err
-	}
-	if _, err := conn.Write(head); err != nil {
-		return nil, err
-	}
-	written := make(chan error, 1)
-	go func() {
-		_, err := conn.Write(body)
-		written <- err
-	}()
-	return written, nil
-}
-
-// readHead reads the head of the next answer, skipping informational (1xx) ones.
-func readHead(conn *connection, method string) (*http.Response, error) {
-	request := &http.Request{Method: method}
-	conn.meter.allow(maxHeadBytes)
-	for {
-		response, err := http.ReadResponse(conn.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
-// discard reads a body to its end, or fails if it exceeds surplusBytes.
-func discard(body io.Reader) error {
-	read, err := io.Copy(io.Discard, io.LimitReader(body, surplusBytes+1))
-	if err == nil && read > surplusBytes {
-		return ErrTruncated
-	}
-	return err
-}
