forward: a response cut at its request's end is not logged as left by its caller

Operators saw: request_left, "context canceled", for a caller that was there and took nothing when its request's time was over.

Cause: net/http ends a request's context when a write fails, also at the write deadline that the node set.

Change: a response that was broken at or after the request's end keeps that outcome. The request did end in time.

--- a/internal/gatewaynode/batch/held.go
+++ b/internal/gatewaynode/batch/held.go
@@ -31,7 +31,7 @@
 const backoffLabel = "backoff"
 
 // backsOff reports whether a request of an item, its run or its scoring call, has to wait since
-// backends failed while they ran it. The caller holds r.mu.
+// backends failed while they ran it, and logs that it does. The caller holds r.mu.
 func (r *runner) backsOff(job *ownedJob, index int, work fingerprint.Fingerprint, p *schedulingRound) bool {
 	if p.backoff == nil {
 		return false
--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -279,8 +279,8 @@
 	eventOverhead = 64
 )
 
-// take adds an event to the item's output. It returns an error if the run was canceled
-// or the weight version is not allowed.
+// take adds an event to the item's output. It returns an error if the run was canceled, the weight
+// version is not allowed, or the output is too long, in which case it is discarded.
 func (r *runner) take(run *run, event eventstream.Event, version int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -178,7 +178,7 @@
 	} else {
 		report = try.serveBuffered(bounded, w)
 	}
-	if ctx.Err() != nil && report.Outcome != OutcomeAnswered {
+	if ctx.Err() != nil && report.Outcome != OutcomeAnswered && !try.cutAtEnd(report) {
 		report.Outcome, report.Cause = OutcomeLeft, context.Cause(ctx).Error()
 	}
 	report.Attempts = try.sends
@@ -192,6 +192,12 @@
 	return report
 }
 
+// cutAtEnd reports whether a response was cut at the end of the request, for which the write
+// deadline is set. net/http then ends the context as if the caller had left.
+func (x *try) cutAtEnd(report Report) bool {
+	return report.Outcome == OutcomeBroken && !time.Now().Before(x.endTime())
+}
+
 // fingerprintOf returns the fingerprint of a request.
 func (f *Forwarder) fingerprintOf(request *Request) fingerprint.Fingerprint {
 	if f.config.WorkOf == nil {
