upstream: an answer that is reset during its upload is not whole

Callers got a part of an answer as a complete one: a back end answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the upload is written by one goroutine, and the answer read by another. The system reports a reset once. Where the write was told (ECONNRESET), the read saw an ordinary end, which is how an answer without a length ends. The result of the write only decided whether the connection was kept.

Change: at the end of such an answer, the upload decides, unless the state of the socket (TCP_INFO, CLOSE_WAIT) says that the peer ended its side in order: after a reset, the write has failed or will fail at once, since what was left cannot be sent. It is waited for, since its result need not be known yet when the read ends. Answers with a length or chunks have an end of their own and do not wait.

--- a/internal/gatewaynode/upstream/body.go
+++ b/internal/gatewaynode/upstream/body.go
@@ -16,8 +16,8 @@
 	// sawSurplus reports that surplus answers came first, so that the connection cannot be
 	// reused.
 	sawSurplus bool
-	// written receives the result of writing the request body, see send.
-	written <-chan error
+	// written is the writing of the request body, see send.
+	written *upload
 	// release detaches the connection from the context of the call. It reports false if the
 	// context is already done, which closes the connection.
 	release func() bool
@@ -30,11 +30,16 @@
 		return 0, io.EOF
 	}
 	count, err := b.response.Body.Read(buffer)
-	if errors.Is(err, io.EOF) {
-		b.finish()
-		return count, io.EOF
+	if !errors.Is(err, io.EOF) {
+		return count, err
 	}
-	return count, err
+	if endsWithConnection(b.response) {
+		if err := b.written.endOfAnswer(b.conn.Conn); !errors.Is(err, io.EOF) {
+			return count, err
+		}
+	}
+	b.finish()
+	return count, io.EOF
 }
 
 // finish returns the connection to the pool, or closes it if it cannot be reused.
@@ -43,7 +48,7 @@
 	if !b.release() {
 		return
 	}
-	if b.sawSurplus || !finished(b.written) {
+	if b.sawSurplus || !b.written.complete() {
 		b.client.drop(b.conn, OpenAborted)
 		return
 	}
--- a/internal/gatewaynode/upstream/exchange.go
+++ b/internal/gatewaynode/upstream/exchange.go
@@ -55,12 +55,12 @@
 // answers came before.
 func (c *Client) answer(
 	conn *connection, call *Call, response *http.Response, meta Meta, sawSurplus bool,
-	written <-chan error, release func() bool,
+	written *upload, release func() bool,
 ) (*Answer, *Error) {
 	conn.meter.allow(c.config.MaxAnswer)
 	if meta.NotRun || meta.WrongInstance {
 		failure := &Error{Fate: NotRun, Cause: errNotRun, Status: response.StatusCode}
-		if discard(response.Body) == nil && !sawSurplus && finished(written) && release() {
+		if discard(response.Body) == nil && !sawSurplus && written.complete() && release() {
 			c.recycle(conn, response)
 			failure.kept = true
 		}
@@ -82,20 +82,6 @@
 	}, nil
 }
 
-// finished reports whether the request body was written without an error. A nil channel
-// means that it was written before the answer was read.
-func finished(written <-chan error) bool {
-	if written == nil {
-		return true
-	}
-	select {
-	case err := <-written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // head encodes the request line and header of a call.
 func (c *Client) head(call *Call) []byte {
 	var buffer bytes.Buffer
@@ -116,9 +102,8 @@
 }
 
 // send writes a request. A body longer than inlineBody is written in the background, since
-// the answer may come before the body was read; the channel then receives the result of the
-// write.
-func send(conn net.Conn, head, body []byte) (<-chan error, error) {
+// the answer may come before the body was read; otherwise the upload is nil.
+func send(conn net.Conn, head, body []byte) (*upload, error) {
 	if len(body) <= inlineBody {
 		_, err := conn.Write(append(head, body...))
 		return nil, err
@@ -126,12 +111,7 @@
 	if _, err := conn.Write(head); err != nil {
 		return nil, err
 	}
-	written := make(chan error, 1)
-	go func() {
-		_, err := conn.Write(body)
-		written <- err
-	}()
-	return written, nil
+	return startUpload(conn, body), nil
 }
 
 // readHead reads the head of the next answer, skipping informational (1xx) ones.
--- /dev/null
+++ b/internal/gatewaynode/upstream/upload.go
@@ -0,0 +1,59 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"net/http"
+)
+
+// upload is the writing of a request body beside the reading of the answer.
+type upload struct {
+	done chan struct{}
+	// err is the error of the write. It is valid once done is closed.
+	err error
+}
+
+// startUpload writes a body in the background.
+func startUpload(conn net.Conn, body []byte) *upload {
+	u := &upload{done: make(chan struct{})}
+	go func() {
+		defer close(u.done)
+		_, u.err = conn.Write(body)
+	}()
+	return u
+}
+
+// complete reports whether the body was written without an error. A nil upload was complete before
+// the answer was read.
+func (u *upload) complete() bool {
+	if u == nil {
+		return true
+	}
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
+// endOfAnswer returns io.EOF if a body that the end of the connection ended is whole, and
+// io.ErrUnexpectedEOF if the connection was reset. The system reports a reset to one caller only:
+// if that was the upload, the reader is told of an ordinary end. Unless the peer is known to have
+// ended its side in order, the result of the upload decides, which ends with the connection.
+func (u *upload) endOfAnswer(conn net.Conn) error {
+	if u == nil || closedByPeer(conn) {
+		return io.EOF
+	}
+	<-u.done
+	if u.err != nil {
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
+
+// endsWithConnection reports whether the body of a response has neither a length nor chunks, so
+// that only the end of the connection ends it.
+func endsWithConnection(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
