upstream: an answer whose status is no status is no answer

A back end in trouble sent status 000; behind an empty head it was passed over like an informational answer, and callers got what followed on the connection. Without that, a 000 held its call until the end of the request. 600 and 999 reached callers of routes whose requests must not be repeated, a 101 that no call asks for was passed over, and a head of HTTP/2.0 was taken.

Cause: net/http's ReadResponse takes any number of three characters as a status, a sign among them, and every version; whatever was below 200 counted as informational.

Change: package httpresponse checks what net/http has parsed: a status is 100 to 599 (RFC 9110, section 15), the version HTTP/1. The head of an answer has to pass before anything is concluded from it, also that the request did not run. 101 is none of the informational answers that are passed over. The call fails as one with bytes that are no answer does, on the same connection at once.

TestUnusualAnswerIsAnAnswer guards against the reverse and held before.

--- /dev/null
+++ b/internal/gatewaynode/upstream/broken_test.go
@@ -0,0 +1,127 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// textServer answers the first request of each connection with a text and keeps the connection
+// open.
+type textServer struct{ text string }
+
+func (s textServer) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		reader := bufio.NewReader(far)
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if _, err := io.WriteString(far, s.text); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, reader)
+	}()
+	return near, nil
+}
+
+// callText sends a call to a server that answers with a text.
+func callText(t *testing.T, text string) (status int, content string, err error) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	client := NewClient(Config{Codec: testCodec{}, Dialer: textServer{text}.dial})
+	defer client.Sweep(func(string, string) bool { return false })
+	answer, err := client.Do(ctx, &Call{ID: "a", Method: http.MethodGet, Target: "/", Host: "h", Address: "b:1"})
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	return answer.Status, string(body), err
+}
+
+const (
+	// brokenOK is a status line with the id of the call, soundRest the rest of a whole answer.
+	brokenOK  = "HTTP/1.1 200 OK\r\nId: a\r\n"
+	soundRest = "Id: a\r\nContent-Length: 4\r\n\r\nbody"
+	chunked   = "Transfer-Encoding: chunked\r\n"
+	chunks    = "4\r\nbody\r\n0\r\n"
+)
+
+// checkBroken checks that texts are no answers of HTTP/1.1, which is found at once and not by the end
+// of the call.
+func checkBroken(t *testing.T, texts map[string]string) {
+	for name, text := range texts {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				status, content, err := callText(t, text)
+				if err == nil {
+					t.Errorf("got status %d with body %q", status, content)
+				}
+				if took := time.Since(began); took > 0 {
+					t.Errorf("the answer was found broken after %v", took)
+				}
+			})
+		})
+	}
+}
+
+// TestBrokenStatusIsNoAnswer guards against statuses that are none (RFC 9110, section 15) and that
+// callers get, or that are passed over like an informational one.
+func TestBrokenStatusIsNoAnswer(t *testing.T) {
+	checkBroken(t, map[string]string{
+		"status 000":                       "HTTP/1.1 000 OK\r\n" + soundRest,
+		"status 000 without a length":      "HTTP/1.1 000 OK\r\nId: a\r\n\r\nbody",
+		"status 000 in front of an answer": "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n" + soundRest,
+		"status 099 in front of an answer": "HTTP/1.1 099 OK\r\n\r\nHTTP/1.1 200 OK\r\n" + soundRest,
+		"status +20 in front of an answer": "HTTP/1.1 +20 OK\r\n\r\nHTTP/1.1 200 OK\r\n" + soundRest,
+		"status -01":                       "HTTP/1.1 -01 OK\r\n" + soundRest,
+		"status 101 in front of an answer": "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + soundRest,
+		"status 600":                       "HTTP/1.1 600 OK\r\n" + soundRest,
+		"status 999":                       "HTTP/1.1 999 OK\r\n" + soundRest,
+		"status 2000":                      "HTTP/1.1 2000 OK\r\n" + soundRest,
+		"status with a control byte":       "HTTP/1.1 20\x00 OK\r\n" + soundRest,
+		"another major version":            "HTTP/2.0 200 OK\r\n" + soundRest,
+	})
+}
+
+// TestUnusualAnswerIsAnAnswer is the reverse: answers that are seldom seen and sound.
+func TestUnusualAnswerIsAnAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"status 599":                 "HTTP/1.1 599 Odd\r\n" + soundRest,
+		"no reason":                  "HTTP/1.1 200 \r\n" + soundRest,
+		"HTTP/1.0":                   "HTTP/1.0 200 OK\r\n" + soundRest,
+		"informational answers":      "HTTP/1.1 102 Processing\r\nField: x\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + soundRest,
+		"all bytes of names":         brokenOK + "!#$%&'*+-.^_`|~09azAZ: x\r\nContent-Length: 4\r\n\r\nbody",
+		"empty value":                brokenOK + "Field:\r\nContent-Length: 4\r\n\r\nbody",
+		"tab in a value":             brokenOK + "Field:\tx\ty\t\r\nContent-Length: 4\r\n\r\nbody",
+		"byte above 127 in a value":  brokenOK + "Field: \xc3\xa4\r\nContent-Length: 4\r\n\r\nbody",
+		"the same length twice":      brokenOK + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+		"lines that end with LF":     "HTTP/1.1 200 OK\nId: a\nContent-Length: 4\n\nbody",
+		"chunks":                     brokenOK + chunked + "\r\n" + chunks + "\r\n",
+		"chunks with an extension":   brokenOK + chunked + "\r\n4;name=value\r\nbody\r\n0\r\n\r\n",
+		"chunks with a trailer":      brokenOK + chunked + "Trailer: Field\r\n\r\n" + chunks + "Field: x\r\n\r\n",
+		"trailer without a mention":  brokenOK + chunked + "\r\n" + chunks + "Field: x\r\n\r\n",
+		"body like a head":           brokenOK + "Content-Length: 21\r\n\r\nMy Field : x\r\n folded\n",
+		"surplus answer in front":    "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nno" + brokenOK + "Content-Length: 4\r\n\r\nbody",
+		"surplus of chunks in front": "HTTP/1.1 200 OK\r\nId: b\r\n" + chunked + "\r\n2\r\nno\r\n0\r\n\r\n" + brokenOK + "Content-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				status, content, err := callText(t, text)
+				if err != nil || len(content) < len("body") {
+					t.Errorf("got status %d with body %q, %v", status, content, err)
+				}
+			})
+		})
+	}
+}
--- a/internal/gatewaynode/upstream/exchange.go
+++ b/internal/gatewaynode/upstream/exchange.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/sliplift/sliplift/internal/httpresponse"
 )
 
 // exchange writes a call and reads the head of its answer.
@@ -123,6 +125,12 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httpresponse.Validate(response); err != nil {
+			return nil, err
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- /dev/null
+++ b/internal/httpresponse/httpresponse.go
@@ -0,0 +1,25 @@
+// Package httpresponse checks responses that net/http has parsed: it accepts some that are not
+// valid in HTTP (RFC 9110). A caller that got one of these would get what its sender never meant.
+package httpresponse
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// The range of valid status codes (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Validate returns an error if the head of a response is not valid.
+func Validate(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return fmt.Errorf("version %q of a response over HTTP/1", response.Proto)
+	}
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return fmt.Errorf("status %q is out of range", response.Status)
+	}
+	return nil
+}
