upstream: an answer with a blank in a field's name is no answer

Callers got answers in whose head the name of a field held a blank, with that line passed on. Where the name was Content-Length, they got a body that was not the sender's: the field was not known, and the body went on to the end of the connection, or of the request.

Cause: net/http keeps names with blanks as they are, for the sake of old servers (RFC 9112, section 5.1, has a proxy refuse or mend them); it refuses other bytes that are not of a token.

Evidence: four of the rows of TestBrokenFieldIsNoAnswer failed on the code before (a blank in a name, behind one, in Content-Length, in a 1xx answer). The others are handled by net/http and stay as tests: a tab, control bytes, bytes above 127, a carriage return, an empty name, no colon, and byte 0 or a carriage return in a value.

--- a/internal/gatewaynode/upstream/broken_test.go
+++ b/internal/gatewaynode/upstream/broken_test.go
@@ -94,6 +94,28 @@
 	})
 }
 
+// TestBrokenFieldIsNoAnswer guards against a field that callers get although its name or value is
+// none (RFC 9110, section 5), or that was to tell the length of the body.
+func TestBrokenFieldIsNoAnswer(t *testing.T) {
+	checkBroken(t, map[string]string{
+		"blank in a name":                  brokenOK + "Content-Length: 4\r\nMy Field: x\r\n\r\nbody",
+		"blank behind a name":              brokenOK + "Content-Length : 4\r\n\r\nbody",
+		"blank in Content-Length":          brokenOK + "Content Length: 4\r\n\r\nbody",
+		"blank in front of the first name": "HTTP/1.1 200 OK\r\n Id: a\r\n" + soundRest,
+		"blank in a name of a 1xx answer":  "HTTP/1.1 102 Processing\r\nMy Field: x\r\n\r\nHTTP/1.1 200 OK\r\n" + soundRest,
+		"tab in a name":                    brokenOK + "Content-Length: 4\r\nMy\tField: x\r\n\r\nbody",
+		"control byte in a name":           brokenOK + "Content-Length: 4\r\nMy\x01Field: x\r\n\r\nbody",
+		"byte 0 in a name":                 brokenOK + "Content-Length: 4\r\nMy\x00Field: x\r\n\r\nbody",
+		"byte 127 in a name":               brokenOK + "Content-Length: 4\r\nMy\x7fField: x\r\n\r\nbody",
+		"byte above 127 in a name":         brokenOK + "Content-Length: 4\r\nMy\xc3\xa4Field: x\r\n\r\nbody",
+		"carriage return in a name":        brokenOK + "Content-Length: 4\r\nMy\rField: x\r\n\r\nbody",
+		"empty name":                       brokenOK + "Content-Length: 4\r\n: x\r\n\r\nbody",
+		"no colon":                         brokenOK + "Content-Length: 4\r\nField\r\n\r\nbody",
+		"byte 0 in a value":                brokenOK + "Content-Length: 4\r\nField: x\x00y\r\n\r\nbody",
+		"carriage return in a value":       brokenOK + "Content-Length: 4\r\nField: x\ry\r\n\r\nbody",
+	})
+}
+
 // TestUnusualAnswerIsAnAnswer is the reverse: answers that are seldom seen and sound.
 func TestUnusualAnswerIsAnAnswer(t *testing.T) {
 	for name, text := range map[string]string{
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // The range of valid status codes (RFC 9110, section 15).
@@ -21,5 +23,17 @@
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return fmt.Errorf("status %q is out of range", response.Status)
 	}
+	return ValidateFields(response.Header)
+}
+
+// ValidateFields returns an error if a field of a header or a trailer has a name that is not valid
+// (RFC 9110, section 5.1). net/http keeps names with blanks as they are, so that the field they were
+// meant for seems to be missing; it checks values itself.
+func ValidateFields(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("field name %q is not a token", name)
+		}
+	}
 	return nil
 }
