upstream: an answer with a blank in the name of a trailer is no answer

The trailer itself is not passed on.

Cause: net/http parses a trailer as it does a head, with names that hold blanks, and nothing looked at it.

Change: the end of a body is an error if its trailer has such a name, as in a head. The check stands beside that for a reset, in answerBody.checkEnd.

Evidence: two rows of TestBrokenTrailerIsNoAnswer failed on the code before; those of a control byte in a name and of byte 0 in a value are handled by net/http and stay. Rows of TestUnusualAnswerIsAnAnswer with sound trailers hold.

--- a/internal/gatewaynode/upstream/body.go
+++ b/internal/gatewaynode/upstream/body.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/sliplift/sliplift/internal/httpresponse"
 )
 
 // answerBody is the body of an answer. At its end it returns the connection to the pool.
@@ -33,15 +35,21 @@
 	if !errors.Is(err, io.EOF) {
 		return count, err
 	}
-	if endsWithConnection(b.response) {
-		if err := b.written.endOfAnswer(b.conn.Conn); !errors.Is(err, io.EOF) {
-			return count, err
-		}
+	if err := b.checkEnd(); err != nil {
+		return count, err
 	}
 	b.finish()
 	return count, io.EOF
 }
 
+// checkEnd returns an error if the body has ended and is not whole, or not valid.
+func (b *answerBody) checkEnd() error {
+	if endsWithConnection(b.response) {
+		return b.written.checkReset(b.conn.Conn)
+	}
+	return httpresponse.ValidateFields(b.response.Trailer)
+}
+
 // finish returns the connection to the pool, or closes it if it cannot be reused.
 func (b *answerBody) finish() {
 	b.done = true
--- a/internal/gatewaynode/upstream/broken_test.go
+++ b/internal/gatewaynode/upstream/broken_test.go
@@ -116,6 +116,16 @@
 	})
 }
 
+// TestBrokenTrailerIsNoAnswer is the same for the fields behind a body.
+func TestBrokenTrailerIsNoAnswer(t *testing.T) {
+	checkBroken(t, map[string]string{
+		"blank in a trailer's name":        brokenOK + chunked + "\r\n" + chunks + "My Field: x\r\n\r\n",
+		"blank behind a trailer's name":    brokenOK + chunked + "\r\n" + chunks + "Field : x\r\n\r\n",
+		"control byte in a trailer's name": brokenOK + chunked + "\r\n" + chunks + "My\x01Field: x\r\n\r\n",
+		"byte 0 in a trailer's value":      brokenOK + chunked + "\r\n" + chunks + "Field: x\x00y\r\n\r\n",
+	})
+}
+
 // TestUnusualAnswerIsAnAnswer is the reverse: answers that are seldom seen and sound.
 func TestUnusualAnswerIsAnAnswer(t *testing.T) {
 	for name, text := range map[string]string{
--- a/internal/gatewaynode/upstream/upload.go
+++ b/internal/gatewaynode/upstream/upload.go
@@ -37,19 +37,19 @@
 	}
 }
 
-// endOfAnswer returns io.EOF if a body that the end of the connection ended is whole, and
-// io.ErrUnexpectedEOF if the connection was reset. The system reports a reset to one caller only:
-// if that was the upload, the reader is told of an ordinary end. Unless the peer is known to have
-// ended its side in order, the result of the upload decides, which ends with the connection.
-func (u *upload) endOfAnswer(conn net.Conn) error {
+// checkReset returns io.ErrUnexpectedEOF if a connection whose reader was told of an ordinary end was
+// reset: the system reports a reset once, and the upload may be what was told. Unless the peer is
+// known to have ended its side in order, the result of the upload decides, which ends with the
+// connection at the latest.
+func (u *upload) checkReset(conn net.Conn) error {
 	if u == nil || closedByPeer(conn) {
-		return io.EOF
+		return nil
 	}
 	<-u.done
 	if u.err != nil {
 		return io.ErrUnexpectedEOF
 	}
-	return io.EOF
+	return nil
 }
 
 // endsWithConnection reports whether the body of a response has neither a length nor chunks, so
