upstream: an answer with a folded field or two framings is no answer

Callers got answers that told the end of their body in two ways, by a length and by chunks; the body of an HTTP/1.0 answer with chunks was passed on with the sizes of its chunks in it, or without end. Fields that were folded over two lines were passed on as one.

Cause: net/http follows the chunks and removes the length, ignores chunks in HTTP/1.0, and joins folded fields, all without a trace in what it has parsed. RFC 9112 has such framing handled as an error (6.1, 6.3), since a reader on the way may have followed the other one; folded fields are to be refused or mended by a proxy (5.2), and a back end whose heads are folded is more likely in trouble than old.

Change: the bytes of a head are kept while it is parsed, 64 KiB at most as before, and its lines are looked at.

An odd body, split heads, surplus and informational answers in front hold in TestUnusualAnswerIsAnAnswer.

Not covered: a folded field in a trailer, which is not passed on.

--- a/internal/gatewaynode/upstream/broken_test.go
+++ b/internal/gatewaynode/upstream/broken_test.go
@@ -126,6 +126,31 @@
 	})
 }
 
+// TestBrokenFramingIsNoAnswer guards against a body that ends otherwise than its sender meant (RFC
+// 9112, sections 6 and 7.1), and against folded fields, which other readers take for two (5.2).
+func TestBrokenFramingIsNoAnswer(t *testing.T) {
+	checkBroken(t, map[string]string{
+		"two lengths":                       brokenOK + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+		"list of lengths":                   brokenOK + "Content-Length: 4, 4\r\n\r\nbody",
+		"length with a sign":                brokenOK + "Content-Length: +4\r\n\r\nbody",
+		"empty length":                      brokenOK + "Content-Length:\r\n\r\nbody",
+		"folded field":                      brokenOK + "Field: x\r\n y\r\nContent-Length: 4\r\n\r\nbody",
+		"folded field, with a tab":          brokenOK + "Field: x\r\n\ty\r\nContent-Length: 4\r\n\r\nbody",
+		"folded length":                     brokenOK + "Content-Length:\r\n 4\r\n\r\nbody",
+		"line of a blank":                   brokenOK + "Content-Length: 4\r\n \r\n\r\nbody",
+		"length and chunks":                 brokenOK + "Content-Length: 4\r\n" + chunked + "\r\n" + chunks + "\r\n",
+		"chunks and length":                 brokenOK + chunked + "content-length: 4\r\n\r\n" + chunks + "\r\n",
+		"chunks of HTTP/1.0":                "HTTP/1.0 200 OK\r\nId: a\r\nContent-Length: 4\r\n" + chunked + "\r\n" + chunks + "\r\n",
+		"chunks of HTTP/1.0, no length":     "HTTP/1.0 200 OK\r\nId: a\r\n" + chunked + "\r\n" + chunks + "\r\n",
+		"another coding":                    brokenOK + "Transfer-Encoding: gzip\r\n\r\nbody",
+		"chunks twice":                      brokenOK + "Transfer-Encoding: chunked, chunked\r\n\r\n" + chunks + "\r\n",
+		"chunk without a size":              brokenOK + chunked + "\r\n\r\nbody\r\n0\r\n\r\n",
+		"chunk with a sign":                 brokenOK + chunked + "\r\n+4\r\nbody\r\n0\r\n\r\n",
+		"chunk longer than its size":        brokenOK + chunked + "\r\n3\r\nbody\r\n0\r\n\r\n",
+		"chunk whose size exceeds a number": brokenOK + chunked + "\r\n10000000000000004\r\nbody\r\n0\r\n\r\n",
+	})
+}
+
 // TestUnusualAnswerIsAnAnswer is the reverse: answers that are seldom seen and sound.
 func TestUnusualAnswerIsAnAnswer(t *testing.T) {
 	for name, text := range map[string]string{
--- a/internal/gatewaynode/upstream/exchange.go
+++ b/internal/gatewaynode/upstream/exchange.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"strconv"
 	"time"
-
-	"github.com/sliplift/sliplift/internal/httpresponse"
 )
 
 // exchange writes a call and reads the head of its answer.
@@ -116,27 +114,6 @@
 	return startUpload(conn, body), nil
 }
 
-// readHead reads the head of the next answer, skipping informational (1xx) ones.
-func readHead(conn *connection, method string) (*http.Response, error) {
-	request := &http.Request{Method: method}
-	conn.meter.allow(maxHeadBytes)
-	for {
-		response, err := http.ReadResponse(conn.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if err := httpresponse.Validate(response); err != nil {
-			return nil, err
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errSwitched
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 // discard reads a body to its end, or fails if it exceeds surplusBytes.
 func discard(body io.Reader) error {
 	read, err := io.Copy(io.Discard, io.LimitReader(body, surplusBytes+1))
--- a/internal/gatewaynode/upstream/meter.go
+++ b/internal/gatewaynode/upstream/meter.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "io"
+import (
+	"bytes"
+	"io"
+)
 
 const (
 	// maxHeadBytes bounds the head of an answer, with the informational ones before it.
@@ -16,6 +19,8 @@
 type meter struct {
 	source io.Reader
 	left   int
+	// record, if not nil, is given a copy of what is read.
+	record *bytes.Buffer
 }
 
 // allow sets the number of bytes that may be read from now on.
@@ -28,5 +33,8 @@
 	}
 	n, err := m.source.Read(content[:min(len(content), m.left)])
 	m.left -= n
+	if m.record != nil {
+		m.record.Write(content[:n])
+	}
 	return n, err
 }
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -211,7 +211,6 @@
 	// ErrQuarantined means that the Observer cancelled the call.
 	ErrQuarantined = errors.New("cancelled by this node: the request is quarantined")
 	errNotRun      = errors.New("back end did not run it")
-	errSwitched    = errors.New("back end switched protocols, which no call asks for")
 )
 
 // Config configures a Client.
