platform: an order or a report of use is not done by a part of an answer

Cause: the content of answers to commands was read up to a limit, and the rest was taken for nothing.

The next poll, or the retry of the report, finds out what was done.

--- a/internal/gatewaynode/upstream/body.go
+++ b/internal/gatewaynode/upstream/body.go
@@ -70,6 +70,16 @@
 	return err
 }
 
+// Content reads the body. It fails with ErrTooLong if the body exceeds a limit in bytes: a part of it
+// must not pass for the whole. It does not close the body.
+func (a *Answer) Content(limit int) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(a.Body, int64(limit)+1))
+	if err == nil && len(content) > limit {
+		return nil, ErrTooLong
+	}
+	return content, err
+}
+
 // Linger is how long a caller lets a call continue whose answer is no longer needed. If the
 // answer completes in this time, the connection can be reused; otherwise closing it tells
 // the backend to stop.
