--- a/internal/gatewaynode/upstream/head.go
+++ b/internal/gatewaynode/upstream/head.go
@@ -8,8 +8,9 @@
 	"github.com/sliplift/sliplift/internal/httpresponse"
 )
 
-// Errors of heads that net/http mends without a trace.
+// Errors of heads that net/http takes.
 var (
+	errVersion  = errors.New("answer is not of HTTP/1")
 	errFolded   = errors.New("answer has a folded field")
 	errFraming  = errors.New("answer has chunks beside a length, or in HTTP/1.0")
 	errSwitched = errors.New("back end switched protocols, which no call asks for")
@@ -53,7 +54,10 @@
 	if err := httpresponse.Validate(response); err != nil {
 		return err
 	}
-	if response.StatusCode == http.StatusSwitchingProtocols {
+	switch {
+	case response.ProtoMajor != 1:
+		return errVersion
+	case response.StatusCode == http.StatusSwitchingProtocols:
 		return errSwitched
 	}
 	return validateLines(response, head)
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -17,9 +17,6 @@
 
 // Validate returns an error if the head of a response is not valid.
 func Validate(response *http.Response) error {
-	if response.ProtoMajor != 1 {
-		return fmt.Errorf("version %q of a response over HTTP/1", response.Proto)
-	}
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return fmt.Errorf("status %q is out of range", response.Status)
 	}
