httpjson, engine, operator: broken answers are lost answers

Nodes of slipliftd and the operators' client took an answer of status 000 for a success, whose content counted as that of an object, believed a back end's or a node's refusal in a head that is not valid, which says that nothing was done, and a status of 600 with the text of a refusal.

Cause: these clients call through net/http, which takes such statuses and names; httpjson counted all below 300 as a success.

Change: answers pass httpresponse.Validate, and a success is 200 to 299. A broken answer leaves the outcome of its call unknown. Generated and invoked texts have checksums, so that a broken body was refused already.

Evidence: six rows of TestFetch, one of TestFate and both of TestBrokenAnswerIsLost failed on the code before.

--- a/internal/meshnode/engine/client.go
+++ b/internal/meshnode/engine/client.go
@@ -15,6 +15,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/httpresponse"
 	"github.com/sliplift/sliplift/internal/meshnode/httpjson"
 )
 
@@ -103,6 +104,10 @@
 		}
 		return nil, StateNotSent, ErrTransport.Wrap(err)
 	}
+	if err := httpresponse.Validate(response); err != nil {
+		response.Body.Close()
+		return nil, StatePartial, ErrAnswer.Wrap(err)
+	}
 	if response.StatusCode == http.StatusOK {
 		return response, StatePartial, nil
 	}
--- a/internal/meshnode/engine/client_test.go
+++ b/internal/meshnode/engine/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -42,6 +43,21 @@
 
 func readBody(r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }
 
+// brokenRefusal answers that the back end is full, in a head that is not valid.
+func brokenRefusal(w http.ResponseWriter, r *http.Request) {
+	readBody(r)
+	content, err := json.Marshal(api.Refusal(http.StatusTooManyRequests, api.CodeOverloaded, 10, "full"))
+	if err != nil {
+		panic(err)
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 429 Too Many Requests\r\nMy Field: x\r\nContent-Length: %d\r\n\r\n%s", len(content), content)
+}
+
 // TestFate shows how far each failure lets the client say that a request came.
 // Only the states not_sent and refused say that it did not run.
 func TestFate(t *testing.T) {
@@ -71,6 +87,7 @@
 		{name: "503 without a reason", handler: bare503, state: StatePartial},
 		{name: "connection closed before an answer", handler: abort, state: StatePartial},
 		{name: "no answer in time", handler: silence, state: StatePartial},
+		{name: "engine full, with a blank in a field's name", handler: brokenRefusal, state: StatePartial},
 		{name: "redirect", handler: http.RedirectHandler("/other", http.StatusTemporaryRedirect).ServeHTTP, state: StatePartial},
 	}
 	for _, c := range cases {
--- a/internal/meshnode/httpjson/client.go
+++ b/internal/meshnode/httpjson/client.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/httpresponse"
 )
 
 // ErrNoAnswer tags every error of Do that is not the server's own word: the
@@ -55,7 +56,10 @@
 		return nil, ErrNoAnswer.Wrap(err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if err := httpresponse.Validate(response); err != nil {
+		return nil, ErrNoAnswer.Wrap(err)
+	}
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return nil, ReadError(response)
 	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
--- a/internal/meshnode/httpjson/client_test.go
+++ b/internal/meshnode/httpjson/client_test.go
@@ -22,6 +22,7 @@
 	const limit = 4
 	cases := []struct {
 		status int
+		field  string
 		body   string
 		// code is that of the server's word, tagged says that there was none.
 		code   api.Code
@@ -32,10 +33,20 @@
 		{status: 409, body: `{"code":"condition_failed"}`, code: api.CodeConditionFailed},
 		{status: 503, body: `{"reason":"none of ours"}`, tagged: true},
 		{status: 307, tagged: true},
+		{status: 0, body: "1234", tagged: true},
+		{status: 99, body: "1234", tagged: true},
+		{status: 199, body: "1234", tagged: true},
+		{status: 600, body: `{"code":"condition_failed"}`, tagged: true},
+		{status: 200, field: "Content-Length ", body: "1234", tagged: true},
+		{status: 409, field: "My Field", body: `{"code":"condition_failed"}`, tagged: true},
 	}
 	for _, c := range cases {
 		client := &http.Client{Transport: answerFunc(func() *http.Response {
-			return &http.Response{StatusCode: c.status, Body: io.NopCloser(strings.NewReader(c.body))}
+			header := http.Header{}
+			if c.field != "" {
+				header[c.field] = []string{"4"}
+			}
+			return &http.Response{StatusCode: c.status, Header: header, Body: io.NopCloser(strings.NewReader(c.body))}
 		})}
 		content, err := Fetch(t.Context(), client, sling.New().Get("http://s"), limit)
 		var word *api.Error
--- a/internal/meshnode/operator/client.go
+++ b/internal/meshnode/operator/client.go
@@ -11,6 +11,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/sliplift/sliplift/internal/api"
+	"github.com/sliplift/sliplift/internal/httpresponse"
 	"github.com/sliplift/sliplift/internal/meshnode/query"
 )
 
@@ -86,6 +87,10 @@
 		}
 		return nil, ErrAnswerLost.Wrap(err)
 	}
+	if err := httpresponse.Validate(response); err != nil {
+		response.Body.Close()
+		return nil, ErrAnswerLost.Wrap(err)
+	}
 	if response.StatusCode == http.StatusOK {
 		return response, nil
 	}
--- a/internal/meshnode/operator/operator_test.go
+++ b/internal/meshnode/operator/operator_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -187,3 +189,23 @@
 		t.Errorf("status %d", response.StatusCode)
 	}
 }
+
+// TestBrokenAnswerIsLost guards against a refusal that is believed, which says that nothing was done,
+// and a status that is shown although the head of the answer is not valid.
+func TestBrokenAnswerIsLost(t *testing.T) {
+	for _, status := range []string{"200 OK", "503 Service Unavailable"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer func() { _ = conn.Close() }()
+			const content = `{"code":"node_stopping","outcome":"refused"}`
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nMy Field: x\r\nContent-Length: %d\r\n\r\n%s", status, len(content), content)
+		}))
+		if _, err := newTestClient(server).Status(t.Context()); !errors.Is(err, ErrAnswerLost) {
+			t.Errorf("%s: error %v, want %v", status, err, ErrAnswerLost)
+		}
+		server.Close()
+	}
+}
