httpjson: an answer without a length does not end a request with a body

An object counted as stored after an answer whose connection was reset while the object was being sent: 28 of 40 calls.

Cause: as in package upstream, the system reports a reset once, and net/http reads the answer beside the write of the request: an answer that only the end of the connection ends seems whole.

Change: such an answer to a request with a body is no answer, and the outcome of the call is unknown. net/http does not tell whether the connection was reset, and the interfaces of slipliftd answer with a length or in chunks.

--- a/internal/gatewaynode/upstream/upload.go
+++ b/internal/gatewaynode/upstream/upload.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"net/http"
 )
 
 // upload is the writing of a request body beside the reading of the answer.
@@ -51,9 +50,3 @@
 	}
 	return nil
 }
-
-// endsWithConnection reports whether the body of a response has neither a length nor chunks, so
-// that only the end of the connection ends it.
-func endsWithConnection(response *http.Response) bool {
-	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -34,3 +34,9 @@
 	}
 	return nil
 }
+
+// EndsWithConnection reports whether the body of a response has neither a length nor chunks, so that
+// only the end of the connection ends it (RFC 9112, section 6.3).
+func EndsWithConnection(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
--- a/internal/meshnode/httpjson/client.go
+++ b/internal/meshnode/httpjson/client.go
@@ -59,6 +59,10 @@
 	if err := httpresponse.Validate(response); err != nil {
 		return nil, ErrNoAnswer.Wrap(err)
 	}
+	// net/http does not tell whether such an answer was reset while the request was being written.
+	if httpRequest.Body != nil && httpresponse.EndsWithConnection(response) {
+		return nil, ErrNoAnswer.Errorf("answer to a request with a body has no length")
+	}
 	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return nil, ReadError(response)
 	}
