engine: a stream without end is cut

A node of slipliftd kept the text of an engine that sent frames as fast as they were read until the end of the request, and its segments where the version changed with each frame.

Cause: lines of a stream were bounded, and how many came was not.

Change: all lines of a stream together are bounded as other answers are, by 16 MiB, some 100,000 tokens a frame each.

Evidence: three rows of TestEndlessStreamIsCut failed on the code before, which took 64 MiB, all that the test sends. Heads are bounded by net/http (10 MiB) and other contents by answerLimit.

--- a/internal/meshnode/engine/client.go
+++ b/internal/meshnode/engine/client.go
@@ -22,7 +22,7 @@
 const (
 	// frameLineLimit bounds one line of a stream in bytes.
 	frameLineLimit = 1 << 20
-	// answerLimit bounds a whole JSON answer in bytes.
+	// answerLimit bounds a whole JSON answer, or all lines of a stream, in bytes.
 	answerLimit = 16 << 20
 	// drainLimit bounds what is read behind an end marker, in bytes, so that the
 	// connection can be used again.
@@ -55,7 +55,7 @@
 	}
 	defer response.Body.Close()
 	frames := &assembler{requestID: request.RequestID, attempt: request.Attempt, trusting: c.faults.TrustFrames}
-	err = readFrames(response.Body, frames, onFrame)
+	err = readFrames(io.LimitReader(response.Body, answerLimit), frames, onFrame)
 	result := frames.result(err)
 	result.Load = c.faults.seen(result.Load)
 	return result
--- a/internal/meshnode/engine/client_test.go
+++ b/internal/meshnode/engine/client_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -205,3 +206,50 @@
 }
 
 func checksumOf(text string) string { return fmt.Sprintf("%016x", xxhash.Sum64String(text)) }
+
+// TestEndlessStreamIsCut guards against an engine that sends frames as fast as they are read and never
+// ends: their text took the node's memory until the end of the request.
+func TestEndlessStreamIsCut(t *testing.T) {
+	for name, frame := range map[string]func(sequence int64) api.StreamFrame{
+		"text": func(sequence int64) api.StreamFrame {
+			return api.StreamFrame{RequestID: "r", Sequence: sequence, Text: strings.Repeat("x", 4096)}
+		},
+		"versions": func(sequence int64) api.StreamFrame {
+			return api.StreamFrame{RequestID: "r", Sequence: sequence, Tokens: 1, Version: sequence}
+		},
+		"frames of another request": func(sequence int64) api.StreamFrame {
+			return api.StreamFrame{RequestID: "other", Sequence: sequence, Text: strings.Repeat("x", 4096)}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := memnet.NewNetwork()
+				var taken atomic.Int64
+				serve(t, network, func(w http.ResponseWriter, r *http.Request) {
+					readBody(r)
+					for sequence := int64(0); taken.Load() < 4*answerLimit; sequence++ {
+						content, err := json.Marshal(frame(sequence))
+						if err != nil {
+							panic(err)
+						}
+						written, err := w.Write(append(content, '\n'))
+						if err != nil {
+							return
+						}
+						taken.Add(int64(written))
+					}
+					<-r.Context().Done()
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				result := clientOf(t, network).Generate(ctx, address, api.GenerateRequest{RequestID: "r"}, nil)
+				if result.State != StatePartial || !errors.Is(result.Err, ErrCut) || ctx.Err() != nil {
+					t.Errorf("state %s, %v; want a stream that was cut", result.State, result.Err)
+				}
+				if got := taken.Load(); got > answerLimit+answerLimit/16 {
+					t.Errorf("%d bytes were taken, want %d at most", got, answerLimit)
+				}
+			})
+		})
+	}
+}
