forward: requests that fail early do not shorten the durations of a route

A node in a planned stop might have taken requests that it could not end after back ends had failed many of its route at once: these counted among the durations. Only whole responses count now, and requests that used all of their time.

--- a/internal/gatewaynode/forward/forward.go
+++ b/internal/gatewaynode/forward/forward.go
@@ -186,7 +186,8 @@
 	report.Tenant = request.Tenant
 	report.Began, report.BeganBy = try.beganAt()
 	report.Took = time.Since(request.Received)
-	if report.Outcome != OutcomeRefused && report.Outcome != OutcomeLeft {
+	if report.Outcome == OutcomeAnswered || report.Outcome == OutcomeFailed && bounded.Err() != nil {
+		// A request that failed earlier tells nothing of how long the others take.
 		f.durations.observe(route.Name, report.Took)
 	}
 	f.logReport(try, report, configVersion)
