--- a/internal/gatewaynode/forward/stop.go
+++ b/internal/gatewaynode/forward/stop.go
@@ -25,8 +25,8 @@
 	time.AfterFunc(time.Until(end), func() { f.cancel(errStopped) })
 }
 
-// accepts reports whether a request should be accepted that arrives now, ends at a time in any case,
-// and is expected to take no longer than expected, 0 if not known.
+// accepts reports whether to accept a request that arrives now. ends is when its deadline or its
+// route's timeout ends it, expected how long it is likely to take at most, 0 if not known.
 func (s *stopTimes) accepts(now, ends time.Time, expected time.Duration) bool {
 	if !ends.After(s.end) {
 		return true
