review: case 6, an open batch job is deleted statusS after its send

Tried: a batch job of 40 items is read from three nodes each 2 s and not ended. Seen: all results are there until 70 s after the send (statusS 60 s, and 10 s of margin in the code); from then on every node answers 404. Ruled out: with the job ended and read for statusS alone it is answered throughout.

--- a/review/tools2/world.go
+++ b/review/tools2/world.go
@@ -73,13 +73,15 @@
 	cancel   context.CancelFunc
 	// storeHandler, if it is set, stands before the store.
 	storeHandler func(http.Handler) http.Handler
+	// status is the bound `statusS`.
+	status time.Duration
 }
 
 func newWorld(log *record) *world {
 	dir, err := os.MkdirTemp("", "review-2-")
 	must(err)
 	ctx, cancel := context.WithCancel(context.Background())
-	return &world{dir: dir, log: log, rows: rowstoretest.New(), ctx: ctx, cancel: cancel}
+	return &world{dir: dir, log: log, rows: rowstoretest.New(), ctx: ctx, cancel: cancel, status: 120 * time.Second}
 }
 
 // serve answers on a free port and returns its address.
@@ -211,7 +213,7 @@
 		"peer-address = " + free[4], "metrics-address = " + n.metrics, "store-address = " + w.store,
 		"store-row-bytes = 65536", "store-writes-per-second = 800", "store-reads-per-second = 2000",
 		fmt.Sprintf("config-apply = %dms", configApplyMs), "lease-settle = 3000ms",
-		fmt.Sprintf("stop-grace = %ds", graceSeconds), "keep-jobs = 120s", "result-settle = 1000ms",
+		fmt.Sprintf("stop-grace = %ds", graceSeconds), "keep-jobs = " + w.status.String(), "result-settle = 1000ms",
 		"zone-region = z1=r1", "zone-region = z2=r1", "zone-region = z3=r1", "",
 	}, "\n")), 0o600))
 	w.nodes = append(w.nodes, n)
