review: case 5, a result holds pieces of two runs

Tried: a group that wasn't whole comes again in the next steps; the connection of the owner's watch of the jobs goes silent as the second step is ended at another node, and the third goes to the owner. Seen: both steps' items append to one array of kept events, and the third step lists texts with eight events of the other run.

--- a/review/tools2/bigjob.go
+++ b/review/tools2/bigjob.go
@@ -19,7 +19,7 @@
 	bigItems   = 3900
 	smallItems = 184
 	bigBody    = 6000
-	// stepEvery is the time between two steps of the trainer, and traineeFor how long steps go on.
+	// stepEvery is the time between two steps of the trainer, stepsFor how long steps go on.
 	stepEvery = 4 * time.Second
 	stepsFor  = 96 * time.Second
 	// endsOfAMachine, on so many machines, break the rule.
--- a/review/tools2/main.go
+++ b/review/tools2/main.go
@@ -17,9 +17,10 @@
 
 // cases are the cases by name; each returns the ways in which its rule was broken.
 var cases = map[string]func(log *record, trouble bool) []string{
-	"hangup":  hangup,
-	"bigjob":  bigJob,
-	"openjob": openJob,
+	"hangup":   hangup,
+	"bigjob":   bigJob,
+	"openjob":  openJob,
+	"twotexts": twoTexts,
 }
 
 func main() {
--- a/review/tools2/world.go
+++ b/review/tools2/world.go
@@ -71,8 +71,6 @@
 	nodes    []*node
 	ctx      context.Context
 	cancel   context.CancelFunc
-	// storeHandler, if it is set, stands before the store.
-	storeHandler func(http.Handler) http.Handler
 	// status is the bound `statusS`.
 	status time.Duration
 }
@@ -94,12 +92,10 @@
 	return listener.Addr().String()
 }
 
+func (w *world) storeHandler() http.Handler { return boundedLists(w.rows, standin.NewStore(w.rows)) }
+
 func (w *world) startStore() {
-	handler := boundedLists(w.rows, standin.NewStore(w.rows))
-	if w.storeHandler != nil {
-		handler = w.storeHandler(handler)
-	}
-	w.store = w.serve(handler)
+	w.store = w.serve(w.storeHandler())
 }
 
 // addSampler starts a sampler, or an application instance where model is empty.
@@ -166,8 +162,6 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
-	ends    int
-	lastEnd string
 	keep    bool
 }
 
@@ -242,8 +236,6 @@
 			how = err.Error()
 		}
 		n.mu.Lock()
-		n.ends++
-		n.lastEnd = how
 		again := n.keep && n.world.ctx.Err() == nil
 		n.mu.Unlock()
 		n.world.log.line("%s: process ended: %s", n.name, how)
@@ -276,12 +268,6 @@
 	return n.ended
 }
 
-func (n *node) endCount() (int, string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.ends, n.lastEnd
-}
-
 func (n *node) isReady() bool {
 	client := &http.Client{Timeout: time.Second}
 	answer, err := client.Get("http://" + n.ready + "/v1/readiness")
@@ -326,9 +312,6 @@
 // answer is what a client saw.
 type answer struct {
 	status int
-	stamp  string
-	id     string
-	after  string
 	body   []byte
 	err    error
 	took   time.Duration
@@ -353,10 +336,7 @@
 	}
 	content, err := io.ReadAll(got.Body)
 	_ = got.Body.Close()
-	return answer{
-		status: got.StatusCode, stamp: got.Header.Get("Response-Stamp"), id: got.Header.Get("Request-Id"), after: got.Header.Get("Retry-After"),
-		body: content, err: err, took: time.Since(began),
-	}
+	return answer{status: got.StatusCode, body: content, err: err, took: time.Since(began)}
 }
 
 // runsOf returns how many runs of a request the samplers saw.
