upstream: the server of the reset test waits for bytes of the upload

Cause: the test. Its server closed 20 ms after it had read the head. Where no byte of the upload had come by then nothing was unread, and the connection ended in order, without the reset that the row is about.

Change: the server waits until its socket holds bytes that were not read (recv with MSG_PEEK) before the pause. All rows use it; no bound, count or check changed, so the test is as strict.

--- a/internal/gatewaynode/upstream/reset_test.go
+++ b/internal/gatewaynode/upstream/reset_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -23,7 +26,7 @@
 )
 
 // earlyServer answers each connection's request, once its head was read, with an answer that the
-// end of the connection ends. after is called next; then the connection is closed.
+// end of the connection ends. after is called once a part of the upload has arrived; then the connection is closed.
 type earlyServer struct {
 	after func(conn *net.TCPConn, body io.Reader)
 }
@@ -56,10 +59,28 @@
 	if _, err := io.WriteString(conn, earlyHead+earlyBody); err != nil {
 		return
 	}
+	if err := awaitUnread(conn); err != nil {
+		return
+	}
 	time.Sleep(earlyPause)
 	s.after(conn, request.Body)
 }
 
+// awaitUnread waits until the socket holds bytes that were not read. Without any, a close ends the
+// connection in order instead of resetting it.
+func awaitUnread(conn *net.TCPConn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var peeked error
+	err = raw.Read(func(descriptor uintptr) bool {
+		_, _, peeked = unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK)
+		return !errors.Is(peeked, unix.EAGAIN)
+	})
+	return errors.Join(err, peeked)
+}
+
 func reset(conn *net.TCPConn, _ io.Reader) { _ = conn.SetLinger(0) }
 
 // exchangeLong sends a request with a long body and returns what was received as its answer.
