batch: jobs with the same item do not share the events of its kept text

Cause: the text of an item of a closed job is kept for a later job with the same item. keptTexts stored and returned the slices themselves, and runs append to them in place. Two open jobs that began with one kept text wrote into one array while it had room. In the case a silent watch kept the ended job open; jobs asked ahead need no fault for it.

Ruled out: a mix-up of answers (each text has as many events as its run sent, and the positions of one stretch alone are of the other run), and rows of two runs joined at a takeover (the owner is the same throughout).

Change: a text has one owner. text.add is the only place that appends; keptTexts.put and get (before: take) copy the slices. Why it works: no array is reachable from two texts, so an append to one cannot change the other; the data of an event is never written to.

--- a/internal/gatewaynode/batch/regions_test.go
+++ b/internal/gatewaynode/batch/regions_test.go
@@ -70,8 +70,8 @@
 		job := &ownedJob{origin: head}
 		m.runner.keepText(job, "later item of "+id, text{})
 		wanted := id == "here"
-		_, kept := m.runner.kept.take("item of " + id)
-		_, later := m.runner.kept.take("later item of " + id)
+		_, kept := m.runner.kept.get("item of " + id)
+		_, later := m.runner.kept.get("later item of " + id)
 		if held := m.specs.get(id) != nil; held != wanted || kept != wanted || later != wanted {
 			t.Errorf("%s: kept specification %t, earlier text %t, later text %t; want %t", id, held, kept, later, wanted)
 		}
--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -295,8 +295,7 @@
 		item.resetText()
 		return errVersionChanged
 	}
-	item.text.events = append(item.text.events, event.Data)
-	item.text.versions = append(item.text.versions, version)
+	item.text.add(event.Data, version)
 	item.received += len(event.Data) + eventOverhead
 	if item.received > maxTextBytes {
 		item.resetText()
--- a/internal/gatewaynode/batch/runner.go
+++ b/internal/gatewaynode/batch/runner.go
@@ -298,7 +298,7 @@
 		}
 		job.unfinished++
 		item.text = found.texts[i]
-		kept, known := r.kept.take(spec.Items[i].ID)
+		kept, known := r.kept.get(spec.Items[i].ID)
 		if known {
 			job.groups.carry(spec.Items[i].Group)
 		}
--- a/internal/gatewaynode/batch/text.go
+++ b/internal/gatewaynode/batch/text.go
@@ -5,7 +5,9 @@
 	"slices"
 )
 
-// text is the output of an item's runs so far.
+// text is the output of an item's runs so far. Its slices have one owner, the item or the keptTexts
+// that holds it: an event is added in place, so texts that shared an array would overwrite each
+// other's events. Whoever hands a text to another owner hands over a clone.
 type text struct {
 	events [][]byte
 	// versions holds the version of the weights that produced each event.
@@ -16,6 +18,20 @@
 	score, scorer string
 }
 
+// clone returns a copy that shares no slice with t. The data of an event never changes and is
+// shared.
+func (t text) clone() text {
+	t.events = slices.Clone(t.events)
+	t.versions = slices.Clone(t.versions)
+	return t
+}
+
+// add appends an event and the version of the weights that produced it.
+func (t *text) add(event []byte, version int64) {
+	t.events = append(t.events, event)
+	t.versions = append(t.versions, version)
+}
+
 // scoredBy reports whether the text has a score from the given scorer, or needs none because
 // scorer is nil.
 func (t text) scoredBy(scorer *Scorer) bool {
@@ -73,20 +89,21 @@
 
 func newKeptTexts() keptTexts { return keptTexts{texts: make(map[string]keptText)} }
 
-// put keeps a text and drops the oldest ones beyond maxKeptTexts.
+// put keeps a clone of a text and drops the oldest texts beyond maxKeptTexts.
 func (k *keptTexts) put(item string, made text, of residency) {
 	if _, found := k.texts[item]; !found {
 		k.order = append(k.order, item)
 	}
-	k.texts[item] = keptText{text: made, residency: of}
+	k.texts[item] = keptText{text: made.clone(), residency: of}
 	for len(k.order) > maxKeptTexts {
 		delete(k.texts, k.order[0])
 		k.order = k.order[1:]
 	}
 }
 
-// take returns the text kept for an item, which stays in k.
-func (k *keptTexts) take(item string) (text, bool) {
+// get returns a clone of the text kept for an item. Several open jobs may have the same item and
+// continue its text.
+func (k *keptTexts) get(item string) (text, bool) {
 	kept, found := k.texts[item]
-	return kept.text, found
+	return kept.text.clone(), found
 }
--- a/internal/gatewaynode/batch/text_test.go
+++ b/internal/gatewaynode/batch/text_test.go
@@ -50,10 +50,10 @@
 	for i := range maxKeptTexts + 10 {
 		kept.put(fmt.Sprint(i), made(1), residency{})
 	}
-	if _, found := kept.take("9"); found {
+	if _, found := kept.get("9"); found {
 		t.Error("oldest text was not dropped")
 	}
-	if _, found := kept.take("10"); !found || len(kept.texts) != maxKeptTexts {
+	if _, found := kept.get("10"); !found || len(kept.texts) != maxKeptTexts {
 		t.Errorf("text 10 kept: %t; %d texts kept, want %d", found, len(kept.texts), maxKeptTexts)
 	}
 }
