signals: one handler from the start of a process to its end

Cause: the goroutine that handled SIGHUP ended with the context of the SIGTERM and took its handler away, so that for the whole stop SIGHUP had its default action. slipliftd and sliplift-emulator had no handler of SIGHUP at all.

Ruled out: an exit of the program's own (no `stopped` in the log, wait status "signal: hangup").

Change: package signals installs one handler of SIGHUP, SIGINT and SIGTERM in the first line of main and never takes it away; sliplift-gateway and the frame of the two other daemons use it. A SIGHUP is logged at any time; a second SIGTERM or SIGINT changes nothing, as before. Why it works: there is no moment between main and exit in which one of these has its default action.

--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -8,9 +8,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/sliplift/sliplift/internal/gatewaynode/batch"
@@ -27,6 +25,7 @@
 	"github.com/sliplift/sliplift/internal/gatewaynode/storerelay"
 	"github.com/sliplift/sliplift/internal/gatewaynode/upstream"
 	"github.com/sliplift/sliplift/internal/settings"
+	"github.com/sliplift/sliplift/internal/signals"
 	"github.com/sliplift/sliplift/internal/telemetry"
 	"github.com/sliplift/sliplift/platform"
 )
@@ -38,6 +37,8 @@
 )
 
 func main() {
+	// First, since a signal that comes before ends the process.
+	received := signals.Handle()
 	cfg := &settings.Gateway{}
 	code, proceed := settings.Start(settings.GatewayProgram, telemetry.Version(), os.Args[1:], cfg, os.Stdout, os.Stderr)
 	if !proceed {
@@ -51,19 +52,17 @@
 	log.SetNode(cfg.Name)
 	metrics := gatewaymetrics.New()
 	log.SetCounter(metrics.Event)
-	code = run(cfg, log, metrics)
+	received.OnHangup(func() { noteHangup(log) })
+	code = run(received.Stop(), cfg, log, metrics)
 	log.Close()
 	os.Exit(code)
 }
 
-// run serves until a signal ends it, and then stops in order.
-func run(cfg *settings.Gateway, log *eventlog.Log, metrics *gatewaymetrics.Metrics) int {
+// run serves until ctx is done, and then stops in order.
+func run(ctx context.Context, cfg *settings.Gateway, log *eventlog.Log, metrics *gatewaymetrics.Metrics) int {
 	log.Info(eventlog.Started, eventlog.Fields{
 		eventlog.Node: cfg.Name, "zone": cfg.Zone, "caller_address": cfg.CallerAddress, "program_version": telemetry.Version(), "counts_time_away": clock.Tells,
 	})
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
-	go reloads(ctx, log)
 	go log.ReportDropped(ctx.Done())
 	servers := &servers{failed: make(chan error, 1)}
 	defer servers.close()
@@ -123,20 +122,10 @@
 	return mux
 }
 
-// reloads notes changes of the settings file: all settings are read at the
-// start alone, so that a change takes effect with the next one.
-func reloads(ctx context.Context, log *eventlog.Log) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			log.Info(eventlog.SettingsChanged, eventlog.Fields{"outcome": "in force from the next start on"})
-		}
-	}
+// noteHangup logs that the settings file has changed. All settings are read at the start alone, so
+// that a change takes effect with the next one.
+func noteHangup(log *eventlog.Log) {
+	log.Info(eventlog.SettingsChanged, eventlog.Fields{"outcome": "in force from the next start on"})
 }
 
 // Limits of calls to the store.
--- a/internal/meshnode/daemon/daemon.go
+++ b/internal/meshnode/daemon/daemon.go
@@ -9,14 +9,13 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs/v2"
 
 	"github.com/sliplift/sliplift/internal/history"
 	"github.com/sliplift/sliplift/internal/settings"
+	"github.com/sliplift/sliplift/internal/signals"
 	"github.com/sliplift/sliplift/internal/telemetry"
 )
 
@@ -32,7 +31,8 @@
 	Settings  settings.Settings
 	Telemetry *settings.Telemetry
 	// Run serves until ctx ends, which a SIGINT or SIGTERM causes, and then stops
-	// in order.
+	// in order. A SIGHUP is logged and changes nothing, since all settings are read
+	// at the start.
 	Run func(ctx context.Context, lg *logrus.Logger, sink history.Sink) error
 }
 
@@ -40,6 +40,8 @@
 // code: 0 when it ended in order, 1 when it failed, 2 when its settings were
 // refused.
 func Main(program Program) int {
+	// First, since a signal that comes before ends the process.
+	received := signals.Handle()
 	code, proceed := settings.Start(program.Name, telemetry.Version(), os.Args[1:], program.Settings, os.Stdout, os.Stderr)
 	if !proceed {
 		return code
@@ -48,16 +50,15 @@
 	if err != nil {
 		panic("settings let through: " + err.Error())
 	}
-	if err := run(program, lg); err != nil {
+	received.OnHangup(func() { lg.Info("SIGHUP ignored: settings are read at the start") })
+	if err := run(received.Stop(), program, lg); err != nil {
 		lg.WithError(err).Error("stopped")
 		return exitFailed
 	}
 	return 0
 }
 
-func run(program Program, lg *logrus.Logger) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
+func run(ctx context.Context, program Program, lg *logrus.Logger) error {
 	sink, closeSink, err := telemetry.OpenHistory(lg, program.Telemetry.HistoryFile)
 	if err != nil {
 		return errs.Errorf("history-file: %w", err)
