signals: a log that nobody reads ends no node

What callers saw: nothing in the field yet. A node whose standard output is a pipe ended with the collector behind it ("signal: broken pipe"), and every request that it had passed on got a closed connection.

Cause: the same class as that of SIGHUP in a stop: a signal with its default action. A write to a broken pipe on the standard output or error raises SIGPIPE.

Change: package signals ignores SIGPIPE, so that the write fails instead; eventlog counts a line whose write failed as dropped (`log_lines_dropped`), where it ignored the error.

Evidence: TestLogWithoutAReaderEndsNoNode failed without the change (EOF for the request, "signal: broken pipe") and passes; TestLinesThatAreNotTakenAreCounted.

--- a/internal/gatewaynode/eventlog/eventlog.go
+++ b/internal/gatewaynode/eventlog/eventlog.go
@@ -275,7 +275,9 @@
 			if line == nil {
 				return
 			}
-			_, _ = output.Write(line)
+			if _, err := output.Write(line); err != nil {
+				writer.lost.Add(1)
+			}
 		}
 	}()
 	return writer
--- a/internal/gatewaynode/eventlog/eventlog_test.go
+++ b/internal/gatewaynode/eventlog/eventlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -95,6 +96,20 @@
 	})
 }
 
+// TestLinesThatAreNotTakenAreCounted checks that lines count as dropped if nobody reads the output.
+func TestLinesThatAreNotTakenAreCounted(t *testing.T) {
+	reader, writer := io.Pipe()
+	_ = reader.Close()
+	logger := logrus.New()
+	log := New(logger, writer)
+	log.Info(JobAccepted, nil)
+	log.Info(JobEnded, nil)
+	log.Close()
+	if log.Dropped() != 2 {
+		t.Errorf("%d lines dropped, want 2", log.Dropped())
+	}
+}
+
 func TestLevel(t *testing.T) {
 	out := &output{}
 	log := newLog(out)
--- a/internal/processtest/main_test.go
+++ b/internal/processtest/main_test.go
@@ -12,6 +12,7 @@
 const (
 	nodeProgram     = "slipliftd"
 	emulatorProgram = "sliplift-emulator"
+	gatewayProgram  = "sliplift-gateway"
 	toolProgram     = "sliplift"
 )
 
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -42,19 +42,21 @@
 // the test failed.
 func startProcess(t *testing.T, name, directory string, ports []net.Listener, path string, arguments ...string) *process {
 	t.Helper()
-	p := &process{
-		name:    name,
-		logPath: filepath.Join(directory, name+".log"),
-		command: exec.Command(path, arguments...),
-		ended:   make(chan struct{}),
-	}
-	log, err := os.Create(p.logPath)
+	log, err := os.Create(filepath.Join(directory, name+".log"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer log.Close()
-	p.command.Dir = directory
-	p.command.Stdout, p.command.Stderr = log, log
+	command := exec.Command(path, arguments...)
+	command.Dir = directory
+	return startProcessTo(t, name, log, ports, command)
+}
+
+// startProcessTo starts a command as startProcess does, with its output in a file of the caller's.
+func startProcessTo(t *testing.T, name string, output *os.File, ports []net.Listener, command *exec.Cmd) *process {
+	t.Helper()
+	p := &process{name: name, logPath: output.Name(), command: command, ended: make(chan struct{})}
+	p.command.Stdout, p.command.Stderr = output, output
 	if err := startCommand(p.command, ports); err != nil {
 		t.Fatalf("start %s: %v", name, err)
 	}
--- a/internal/processtest/signals_test.go
+++ b/internal/processtest/signals_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -41,8 +42,19 @@
 	application *standin.Sampler
 }
 
-// startGateway starts a gateway and waits until it is ready.
+// startGateway starts a gateway with its output in a log file, and waits until it is ready.
 func startGateway(t *testing.T) *gatewaySystem {
+	t.Helper()
+	log, err := os.Create(filepath.Join(t.TempDir(), "gateway.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	return startGatewayTo(t, log)
+}
+
+// startGatewayTo starts a gateway with its output in a file, and waits until it is ready.
+func startGatewayTo(t *testing.T, output *os.File) *gatewaySystem {
 	t.Helper()
 	rows := rowstoretest.New()
 	store := httptest.NewServer(standin.NewStore(rows))
@@ -53,9 +65,9 @@
 	application = standin.NewSampler(rows, "app-1", "app", addressOf(server), "z", nil)
 	application.Gap = longWork
 	rows.Put("op", "", "config", gatewayConfiguration(t))
-	directory, ports := t.TempDir(), newPorts(t)
+	ports := newPorts(t)
 	s := &gatewaySystem{
-		t: t, settings: filepath.Join(directory, "gateway.ini"), caller: ports.address("caller"), ready: ports.address("ready"), application: application,
+		t: t, settings: filepath.Join(t.TempDir(), "gateway.ini"), caller: ports.address("caller"), ready: ports.address("ready"), application: application,
 	}
 	s.write(fmt.Sprintf(`name = g1
 zone = z
@@ -66,7 +78,8 @@
 store-address = %s
 address-ttl = 100ms
 `, s.caller, s.ready, ports.address("directory"), addressOf(store)))
-	s.gateway = startProcess(t, "gateway", directory, ports.take("caller", "ready", "directory"), program("sliplift-gateway"), "--config", s.settings)
+	command := exec.Command(program(gatewayProgram), "--config", s.settings)
+	s.gateway = startProcessTo(t, "gateway", output, ports.take("caller", "ready", "directory"), command)
 	eventually(t, "the gateway is ready", func() error {
 		answer, err := http.Get("http://" + s.ready + "/v1/readiness")
 		if err != nil {
@@ -224,6 +237,35 @@
 	}
 }
 
+// TestLogWithoutAReaderEndsNoNode guards against a gateway that ends, with what it has passed on, when
+// it writes to a standard output that nobody reads any more.
+func TestLogWithoutAReaderEndsNoNode(t *testing.T) {
+	t.Parallel()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = reader.Close() }()
+	s := startGatewayTo(t, writer)
+	_ = writer.Close()
+	done := make(chan error, 1)
+	go func() { done <- s.request("r1") }()
+	s.waitRuns(1)
+	_ = reader.Close()
+	// Each line is a write that fails.
+	for range 3 {
+		s.gateway.signal(syscall.SIGHUP)
+		time.Sleep(betweenSignals)
+	}
+	s.gateway.signal(syscall.SIGTERM)
+	if err := <-done; err != nil {
+		t.Errorf("the request that was passed on: %v", err)
+	}
+	if code, err := s.gateway.waitExit(); err != nil || code != 0 {
+		t.Errorf("the gateway ended with %d (%v, %v)", code, s.gateway.command.ProcessState, err)
+	}
+}
+
 // TestSIGHUPLeavesANodeRunning guards against a node of slipliftd that a SIGHUP ends, while it serves
 // or stops.
 func TestSIGHUPLeavesANodeRunning(t *testing.T) {
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -1,6 +1,6 @@
 // Package signals takes the signals of a long-running process, from its start to its end.
 //
-// A signal without a handler has its default action, which for SIGHUP, SIGINT and SIGTERM is
+// A signal without a handler has its default action, which for SIGHUP, SIGINT, SIGTERM and SIGPIPE is
 // to end the process at once: what it has passed on gets no answer, and nothing is handed over. A
 // handler that is taken away while a stop is under way gives the default action back. Package
 // signals therefore never takes its handler away, and a main function calls Handle before anything
@@ -33,6 +33,8 @@
 func Handle() *Handler {
 	received := make(chan os.Signal, pendingSignals)
 	signal.Notify(received, syscall.SIGHUP, os.Interrupt, syscall.SIGTERM)
+	// A write to a standard output that nobody reads any more fails instead.
+	signal.Ignore(syscall.SIGPIPE)
 	stop, cancel := context.WithCancel(context.Background())
 	h := &Handler{stop: stop, received: received}
 	go h.run(cancel)
