upstream: an answer is not whole if its connection is reset after it was ended

Cause: a process that is killed in an upload may end its side in order before the next bytes of the upload are answered with a reset. The reader was told of the end, and the connection was looked at once, in the moment between the two, when it seems ended in order. A connection that was reset after an upload had fitted into the socket's buffers was whole as well.

An answer before its upload was read that keeps the connection, or ends only its own side, stays whole.

Why it works: a byte of the upload that reaches a process that is gone, and a close with bytes unread, are both answered with a reset, within a round trip.

Evidence: two new rows of TestAnswerResetDuringUploadIsNotWhole failed before, in 40 of 40 and 8 of 40 calls; 0 of 144 runs failed after, 48 side by side; TestEarlyAnswerIsWhole, the reverse: 0 of 144.

--- a/internal/gatewaynode/upstream/body.go
+++ b/internal/gatewaynode/upstream/body.go
@@ -45,7 +45,7 @@
 // checkEnd returns an error if the body has ended and is not whole, or not valid.
 func (b *answerBody) checkEnd() error {
 	if httpresponse.EndsWithConnection(b.response) {
-		return b.written.checkReset(b.conn.Conn)
+		return b.written.checkReset(b.conn)
 	}
 	return httpresponse.ValidateFields(b.response.Trailer)
 }
--- a/internal/gatewaynode/upstream/reset_test.go
+++ b/internal/gatewaynode/upstream/reset_test.go
@@ -110,6 +110,13 @@
 			reset(conn, body)
 		}},
 		{"closed with data unread", func(*net.TCPConn, io.Reader) {}},
+		{"ended in order, then closed with data unread", func(conn *net.TCPConn, _ io.Reader) {
+			_ = conn.CloseWrite()
+		}},
+		{"ended in order, then closed while more is sent", func(conn *net.TCPConn, body io.Reader) {
+			_, _ = io.CopyN(io.Discard, body, longUpload/2)
+			_ = conn.CloseWrite()
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			address := earlyServer{after: test.after}.listen(t)
