forward: a stream without events that its connection ends is not whole

Cause: a process that ends closes its connections in order, as one does that has nothing more to send. For items such a stream was a failure already; for live streams it was not.

Change: upstream.Answer says whether only its connection ends it. A stream that ends so before its first event is a failed attempt: it goes on at another back end where the route allows it, and is cut visibly otherwise. An empty stream with chunks or a length 0 stays whole.

--- a/internal/gatewaynode/forward/stream.go
+++ b/internal/gatewaynode/forward/stream.go
@@ -26,11 +26,17 @@
 // errEventGap means that a resumed stream did not continue with the next event.
 var errEventGap = errors.New("event id out of sequence")
 
+// errNoEvent means that the connection to a backend ended after the head of a stream. A backend that
+// ends itself closes its connections like one that has nothing more to send.
+var errNoEvent = errors.New("connection ended before the first event")
+
 // streamState is the progress of a stream towards the caller.
 type streamState struct {
 	writer  http.ResponseWriter
 	flusher http.Flusher
 	started bool
+	// begun tells that an event was passed on.
+	begun   bool
 	last    int64
 	hasLast bool
 	// release lifts the bound of the writes to the caller, once started.
@@ -216,6 +222,9 @@
 	previous := time.Now()
 	for {
 		event, err := reader.Next()
+		if errors.Is(err, io.EOF) && !state.begun && answer.EndsWithConnection {
+			return errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -237,6 +246,7 @@
 			return err
 		}
 		state.flush()
+		state.begun = true
 		if event.HasID {
 			state.last, state.hasLast = event.ID, true
 		}
--- a/internal/gatewaynode/upstream/exchange.go
+++ b/internal/gatewaynode/upstream/exchange.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/sliplift/sliplift/internal/httpresponse"
 )
 
 // exchange writes a call and reads the head of its answer.
@@ -79,6 +81,8 @@
 		Header: response.Header,
 		Length: response.ContentLength,
 		Body:   body,
+
+		EndsWithConnection: httpresponse.EndsWithConnection(response),
 	}, nil
 }
 
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -291,7 +291,10 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
-	Body   io.ReadCloser
+	// EndsWithConnection reports that only the end of the connection ends the body. It is then not
+	// known whether the backend had more to send, unless the connection was reset.
+	EndsWithConnection bool
+	Body               io.ReadCloser
 }
 
 // BodyError returns the Error of a call whose answer is incomplete or malformed.
