soak: signals that change nothing, also into planned stops

Change: a kind of fault of its own random stream, so that what else a seed gives stays as it was: series of SIGHUP to one node or to all, and of SIGTERM and SIGINT to those that are stopping, only once a process has logged its start. A planned stop that ends by a signal or with a failure is broken.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -6,7 +6,7 @@
 // so that the judge knows what truly ran. Every connection between a node and the
 // stand-in goes through a proxy of the soak's on the loopback interface, which delays,
 // resets, refuses or silences it. Nodes are stopped, paused, killed and started again
-// by signals. What fails when is drawn from a seed before the run and printed, so that
+// by signals; series of signals that must change nothing overlap with that. What fails when is drawn from a seed before the run and printed, so that
 // a run can be repeated; the processes' own timing is not repeated.
 //
 // Judged are the promises of the README as the caller and the back end see them; see
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -51,7 +51,7 @@
 // note counts a fault and returns what is to be called at its end. What fails nothing for
 // callers does not count.
 func (s *system) note(f fault) func() {
-	if f.kind == evacuateZone || f.kind == coldSampler {
+	if f.kind == evacuateZone || f.kind == coldSampler || f.kind == signals {
 		return func() {}
 	}
 	s.mu.Lock()
@@ -135,6 +135,8 @@
 		return s.beginInZone(f)
 	case deadly:
 		return s.sendDeadly(f)
+	case signals:
+		return s.beginSignals(f)
 	default:
 		return s.beginAtPlatform(f)
 	}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -29,6 +30,10 @@
 	// is under way.
 	killed, stopping bool
 	paused           bool
+	// logStart is the length of the log when the process was started, in bytes; handles is set
+	// once it is known that the process handles signals.
+	logStart int64
+	handles  bool
 	// resumed is when the process last went on after a pause.
 	resumed time.Time
 	exits   []string
@@ -135,6 +140,9 @@
 	if err != nil {
 		return err
 	}
+	if n.logStart, err = output.Seek(0, io.SeekEnd); err != nil {
+		return err
+	}
 	process := exec.Command(n.program, "--config", n.settings)
 	process.Stdout, process.Stderr = output, output
 	// A soak that crashes leaves no process behind.
@@ -143,7 +151,7 @@
 		return err
 	}
 	ended := make(chan struct{})
-	n.process, n.ended, n.killed, n.stopping, n.paused = process, ended, false, false, false
+	n.process, n.ended, n.killed, n.stopping, n.paused, n.handles = process, ended, false, false, false, false
 	go func() {
 		defer close(ended)
 		defer func() { _ = output.Close() }()
@@ -152,11 +160,12 @@
 	return nil
 }
 
-// noteEnd records an end that nobody asked for.
+// noteEnd records an end that nobody asked for, and a planned stop that did not end in order.
 func (n *node) noteEnd(err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.killed && !n.stopping {
+	inOrder := n.stopping && (err == nil || !n.handlesSignals())
+	if !n.killed && !inOrder {
 		n.exits = append(n.exits, fmt.Sprintf("%s ended by itself: %v: %s", n.name, err, n.lastLine()))
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -53,6 +53,8 @@
 	zoneCut  kind = "zone_cut"
 	// deadly sends a request that ends the back ends which run it.
 	deadly kind = "deadly"
+	// signals sends signals that change nothing, one after the other, also into planned stops.
+	signals kind = "signals"
 )
 
 var kinds = []kind{
@@ -66,6 +68,9 @@
 // workKinds are of what requests do to back ends.
 var workKinds = []kind{deadly}
 
+// harmlessKinds must not be noticed by anybody.
+var harmlessKinds = []kind{signals}
+
 // fault is something that fails for a while.
 type fault struct {
 	at, lasts time.Duration
@@ -93,14 +98,18 @@
 	zoneGapMost = 8 * time.Second
 	// workGapMost is the most time between two spells of deadly requests.
 	workGapMost = 16 * time.Second
+	// harmlessGapMost is the most time between two faults that nobody notices.
+	harmlessGapMost = 6 * time.Second
 )
 
 // draw returns the faults of a run that lasts so long, in order. Those of zones and of
-// requests are drawn by themselves, so that what else a seed gives does not depend on them.
+// requests, and the harmless ones, are drawn by themselves, so that what else a seed gives does not
+// depend on them.
 func draw(seed uint64, lasts time.Duration) []fault {
 	faults := drawKinds(rand.New(rand.NewPCG(seed, 1)), kinds, lasts, gapMost)
 	faults = append(faults, drawKinds(rand.New(rand.NewPCG(seed, 2)), zoneKinds, lasts, zoneGapMost)...)
 	faults = append(faults, drawKinds(rand.New(rand.NewPCG(seed, 3)), workKinds, lasts, workGapMost)...)
+	faults = append(faults, drawKinds(rand.New(rand.NewPCG(seed, 4)), harmlessKinds, lasts, harmlessGapMost)...)
 	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return faults
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -120,7 +120,7 @@
 			}
 		}
 	}
-	if want := len(kinds) + len(zoneKinds) + len(workKinds); len(found) != want {
+	if want := len(kinds) + len(zoneKinds) + len(workKinds) + len(harmlessKinds); len(found) != want {
 		t.Errorf("%d kinds of faults of %d", len(found), want)
 	}
 }
