batch: items that are no valid requests are refused with their job

Cause: path, field names and values of an item are a caller's bytes that come in JSON and went into a request's head without having been parsed as one. Content-Length and Transfer-Encoding of an item went out beside the node's own.

Change: upstream.Call.Validate checks method, target, host, ids and fields; Client.Do refuses a call that fails it (not sent, no sign of a fault of the back end). An item that an earlier build accepted ends as dead, unsent.

Why it works: a target that begins with a slash and holds no control byte and no blank, and fields that are valid by RFC 9110, cannot end the line they stand in; a request has one length.

--- a/internal/gatewaynode/batch/kept_test.go
+++ b/internal/gatewaynode/batch/kept_test.go
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	job := &ownedJob{id: id, ctx: ctx, cancel: cancel, commitWake: make(chan struct{}, 1)}
 	r.jobs[id] = job
-	r.start(job, storedJob{spec: &Spec{ID: id, Items: []Item{{ID: sharedItem}}}, texts: map[int]text{0: stored}})
+	r.start(job, storedJob{spec: &Spec{ID: id, Items: []Item{{ID: sharedItem, Path: "/"}}}, texts: map[int]text{0: stored}})
 	if job.items[0].phase == phaseFinished {
 		r.close(id)
 		return nil
--- a/internal/gatewaynode/batch/runner.go
+++ b/internal/gatewaynode/batch/runner.go
@@ -297,6 +297,12 @@
 			continue
 		}
 		job.unfinished++
+		if err := spec.validateItem(i); err != nil {
+			// A build that did not check its items accepted the job.
+			r.manager.config.Log.Warn(eventlog.ItemDead, eventlog.Fields{eventlog.Job: job.id, eventlog.Item: spec.Items[i].ID, eventlog.Cause: err.Error()})
+			r.finish(job, i, Dead)
+			continue
+		}
 		item.text = found.texts[i]
 		kept, known := r.kept.get(spec.Items[i].ID)
 		if known {
--- a/internal/gatewaynode/upstream/upstream.go
+++ b/internal/gatewaynode/upstream/upstream.go
@@ -163,8 +163,8 @@
 	Heard bool
 	// RoundTrip is the time that the connection took to open, about one round trip.
 	RoundTrip time.Duration
-	// Withheld reports that Call.Admit refused the call, which is no sign of a fault of the
-	// backend.
+	// Withheld reports that Call.Admit or Call.Validate refused the call, which is no sign of a
+	// fault of the backend.
 	Withheld bool
 	// kept reports that the connection is usable and was returned to the pool.
 	kept bool
@@ -193,7 +193,7 @@
 	return Unknown
 }
 
-// Withheld reports whether err is from a call that Call.Admit refused.
+// Withheld reports whether err is from a call that Call.Admit or Call.Validate refused.
 func Withheld(err error) bool {
 	var failure *Error
 	return errors.As(err, &failure) && failure.Withheld
@@ -308,6 +308,9 @@
 // Do sends a call and returns once the head of its answer was received. Its errors are of
 // type *Error. Cancelling ctx closes the connection, on which the backend stops the run.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
+	if err := call.Validate(); err != nil {
+		return nil, &Error{Fate: NotSent, Cause: err, Withheld: true}
+	}
 	conn, err := c.connect(ctx, call)
 	if err != nil {
 		return nil, &Error{Fate: NotSent, Cause: err}
