--- a/internal/gatewaynode/batch/manager.go
+++ b/internal/gatewaynode/batch/manager.go
@@ -46,7 +46,8 @@
 	VersionField string
 	// Pacing limits how often the store is read.
 	Pacing rowstore.Pacing
-	// Retention is how long a job stays readable after its submission.
+	// Retention is how long a job stays readable after its submission, also if it was ended. A job
+	// that was not ended stays readable for as long as it is open, up to maxOpenTime.
 	Retention time.Duration
 	// OnActive is called when this node opens a job while it has none open. It may be
 	// nil.
@@ -67,8 +68,9 @@
 	headRevision int64
 	// known is set once the head has been read.
 	known bool
-	// ended is set if the job was ended by a caller.
-	ended bool
+	// ended is set if the job was ended by a caller; endedAt is when this node learned of it.
+	ended   bool
+	endedAt time.Time
 	// changed is closed and replaced whenever the head or ended changes.
 	changed chan struct{}
 	// firstSeen is when this node first learned of the job, with a monotonic clock reading.
@@ -270,7 +272,7 @@
 // end records that the job was ended.
 func (s *jobState) end() {
 	if !s.ended {
-		s.ended = true
+		s.ended, s.endedAt = true, time.Now()
 		s.notifyChange()
 	}
 }
--- a/internal/gatewaynode/batch/owner.go
+++ b/internal/gatewaynode/batch/owner.go
@@ -254,10 +254,26 @@
 const (
 	// retentionMargin is added to Config.Retention before the rows of a job are deleted.
 	retentionMargin = 10 * time.Second
+	// maxOpenTime is how long a job is kept that nobody ends, as that of a caller that is gone:
+	// its rows would stay in the store for good.
+	maxOpenTime = 24 * time.Hour
 	// maxDeletedRows is the maximum number of rows deleted in one transaction.
 	maxDeletedRows = 90
 )
 
+// expired reports whether the rows of a job may be deleted. This node must have known the job for the
+// retention: a node that started just now may not have read all that there is about it.
+func (s *jobState) expired(now time.Time, retention time.Duration) bool {
+	if !s.known || now.Sub(s.firstSeen) <= retention+retentionMargin {
+		return false
+	}
+	age := s.head.age(now)
+	if !s.ended {
+		return age > max(maxOpenTime, retention+retentionMargin)
+	}
+	return age > retention+retentionMargin && now.Sub(s.endedAt) > retentionMargin
+}
+
 // deleteExpired deletes the rows of one expired job. Only the node that ranks first by
 // job ID among the keepers in the job's regions does so.
 func (m *Manager) deleteExpired(ctx context.Context) {
@@ -265,7 +281,7 @@
 	m.mu.Lock()
 	expired := ""
 	for id, state := range m.jobs {
-		if now.Sub(state.firstSeen) > m.config.Retention+retentionMargin && state.known && state.head.age(now) > m.config.Retention+retentionMargin {
+		if state.expired(now, m.config.Retention) {
 			expired = id
 			break
 		}
--- a/internal/gatewaynode/storenode/storenode.go
+++ b/internal/gatewaynode/storenode/storenode.go
@@ -73,7 +73,7 @@
 	VersionField                 string
 	// SettleTime is how long back ends take to tell two lease holders apart.
 	SettleTime time.Duration
-	// KeepJobs is how long a batch job stays readable.
+	// KeepJobs is how long a batch job stays readable, see batch.Config.Retention.
 	KeepJobs time.Duration
 	// ResultSettle is the time after which every node has to know of a result that
 	// was read.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -57,7 +57,7 @@
 	LeaseSettle  time.Duration `long:"lease-settle" default:"3s" min:"100ms" max:"1m" description:"time that has to lie between orders of two lease holders"`
 	StopGrace    time.Duration `long:"stop-grace" default:"8s" min:"1s" max:"10m" description:"time that a planned stop may take"`
 	ResultSettle time.Duration `long:"result-settle" default:"1s" min:"100ms" max:"1m" description:"time after which every node has to know of a result that was read"`
-	KeepJobs     time.Duration `long:"keep-jobs" default:"2m" min:"1s" max:"24h" description:"time that a batch job stays readable after it was submitted"`
+	KeepJobs     time.Duration `long:"keep-jobs" default:"2m" min:"1s" max:"24h" description:"time that a batch job stays readable after it was submitted; one that is not ended stays so for as long as it is open, a day at most"`
 	AddressTTL   time.Duration `long:"address-ttl" default:"1s" min:"100ms" max:"1m" description:"time that callers may keep the addresses of nodes"`
 }
 
