--- a/cmd/sliplift-gateway/main.go
+++ b/cmd/sliplift-gateway/main.go
@@ -38,7 +38,7 @@
 
 func main() {
 	// First, since a signal that comes before ends the process.
-	received := signals.Handle()
+	handler := signals.Handle()
 	cfg := &settings.Gateway{}
 	code, proceed := settings.Start(settings.GatewayProgram, telemetry.Version(), os.Args[1:], cfg, os.Stdout, os.Stderr)
 	if !proceed {
@@ -52,8 +52,8 @@
 	log.SetNode(cfg.Name)
 	metrics := gatewaymetrics.New()
 	log.SetCounter(metrics.Event)
-	received.OnHangup(func() { noteHangup(log) })
-	code = run(received.Stop(), cfg, log, metrics)
+	handler.OnHangup(func() { noteHangup(log) })
+	code = run(handler.Stop(), cfg, log, metrics)
 	log.Close()
 	os.Exit(code)
 }
--- a/internal/meshnode/daemon/daemon.go
+++ b/internal/meshnode/daemon/daemon.go
@@ -41,7 +41,7 @@
 // refused.
 func Main(program Program) int {
 	// First, since a signal that comes before ends the process.
-	received := signals.Handle()
+	handler := signals.Handle()
 	code, proceed := settings.Start(program.Name, telemetry.Version(), os.Args[1:], program.Settings, os.Stdout, os.Stderr)
 	if !proceed {
 		return code
@@ -50,8 +50,8 @@
 	if err != nil {
 		panic("settings let through: " + err.Error())
 	}
-	received.OnHangup(func() { lg.Info("SIGHUP ignored: settings are read at the start") })
-	if err := run(received.Stop(), program, lg); err != nil {
+	handler.OnHangup(func() { lg.Info("SIGHUP ignored: settings are read at the start") })
+	if err := run(handler.Stop(), program, lg); err != nil {
 		lg.WithError(err).Error("stopped")
 		return exitFailed
 	}
--- a/internal/processtest/doc.go
+++ b/internal/processtest/doc.go
@@ -1,7 +1,8 @@
 // Package processtest proves the promises with real processes: its tests build
 // the programs, run stand-ins and nodes over loopback TCP, kill them with
 // SIGKILL, pause them with SIGSTOP and stop them with SIGTERM, and judge the
-// joined histories of all of them with package history.
+// joined histories of all of them with package history. A gateway runs against the
+// stand-in of the users' platform, which the test itself serves.
 //
 // Everything that virtual time can show is shown elsewhere; here stand the few
 // cases whose point is the operating system: a process that ends in the middle
