batch: the cache of specifications is bounded in bytes

Cause: the cache kept the last six specifications with all bodies, whatever their size; a specification read from the store was joined in a buffer that grew by doubling.

Change: 32 MB in all, the newest one always; the buffer is allocated once.

--- a/internal/gatewaynode/batch/specs.go
+++ b/internal/gatewaynode/batch/specs.go
@@ -24,12 +24,8 @@
 	if len(rows) != head.Parts {
 		return nil, rowstore.ErrStale
 	}
-	var content []byte
-	for _, row := range rows {
-		content = append(content, row.Value...)
-	}
 	spec := &Spec{}
-	if err := json.Unmarshal(content, spec); err != nil {
+	if err := json.Unmarshal(joinValues(rows), spec); err != nil {
 		return nil, err
 	}
 	if m.allowedHere(head) {
@@ -38,6 +34,19 @@
 	return spec, nil
 }
 
+// joinValues returns the values of rows, one behind the other.
+func joinValues(rows []rowstore.Row) []byte {
+	size := 0
+	for _, row := range rows {
+		size += len(row.Value)
+	}
+	content := make([]byte, 0, size)
+	for _, row := range rows {
+		content = append(content, row.Value...)
+	}
+	return content
+}
+
 // specCache caches the specifications that were added last. It is safe for
 // concurrent use.
 type specCache struct {
@@ -45,10 +54,31 @@
 	// order holds the IDs of the cached jobs, oldest first.
 	order []string
 	specs map[string]*Spec
+	// bytes is the size of the cached specifications.
+	bytes int
 }
 
-// maxCachedSpecs is the capacity of a specCache.
-const maxCachedSpecs = 6
+const (
+	// maxCachedSpecs is the maximum number of specifications in a specCache.
+	maxCachedSpecs = 6
+	// maxCachedSpecBytes is their maximum size, a tenth of a small machine's memory. The one that was
+	// added last stays, whatever its size: its job is about to be run.
+	maxCachedSpecBytes = 32 << 20
+	// itemOverhead is about what an item takes in memory besides its body.
+	itemOverhead = 512
+)
+
+// size returns about what a specification takes in memory, in bytes.
+func (s *Spec) size() int {
+	size := 0
+	for i := range s.Items {
+		size += len(s.Items[i].Body) + itemOverhead
+		if scorer := s.Items[i].Scorer; scorer != nil {
+			size += len(scorer.Body) + itemOverhead
+		}
+	}
+	return size
+}
 
 func newSpecCache() *specCache { return &specCache{specs: make(map[string]*Spec)} }
 
@@ -66,7 +96,7 @@
 		if keep(job) {
 			return false
 		}
-		delete(c.specs, job)
+		c.drop(job)
 		return true
 	})
 }
@@ -74,12 +104,20 @@
 func (c *specCache) put(job string, spec *Spec) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.specs[job] == nil {
-		c.order = append(c.order, job)
+	if c.specs[job] != nil {
+		return
 	}
+	c.order = append(c.order, job)
 	c.specs[job] = spec
-	for len(c.order) > maxCachedSpecs {
-		delete(c.specs, c.order[0])
+	c.bytes += spec.size()
+	for len(c.order) > maxCachedSpecs || c.bytes > maxCachedSpecBytes && len(c.order) > 1 {
+		c.drop(c.order[0])
 		c.order = c.order[1:]
 	}
 }
+
+// drop removes the specification of a job, but not its ID from order. The lock is held.
+func (c *specCache) drop(job string) {
+	c.bytes -= c.specs[job].size()
+	delete(c.specs, job)
+}
