upstream, batch: items are checked without making calls of them

The check is right: run.call and scoreCall.send make their calls whole again, with Admit, and upstream.ValidateRequest checks what a caller gives without a call. No behaviour changes.

--- a/internal/gatewaynode/batch/run.go
+++ b/internal/gatewaynode/batch/run.go
@@ -134,10 +134,14 @@
 // call returns the upstream call of the run, which resumes after the given number of
 // events.
 func (r *run) call(after int) *upstream.Call {
-	call := r.item().request(r.job.spec.Host)
-	call.Address, call.Instance = r.backend.Address, r.backend.ID
-	call.Tenant, call.Deadline, call.Priority = r.job.tenant, r.deadline, r.priority
-	call.Admit, call.Work = r.admit, r.work
+	item := r.item()
+	call := &upstream.Call{
+		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: r.job.spec.Host,
+		Header: item.header(), Body: item.Body, Address: r.backend.Address, Instance: r.backend.ID,
+		Tenant: r.job.tenant, Deadline: r.deadline, Priority: r.priority,
+		Admit:   r.admit,
+		Purpose: upstream.PurposeItem, Work: r.work,
+	}
 	if after > 0 {
 		call.Resume, call.ResumeAfter = true, int64(after)
 	}
--- a/internal/gatewaynode/batch/scorecall.go
+++ b/internal/gatewaynode/batch/scorecall.go
@@ -107,14 +107,14 @@
 
 // send sends the call and reads its response.
 func (c *scoreCall) send() scoreFate {
-	m := c.runner.manager
+	m, scorer := c.runner.manager, c.scorer()
 	started := time.Now()
-	call := c.scorer().request()
-	call.Address, call.Instance, call.Tenant = c.backend.Address, c.backend.ID, c.tenant()
-	call.Deadline = started.Add(c.limit.Duration())
-	call.Priority = upstream.PriorityOf(c.runner.priority(c.tenant(), c.route), 0)
-	call.Admit, call.Work = c.admit, c.work
-	answer, err := m.config.Client.Do(c.ctx, call)
+	answer, err := m.config.Client.Do(c.ctx, &upstream.Call{
+		ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body,
+		Address: c.backend.Address, Instance: c.backend.ID, Tenant: c.tenant(), Deadline: started.Add(c.limit.Duration()),
+		Priority: upstream.PriorityOf(c.runner.priority(c.tenant(), c.route), 0), Admit: c.admit,
+		Purpose: upstream.PurposeScore, Work: c.work,
+	})
 	if err != nil {
 		return fateOfCall(err)
 	}
--- a/internal/gatewaynode/upstream/validate.go
+++ b/internal/gatewaynode/upstream/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/textproto"
 	"strings"
 
@@ -12,25 +13,34 @@
 // end of the request, or another receiver (RFC 9112, sections 3.2 and 6.3).
 var framingFields = map[string]bool{"Content-Length": true, "Transfer-Encoding": true, "Host": true}
 
-// Validate returns an error if the head of the call would not be that of one valid request of
-// HTTP/1.1: bytes of a target or a field could begin a request that nobody made. Do refuses such a
-// call. Callers that accept calls for later check them first, to refuse them at once.
+// Validate returns an error if the head of the call would not be that of one valid request, see
+// ValidateRequest. Do refuses such a call.
 func (c *Call) Validate() error {
-	if !httpguts.ValidHeaderFieldName(c.Method) {
-		return fmt.Errorf("method %q is not a token", c.Method)
+	for _, field := range [...]struct{ name, value string }{{"instance", c.Instance}, {"tenant", c.Tenant}} {
+		if !httpguts.ValidHeaderFieldValue(field.value) {
+			return fmt.Errorf("%s %q is not a field value", field.name, field.value)
+		}
 	}
-	if err := validateTarget(c.Target); err != nil {
+	return ValidateRequest(c.Method, c.Target, c.Host, c.ID, c.Header)
+}
+
+// ValidateRequest returns an error if what a caller gives of a request would not make the head of one
+// valid request of HTTP/1.1: bytes of a target or a field could begin a request that nobody made.
+// Whoever accepts requests for later checks them first, to refuse them at once.
+func ValidateRequest(method, target, host, id string, header http.Header) error {
+	if !httpguts.ValidHeaderFieldName(method) {
+		return fmt.Errorf("method %q is not a token", method)
+	}
+	if err := validateTarget(target); err != nil {
 		return err
 	}
-	if !httpguts.ValidHostHeader(c.Host) {
-		return fmt.Errorf("host %q is not valid", c.Host)
+	if !httpguts.ValidHostHeader(host) {
+		return fmt.Errorf("host %q is not valid", host)
 	}
-	for _, field := range [...]struct{ name, value string }{{"id", c.ID}, {"instance", c.Instance}, {"tenant", c.Tenant}} {
-		if !httpguts.ValidHeaderFieldValue(field.value) {
-			return fmt.Errorf("%s %q is not a field value", field.name, field.value)
-		}
+	if !httpguts.ValidHeaderFieldValue(id) {
+		return fmt.Errorf("id %q is not a field value", id)
 	}
-	return validateHeader(c.Header)
+	return validateHeader(header)
 }
 
 // validateTarget returns an error unless a request target has the origin form (RFC 9112, section
@@ -45,7 +55,7 @@
 	return nil
 }
 
-func validateHeader(header map[string][]string) error {
+func validateHeader(header http.Header) error {
 	for name, values := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return fmt.Errorf("field name %q is not a token", name)
