--- a/internal/gatewaynode/upstream/cut_test.go
+++ b/internal/gatewaynode/upstream/cut_test.go
@@ -20,23 +20,7 @@
 }
 
 // listen serves until the end of the test and returns the address.
-func (s cutServer) listen(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn.(*net.TCPConn))
-		}
-	}()
-	return listener.Addr().String()
-}
+func (s cutServer) listen(t *testing.T) string { return serveTCP(t, s.serve) }
 
 // serve reads a request whole, so that a close ends the connection in order.
 func (s cutServer) serve(conn *net.TCPConn) {
--- a/internal/gatewaynode/upstream/reset_test.go
+++ b/internal/gatewaynode/upstream/reset_test.go
@@ -32,7 +32,10 @@
 }
 
 // listen serves until the end of the test and returns the address.
-func (s earlyServer) listen(t *testing.T) string {
+func (s earlyServer) listen(t *testing.T) string { return serveTCP(t, s.serve) }
+
+// serveTCP calls serve for each connection to the address that it returns, until the end of the test.
+func serveTCP(t *testing.T, serve func(conn *net.TCPConn)) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -44,7 +47,7 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn.(*net.TCPConn))
+			go serve(conn.(*net.TCPConn))
 		}
 	}()
 	return listener.Addr().String()
